--- /dev/null
+++ b/source/core/common/logging.cc
@@ -0,0 +1,107 @@
+#include "common/logging.h"
+
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+#include <unistd.h>
+
+#include <boost/json.hpp>
+#include <cstdlib>
+#include <memory>
+
+namespace daisywind {
+namespace {
+
+auto ActiveFormat() -> log_format& {
+  static auto format = log_format::kJson;
+  return format;
+}
+
+auto ToLog4cxx(log_level level) -> log4cxx::LevelPtr {
+  switch (level) {
+    case log_level::kDebug:
+      return log4cxx::Level::getDebug();
+    case log_level::kInfo:
+      return log4cxx::Level::getInfo();
+    case log_level::kWarning:
+      return log4cxx::Level::getWarn();
+    case log_level::kError:
+      return log4cxx::Level::getError();
+  }
+  return log4cxx::Level::getError();
+}
+
+auto ToJson(const log_field& field) -> boost::json::value {
+  return std::visit([](const auto& value) { return boost::json::value(value); },
+                    field.value);
+}
+
+auto JsonLine(const log_event& event, std::initializer_list<log_field> fields)
+    -> std::string {
+  auto line = boost::json::object{};
+  line["event"] = event.number;
+  line["subsystem"] = LoggerName(event.subsystem);
+  line["level"] = LevelName(event.level);
+  line["text"] = event.text;
+  for (const auto& field : fields) {
+    line[field.name] = ToJson(field);
+  }
+  return boost::json::serialize(line);
+}
+
+auto TextLine(const log_event& event, std::initializer_list<log_field> fields)
+    -> std::string {
+  auto line = std::string(LevelName(event.level)) + " " +
+              std::string(LoggerName(event.subsystem)) + " " +
+              std::to_string(event.number) + " " + std::string(event.text);
+  for (const auto& field : fields) {
+    line += " " + std::string(field.name) + "=" +
+            boost::json::serialize(ToJson(field));
+  }
+  return line;
+}
+
+// JSON lines carry the time as a first member put in by the layout.
+auto Layout(log_format format) -> log4cxx::LayoutPtr {
+  const auto* pattern = format == log_format::kJson
+                            ? "{\"time\":\"%d{yyyy-MM-ddTHH:mm:ss.SSS}\",%m%n"
+                            : "%d{HH:mm:ss.SSS} %m%n";
+  return std::make_shared<log4cxx::PatternLayout>(pattern);
+}
+
+}  // namespace
+
+auto StartLogging(log_format format, log_level threshold) -> void {
+  ActiveFormat() = format;
+  auto appender = std::make_shared<log4cxx::ConsoleAppender>(
+      Layout(format), log4cxx::ConsoleAppender::getSystemErr());
+  auto root = log4cxx::Logger::getRootLogger();
+  root->removeAllAppenders();
+  root->addAppender(appender);
+  root->setLevel(ToLog4cxx(threshold));
+}
+
+auto Log(const log_event& event, std::initializer_list<log_field> fields)
+    -> void {
+  auto logger =
+      log4cxx::Logger::getLogger(std::string(LoggerName(event.subsystem)));
+  const auto level = ToLog4cxx(event.level);
+  if (!logger->isEnabledFor(level)) {
+    return;
+  }
+  const auto line = ActiveFormat() == log_format::kJson
+                        ? JsonLine(event, fields).substr(1)
+                        : TextLine(event, fields);
+  logger->forcedLog(level, line);
+}
+
+auto EndOnBrokenInvariant(std::string_view condition,
+                          std::string_view file,
+                          int line) -> void {
+  Log(log_events::kInvariantBroken,
+      {{"condition", condition}, {"file", file}, {"line", std::int64_t{line}}});
+  std::abort();
+}
+
+}  // namespace daisywind
--- /dev/null
+++ b/source/core/common/random.h
@@ -0,0 +1,39 @@
+// Seeded random numbers.
+#ifndef DAISYWIND_COMMON_RANDOM_H_
+#define DAISYWIND_COMMON_RANDOM_H_
+
+#include <cstdint>
+#include <random>
+
+namespace daisywind {
+
+// A generator whose whole sequence follows from its seed.
+class random_source {
+ public:
+  explicit random_source(std::uint64_t seed) : engine_(seed) {}
+
+  // Uniform over all 64-bit values.
+  auto Next() -> std::uint64_t { return engine_(); }
+
+  // Uniform in [0, bound). The bound must not be zero.
+  auto Below(std::uint64_t bound) -> std::uint64_t;
+
+  // Uniform in [0, 1).
+  auto Unit() -> double;
+
+  // Exponential with the given mean, in the mean's unit.
+  auto Exponential(double mean) -> double;
+
+  // The engine, for the distributions of the standard library.
+  auto engine() -> std::mt19937_64& { return engine_; }
+
+ private:
+  std::mt19937_64 engine_;
+};
+
+// A seed from the operating system, for production use.
+auto SystemSeed() -> std::uint64_t;
+
+}  // namespace daisywind
+
+#endif  // DAISYWIND_COMMON_RANDOM_H_
--- /dev/null
+++ b/source/core/common/time.h
@@ -0,0 +1,29 @@
+// Time as the decision libraries see it: passed in, never read.
+#ifndef DAISYWIND_COMMON_TIME_H_
+#define DAISYWIND_COMMON_TIME_H_
+
+#include <chrono>
+
+namespace daisywind {
+
+using duration = std::chrono::microseconds;
+
+// Tag of the injected clock. It has no now(): adapters hand the time in, which
+// keeps the decision libraries deterministic.
+struct core_clock {
+  using rep = duration::rep;
+  using period = duration::period;
+  using duration = daisywind::duration;
+  using time_point = std::chrono::time_point<core_clock>;
+  static constexpr bool is_steady = true;
+};
+
+using instant = core_clock::time_point;
+
+using std::chrono_literals::operator""s;
+using std::chrono_literals::operator""ms;
+using std::chrono_literals::operator""us;
+
+}  // namespace daisywind
+
+#endif  // DAISYWIND_COMMON_TIME_H_
--- /dev/null
+++ b/source/unit_tests/common/settings_test.cc
@@ -0,0 +1,75 @@
+#include "common/settings.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/leaf/handle_errors.hpp>
+#include <string>
+
+namespace daisywind {
+namespace {
+
+constexpr auto kPort =
+    integer_setting{"listen.port", 8080, "port for callers", 1, 65535};
+constexpr auto kName = string_setting{"vm", "", "name of this VM", 0, 0, true};
+constexpr auto kIsFast = bool_setting{"is_fast", false, "a switch"};
+constexpr auto kPeers = list_setting{"peers", "", "addresses of peers"};
+
+auto MakeSettings() -> settings {
+  return settings(
+      {Declare(kPort), Declare(kName), Declare(kIsFast), DeclareList(kPeers)});
+}
+
+auto ErrorOf(auto&& action) -> std::string {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<std::string> {
+        BOOST_LEAF_CHECK(action());
+        return std::string("no error");
+      },
+      [](const settings_error& error) { return ToString(error); },
+      [] { return std::string("untyped error"); });
+}
+
+auto ErrorOfText(std::string_view text) -> std::string {
+  auto values = MakeSettings();
+  return ErrorOf([&] { return values.AddText("a.json", text); });
+}
+
+}  // namespace
+
+TEST_CASE("a later layer hides an earlier one") {
+  auto values = MakeSettings();
+  CHECK(values.Get(kPort) == 8080);
+  REQUIRE(values.AddText("a.json", R"({"listen":{"port":9},"peers":["x"]})"));
+  CHECK(values.Get(kPort) == 9);
+  REQUIRE(values.AddOverride("listen.port=10"));
+  CHECK(values.Get(kPort) == 10);
+  CHECK(values.GetList(kPeers) == string_list{"x"});
+}
+
+TEST_CASE("errors name the file, the key, what was found and what is allowed") {
+  CHECK(ErrorOfText(R"({"listen":{"port":70000}})") ==
+        "a.json: listen.port: found 70000, allowed is an integer from 1 to "
+        "65535");
+  CHECK(ErrorOfText(R"({"listen":{"prt":1}})") ==
+        "a.json: listen.prt: found an unknown key, allowed is a declared "
+        "setting");
+  CHECK(ErrorOfText(R"({"is_fast":"yes"})") ==
+        "a.json: is_fast: found \"yes\", allowed is true or false");
+  CHECK(ErrorOfText(R"({"listen":{"port":"8080"}})") ==
+        "a.json: listen.port: found \"8080\", allowed is an integer from 1 to "
+        "65535");
+  CHECK(ErrorOfText("[1]").starts_with("a.json: (file): found [1]"));
+  CHECK(ErrorOfText("{").starts_with("a.json: (file): found "));
+}
+
+TEST_CASE("a missing file and a missing required value are errors") {
+  auto values = MakeSettings();
+  CHECK(ErrorOf([&] { return values.AddFile("no/such/file.json"); }) ==
+        "no/such/file.json: (file): found no readable file, allowed is a "
+        "readable JSON file");
+  REQUIRE(values.AddText("a.json", "{}"));
+  CHECK(ErrorOf([&] { return values.CheckComplete(); }) ==
+        "a.json: vm: found nothing, allowed is a string");
+}
+
+}  // namespace daisywind
