--- /dev/null
+++ b/source/core/configuration/version.h
@@ -0,0 +1,106 @@
+// Versions: a document cut into content-addressed chunks, and its number.
+#ifndef DAISYWIND_CONFIGURATION_VERSION_H_
+#define DAISYWIND_CONFIGURATION_VERSION_H_
+
+#include <boost/leaf/result.hpp>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "common/digest.h"
+#include "common/ids.h"
+#include "configuration/document.h"
+
+namespace daisywind::configuration {
+
+// Number of buckets that the members of a document are hashed into.
+inline constexpr std::size_t kBucketCount = 256;
+
+using bucket_index = std::uint16_t;
+
+// The chunk of each bucket that is not empty.
+using manifest = std::map<bucket_index, digest>;
+
+// Chunks by the digest of their text.
+using chunk_map = std::map<digest, std::string>;
+
+// Names one version. Where a service restored from an old copy has given a
+// number twice, the digest settles which of the two goes on everywhere.
+struct version_ref {
+  version_number number = 0;
+  digest root;
+
+  auto operator<=>(const version_ref&) const = default;
+};
+
+// The newest version as the key-value service holds it.
+struct version_head {
+  version_ref ref;
+  manifest buckets;
+  std::string patch_id;
+  std::string author;
+  // Time of acceptance at the VM that wrote it, ms since 1970.
+  std::int64_t accepted_unix_ms = 0;
+
+  auto operator<=>(const version_head&) const = default;
+};
+
+// One bucket of a version that differs from that of the version before it. An
+// absent chunk has a digest of zeros.
+struct bucket_change {
+  bucket_index bucket = 0;
+  digest chunk;
+
+  auto operator<=>(const bucket_change&) const = default;
+};
+
+// One line of the history.
+struct history_entry {
+  version_ref ref;
+  std::string patch_id;
+  std::string author;
+  std::int64_t accepted_unix_ms = 0;
+  // JSON pointers of what changed, at most kMaxPaths.
+  std::vector<std::string> paths;
+  // The chunks that the version before had in the buckets that changed.
+  std::vector<bucket_change> replaced;
+
+  auto operator<=>(const history_entry&) const = default;
+};
+
+// The largest number of paths in an answer or a line of the history.
+inline constexpr std::size_t kMaxPaths = 100;
+
+// A document cut into chunks.
+struct chunked_document {
+  manifest buckets;
+  chunk_map chunks;
+
+  auto operator<=>(const chunked_document&) const = default;
+};
+
+// Cuts a document into chunks.
+auto Split(const document& value) -> chunked_document;
+
+// Puts a document together. Fails with document_error when a chunk is missing
+// or broken.
+auto Join(const manifest& buckets, const chunk_map& chunks)
+    -> leaf::result<document>;
+
+// The digest over all chunks of a version.
+auto RootOf(const manifest& buckets) -> digest;
+
+// The buckets in which `to` differs, with their chunk in `to`.
+auto ChangesBetween(const manifest& from, const manifest& to)
+    -> std::vector<bucket_change>;
+
+// The manifest with some buckets changed.
+auto WithChanges(manifest from, const std::vector<bucket_change>& changes)
+    -> manifest;
+
+}  // namespace daisywind::configuration
+
+#endif  // DAISYWIND_CONFIGURATION_VERSION_H_
