Add the configuration system

Versions stand in the key-value service as content-addressed chunks and one head key. Accepting a patch is one transaction that compares the head, the collection key and the patch id; it is repeated while its answer is lost, and its failure proves that no earlier send takes effect. Two watchers in each failure domain watch the head; versions pass between VMs by push to five peers and a probe every two seconds, as changed chunks by digest.

Chunks that no version has any more are not removed yet.

--- a/source/core/configuration/messages.h
+++ b/source/core/configuration/messages.h
@@ -16,10 +16,9 @@
 // Pushed to a few peers when a version is installed: what it is, and how it
 // differs from the one before it.
 struct announce_message {
-  version_ref ref;
+  version_info info;
   version_ref base;
   std::vector<bucket_change> changes;
-  std::int64_t accepted_unix_ms = 0;
 
   auto operator<=>(const announce_message&) const = default;
 };
@@ -42,9 +41,7 @@
 
 // The manifest of the sender's version.
 struct manifest_reply {
-  version_ref ref;
-  manifest buckets;
-  std::int64_t accepted_unix_ms = 0;
+  version_head head;
 
   auto operator<=>(const manifest_reply&) const = default;
 };
--- /dev/null
+++ b/source/core/configuration/query_flow.h
@@ -0,0 +1,53 @@
+// Answers queries for earlier versions and for the history.
+#ifndef DAISYWIND_CONFIGURATION_QUERY_FLOW_H_
+#define DAISYWIND_CONFIGURATION_QUERY_FLOW_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+
+#include "configuration/chunk_loader.h"
+#include "configuration/system_state.h"
+
+namespace daisywind::configuration {
+
+class query_flow {
+ public:
+  query_flow(system_state& state, chunk_loader& loader)
+      : state_(&state), loader_(&loader) {}
+
+  auto HandleVersion(const version_requested& request, instant now) -> void;
+  auto HandleHistory(const history_requested& request) -> void;
+
+  // Goes on with every version that is being loaded.
+  auto Advance(instant now) -> void;
+
+ private:
+  // An earlier version that is being read.
+  struct entry {
+    version_requested request;
+    instant deadline;
+    std::optional<manifest> buckets;
+    load_id load = 0;
+  };
+
+  using entry_id = std::uint64_t;
+
+  auto TakeHistory(entry_id id, const kv_result& result) -> void;
+  auto AnswerHistory(const history_requested& request, const kv_result& result)
+      -> void;
+  // Returns true when the entry is answered.
+  auto Proceed(entry& item, instant now) -> bool;
+  auto Reply(const version_requested& request,
+             query_outcome outcome,
+             std::shared_ptr<const document> content) -> void;
+
+  system_state* state_;
+  chunk_loader* loader_;
+  std::map<entry_id, entry> entries_;
+};
+
+}  // namespace daisywind::configuration
+
+#endif  // DAISYWIND_CONFIGURATION_QUERY_FLOW_H_
--- /dev/null
+++ b/source/core/configuration/spread.cc
@@ -0,0 +1,231 @@
+#include "configuration/spread.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "configuration/rendezvous.h"
+
+namespace daisywind::configuration {
+namespace {
+
+constexpr auto kFanoutInDomain = std::size_t{4};
+constexpr auto kFanoutOutside = std::size_t{1};
+constexpr auto kProbeInterval = duration(2s);
+// Of this many probes one goes outside the failure domain.
+constexpr auto kOutsideProbeEvery = std::uint64_t{4};
+constexpr auto kAskManifestAgainAfter = duration(1s);
+// Peers outside the watchers that a new VM asks.
+constexpr auto kPeersAskedAtStart = std::size_t{4};
+// How long a new VM waits for the service before peers alone will do, and for
+// those of the peers that do not answer.
+constexpr auto kWaitForService = duration(3s);
+constexpr auto kWaitForPeers = duration(5s);
+
+}  // namespace
+
+auto spread::HandleAnnounce(const vm_ref& from,
+                            const announce_message& content,
+                            instant now) -> void {
+  const auto& ref = content.info.ref;
+  const auto& installed = state_->installed.head;
+  unanswered_.erase(from);
+  has_answer_ = true;
+  newest_of_peers_ = std::max(newest_of_peers_, ref);
+  if (ref <= installed.info.ref || (target_ && ref <= target_->head.info.ref)) {
+    return;
+  }
+  const auto* base = content.base == installed.info.ref ? &installed : nullptr;
+  if (target_ && content.base == target_->head.info.ref) {
+    base = &target_->head;
+  }
+  if (base == nullptr) {
+    AskManifest(from, ref, now);
+    return;
+  }
+  auto head =
+      version_head{content.info, WithChanges(base->buckets, content.changes)};
+  Follow({std::move(head), from});
+}
+
+auto spread::HandleProbe(const vm_ref& from,
+                         const probe_message& content,
+                         instant now) -> void {
+  const auto& own = state_->installed.head.info.ref;
+  unanswered_.erase(from);
+  has_answer_ = true;
+  newest_of_peers_ = std::max(newest_of_peers_, content.ref);
+  if (content.proof_age_ms >= 0 && content.ref <= own && own.number > 0) {
+    state_->Prove(now - std::chrono::milliseconds(content.proof_age_ms));
+  }
+  if (content.ref < own) {
+    state_->Send(from, MakeAnnounce());
+  }
+  if (content.wants_reply) {
+    state_->Send(from, probe_message{own, state_->ProofAgeMs(now), false});
+  } else if (content.ref > own) {
+    AskManifest(from, content.ref, now);
+  }
+}
+
+auto spread::HandleManifestRequest(const vm_ref& from) -> void {
+  if (state_->installed.head.info.ref.number > 0) {
+    state_->Send(from, manifest_reply{state_->installed.head});
+  }
+}
+
+auto spread::HandleManifestReply(const vm_ref& from,
+                                 const manifest_reply& content) -> void {
+  state_->learned.push_back({content.head, from});
+}
+
+auto spread::Advance(instant now) -> void {
+  TakeLearned();
+  TryInstall(now);
+  AskAtStart(now);
+  if (now >= next_probe_at_) {
+    ProbePeer(now);
+  }
+  UpdateReady(now);
+}
+
+auto spread::TakeLearned() -> void {
+  for (const auto& item : std::exchange(state_->learned, {})) {
+    Follow(item);
+  }
+}
+
+auto spread::Follow(const learned_version& item) -> void {
+  const auto& ref = item.head.info.ref;
+  const auto is_newer = ref > state_->installed.head.info.ref &&
+                        (!target_ || ref > target_->head.info.ref);
+  if (!is_newer || RootOf(item.head.buckets) != ref.root) {
+    return;
+  }
+  const auto load = loader_->Start(item.head.buckets,
+                                   load_source::kPeersAndService, item.source);
+  if (target_) {
+    loader_->Finish(target_->load);
+  }
+  target_ = target{item.head, load};
+}
+
+auto spread::TryInstall(instant now) -> void {
+  if (!target_ || loader_->StatusOf(target_->load) != load_status::kDone) {
+    return;
+  }
+  auto content = Join(target_->head.buckets, state_->chunks);
+  const auto head = target_->head;
+  loader_->Finish(target_->load);
+  target_.reset();
+  if (content) {
+    Install(head, std::make_shared<const document>(std::move(*content)), now);
+  }
+}
+
+auto spread::Install(const version_head& head,
+                     std::shared_ptr<const document> content,
+                     instant now) -> void {
+  auto& installed = state_->installed;
+  installed.base = installed.head.info.ref;
+  installed.changes = ChangesBetween(installed.head.buckets, head.buckets);
+  installed.head = head;
+  installed.content = std::move(content);
+  state_->counters.installs += 1;
+  if (state_->newest_known.number > 0 &&
+      head.info.ref >= state_->newest_known) {
+    state_->Prove(state_->newest_known_at);
+  }
+  const auto spread_ms = std::max(
+      std::int64_t{0}, state_->UnixMs(now) - head.info.accepted_unix_ms);
+  state_->commands.emplace_back(
+      install_version{head.info.ref.number, installed.content, spread_ms});
+  loader_->Prune();
+  Announce();
+}
+
+auto spread::Announce() -> void {
+  const auto is_caught_up = state_->installed.base.number == 0 &&
+                            state_->installed.head.info.ref.number > 1;
+  if (is_caught_up) {
+    return;
+  }
+  auto peers = state_->RandomPeers(true, kFanoutInDomain);
+  const auto outside = state_->RandomPeers(false, kFanoutOutside);
+  peers.insert(peers.end(), outside.begin(), outside.end());
+  const auto content = MakeAnnounce();
+  for (const auto& peer : peers) {
+    state_->Send(peer, content);
+  }
+}
+
+auto spread::MakeAnnounce() const -> announce_message {
+  const auto& installed = state_->installed;
+  return {installed.head.info, installed.base, installed.changes};
+}
+
+auto spread::ProbePeer(instant now) -> void {
+  next_probe_at_ = now + state_->Jitter(kProbeInterval);
+  const auto is_outside = state_->random.Below(kOutsideProbeEvery) == 0;
+  auto peers = state_->RandomPeers(!is_outside, 1);
+  if (peers.empty()) {
+    peers = state_->RandomPeers(is_outside, 1);
+  }
+  for (const auto& peer : peers) {
+    state_->Send(peer, probe_message{state_->installed.head.info.ref,
+                                     state_->ProofAgeMs(now), true});
+  }
+}
+
+auto spread::AskAtStart(instant now) -> void {
+  if (has_asked_at_start_ || state_->members.size() < 2) {
+    return;
+  }
+  has_asked_at_start_ = true;
+  for (const auto& domain : DomainsOf(state_->members)) {
+    for (const auto& item : WatchersOf(state_->members, domain)) {
+      unanswered_.insert(item.vm);
+    }
+  }
+  for (const auto& peer : state_->RandomPeers(true, kPeersAskedAtStart)) {
+    unanswered_.insert(peer);
+  }
+  unanswered_.erase(state_->self.vm);
+  for (const auto& peer : unanswered_) {
+    state_->Send(peer, probe_message{state_->installed.head.info.ref,
+                                     state_->ProofAgeMs(now), true});
+  }
+}
+
+auto spread::UpdateReady(instant now) -> void {
+  const auto& own = state_->installed.head.info.ref;
+  if (is_ready_ || own.number == 0) {
+    return;
+  }
+  if (state_->has_read_head) {
+    is_ready_ = own >= state_->newest_known;
+    return;
+  }
+  is_ready_ = HasAskedAllPeers(now) && own >= newest_of_peers_;
+}
+
+auto spread::HasAskedAllPeers(instant now) const -> bool {
+  const auto waited = now - *state_->started_at;
+  return has_answer_ && waited >= kWaitForService &&
+         (unanswered_.empty() || waited >= kWaitForPeers);
+}
+
+auto spread::AskManifest(const vm_ref& from,
+                         const version_ref& ref,
+                         instant now) -> void {
+  const auto is_asked =
+      ref <= asked_ && now - asked_at_ < kAskManifestAgainAfter;
+  if (is_asked) {
+    return;
+  }
+  asked_ = ref;
+  asked_at_ = now;
+  state_->Send(from, manifest_request{});
+}
+
+}  // namespace daisywind::configuration
--- a/source/core/configuration/version.h
+++ b/source/core/configuration/version.h
@@ -36,15 +36,22 @@
   auto operator<=>(const version_ref&) const = default;
 };
 
-// The newest version as the key-value service holds it.
-struct version_head {
+// What is known of a version besides its content.
+struct version_info {
   version_ref ref;
-  manifest buckets;
   std::string patch_id;
   std::string author;
   // Time of acceptance at the VM that wrote it, ms since 1970.
   std::int64_t accepted_unix_ms = 0;
 
+  auto operator<=>(const version_info&) const = default;
+};
+
+// The newest version as the key-value service holds it.
+struct version_head {
+  version_info info;
+  manifest buckets;
+
   auto operator<=>(const version_head&) const = default;
 };
 
@@ -59,10 +66,7 @@
 
 // One line of the history.
 struct history_entry {
-  version_ref ref;
-  std::string patch_id;
-  std::string author;
-  std::int64_t accepted_unix_ms = 0;
+  version_info info;
   // JSON pointers of what changed, at most kMaxPaths.
   std::vector<std::string> paths;
   // The chunks that the version before had in the buckets that changed.
--- /dev/null
+++ b/source/unit_tests/configuration/fake_service.h
@@ -0,0 +1,36 @@
+// A key-value service in memory, for tests.
+#ifndef DAISYWIND_UNIT_TESTS_CONFIGURATION_FAKE_SERVICE_H_
+#define DAISYWIND_UNIT_TESTS_CONFIGURATION_FAKE_SERVICE_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "common/kv_types.h"
+
+namespace daisywind::configuration {
+
+// Its state can be copied, which stands for a backup.
+class fake_service {
+ public:
+  // Carries out a transaction.
+  auto Execute(const kv::txn_request& request) -> kv::txn_response;
+
+  // Keys written by the transactions since the last call.
+  auto TakeChanged() -> std::vector<kv::key_value>;
+
+  [[nodiscard]] auto Find(const std::string& key) const -> const kv::key_value*;
+
+ private:
+  auto Apply(const kv::operation& item, kv::txn_response& response) -> void;
+  [[nodiscard]] auto Range(const kv::range_request& request) const
+      -> kv::range_response;
+
+  std::map<std::string, kv::key_value> items_;
+  std::vector<kv::key_value> changed_;
+  kv::revision revision_ = 1;
+};
+
+}  // namespace daisywind::configuration
+
+#endif  // DAISYWIND_UNIT_TESTS_CONFIGURATION_FAKE_SERVICE_H_
--- /dev/null
+++ b/source/unit_tests/configuration/spread_test.cc
@@ -0,0 +1,143 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+
+#include "fake_fleet.h"
+#include "sample_document.h"
+
+namespace daisywind::configuration {
+namespace {
+
+constexpr auto kNodes = std::size_t{40};
+constexpr auto kDomains = std::size_t{4};
+
+auto CapacityPatch(std::int64_t capacity) -> std::string {
+  return R"({"endpoints":{"agent-1":{"capacity":)" + std::to_string(capacity) +
+         "}}}";
+}
+
+auto MakeFleet(std::uint64_t seed = 1) -> std::unique_ptr<fake_fleet> {
+  auto fleet = std::make_unique<fake_fleet>(kNodes, kDomains, seed);
+  fleet->Initialize(SampleDocument());
+  fleet->StartAll();
+  REQUIRE(fleet->RunUntil([&] { return fleet->AllHave(1); }, 10s));
+  fleet->Run(3s);
+  return fleet;
+}
+
+}  // namespace
+
+TEST_CASE("a version is in force everywhere within seconds, with few watches") {
+  auto fleet = MakeFleet();
+  auto watches = std::size_t{0};
+  for (auto i = std::size_t{0}; i < kNodes; ++i) {
+    watches += fleet->At(i).watches.size();
+  }
+  CHECK(watches == 2 * kDomains);
+  CHECK(fleet->PatchAndWait(0, 1, "p1", CapacityPatch(9)) ==
+        patch_result(patch_accepted{2}));
+  CHECK(fleet->RunUntil([&] { return fleet->AllHave(2); }, 14s));
+  CHECK(fleet->reversions == 0);
+}
+
+TEST_CASE("a version spreads although a third of the messages is lost") {
+  auto fleet = MakeFleet();
+  fleet->faults.lost_messages = 0.33;
+  fleet->PatchAndWait(0, 1, "p1", CapacityPatch(9));
+  CHECK(fleet->RunUntil([&] { return fleet->AllHave(2); }, 14s));
+}
+
+TEST_CASE("a version spreads among peers when the service goes away at once") {
+  auto fleet = MakeFleet();
+  for (auto i = std::size_t{0}; i < kNodes; ++i) {
+    fleet->At(i).watches.clear();
+  }
+  fleet->PatchAndWait(0, 1, "p1", CapacityPatch(9));
+  fleet->faults.is_service_down = true;
+  CHECK(fleet->RunUntil([&] { return fleet->AllHave(2); }, 14s));
+}
+
+TEST_CASE("calls to the service do not grow with the VMs of a domain") {
+  auto rates = std::vector<std::uint64_t>{};
+  for (const auto nodes : {std::size_t{20}, std::size_t{80}}) {
+    auto fleet = std::make_unique<fake_fleet>(nodes, kDomains, 3);
+    fleet->Initialize(SampleDocument());
+    fleet->StartAll();
+    fleet->Run(20s);
+    const auto before = fleet->Counters();
+    fleet->Run(100s);
+    const auto after = fleet->Counters();
+    CHECK(after.kv_writes == before.kv_writes);
+    rates.push_back(after.kv_reads - before.kv_reads);
+  }
+  CHECK(rates[1] <= rates[0] + rates[0] / 5);
+}
+
+TEST_CASE("the death of all watchers of a domain leaves others watching") {
+  auto fleet = MakeFleet();
+  for (auto i = std::size_t{0}; i < kNodes; ++i) {
+    if (!fleet->At(i).watches.empty()) {
+      fleet->Kill(i);
+    }
+  }
+  fleet->Run(15s);
+  auto watches = std::size_t{0};
+  for (auto i = std::size_t{0}; i < kNodes; ++i) {
+    watches += fleet->At(i).watches.size();
+  }
+  CHECK(watches == 2 * kDomains);
+}
+
+TEST_CASE("status shows the version of each VM and who is silent") {
+  auto fleet = MakeFleet();
+  fleet->PatchAndWait(0, 1, "p1", CapacityPatch(9));
+  REQUIRE(fleet->RunUntil([&] { return fleet->AllHave(2); }, 14s));
+  fleet->Run(1s);
+  fleet->Post(5, status_requested{77});
+  REQUIRE(
+      fleet->RunUntil([&] { return fleet->status_replies.contains(77); }, 5s));
+  const auto& reply = fleet->status_replies.at(77);
+  CHECK(reply.newest == 2);
+  CHECK(reply.states.size() == kNodes);
+  CHECK(reply.silent.empty());
+  CHECK(std::all_of(reply.states.begin(), reply.states.end(),
+                    [](const acknowledgement& state) {
+                      return state.number == 2 && state.spread_ms >= 0 &&
+                             state.proof_age_ms >= 0;
+                    }));
+}
+
+TEST_CASE("a new VM is ready with the newest version only") {
+  auto fleet = MakeFleet();
+  fleet->Kill(7);
+  fleet->PatchAndWait(0, 1, "p1", CapacityPatch(9));
+  fleet->Start(7);
+  REQUIRE(fleet->RunUntil([&] { return fleet->At(7).system->IsReady(); }, 10s));
+  CHECK(fleet->At(7).system->Number() == 2);
+}
+
+TEST_CASE("a new VM takes the newest of its peers while the service is away") {
+  auto fleet = MakeFleet();
+  fleet->Kill(7);
+  fleet->PatchAndWait(0, 1, "p1", CapacityPatch(9));
+  REQUIRE(fleet->RunUntil([&] { return fleet->AllHave(2); }, 14s));
+  fleet->faults.is_service_down = true;
+  fleet->Start(7);
+  REQUIRE(fleet->RunUntil([&] { return fleet->At(7).system->IsReady(); }, 10s));
+  CHECK(fleet->At(7).system->Number() == 2);
+}
+
+TEST_CASE("a new VM without peers and service never gets ready") {
+  auto fleet = MakeFleet();
+  fleet->Kill(7);
+  fleet->At(7).group = 1;
+  fleet->At(7).reaches_service = false;
+  fleet->Start(7);
+  fleet->Run(60s);
+  CHECK_FALSE(fleet->At(7).system->IsReady());
+  CHECK(fleet->At(7).system->IsStale(fleet->Now()));
+}
+
+}  // namespace daisywind::configuration
--- /dev/null
+++ b/source/unit_tests/configuration/storage_test.cc
@@ -0,0 +1,78 @@
+#include "configuration/storage.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "sample_document.h"
+
+namespace daisywind::configuration {
+namespace {
+
+constexpr auto kMaxValueBytes = std::size_t{1} << 20U;
+constexpr auto kReplicas = std::size_t{12000};
+
+auto LargestPut(const std::vector<kv::txn_request>& requests) -> std::size_t {
+  auto largest = std::size_t{0};
+  for (const auto& request : requests) {
+    for (const auto& item : request.success) {
+      if (const auto* put = std::get_if<kv::put_request>(&item)) {
+        largest = std::max(largest, put->value.size());
+      }
+    }
+  }
+  return largest;
+}
+
+}  // namespace
+
+TEST_CASE("a document is cut into chunks and put together again") {
+  const auto value = LargeDocument(500);
+  const auto content = Split(value);
+  CHECK(Join(content.buckets, content.chunks).value() == value);
+  auto broken = content;
+  broken.chunks.erase(broken.chunks.begin());
+  CHECK_FALSE(Join(broken.buckets, broken.chunks));
+}
+
+TEST_CASE("one changed endpoint changes one chunk") {
+  const auto before = LargeDocument(500);
+  auto after = before;
+  after.endpoints.at(endpoint_id("engine-7")).capacity = 9;
+  const auto changes =
+      ChangesBetween(Split(before).buckets, Split(after).buckets);
+  REQUIRE(changes.size() == 1);
+  CHECK(WithChanges(Split(before).buckets, changes) == Split(after).buckets);
+}
+
+TEST_CASE("values stay under a megabyte at 12,000 replicas") {
+  const auto requests = InitialRequests(LargeDocument(kReplicas), {});
+  CHECK(LargestPut(requests) < kMaxValueBytes);
+  for (const auto& request : requests) {
+    CHECK(request.success.size() <= kMaxTxnOperations);
+  }
+}
+
+TEST_CASE("heads and history lines survive writing and reading") {
+  const auto content = Split(SampleDocument());
+  const auto head = version_head{
+      {{7, RootOf(content.buckets)}, "id-1", "ana", 1234}, content.buckets};
+  CHECK(DecodeHead(EncodeHead(head)).value() == head);
+  const auto line = history_entry{head.info, {"/need"}, {{3, digest{}}}};
+  CHECK(DecodeEntry(EncodeEntry(line)).value() == line);
+  auto wrong = head;
+  wrong.buckets.erase(wrong.buckets.begin());
+  CHECK_FALSE(DecodeHead(EncodeHead(wrong)));
+  for (const auto* text : {"", "[]", "{", R"({"number":1})"}) {
+    CHECK_FALSE(DecodeHead(text));
+  }
+}
+
+TEST_CASE("patch ids are checked") {
+  CHECK(IsPatchId("a.B-9_"));
+  CHECK_FALSE(IsPatchId(""));
+  CHECK_FALSE(IsPatchId("a/b"));
+  CHECK_FALSE(IsPatchId(std::string(129, 'a')));
+}
+
+}  // namespace daisywind::configuration
