Add the client of the key-value service

It speaks etcd's v3 JSON gateway and says of each call whether it was answered, refused, not sent, or may have been carried out.

--- a/source/core/kv/base64.cc
+++ b/source/core/kv/base64.cc
@@ -3,45 +3,47 @@
 #include <openssl/evp.h>
 
 #include <algorithm>
+#include <cstddef>
 
 namespace daisywind::kv {
 namespace {
 
 constexpr auto kTextGroup = std::size_t{4};
 constexpr auto kByteGroup = std::size_t{3};
+constexpr auto kMaxPadding = std::size_t{2};
 
 }  // namespace
 
 auto EncodeBase64(std::string_view bytes) -> std::string {
   const auto groups = (bytes.size() + kByteGroup - 1) / kByteGroup;
-  auto out = std::string(groups * kTextGroup + 1, '\0');
-  EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+  // The encoder ends its text with a zero byte.
+  auto text = std::string(groups * kTextGroup + 1, '\0');
+  EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
                   reinterpret_cast<const unsigned char*>(bytes.data()),
                   static_cast<int>(bytes.size()));
-  out.resize(groups * kTextGroup);
-  return out;
+  text.pop_back();
+  return text;
 }
 
 auto DecodeBase64(std::string_view text) -> std::optional<std::string> {
-  if (text.size() % kTextGroup != 0) {
+  const auto end = std::min(text.find('='), text.size());
+  const auto padding = text.size() - end;
+  const auto is_padded =
+      padding <= kMaxPadding &&
+      text.substr(end).find_first_not_of('=') == std::string_view::npos;
+  if (text.size() % kTextGroup != 0 || !is_padded) {
     return std::nullopt;
   }
-  auto out = std::string(text.size() / kTextGroup * kByteGroup, '\0');
+  auto bytes = std::string(text.size() / kTextGroup * kByteGroup, '\0');
   const auto size =
-      EVP_DecodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+      EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
                       reinterpret_cast<const unsigned char*>(text.data()),
                       static_cast<int>(text.size()));
-  if (size < 0) {
+  if (size != static_cast<int>(bytes.size())) {
     return std::nullopt;
   }
-  // The decoder counts padding as zero bytes.
-  const auto padding =
-      static_cast<std::size_t>(std::count(text.begin(), text.end(), '='));
-  if (padding > 2) {
-    return std::nullopt;
-  }
-  out.resize(static_cast<std::size_t>(size) - padding);
-  return out;
+  bytes.resize(bytes.size() - padding);
+  return bytes;
 }
 
 }  // namespace daisywind::kv
--- a/source/core/kv/base64.h
+++ b/source/core/kv/base64.h
@@ -1,4 +1,4 @@
-// Base64 as the key-value service's JSON uses it.
+// Base64 with padding (RFC 4648), in which the service writes keys and values.
 #ifndef DAISYWIND_KV_BASE64_H_
 #define DAISYWIND_KV_BASE64_H_
 
@@ -8,10 +8,9 @@
 
 namespace daisywind::kv {
 
-// Encodes bytes with padding.
 auto EncodeBase64(std::string_view bytes) -> std::string;
 
-// Decodes padded text. Returns nothing on any other text.
+// Returns nothing on any text that is not base64 with padding.
 auto DecodeBase64(std::string_view text) -> std::optional<std::string>;
 
 }  // namespace daisywind::kv
--- /dev/null
+++ b/source/core/kv/client.h
@@ -0,0 +1,113 @@
+// Client of the platform's key-value service over etcd's v3 HTTP/JSON gateway.
+#ifndef DAISYWIND_KV_CLIENT_H_
+#define DAISYWIND_KV_CLIENT_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "common/kv_types.h"
+#include "common/time.h"
+#include "kv/etcd_json.h"
+#include "kv/watch_stream.h"
+#include "net/http_client.h"
+#include "net/http_types.h"
+
+namespace daisywind::kv {
+
+// The end of a call. The response is valid when answered.
+template <class Response>
+struct call_result {
+  kv::outcome outcome = kv::outcome::kNotSent;
+  Response response{};
+  std::string error;
+};
+
+// A watch that was opened, or why it was not. The stream is null unless
+// answered.
+struct watch_result {
+  kv::outcome outcome = kv::outcome::kNotSent;
+  std::unique_ptr<watch_stream> stream;
+};
+
+// Calls made since the start, by kind; the service counts each one.
+struct call_counts {
+  std::uint64_t ranges = 0;
+  std::uint64_t puts = 0;
+  std::uint64_t txns = 0;
+  std::uint64_t grants = 0;
+  std::uint64_t keep_alives = 0;
+  std::uint64_t revokes = 0;
+  std::uint64_t watches = 0;
+
+  auto operator<=>(const call_counts&) const = default;
+};
+
+// Bounds of the client's calls.
+struct client_options {
+  duration connect_timeout = 500ms;
+  duration call_timeout = 3s;
+  // A watch that is silent this long is ended, since its connection may be
+  // dead.
+  duration watch_idle_timeout = 600s;
+};
+
+// Talks to one of the service's addresses and goes to the next after a failure.
+// Calls that may write use a connection of their own: a repeat on another
+// connection could make a transaction that has succeeded look failed.
+class client {
+ public:
+  client(boost::asio::io_context& context,
+         std::vector<net::socket_address> addresses,
+         client_options options);
+
+  auto Range(range_request request)
+      -> boost::asio::awaitable<call_result<range_response>>;
+  auto Put(put_request request)
+      -> boost::asio::awaitable<call_result<revision>>;
+  auto Txn(txn_request request)
+      -> boost::asio::awaitable<call_result<txn_response>>;
+
+  // Grants a lease of the service's own choice of id.
+  auto Grant(std::int64_t ttl_seconds)
+      -> boost::asio::awaitable<call_result<lease_state>>;
+  auto KeepAlive(lease_id id)
+      -> boost::asio::awaitable<call_result<lease_state>>;
+  auto Revoke(lease_id id) -> boost::asio::awaitable<call_result<revision>>;
+
+  // Watches a key from the given revision on; zero means from now.
+  auto Watch(std::string key, revision start_revision)
+      -> boost::asio::awaitable<watch_result>;
+
+  [[nodiscard]] auto counts() const -> const call_counts& { return counts_; }
+
+ private:
+  template <class Response>
+  using decoder = std::optional<Response> (*)(std::string_view);
+
+  template <class Response>
+  auto Call(std::string target,
+            std::string body,
+            bool is_write,
+            decoder<Response> decode)
+      -> boost::asio::awaitable<call_result<Response>>;
+  auto MakeRequest(std::string target, std::string body) const
+      -> net::http_request;
+  auto UseNextAddress() -> void;
+
+  net::http_client http_;
+  std::vector<net::socket_address> addresses_;
+  client_options options_;
+  std::size_t current_ = 0;
+  call_counts counts_;
+};
+
+}  // namespace daisywind::kv
+
+#endif  // DAISYWIND_KV_CLIENT_H_
--- /dev/null
+++ b/source/unit_tests/kv/client_test.cc
@@ -0,0 +1,131 @@
+#include "kv/client.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio.hpp>
+#include <string>
+
+#include "net/http_server.h"
+
+namespace daisywind::kv {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr auto kHeader = R"({"header":{"revision":"4"}})";
+constexpr auto kWatchCreated = R"({"result":{"created":true}})"
+                               "\n";
+constexpr auto kWatchEvent =
+    R"({"result":{"events":[{"kv":{"key":"aw==","value":"dg==",)"
+    R"("mod_revision":"5"}}]}})"
+    "\n";
+
+// Answers each path in one fixed way.
+auto Serve(net::http_exchange& exchange) -> asio::awaitable<void> {
+  const auto path = exchange.request().Path();
+  auto response = net::JsonResponse(200, kHeader);
+  if (path == "/v3/kv/put") {
+    exchange.Abort();
+    co_return;
+  }
+  if (path == "/v3/watch") {
+    co_await exchange.StartStream(std::move(response));
+    co_await exchange.WriteChunk(kWatchCreated);
+    const auto text = std::string_view(kWatchEvent);
+    co_await exchange.WriteChunk(text.substr(0, 20));
+    co_await exchange.WriteChunk(text.substr(20));
+    co_await exchange.EndStream();
+    co_return;
+  }
+  if (path == "/v3/lease/grant") {
+    response = net::JsonResponse(503, "{}");
+  } else if (path == "/v3/lease/revoke") {
+    response = net::JsonResponse(404, "{}");
+  } else if (path == "/v3/lease/keepalive") {
+    response.body = R"({"result":{"ID":"7","TTL":"9"}})";
+  } else if (path == "/v3/kv/txn") {
+    response.body = "not JSON";
+  }
+  co_await exchange.Respond(std::move(response));
+}
+
+struct fixture {
+  fixture()
+      : server(context, {}, Serve), port(server.Listen({"127.0.0.1", 0})) {}
+
+  auto Run(asio::awaitable<void> work) -> void {
+    asio::co_spawn(context, std::move(work),
+                   [&](const std::exception_ptr& error) {
+                     context.stop();
+                     if (error) {
+                       std::rethrow_exception(error);
+                     }
+                   });
+    context.run();
+    context.restart();
+  }
+
+  asio::io_context context;
+  net::http_server server;
+  std::uint16_t port;
+};
+
+}  // namespace
+
+TEST_CASE("outcomes tell what may have been carried out, and are counted") {
+  auto host = fixture();
+  auto service = client(host.context, {{"127.0.0.1", host.port}}, {});
+  host.Run([&]() -> asio::awaitable<void> {
+    auto range_of = range_request{"k", "", 0, false};
+    const auto range = co_await service.Range(std::move(range_of));
+    CHECK(range.outcome == outcome::kAnswered);
+    auto put_of = put_request{"k", "v", 0};
+    const auto put = co_await service.Put(std::move(put_of));
+    CHECK(put.outcome == outcome::kUnknown);
+    const auto grant = co_await service.Grant(10);
+    CHECK(grant.outcome == outcome::kUnknown);
+    const auto revoke = co_await service.Revoke(7);
+    CHECK(revoke.outcome == outcome::kRefused);
+    const auto lease = co_await service.KeepAlive(7);
+    CHECK(lease.response == lease_state{7, 9});
+    auto txn_of = txn_request{};
+    const auto txn = co_await service.Txn(std::move(txn_of));
+    CHECK(txn.outcome == outcome::kUnknown);
+  }());
+  CHECK(service.counts() == call_counts{1, 1, 1, 1, 1, 1, 0});
+}
+
+TEST_CASE(
+    "a service that can't be reached was sent nothing; the next is used") {
+  auto host = fixture();
+  auto closed = net::http_server(host.context, {}, Serve);
+  const auto closed_port = closed.Listen({"127.0.0.1", 0});
+  closed.StopAccepting();
+  auto service = client(
+      host.context, {{"127.0.0.1", closed_port}, {"127.0.0.1", host.port}}, {});
+  host.Run([&]() -> asio::awaitable<void> {
+    auto request = range_request{"k", "", 0, false};
+    const auto first = co_await service.Range(request);
+    CHECK(first.outcome == outcome::kNotSent);
+    const auto second = co_await service.Range(request);
+    CHECK(second.outcome == outcome::kAnswered);
+  }());
+}
+
+TEST_CASE("a watch hands on changes and ends with its stream") {
+  auto host = fixture();
+  auto service = client(host.context, {{"127.0.0.1", host.port}}, {});
+  host.Run([&]() -> asio::awaitable<void> {
+    auto key = std::string("k");
+    auto opened = co_await service.Watch(std::move(key), 5);
+    REQUIRE(opened.outcome == outcome::kAnswered);
+    const auto changes = co_await opened.stream->Next();
+    REQUIRE(changes);
+    CHECK(changes->at(0).item.value == "v");
+    CHECK(changes->at(0).item.mod_revision == 5);
+    const auto end = co_await opened.stream->Next();
+    CHECK_FALSE(end);
+  }());
+}
+
+}  // namespace daisywind::kv
