--- a/source/core/configuration/query_flow.cc
+++ b/source/core/configuration/query_flow.cc
@@ -90,20 +90,27 @@
   if (status == load_status::kRunning && now < item.deadline) {
     return false;
   }
-  if (status == load_status::kRunning) {
-    Reply(item.request, query_outcome::kUnavailable, nullptr);
-  } else if (status == load_status::kMissing) {
-    Reply(item.request, query_outcome::kNotFound, nullptr);
-  } else if (auto content = Join(*item.buckets, state_->chunks)) {
-    Reply(item.request, query_outcome::kFound,
-          std::make_shared<const document>(std::move(*content)));
-  } else {
-    Reply(item.request, query_outcome::kNotFound, nullptr);
-  }
+  auto content = status == load_status::kDone
+                     ? Read(*item.buckets)
+                     : std::shared_ptr<const document>();
+  const auto absent = status == load_status::kRunning
+                          ? query_outcome::kUnavailable
+                          : query_outcome::kNotFound;
+  const auto outcome = content == nullptr ? absent : query_outcome::kFound;
+  Reply(item.request, outcome, std::move(content));
   loader_->Finish(item.load);
   return true;
 }
 
+auto query_flow::Read(const manifest& buckets) const
+    -> std::shared_ptr<const document> {
+  auto content = Join(buckets, state_->chunks);
+  if (!content) {
+    return nullptr;
+  }
+  return std::make_shared<const document>(std::move(*content));
+}
+
 auto query_flow::Reply(const version_requested& request,
                        query_outcome outcome,
                        std::shared_ptr<const document> content) -> void {
--- a/source/core/configuration/query_flow.h
+++ b/source/core/configuration/query_flow.h
@@ -39,6 +39,9 @@
       -> void;
   // Returns true when the entry is answered.
   auto Proceed(entry& item, instant now) -> bool;
+  // The document of a manifest; null when a chunk can't be read.
+  [[nodiscard]] auto Read(const manifest& buckets) const
+      -> std::shared_ptr<const document>;
   auto Reply(const version_requested& request,
              query_outcome outcome,
              std::shared_ptr<const document> content) -> void;
