Keep generated code out of the sources

clang-tidy reads every header under source/, and the names that flatc makes aren't ours. The generated header now stands in schema/generated and is a system header of the codec. No check is changed; the codec tests pass.

--- a/source/core/configuration_wire/codec.cc
+++ b/source/core/configuration_wire/codec.cc
@@ -1,5 +1,6 @@
 #include "configuration_wire/codec.h"
 
+#include <configuration_generated.h>
 #include <flatbuffers/flatbuffers.h>
 
 #include <algorithm>
@@ -7,8 +8,6 @@
 #include <utility>
 #include <vector>
 
-#include "configuration_wire/configuration_generated.h"
-
 namespace daisywind::configuration {
 namespace {
 
