--- a/source/core/configuration/configuration_system.cc
+++ b/source/core/configuration/configuration_system.cc
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "configuration/acknowledgements.h"
+#include "configuration/chunk_collector.h"
 #include "configuration/chunk_loader.h"
 #include "configuration/head_restore.h"
 #include "configuration/patch_flow.h"
@@ -17,15 +18,16 @@
 namespace daisywind::configuration {
 
 struct configuration_system::state {
-  explicit state(std::uint64_t seed)
-      : shared(seed),
+  state(std::uint64_t seed, configuration_options options)
+      : shared(seed, options),
         loader(shared),
         watch(shared),
         restore(shared),
         versions(shared, loader),
         patches(shared, loader),
         queries(shared, loader),
-        acks(shared) {}
+        acks(shared),
+        collector(shared) {}
 
   auto Take(const started& happened, instant now) -> void {
     shared.started_at = now;
@@ -147,6 +149,7 @@
       watch.Advance(now);
       loader.Advance(now);
       acks.Advance(now);
+      collector.Advance(now);
     }
     return std::exchange(shared.commands, {});
   }
@@ -159,10 +162,12 @@
   patch_flow patches;
   query_flow queries;
   acknowledgements acks;
+  chunk_collector collector;
 };
 
-configuration_system::configuration_system(std::uint64_t seed)
-    : state_(std::make_unique<state>(seed)) {}
+configuration_system::configuration_system(std::uint64_t seed,
+                                           configuration_options options)
+    : state_(std::make_unique<state>(seed, options)) {}
 
 configuration_system::~configuration_system() = default;
 
--- a/source/core/configuration/configuration_system.h
+++ b/source/core/configuration/configuration_system.h
@@ -3,6 +3,7 @@
 #ifndef DAISYWIND_CONFIGURATION_CONFIGURATION_SYSTEM_H_
 #define DAISYWIND_CONFIGURATION_CONFIGURATION_SYSTEM_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -26,10 +27,19 @@
   auto operator<=>(const configuration_counters&) const = default;
 };
 
+// Bounds of the system.
+struct configuration_options {
+  // Versions whose documents and history lines are kept in the service.
+  std::size_t history_kept = 5000;
+
+  auto operator<=>(const configuration_options&) const = default;
+};
+
 // Takes events and returns commands. All random choices follow from the seed.
 class configuration_system {
  public:
-  explicit configuration_system(std::uint64_t seed);
+  explicit configuration_system(std::uint64_t seed,
+                                configuration_options options = {});
   configuration_system(const configuration_system&) = delete;
   auto operator=(const configuration_system&) -> configuration_system& = delete;
   ~configuration_system();
--- a/source/core/configuration/patch_flow.cc
+++ b/source/core/configuration/patch_flow.cc
@@ -182,7 +182,7 @@
     return;
   }
   if (read.head ? read.head->info.ref < installed : installed.number > 0) {
-    state_->NoteOutdatedHead(read.head_revision);
+    state_->NoteOutdatedHead(read);
     item.next = step::kReadHead;
     Retry(item, now);
     return;
--- a/source/core/configuration/service_watch.cc
+++ b/source/core/configuration/service_watch.cc
@@ -118,14 +118,14 @@
   const auto has_installed = state_->installed.head.info.ref.number > 0;
   if (!read->head) {
     if (has_installed) {
-      state_->NoteOutdatedHead(0);
+      state_->NoteOutdatedHead(*read);
     }
     return;
   }
   state_->has_read_head = true;
   state_->LearnHead(*read->head, sent_at);
   if (read->head->info.ref < state_->installed.head.info.ref) {
-    state_->NoteOutdatedHead(read->head_revision);
+    state_->NoteOutdatedHead(*read);
   }
 }
 
--- a/source/core/configuration/storage.cc
+++ b/source/core/configuration/storage.cc
@@ -270,10 +270,11 @@
   return request;
 }
 
-auto RestoreRequest(kv::revision head_revision, const version_head& head)
+auto RestoreRequest(const head_state& base, const version_head& head)
     -> kv::txn_request {
   auto request = kv::txn_request{};
-  request.compares = {{std::string(kHeadKey), head_revision}};
+  request.compares = {{std::string(kHeadKey), base.head_revision},
+                      {std::string(kCollectionKey), base.collection_revision}};
   request.success.emplace_back(Put(std::string(kHeadKey), EncodeHead(head)));
   if (IsPatchId(head.info.patch_id)) {
     request.success.emplace_back(Put(PatchKey(head.info.patch_id),
--- a/source/core/configuration/storage.h
+++ b/source/core/configuration/storage.h
@@ -85,7 +85,7 @@
                    const history_entry& entry) -> kv::txn_request;
 
 // Writes back a head that a restored service has lost.
-auto RestoreRequest(kv::revision head_revision, const version_head& head)
+auto RestoreRequest(const head_state& base, const version_head& head)
     -> kv::txn_request;
 
 // Reads the head and the history from a number on.
--- a/source/core/configuration/system_state.cc
+++ b/source/core/configuration/system_state.cc
@@ -57,8 +57,8 @@
   }
 }
 
-auto system_state::NoteOutdatedHead(kv::revision head_revision) -> void {
-  outdated_head = head_revision;
+auto system_state::NoteOutdatedHead(const head_state& read) -> void {
+  outdated_head = read;
 }
 
 auto system_state::Prove(instant at) -> void {
--- a/source/core/configuration/system_state.h
+++ b/source/core/configuration/system_state.h
@@ -14,6 +14,7 @@
 #include "common/time.h"
 #include "configuration/configuration_system.h"
 #include "configuration/events.h"
+#include "configuration/storage.h"
 #include "configuration/version.h"
 
 namespace daisywind::configuration {
@@ -38,9 +39,11 @@
 
 // Shared by the parts. Only `spread` changes `installed`.
 struct system_state {
-  explicit system_state(std::uint64_t seed) : random(seed) {}
+  system_state(std::uint64_t seed, configuration_options bounds)
+      : random(seed), options(bounds) {}
 
   random_source random;
+  configuration_options options;
   member self;
   std::optional<instant> started_at;
   std::int64_t unix_offset_ms = 0;
@@ -59,7 +62,7 @@
   std::optional<instant> heard_peer_at;
   bool has_read_head = false;
   // The head of a service that has lost versions; see head_restore.
-  std::optional<kv::revision> outdated_head;
+  std::optional<head_state> outdated_head;
   std::vector<command> commands;
   configuration_counters counters;
   std::map<operation_id, result_handler> operations;
@@ -82,7 +85,7 @@
       -> void;
 
   // Takes note that the service holds an older head than is installed here.
-  auto NoteOutdatedHead(kv::revision head_revision) -> void;
+  auto NoteOutdatedHead(const head_state& read) -> void;
 
   // Moves the proof forward.
   auto Prove(instant at) -> void;
--- a/source/unit_tests/configuration/fake_fleet.cc
+++ b/source/unit_tests/configuration/fake_fleet.cc
@@ -33,7 +33,7 @@
 auto fake_fleet::Start(std::size_t node) -> void {
   auto& item = nodes_[node];
   item.self.vm.run += 1;
-  item.system = std::make_unique<configuration_system>(random_.Next());
+  item.system = std::make_unique<configuration_system>(random_.Next(), options);
   item.is_running = true;
   item.is_paused = false;
   item.newest_installed = 0;
@@ -50,7 +50,8 @@
   for (auto i = std::size_t{0}; i < nodes_.size(); ++i) {
     auto& item = nodes_[i];
     item.self.vm.run += 1;
-    item.system = std::make_unique<configuration_system>(random_.Next());
+    item.system =
+        std::make_unique<configuration_system>(random_.Next(), options);
     item.is_running = true;
     Deliver(i, started{item.self, kUnixMs});
   }
--- a/source/unit_tests/configuration/fake_fleet.h
+++ b/source/unit_tests/configuration/fake_fleet.h
@@ -87,6 +87,8 @@
   [[nodiscard]] auto Now() const -> instant { return now_; }
   [[nodiscard]] auto Counters() const -> configuration_counters;
 
+  // Given to each system that is started.
+  configuration_options options;
   fleet_faults faults;
   fake_service service;
   std::map<request_id, patch_result> patch_replies;
--- a/source/unit_tests/configuration/fake_service.cc
+++ b/source/unit_tests/configuration/fake_service.cc
@@ -32,6 +32,13 @@
   return std::exchange(changed_, {});
 }
 
+auto fake_service::Put(std::string key, std::string value) -> void {
+  auto request = kv::txn_request{};
+  request.success.emplace_back(
+      kv::put_request{std::move(key), std::move(value), 0});
+  Execute(request);
+}
+
 auto fake_service::Find(const std::string& key) const -> const kv::key_value* {
   const auto found = items_.find(key);
   return found == items_.end() ? nullptr : &found->second;
--- a/source/unit_tests/configuration/fake_service.h
+++ b/source/unit_tests/configuration/fake_service.h
@@ -19,6 +19,9 @@
   // Keys written by the transactions since the last call.
   auto TakeChanged() -> std::vector<kv::key_value>;
 
+  // Writes a key.
+  auto Put(std::string key, std::string value) -> void;
+
   [[nodiscard]] auto Find(const std::string& key) const -> const kv::key_value*;
 
  private:
