Add daisywind-ctl and its library

It reads, patches and watches the configuration through the admin API and writes version 1 through the key-value service. A patch whose answer is lost is sent again under its id until the time is over; then the exit code says in doubt.

--- /dev/null
+++ b/source/unit_tests/control/commands_test.cc
@@ -0,0 +1,170 @@
+#include "control/commands.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio.hpp>
+#include <cstdio>
+#include <fstream>
+#include <memory>
+#include <set>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "net/http_server.h"
+
+namespace daisywind::control {
+namespace {
+
+namespace asio = boost::asio;
+
+// A file that is removed at the end.
+struct temporary_file {
+  explicit temporary_file(const std::string& text)
+      : path("control_test_" + RandomName() + ".json") {
+    std::ofstream(path) << text;
+  }
+  ~temporary_file() { std::remove(path.c_str()); }
+
+  std::string path;
+};
+
+// Answers with what the test has prepared; an empty list cuts the connection.
+struct fake_vm {
+  fake_vm()
+      : server(
+            context,
+            {},
+            [this](net::http_exchange& exchange) { return Serve(exchange); }),
+        port(server.Listen({"127.0.0.1", 0})) {}
+
+  auto Serve(net::http_exchange& exchange) -> asio::awaitable<void> {
+    requests.push_back(exchange.request());
+    if (answers.empty() || answers.front().status == 0) {
+      exchange.Abort();
+    } else {
+      auto answer = answers.front();
+      co_await exchange.Respond(std::move(answer));
+    }
+    if (answers.size() > 1) {
+      answers.erase(answers.begin());
+    }
+  }
+
+  auto Run(arguments given) -> exit_code {
+    given.key = "operator-key";
+    given.admin = {{"127.0.0.1", port}};
+    auto admin = admin_client(context, given);
+    auto code = exit_code::kUsage;
+    const auto setting =
+        command_context{&context, &given, &admin, &output, &errors};
+    asio::co_spawn(context, RunCommand(setting),
+                   [&](const std::exception_ptr& error, exit_code end) {
+                     context.stop();
+                     code = end;
+                     CHECK_FALSE(error);
+                   });
+    context.run();
+    context.restart();
+    return code;
+  }
+
+  asio::io_context context;
+  net::http_server server;
+  std::uint16_t port;
+  std::vector<net::http_response> answers;
+  std::vector<net::http_request> requests;
+  std::ostringstream output;
+  std::ostringstream errors;
+};
+
+auto PatchArguments(const std::string& path) -> arguments {
+  auto given = arguments{};
+  given.words = {"config", "patch", path};
+  given.if_match = 3;
+  given.timeout = 2s;
+  return given;
+}
+
+constexpr auto kCut = 0U;
+
+}  // namespace
+
+TEST_CASE("a patch whose answer is lost is sent again under the same id") {
+  const auto file = temporary_file(R"([{"op":"remove","path":"/need/x"}])");
+  auto vm = fake_vm();
+  vm.answers = {{kCut, {}, ""},
+                {503, {}, R"({"outcome":"unknown"})"},
+                {200, {}, R"({"number":4})"}};
+  CHECK(vm.Run(PatchArguments(file.path)) == exit_code::kDone);
+  REQUIRE(vm.requests.size() == 3);
+  auto ids = std::set<std::string>{};
+  for (const auto& request : vm.requests) {
+    ids.emplace(request.Header("Patch-Id"));
+    CHECK(request.Header("If-Match") == "\"3\"");
+    CHECK(request.Header("Content-Type") == "application/json-patch+json");
+    CHECK(request.Header("Authorization") == "Bearer operator-key");
+  }
+  CHECK(ids.size() == 1);
+  CHECK(vm.output.str() == "number: 4\n");
+}
+
+TEST_CASE("the exit code tells what became of a patch") {
+  const auto file = temporary_file(R"({"need":{"x":null}})");
+  const auto code_of = [&](net::http_response answer) {
+    auto vm = fake_vm();
+    vm.answers = {std::move(answer)};
+    return vm.Run(PatchArguments(file.path));
+  };
+  CHECK(code_of({409, {}, R"({"current":5})"}) == exit_code::kConflict);
+  CHECK(code_of({422, {}, R"({"path":"/need"})"}) == exit_code::kRefused);
+  CHECK(code_of({401, {}, ""}) == exit_code::kRefused);
+  CHECK(code_of({503, {}, R"({"outcome":"not_run"})"}) ==
+        exit_code::kUnavailable);
+  CHECK(code_of({503, {}, R"({"outcome":"unknown"})"}) == exit_code::kInDoubt);
+  CHECK(code_of({kCut, {}, ""}) == exit_code::kInDoubt);
+}
+
+TEST_CASE("a patch is for the newest version unless told otherwise") {
+  const auto file = temporary_file("{}");
+  auto vm = fake_vm();
+  vm.answers = {{200, {{"ETag", "\"9\""}}, "{}"},
+                {200, {}, R"({"number":10})"}};
+  auto given = PatchArguments(file.path);
+  given.if_match.reset();
+  CHECK(vm.Run(given) == exit_code::kDone);
+  CHECK(vm.requests.back().Header("If-Match") == "\"9\"");
+  CHECK(vm.requests.back().Header("Content-Type") ==
+        "application/merge-patch+json");
+}
+
+TEST_CASE("a watch ends when the version is in force everywhere") {
+  auto vm = fake_vm();
+  vm.answers = {
+      {200, {{"ETag", "\"7\""}}, "{}"},
+      {200, {}, R"({"vms":[{"version":7,"spread_seconds":1.5}],"silent":[]})"}};
+  auto given = arguments{};
+  given.words = {"config", "watch"};
+  given.until = 7;
+  CHECK(vm.Run(given) == exit_code::kDone);
+  CHECK(vm.requests.front().Query("after") == "6");
+  CHECK(vm.output.str() ==
+        "version 7: in force on 1 of 1 VMs, slowest 1.5 s\n");
+}
+
+TEST_CASE("wrong commands and files are usage errors") {
+  auto vm = fake_vm();
+  auto given = arguments{};
+  given.words = {"config", "destroy"};
+  CHECK(vm.Run(given) == exit_code::kUsage);
+  CHECK(vm.Run(PatchArguments("no-such-file.json")) == exit_code::kUsage);
+  const auto broken = temporary_file("{");
+  CHECK(vm.Run(PatchArguments(broken.path)) == exit_code::kUsage);
+  given.words = {"config", "init", broken.path};
+  CHECK(vm.Run(given) == exit_code::kUsage);
+  given.kv = {{"127.0.0.1", vm.port}};
+  CHECK(vm.Run(given) == exit_code::kRefused);
+  CHECK(vm.requests.empty());
+}
+
+}  // namespace daisywind::control
