Pass changed chunks on as patches

An announce now carries for each changed chunk the merge patch from the chunk before; the digest tells whether the result is right, and a chunk that can't be made is asked for as before. Chunks are written with sorted members, so that equal chunks have equal texts.

--- a/source/core/configuration/acknowledgements.cc
+++ b/source/core/configuration/acknowledgements.cc
@@ -62,15 +62,14 @@
 
 auto acknowledgements::Advance(instant now) -> void {
   const auto& installed = state_->installed.head.info;
-  const auto watchers = WatchersOf(state_->members, state_->self.domain);
   if (installed.ref != own_ref_) {
     own_ref_ = installed.ref;
     own_spread_ms_ = std::max(std::int64_t{0},
                               state_->UnixMs(now) - installed.accepted_unix_ms);
     send_at_ = now;
   }
-  if (watchers != told_) {
-    told_ = watchers;
+  if (state_->watchers != told_) {
+    told_ = state_->watchers;
     send_at_ = now;
   }
   if (now >= send_at_) {
--- a/source/core/configuration/configuration_system.cc
+++ b/source/core/configuration/configuration_system.cc
@@ -32,7 +32,7 @@
   auto Take(const started& happened, instant now) -> void {
     shared.started_at = now;
     shared.self = happened.self;
-    shared.members = {happened.self};
+    shared.SetMembers({});
     const auto since_start =
         std::chrono::duration_cast<std::chrono::milliseconds>(
             now.time_since_epoch());
@@ -40,13 +40,7 @@
   }
 
   auto Take(const members_changed& happened, instant /*now*/) -> void {
-    shared.members = happened.members;
-    const auto is_self = [&](const member& item) {
-      return item.vm.vm == shared.self.vm.vm;
-    };
-    std::erase_if(shared.members, is_self);
-    shared.members.push_back(shared.self);
-    std::sort(shared.members.begin(), shared.members.end());
+    shared.SetMembers(happened.members);
   }
 
   auto Take(const kv_result& happened, instant now) -> void {
--- a/source/core/configuration/messages.h
+++ b/source/core/configuration/messages.h
@@ -19,6 +19,9 @@
   version_info info;
   version_ref base;
   std::vector<bucket_change> changes;
+  // For each change the patch of the chunk that the base has in the bucket, or
+  // an empty text. Without it the chunk is asked for.
+  std::vector<std::string> patches;
 
   auto operator<=>(const announce_message&) const = default;
 };
--- a/source/core/configuration/patch.cc
+++ b/source/core/configuration/patch.cc
@@ -386,6 +386,30 @@
   return ApplyMergePatch(from, patch);
 }
 
+auto MergePatchBetween(const json::value& from, const json::value& to)
+    -> json::value {
+  const auto* before = from.if_object();
+  const auto* after = to.if_object();
+  if (before == nullptr || after == nullptr) {
+    return to;
+  }
+  auto patch = json::object{};
+  for (const auto& entry : *before) {
+    if (!after->contains(entry.key())) {
+      patch[entry.key()] = nullptr;
+    }
+  }
+  for (const auto& entry : *after) {
+    const auto* old_value = before->if_contains(entry.key());
+    if (old_value == nullptr) {
+      patch[entry.key()] = entry.value();
+    } else if (*old_value != entry.value()) {
+      patch[entry.key()] = MergePatchBetween(*old_value, entry.value());
+    }
+  }
+  return patch;
+}
+
 auto DifferingPaths(const json::value& a,
                     const json::value& b,
                     std::size_t limit) -> std::vector<std::string> {
--- a/source/core/configuration/patch.h
+++ b/source/core/configuration/patch.h
@@ -29,6 +29,10 @@
                 patch_kind kind,
                 const json::value& patch) -> leaf::result<json::value>;
 
+// The merge patch that turns one value without nulls into another.
+auto MergePatchBetween(const json::value& from, const json::value& to)
+    -> json::value;
+
 // JSON pointers of the members in which two values differ, in order, at most
 // the given number of them. Arrays are compared as a whole.
 auto DifferingPaths(const json::value& a,
--- a/source/core/configuration/service_watch.cc
+++ b/source/core/configuration/service_watch.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <string>
 
-#include "configuration/rendezvous.h"
 #include "configuration/storage.h"
 
 namespace daisywind::configuration {
@@ -48,7 +47,7 @@
 }
 
 auto service_watch::Advance(instant now) -> void {
-  if (watch_ && !IsWatcher()) {
+  if (watch_ && !state_->IsWatcher()) {
     StopWatch();
   }
   if (!is_reading_ && IsReadDue(now)) {
@@ -56,13 +55,6 @@
   }
 }
 
-auto service_watch::IsWatcher() const -> bool {
-  const auto watchers = WatchersOf(state_->members, state_->self.domain);
-  return std::any_of(watchers.begin(), watchers.end(), [&](const member& item) {
-    return item.vm == state_->self.vm;
-  });
-}
-
 auto service_watch::ReadSoon(instant at) -> void {
   next_read_at_ = std::min(next_read_at_, at);
 }
@@ -78,7 +70,7 @@
   }
   const auto heard_at = state_->heard_peer_at.value_or(*state_->started_at);
   const auto is_alone = now - heard_at > kPeerSilence;
-  return !state_->has_read_head || is_alone || IsWatcher();
+  return !state_->has_read_head || is_alone || state_->IsWatcher();
 }
 
 auto service_watch::ReadHead(instant now) -> void {
@@ -101,7 +93,7 @@
   failures_ = 0;
   next_read_at_ = now + state_->Jitter(kReadInterval);
   TakeRead(result.response, sent_at);
-  if (IsWatcher() && !watch_) {
+  if (state_->IsWatcher() && !watch_) {
     watch_ = state_->NextId();
     state_->counters.kv_watches += 1;
     state_->commands.emplace_back(start_watch{*watch_, std::string(kHeadKey),
--- a/source/core/configuration/service_watch.h
+++ b/source/core/configuration/service_watch.h
@@ -20,9 +20,6 @@
   // Starts and stops the watch, and reads the head when it is due.
   auto Advance(instant now) -> void;
 
-  // True when this VM watches for its failure domain.
-  [[nodiscard]] auto IsWatcher() const -> bool;
-
   // Has the head read again soon.
   auto ReadSoon(instant at) -> void;
 
--- a/source/core/configuration/spread.cc
+++ b/source/core/configuration/spread.cc
@@ -11,6 +11,8 @@
 
 constexpr auto kFanoutInDomain = std::size_t{4};
 constexpr auto kFanoutOutside = std::size_t{1};
+// A version that changes more chunks than this is passed on without patches.
+constexpr auto kMaxPatchedChunks = std::size_t{16};
 constexpr auto kProbeInterval = duration(2s);
 // Of this many probes one goes outside the failure domain.
 constexpr auto kOutsideProbeEvery = std::uint64_t{4};
@@ -43,6 +45,7 @@
     AskManifest(from, ref, now);
     return;
   }
+  ApplyChunkPatches(*base, content);
   auto head =
       version_head{content.info, WithChanges(base->buckets, content.changes)};
   Follow({std::move(head), from});
@@ -129,6 +132,7 @@
   auto& installed = state_->installed;
   installed.base = installed.head.info.ref;
   installed.changes = ChangesBetween(installed.head.buckets, head.buckets);
+  installed.patches = ChunkPatches(installed.head, installed.changes);
   installed.head = head;
   installed.content = std::move(content);
   state_->counters.installs += 1;
@@ -144,6 +148,49 @@
   Announce();
 }
 
+auto spread::ChunkPatches(const version_head& base,
+                          const std::vector<bucket_change>& changes) const
+    -> std::vector<std::string> {
+  auto patches = std::vector<std::string>(changes.size());
+  if (changes.size() > kMaxPatchedChunks) {
+    return patches;
+  }
+  for (auto i = std::size_t{0}; i < changes.size(); ++i) {
+    const auto* before = FindChunk(base, changes[i].bucket);
+    const auto after = state_->chunks.find(changes[i].chunk);
+    if (before != nullptr && after != state_->chunks.end()) {
+      patches[i] = ChunkPatch(*before, after->second);
+    }
+  }
+  return patches;
+}
+
+auto spread::ApplyChunkPatches(const version_head& base,
+                               const announce_message& content) -> void {
+  const auto count = std::min(content.changes.size(), content.patches.size());
+  for (auto i = std::size_t{0}; i < count; ++i) {
+    const auto& change = content.changes[i];
+    const auto* before = FindChunk(base, change.bucket);
+    if (before == nullptr || content.patches[i].empty()) {
+      continue;
+    }
+    auto after = PatchedChunk(*before, content.patches[i]);
+    if (DigestOf(after) == change.chunk) {
+      state_->chunks.emplace(change.chunk, std::move(after));
+    }
+  }
+}
+
+auto spread::FindChunk(const version_head& version, bucket_index bucket) const
+    -> const std::string* {
+  const auto name = version.buckets.find(bucket);
+  if (name == version.buckets.end()) {
+    return nullptr;
+  }
+  const auto found = state_->chunks.find(name->second);
+  return found == state_->chunks.end() ? nullptr : &found->second;
+}
+
 auto spread::Announce() -> void {
   const auto is_caught_up = state_->installed.base.number == 0 &&
                             state_->installed.head.info.ref.number > 1;
@@ -161,7 +208,8 @@
 
 auto spread::MakeAnnounce() const -> announce_message {
   const auto& installed = state_->installed;
-  return {installed.head.info, installed.base, installed.changes};
+  return {installed.head.info, installed.base, installed.changes,
+          installed.patches};
 }
 
 auto spread::ProbePeer(instant now) -> void {
--- a/source/core/configuration/spread.h
+++ b/source/core/configuration/spread.h
@@ -5,6 +5,8 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
+#include <vector>
 
 #include "configuration/chunk_loader.h"
 #include "configuration/system_state.h"
@@ -44,6 +46,16 @@
   auto Install(const version_head& head,
                std::shared_ptr<const document> content,
                instant now) -> void;
+  // Patches that turn the chunks of the base into those of the changes.
+  [[nodiscard]] auto ChunkPatches(const version_head& base,
+                                  const std::vector<bucket_change>& changes)
+      const -> std::vector<std::string>;
+  // Makes the chunks of an announced version that its patches give.
+  auto ApplyChunkPatches(const version_head& base,
+                         const announce_message& content) -> void;
+  // The chunk of a bucket; null when it is not here.
+  [[nodiscard]] auto FindChunk(const version_head& version,
+                               bucket_index bucket) const -> const std::string*;
   auto Announce() -> void;
   [[nodiscard]] auto MakeAnnounce() const -> announce_message;
   auto ProbePeer(instant now) -> void;
--- a/source/core/configuration/system_state.cc
+++ b/source/core/configuration/system_state.cc
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <utility>
 
+#include "configuration/rendezvous.h"
+
 namespace daisywind::configuration {
 namespace {
 
@@ -20,6 +22,19 @@
 
 }  // namespace
 
+auto system_state::SetMembers(std::vector<member> live) -> void {
+  members = std::move(live);
+  std::erase_if(members,
+                [&](const member& item) { return item.vm.vm == self.vm.vm; });
+  members.push_back(self);
+  std::sort(members.begin(), members.end());
+  watchers = WatchersOf(members, self.domain);
+}
+
+auto system_state::IsWatcher() const -> bool {
+  return std::find(watchers.begin(), watchers.end(), self) != watchers.end();
+}
+
 auto system_state::NextId() -> std::uint64_t {
   last_id += 1;
   return last_id;
--- a/source/core/configuration/system_state.h
+++ b/source/core/configuration/system_state.h
@@ -25,6 +25,8 @@
   std::shared_ptr<const document> content;
   version_ref base;
   std::vector<bucket_change> changes;
+  // For each change the patch of the chunk before, or an empty text.
+  std::vector<std::string> patches;
 };
 
 // A version heard of. It came from a peer, or from the service when that is
@@ -49,6 +51,8 @@
   std::int64_t unix_offset_ms = 0;
   // Live VMs, this one included.
   std::vector<member> members;
+  // Those of this VM's failure domain that watch the service, best first.
+  std::vector<member> watchers;
   installed_version installed;
   // Chunks of the installed version and of those that are being loaded.
   chunk_map chunks;
@@ -68,6 +72,12 @@
   std::map<operation_id, result_handler> operations;
   std::uint64_t last_id = 0;
 
+  // Takes another list of live VMs, to which this one is added.
+  auto SetMembers(std::vector<member> live) -> void;
+
+  // True when this VM watches for its failure domain.
+  [[nodiscard]] auto IsWatcher() const -> bool;
+
   // A number that has not been given before.
   auto NextId() -> std::uint64_t;
 
--- a/source/core/configuration/version.cc
+++ b/source/core/configuration/version.cc
@@ -4,19 +4,39 @@
 #include <string_view>
 #include <utility>
 
+#include "configuration/patch.h"
+
 namespace daisywind::configuration {
 namespace {
 
-using bucket_entries = std::map<std::string, const json::value*>;
+using bucket_entries = std::map<std::string, json::value>;
 
 auto BucketOf(std::string_view pointer) -> bucket_index {
   return static_cast<bucket_index>(PlacementHash(pointer) % kBucketCount);
 }
 
+// The same value with the members of each object in the order of their names,
+// so that equal values have equal texts.
+auto Sorted(const json::value& value) -> json::value {
+  const auto* object = value.if_object();
+  if (object == nullptr) {
+    return value;
+  }
+  auto members = std::map<std::string, json::value>{};
+  for (const auto& member : *object) {
+    members.emplace(member.key(), Sorted(member.value()));
+  }
+  auto sorted = json::object{};
+  for (auto& [name, member] : members) {
+    sorted.emplace(name, std::move(member));
+  }
+  return sorted;
+}
+
 auto Render(const bucket_entries& entries) -> std::string {
   auto object = json::object{};
   for (const auto& [pointer, value] : entries) {
-    object.emplace(pointer, *value);
+    object.emplace(pointer, Sorted(value));
   }
   return json::serialize(object);
 }
@@ -70,7 +90,7 @@
     for (const auto& entry : section.value().get_object()) {
       auto pointer = AppendPointer(path, entry.key());
       const auto bucket = BucketOf(pointer);
-      buckets[bucket].emplace(std::move(pointer), &entry.value());
+      buckets[bucket].emplace(std::move(pointer), entry.value());
     }
   }
   auto result = chunked_document{};
@@ -97,6 +117,26 @@
   return ReadDocument(json::value(std::move(root)));
 }
 
+auto ChunkPatch(const std::string& from, const std::string& to) -> std::string {
+  const auto before = ParseJson(from);
+  const auto after = ParseJson(to);
+  if (!before || !after) {
+    return {};
+  }
+  auto patch = json::serialize(MergePatchBetween(*before, *after));
+  return patch.size() < to.size() ? patch : std::string();
+}
+
+auto PatchedChunk(const std::string& from, const std::string& patch)
+    -> std::string {
+  const auto before = ParseJson(from);
+  const auto change = ParseJson(patch);
+  if (!before || !change) {
+    return {};
+  }
+  return json::serialize(Sorted(ApplyMergePatch(*before, *change)));
+}
+
 auto RootOf(const manifest& buckets) -> digest {
   auto text = std::string{};
   for (const auto& [bucket, chunk] : buckets) {
--- a/source/core/configuration/version.h
+++ b/source/core/configuration/version.h
@@ -94,6 +94,15 @@
 auto Join(const manifest& buckets, const chunk_map& chunks)
     -> leaf::result<document>;
 
+// The patch that turns one chunk into another; empty when it is not shorter
+// than the chunk, or one of them can't be read.
+auto ChunkPatch(const std::string& from, const std::string& to) -> std::string;
+
+// A chunk with such a patch applied; empty when one of them can't be read. The
+// digest of the result tells whether the patch was for this chunk.
+auto PatchedChunk(const std::string& from, const std::string& patch)
+    -> std::string;
+
 // The digest over all chunks of a version.
 auto RootOf(const manifest& buckets) -> digest;
 
--- a/source/core/configuration_wire/codec.cc
+++ b/source/core/configuration_wire/codec.cc
@@ -69,6 +69,15 @@
   return list;
 }
 
+auto ReadStrings(const flatbuffers::Vector<Offset<flatbuffers::String>>& from)
+    -> std::vector<std::string> {
+  auto list = std::vector<std::string>{};
+  for (const auto* item : from) {
+    list.push_back(item->str());
+  }
+  return list;
+}
+
 auto Write(builder& to, const version_info& from) -> Offset<wire::VersionInfo> {
   const auto ref = Write(from.ref);
   return wire::CreateVersionInfo(to, &ref, to.CreateString(from.patch_id),
@@ -102,8 +111,9 @@
   const auto base = Write(from.base);
   const auto info = Write(to, from.info);
   const auto changes = WriteStructs<wire::BucketChange>(to, from.changes);
+  const auto patches = to.CreateVectorOfStrings(from.patches);
   return {wire::Content::Announce,
-          wire::CreateAnnounce(to, info, &base, changes).Union()};
+          wire::CreateAnnounce(to, info, &base, changes, patches).Union()};
 }
 
 auto Write(builder& to, const probe_message& from) -> written_content {
@@ -162,7 +172,8 @@
 auto ReadAnnounce(const wire::Message& from) -> message {
   const auto& content = *from.content_as_Announce();
   return announce_message{Read(*content.info()), Read(*content.base()),
-                          ReadStructs<bucket_change>(*content.changes())};
+                          ReadStructs<bucket_change>(*content.changes()),
+                          ReadStrings(*content.patches())};
 }
 
 auto ReadProbe(const wire::Message& from) -> message {
@@ -187,11 +198,7 @@
 }
 
 auto ReadChunkReply(const wire::Message& from) -> message {
-  auto reply = chunk_reply{};
-  for (const auto* chunk : *from.content_as_ChunkReply()->chunks()) {
-    reply.chunks.push_back(chunk->str());
-  }
-  return reply;
+  return chunk_reply{ReadStrings(*from.content_as_ChunkReply()->chunks())};
 }
 
 auto ReadAcknowledge(const wire::Message& from) -> message {
--- a/source/unit_tests/configuration/fake_fleet.cc
+++ b/source/unit_tests/configuration/fake_fleet.cc
@@ -20,6 +20,7 @@
   for (auto i = std::size_t{0}; i < nodes; ++i) {
     nodes_[i].self = {{vm_id("vm-" + std::to_string(i)), 0},
                       failure_domain_id(std::to_string(i % domains))};
+    indexes_[nodes_[i].self.vm.vm] = i;
   }
 }
 
@@ -159,7 +160,7 @@
   }
 }
 
-auto fake_fleet::Execute(std::size_t node, std::vector<command> commands)
+auto fake_fleet::Execute(std::size_t node, const std::vector<command>& commands)
     -> void {
   for (const auto& item : commands) {
     std::visit([&](const auto& content) { Do(node, content); }, item);
@@ -204,20 +205,20 @@
 
 auto fake_fleet::Do(std::size_t node, const send_message& item) -> void {
   if (on_message) {
-    on_message(item.to, item.content);
+    on_message(node, item.content);
   }
-  const auto target =
-      std::find_if(nodes_.begin(), nodes_.end(),
-                   [&](const auto& other) { return other.self.vm == item.to; });
-  const auto is_lost = target == nodes_.end() ||
+  const auto found = indexes_.find(item.to.vm);
+  const auto* target =
+      found == indexes_.end() ? nullptr : &nodes_[found->second];
+  const auto is_lost = target == nullptr || target->self.vm != item.to ||
                        target->group != nodes_[node].group ||
                        Fails(faults.lost_messages);
   if (is_lost) {
     return;
   }
-  const auto index = static_cast<std::size_t>(target - nodes_.begin());
   Schedule(faults.peer_delay,
-           [this, index, from = nodes_[node].self.vm, content = item.content] {
+           [this, index = found->second, from = nodes_[node].self.vm,
+            content = item.content] {
              Deliver(index, peer_message{from, content});
            });
 }
--- a/source/unit_tests/configuration/fake_fleet.h
+++ b/source/unit_tests/configuration/fake_fleet.h
@@ -50,7 +50,7 @@
 class fake_fleet {
  public:
   using message_observer =
-      std::function<void(const vm_ref& to, const message& content)>;
+      std::function<void(std::size_t from, const message& content)>;
 
   fake_fleet(std::size_t nodes, std::size_t domains, std::uint64_t seed);
 
@@ -102,7 +102,7 @@
  private:
   auto Schedule(duration delay, std::function<void()> action) -> void;
   auto Deliver(std::size_t node, const event& happened) -> void;
-  auto Execute(std::size_t node, std::vector<command> commands) -> void;
+  auto Execute(std::size_t node, const std::vector<command>& commands) -> void;
   auto Do(std::size_t node, const kv_command& item) -> void;
   auto Do(std::size_t node, const start_watch& item) -> void;
   auto Do(std::size_t node, const stop_watch& item) -> void;
@@ -119,6 +119,7 @@
 
   random_source random_;
   std::vector<fleet_node> nodes_;
+  std::map<vm_id, std::size_t> indexes_;
   instant now_ = instant(3600s);
   instant next_tick_ = now_;
   std::multimap<instant, std::function<void()>> queue_;
--- a/source/unit_tests/configuration/storage_test.cc
+++ b/source/unit_tests/configuration/storage_test.cc
@@ -45,6 +45,27 @@
   CHECK(WithChanges(Split(before).buckets, changes) == Split(after).buckets);
 }
 
+TEST_CASE("a chunk patch is short and gives the other chunk") {
+  const auto before = LargeDocument(500);
+  auto after = before;
+  after.endpoints.at(endpoint_id("engine-7")).capacity = 9;
+  after.endpoints.erase(endpoint_id("engine-8"));
+  after.tenants.at(tenant_id("choclo")).limits.reset();
+  after.need["agent"] = 2;
+  const auto from = Split(before);
+  const auto to = Split(after);
+  const auto changes = ChangesBetween(from.buckets, to.buckets);
+  CHECK(changes.size() >= 3);
+  for (const auto& change : changes) {
+    const auto& old_chunk = from.chunks.at(from.buckets.at(change.bucket));
+    const auto& new_chunk = to.chunks.at(change.chunk);
+    const auto patch = ChunkPatch(old_chunk, new_chunk);
+    CHECK(patch.size() < 100);
+    CHECK(PatchedChunk(old_chunk, patch) == new_chunk);
+  }
+  CHECK(PatchedChunk("{", "{}").empty());
+}
+
 TEST_CASE("values stay under a megabyte at 12,000 replicas") {
   const auto requests = InitialRequests(LargeDocument(kReplicas), {});
   CHECK(LargestPut(requests) < kMaxValueBytes);
--- a/source/unit_tests/configuration_wire/codec_test.cc
+++ b/source/unit_tests/configuration_wire/codec_test.cc
@@ -17,7 +17,8 @@
       version_info{{7, RootOf(buckets)}, "id-1", "ana", 1'700'000'000'000};
   const auto state = acknowledgement{
       {vm_id("vm-1"), 42}, failure_domain_id("huye-a"), 7, 1500, -1};
-  return {announce_message{info, {6, chunk}, {{3, chunk}, {9, digest{}}}},
+  return {announce_message{
+              info, {6, chunk}, {{3, chunk}, {9, digest{}}}, {"{}", ""}},
           probe_message{info.ref, -1, true},
           manifest_request{},
           manifest_reply{{info, buckets}},
