Add envelopes between VMs and the gateway's adapters without decisions

Cause: the gateway needs its edges (settings, keys, bodies, attempts, peers, metrics) whatever the decision libraries look like inside.

--- /dev/null
+++ b/source/core/gateway/peer_network.h
@@ -0,0 +1,94 @@
+// Frames to and from the other VMs.
+#ifndef DAISYWIND_GATEWAY_PEER_NETWORK_H_
+#define DAISYWIND_GATEWAY_PEER_NETWORK_H_
+
+#include <boost/asio/io_context.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "common/ids.h"
+#include "net/frame_link.h"
+#include "wire/envelope.h"
+
+namespace daisywind::gateway {
+
+// Called with each message of a peer. Returns false when the payload is not
+// of its protocol, which closes the connection.
+using envelope_handler = std::function<bool(const wire::envelope& message)>;
+
+// Called when the link to a peer breaks or can't be made.
+using peer_lost_handler = std::function<void(const vm_id& vm)>;
+
+// Bytes and messages of one protocol.
+struct traffic_count {
+  std::uint64_t sent_messages = 0;
+  std::uint64_t sent_bytes = 0;
+  std::uint64_t received_messages = 0;
+  std::uint64_t received_bytes = 0;
+
+  auto operator<=>(const traffic_count&) const = default;
+};
+
+// One listening address and a link to each peer that is written to.
+class peer_network {
+ public:
+  peer_network(boost::asio::io_context& context,
+               vm_ref self,
+               envelope_handler on_message,
+               peer_lost_handler on_lost);
+  peer_network(const peer_network&) = delete;
+  auto operator=(const peer_network&) -> peer_network& = delete;
+  ~peer_network();
+
+  // Binds and starts accepting. Returns false when the address can't be had.
+  auto Listen(const net::socket_address& address) -> bool;
+
+  // Records where a VM takes frames. A changed address drops the old link.
+  auto SetAddress(const vm_id& vm, const std::string& address) -> void;
+
+  // Queues a message to a VM. Returns false when its address is not known or
+  // its queue is full.
+  auto Send(const vm_id& vm, wire::protocol kind, std::string payload) -> bool;
+
+  // Queues a message to an address whose VM is not known yet.
+  auto SendToAddress(const std::string& address,
+                     wire::protocol kind,
+                     std::string payload) -> bool;
+
+  // Where this VM takes frames, as "ip:port".
+  [[nodiscard]] auto own_address() const -> const std::string& {
+    return own_address_;
+  }
+
+  // Messages and bytes by protocol since the start.
+  [[nodiscard]] auto Traffic() const
+      -> const std::map<wire::protocol, traffic_count>& {
+    return traffic_;
+  }
+
+  // Closes every connection.
+  auto Close() -> void;
+
+ private:
+  auto OnFrame(std::string_view frame) -> bool;
+  auto LinkTo(const std::string& address) -> net::frame_link*;
+  auto OnLinkState(const std::string& address, bool is_connected) -> void;
+
+  boost::asio::io_context& context_;
+  vm_ref self_;
+  envelope_handler on_message_;
+  peer_lost_handler on_lost_;
+  net::frame_server server_;
+  std::string own_address_;
+  std::map<vm_id, std::string> addresses_;
+  std::map<std::string, std::unique_ptr<net::frame_link>> links_;
+  std::map<wire::protocol, traffic_count> traffic_;
+};
+
+}  // namespace daisywind::gateway
+
+#endif  // DAISYWIND_GATEWAY_PEER_NETWORK_H_
