--- a/source/core/gateway/chat_request.cc
+++ b/source/core/gateway/chat_request.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "gateway/prompt_blocks.h"
+#include "program/types.h"
 
 namespace daisywind::gateway {
 namespace {
@@ -89,8 +90,10 @@
   BOOST_LEAF_ASSIGN(request.is_streamed, ReadStream(*object));
   BOOST_LEAF_ASSIGN(request.max_tokens, ReadMaxTokens(*object));
   BOOST_LEAF_AUTO(messages, ReadMessages(*object));
+  auto chain = digest{};
   for (const auto& message : messages) {
-    request.messages.push_back(MessageDigest(message.role, message.content));
+    chain = Extend(chain, program::MessageText(message.role, message.content));
+    request.history.push_back(chain);
   }
   const auto prompt = RenderPrompt(messages);
   request.prompt_tokens = CountTokens(prompt);
@@ -98,8 +101,15 @@
   return request;
 }
 
-auto MessageDigest(std::string_view role, std::string_view content) -> digest {
-  return Extend(DigestOf(role), content);
+auto EngineBody(std::string_view body,
+                std::uint64_t max_tokens,
+                std::int64_t priority) -> std::string {
+  auto object = json::parse({body.data(), body.size()}).get_object();
+  object["stream"] = true;
+  object["stream_options"] = json::object{{"include_usage", true}};
+  object["max_tokens"] = max_tokens;
+  object["priority"] = priority;
+  return json::serialize(object);
 }
 
 }  // namespace daisywind::gateway
--- a/source/core/gateway/chat_request.h
+++ b/source/core/gateway/chat_request.h
@@ -25,8 +25,8 @@
   std::uint64_t max_tokens = kDefaultMaxTokens;
   // An upper bound of the prompt's tokens.
   std::uint64_t prompt_tokens = 0;
-  // Digest of each message, in order.
-  std::vector<digest> messages;
+  // Chain digest after each message, as program::call_request wants it.
+  std::vector<digest> history;
   // Names of the prompt's blocks, as engines report them.
   std::vector<digest> blocks;
 
@@ -36,8 +36,11 @@
 // Reads a body. Fails with document_error, which names the path.
 auto ParseChatRequest(std::string_view body) -> leaf::result<chat_request>;
 
-// Digest of one message as it stands in a history.
-auto MessageDigest(std::string_view role, std::string_view content) -> digest;
+// The body to send to an engine: the caller's with the members that the system
+// sets. The body must have been read by ParseChatRequest.
+auto EngineBody(std::string_view body,
+                std::uint64_t max_tokens,
+                std::int64_t priority) -> std::string;
 
 }  // namespace daisywind::gateway
 
--- a/source/core/gateway/problem.cc
+++ b/source/core/gateway/problem.cc
@@ -16,16 +16,14 @@
 
 }  // namespace
 
-auto ToString(run_outcome outcome) -> std::string_view {
-  switch (outcome) {
-    case run_outcome::kNotRun:
-      return "not_run";
-    case run_outcome::kUnknown:
-      return "unknown";
-    case run_outcome::kDone:
-      return "done";
+auto FromRefusal(const program::problem& refusal) -> problem {
+  auto why = problem{static_cast<unsigned>(program::StatusOf(refusal.reason)),
+                     std::string(program::NameOf(refusal.reason)),
+                     refusal.detail, refusal.result, std::nullopt};
+  if (refusal.retry_after > duration::zero()) {
+    why.retry_after = refusal.retry_after;
   }
-  return "unknown";
+  return why;
 }
 
 auto ToResponse(const problem& why) -> net::http_response {
@@ -34,11 +32,11 @@
   body["title"] = why.reason;
   body["status"] = why.status;
   body["detail"] = why.detail;
-  body["outcome"] = ToString(why.outcome);
+  body["outcome"] = program::NameOf(why.outcome);
   auto response = net::http_response{
       why.status,
       {{"Content-Type", "application/problem+json"},
-       {"Daisywind-Outcome", std::string(ToString(why.outcome))}},
+       {"Daisywind-Outcome", std::string(program::NameOf(why.outcome))}},
       boost::json::serialize(body)};
   if (why.retry_after) {
     response.headers.push_back(
--- a/source/core/gateway/prompt_blocks.cc
+++ b/source/core/gateway/prompt_blocks.cc
@@ -5,10 +5,7 @@
 auto RenderPrompt(std::span<const prompt_message> messages) -> std::string {
   auto prompt = std::string{};
   for (const auto& message : messages) {
-    prompt += message.role;
-    prompt += '\n';
     prompt += message.content;
-    prompt += '\n';
   }
   return prompt;
 }
--- a/source/unit_tests/gateway/chat_request_test.cc
+++ b/source/unit_tests/gateway/chat_request_test.cc
@@ -26,7 +26,7 @@
   CHECK(request->model == "agent");
   CHECK_FALSE(request->is_streamed);
   CHECK(request->max_tokens == kDefaultMaxTokens);
-  CHECK(request->messages.size() == 1);
+  CHECK(request->history.size() == 1);
   CHECK(request->prompt_tokens > 0);
 }
 
@@ -43,7 +43,7 @@
   REQUIRE(shorter->blocks.size() < longer->blocks.size());
   CHECK(std::equal(shorter->blocks.begin(), shorter->blocks.end(),
                    longer->blocks.begin()));
-  CHECK(shorter->messages.front() == longer->messages.front());
+  CHECK(shorter->history.front() == longer->history.front());
 }
 
 TEST_CASE("errors name the path in the body") {
