--- /dev/null
+++ b/source/core/migration/migration_options.h
@@ -0,0 +1,51 @@
+// Tunable times and counts of a move.
+#ifndef DAISYWIND_MIGRATION_MIGRATION_OPTIONS_H_
+#define DAISYWIND_MIGRATION_MIGRATION_OPTIONS_H_
+
+#include <compare>
+#include <cstdint>
+
+#include "common/time.h"
+
+namespace daisywind::migration {
+
+struct migration_options {
+  // Time to live of the reconciler's lease.
+  duration lease_time_to_live = 15s;
+  // No order is sent in the last part of a lease, so that one on its way
+  // arrives before the lease can be granted to another VM.
+  duration lease_margin = 4s;
+  duration lease_renewal_interval = 3s;
+  // Interval at which a VM without the lease tries to acquire it.
+  duration lease_retry_interval = 5s;
+  // So many live VMs, by a hash of their ids, try to acquire the lease.
+  std::uint32_t lease_candidates = 3;
+  // Interval of reports from endpoints on their way, and from settled ones.
+  duration active_read_interval = 1s;
+  duration settled_read_interval = 30s;
+  // A request for a report is repeated when it is not answered in this time.
+  duration read_timeout = 2s;
+  // A report older than this proves nothing. For settled endpoints the
+  // interval of their reports is added.
+  duration report_lifetime = 6s;
+  // An endpoint is warm when it has been seen loaded for this long.
+  duration warm_up = 2s;
+  // Time after which an order without effect is sent again, doubled with each
+  // attempt up to the bound.
+  duration order_retry = 5s;
+  duration max_order_retry = 40s;
+  // Time in which an answer to an order is expected.
+  duration order_timeout = 5s;
+  duration release_interval = 2s;
+  // Endpoints that may pull from the weight store at once.
+  std::uint32_t max_loading = 4;
+  // Bounds of the commands of one tick.
+  std::uint32_t max_reads_per_tick = 50;
+  std::uint32_t max_orders_per_tick = 20;
+
+  auto operator<=>(const migration_options&) const = default;
+};
+
+}  // namespace daisywind::migration
+
+#endif  // DAISYWIND_MIGRATION_MIGRATION_OPTIONS_H_
--- /dev/null
+++ b/source/core/migration/wanted_state.h
@@ -0,0 +1,99 @@
+// Where each model, adapter and endpoint should stand.
+#ifndef DAISYWIND_MIGRATION_WANTED_STATE_H_
+#define DAISYWIND_MIGRATION_WANTED_STATE_H_
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "common/ids.h"
+#include "common/time.h"
+
+namespace daisywind::migration {
+
+enum class endpoint_kind : std::uint8_t { kEngine, kService };
+
+// What an endpoint is for. Draining takes no new work; empty has, besides,
+// nothing loaded and nothing running.
+enum class endpoint_role : std::uint8_t { kServing, kDraining, kEmpty };
+
+// One endpoint of the configuration document.
+struct wanted_endpoint {
+  endpoint_id id;
+  std::string address;
+  failure_domain_id failure_domain;
+  endpoint_kind kind = endpoint_kind::kEngine;
+  bool checks_fencing = false;
+  endpoint_role role = endpoint_role::kServing;
+  std::set<model_id> models;
+  std::set<adapter_id> adapters;
+  std::set<std::string> services;
+
+  auto operator<=>(const wanted_endpoint&) const = default;
+};
+
+// The parts of one configuration version that the move needs.
+struct wanted_state {
+  version_number version = 0;
+  std::map<model_id, std::string> model_versions;
+  std::map<adapter_id, std::string> adapter_versions;
+  std::vector<wanted_endpoint> endpoints;
+  // Least number of serving endpoints of a model or service, by its name.
+  std::map<std::string, std::uint32_t> need;
+  // Time that a move may take, from the version's acceptance.
+  duration deadline{};
+
+  auto operator<=>(const wanted_state&) const = default;
+};
+
+// The whole state that an order asks of an engine.
+struct engine_order {
+  std::map<model_id, std::string> models;
+  std::map<adapter_id, std::string> adapters;
+  endpoint_role role = endpoint_role::kServing;
+
+  auto operator<=>(const engine_order&) const = default;
+};
+
+// What an engine tells of itself at GET /v1/state. For a plain service only
+// `running` is filled, with its running and queued requests.
+struct engine_report {
+  std::map<model_id, std::string> models;
+  std::map<adapter_id, std::string> adapters;
+  endpoint_role role = endpoint_role::kServing;
+  // Version and fencing number of the last order that the engine took.
+  version_number version = 0;
+  std::uint64_t fence = 0;
+  std::set<std::string> loading;
+  std::uint64_t running = 0;
+  std::uint64_t sessions = 0;
+
+  auto operator<=>(const engine_report&) const = default;
+};
+
+// The names under which `need` counts an endpoint: its models and services.
+auto ServedNames(const wanted_endpoint& endpoint) -> std::set<std::string>;
+
+// The state that an endpoint must be ordered into for the given role. All that
+// is wanted stays loaded unless the role is empty.
+auto OrderFor(const wanted_state& wanted,
+              const wanted_endpoint& endpoint,
+              endpoint_role role) -> engine_order;
+
+// Whether the engine has the models and adapters of the order in their
+// versions and loads nothing more.
+auto HasLoaded(const engine_report& report, const engine_order& order) -> bool;
+
+// Whether nothing is loaded, loading, running or held.
+auto IsEmpty(const engine_report& report) -> bool;
+
+// The name of a role, as in the configuration document.
+auto ToString(endpoint_role role) -> std::string_view;
+
+}  // namespace daisywind::migration
+
+#endif  // DAISYWIND_MIGRATION_WANTED_STATE_H_
