Carry out the decision libraries' commands at the gateway

Cause: adapters for attempts, the scheduler, migration, polls and the operators' interface, written against the libraries' headers; not built yet.

--- /dev/null
+++ b/source/core/gateway/caller_api.h
@@ -0,0 +1,89 @@
+// The HTTP interface for callers.
+#ifndef DAISYWIND_GATEWAY_CALLER_API_H_
+#define DAISYWIND_GATEWAY_CALLER_API_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "configuration/document.h"
+#include "gateway/bearer_keys.h"
+#include "gateway/call_reader.h"
+#include "gateway/metrics.h"
+#include "gateway/reply_box.h"
+#include "net/http_server.h"
+#include "program/events.h"
+
+namespace daisywind::gateway {
+
+// What the callers' interface asks of the rest of the process.
+struct caller_api_hooks {
+  // Hands an event to the program system.
+  std::function<void(program::event)> submit;
+  // The configuration in force; null when there is none.
+  std::function<std::shared_ptr<const configuration::document>()> document;
+  // Whether the balancer should send calls here.
+  std::function<bool()> is_ready;
+  // The reply for an operators' path that callers may use too, as /readyz.
+  std::function<net::http_response()> metrics_page;
+};
+
+// Takes callers' requests to the program system and its replies back.
+class caller_api {
+ public:
+  caller_api(caller_api_hooks hooks,
+             reply_table& replies,
+             tenant_keys& keys,
+             metrics& series);
+
+  // Handles one request.
+  auto Handle(net::http_exchange& exchange) -> boost::asio::awaitable<void>;
+
+ private:
+  using exchange_ref = net::http_exchange&;
+  using handler = boost::asio::awaitable<void> (
+      caller_api::*)(exchange_ref, const caller_context&);
+  struct route {
+    std::string method;
+    std::string path;
+    bool is_prefix = false;
+    handler handle = nullptr;
+  };
+
+  static auto Routes() -> const std::vector<route>&;
+  static auto FindRoute(const net::http_request& request) -> const route*;
+
+  auto Open(exchange_ref exchange, const caller_context& caller)
+      -> boost::asio::awaitable<void>;
+  auto Chat(exchange_ref exchange, const caller_context& caller)
+      -> boost::asio::awaitable<void>;
+  auto Service(exchange_ref exchange, const caller_context& caller)
+      -> boost::asio::awaitable<void>;
+  auto Query(exchange_ref exchange, const caller_context& caller)
+      -> boost::asio::awaitable<void>;
+  auto End(exchange_ref exchange, const caller_context& caller)
+      -> boost::asio::awaitable<void>;
+  auto StartBranch(exchange_ref exchange, const caller_context& caller)
+      -> boost::asio::awaitable<void>;
+  auto JoinBranch(exchange_ref exchange, const caller_context& caller)
+      -> boost::asio::awaitable<void>;
+
+  auto RunCall(exchange_ref exchange, program::call_arrived arrived)
+      -> boost::asio::awaitable<void>;
+  auto RunControl(exchange_ref exchange,
+                  const caller_context& caller,
+                  program::control_action action,
+                  unsigned status) -> boost::asio::awaitable<void>;
+  auto Refuse(exchange_ref exchange, const problem& why)
+      -> boost::asio::awaitable<void>;
+
+  caller_api_hooks hooks_;
+  reply_table& replies_;
+  tenant_keys& keys_;
+  metrics& series_;
+};
+
+}  // namespace daisywind::gateway
+
+#endif  // DAISYWIND_GATEWAY_CALLER_API_H_
--- /dev/null
+++ b/source/core/gateway/process_clock.h
@@ -0,0 +1,33 @@
+// The one place where the gateway reads clocks.
+#ifndef DAISYWIND_GATEWAY_PROCESS_CLOCK_H_
+#define DAISYWIND_GATEWAY_PROCESS_CLOCK_H_
+
+#include <chrono>
+#include <cstdint>
+
+#include "common/time.h"
+
+namespace daisywind::gateway {
+
+// Monotonic time, handed to the decision libraries.
+inline auto Now() -> instant {
+  const auto since = std::chrono::steady_clock::now().time_since_epoch();
+  return instant(std::chrono::duration_cast<duration>(since));
+}
+
+// Wall-clock time in milliseconds since 1970.
+inline auto UnixMs() -> std::int64_t {
+  const auto since = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
+}
+
+// Wall-clock time in microseconds since 1970.
+inline auto UnixUs() -> std::uint64_t {
+  const auto since = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(since).count());
+}
+
+}  // namespace daisywind::gateway
+
+#endif  // DAISYWIND_GATEWAY_PROCESS_CLOCK_H_
--- /dev/null
+++ b/source/core/gateway/scheduler_adapter.cc
@@ -0,0 +1,269 @@
+#include "gateway/scheduler_adapter.h"
+
+#include <algorithm>
+#include <cstring>
+#include <utility>
+
+#include "gateway/prompt_blocks.h"
+
+namespace daisywind::gateway {
+namespace {
+
+// Engine time of one token, by which attained service is counted.
+constexpr duration kTokenTime = 1ms;
+constexpr duration kEndedKeep = 60s;
+
+auto ToBlockName(const digest& name) -> policy::block_name {
+  auto block = policy::block_name{0};
+  for (auto i = std::size_t{0}; i < sizeof(block); ++i) {
+    block = (block << 8U) | name.bytes[i];
+  }
+  return block;
+}
+
+auto ToPrefix(const std::vector<digest>& blocks)
+    -> std::vector<policy::prefix_mark> {
+  auto marks = std::vector<policy::prefix_mark>{};
+  marks.reserve(blocks.size());
+  for (const auto& block : blocks) {
+    const auto tokens = (marks.size() + 1) * kTokensPerBlock;
+    marks.push_back({ToBlockName(block), static_cast<std::uint32_t>(tokens)});
+  }
+  return marks;
+}
+
+auto ToRequest(const program::acquire_endpoint& wanted)
+    -> policy::call_request {
+  auto request = policy::call_request{};
+  request.program = wanted.call.program;
+  request.tenant = wanted.tenant;
+  request.call_class = wanted.service_class;
+  request.kind = wanted.kind == program::call_kind::kChat
+                     ? policy::endpoint_kind::kEngine
+                     : policy::endpoint_kind::kService;
+  request.target = wanted.target;
+  request.adapter = wanted.adapter;
+  request.prefix = ToPrefix(wanted.prefix_blocks);
+  request.prompt_tokens = static_cast<std::uint32_t>(wanted.prompt_tokens);
+  request.max_tokens = static_cast<std::uint32_t>(wanted.max_tokens);
+  request.body_bytes =
+      static_cast<std::uint32_t>(wanted.prompt_tokens * kBytesPerToken);
+  request.is_idempotent = wanted.is_idempotent;
+  request.is_continuation = wanted.attained_service > 0;
+  request.excluded.assign(wanted.excluded.begin(), wanted.excluded.end());
+  request.attained_service = wanted.attained_service * kTokenTime;
+  return request;
+}
+
+auto ToFinish(program::attempt_result result) -> policy::finish_kind {
+  switch (result) {
+    case program::attempt_result::kAnswered:
+      return policy::finish_kind::kCompleted;
+    case program::attempt_result::kNotSent:
+    case program::attempt_result::kRefusedNotRun:
+    case program::attempt_result::kNotFound:
+      return policy::finish_kind::kNotRun;
+    case program::attempt_result::kUnknown:
+      return policy::finish_kind::kFailed;
+  }
+  return policy::finish_kind::kFailed;
+}
+
+auto ToReason(policy::refusal_reason reason) -> program::refusal_reason {
+  return reason == policy::refusal_reason::kNoEndpoint
+             ? program::refusal_reason::kNoEndpoint
+             : program::refusal_reason::kOverloaded;
+}
+
+}  // namespace
+
+scheduler_adapter::scheduler_adapter(policy::scheduler& scheduler,
+                                     std::function<void(program::event)> submit)
+    : scheduler_(scheduler), submit_(std::move(submit)) {}
+
+auto scheduler_adapter::Acquire(const program::acquire_endpoint& wanted,
+                                instant now) -> void {
+  auto request = ToRequest(wanted);
+  const auto earlier = ended_.find(wanted.call);
+  if (earlier == ended_.end()) {
+    Enqueue(std::move(request), wanted.call, now);
+    return;
+  }
+  request.attempt = earlier->second.request.attempt + 1;
+  const auto wait = scheduler_.PlanRetry(earlier->second.request,
+                                         earlier->second.how, now);
+  if (!wait) {
+    Refuse({0, policy::refusal_reason::kRetryBudgetSpent, 1s}, wanted.call);
+    return;
+  }
+  delayed_.push_back({now + *wait, std::move(request), wanted.call});
+}
+
+auto scheduler_adapter::Abandon(const program::call_ref& call) -> void {
+  std::erase_if(delayed_, [&](const delayed_call& waiting) {
+    return waiting.call == call;
+  });
+  const auto found = by_call_.find(call);
+  if (found == by_call_.end()) {
+    return;
+  }
+  scheduler_.Cancel(found->second);
+  entries_.erase(found->second);
+  by_call_.erase(found);
+}
+
+auto scheduler_adapter::Release(const program::release_endpoint_slot& slot,
+                                instant now) -> void {
+  auto* found = FindEntry(slot.call);
+  if (found == nullptr) {
+    return;
+  }
+  const auto how = found->is_hung ? policy::finish_kind::kTimedOut
+                                  : ToFinish(slot.result);
+  scheduler_.OnFinished(found->request.call, how, found->usage, now);
+  ended_.erase(slot.call);
+  if (how != policy::finish_kind::kCompleted) {
+    ended_[slot.call] = {found->request, how, now};
+  }
+  entries_.erase(found->request.call);
+  by_call_.erase(slot.call);
+}
+
+auto scheduler_adapter::OnSent(const program::call_ref& call, instant now)
+    -> void {
+  if (auto* found = FindEntry(call)) {
+    scheduler_.OnSent(found->request.call, now);
+  }
+}
+
+auto scheduler_adapter::OnOutput(const program::call_ref& call, instant now)
+    -> void {
+  auto* found = FindEntry(call);
+  if (found == nullptr) {
+    return;
+  }
+  if (found->has_output) {
+    scheduler_.OnProgress(found->request.call, now);
+  } else {
+    found->has_output = true;
+    scheduler_.OnFirstToken(found->request.call, now);
+  }
+}
+
+auto scheduler_adapter::OnUsage(const program::call_ref& call,
+                                const token_usage& usage) -> void {
+  if (auto* found = FindEntry(call)) {
+    found->usage = {static_cast<std::uint32_t>(usage.prompt),
+                    static_cast<std::uint32_t>(usage.cached),
+                    static_cast<std::uint32_t>(usage.completion)};
+  }
+}
+
+auto scheduler_adapter::OnHung(const program::call_ref& call) -> void {
+  if (auto* found = FindEntry(call)) {
+    found->is_hung = true;
+  }
+}
+
+auto scheduler_adapter::PriorityOf(const program::call_ref& call) const
+    -> std::int32_t {
+  const auto found = by_call_.find(call);
+  return found == by_call_.end() ? 0 : entries_.at(found->second).priority;
+}
+
+auto scheduler_adapter::RunningBodies(const endpoint_id& endpoint) const
+    -> std::vector<digest> {
+  auto bodies = std::vector<digest>{};
+  for (const auto& [ref, item] : entries_) {
+    if (item.endpoint == endpoint) {
+      bodies.push_back(item.request.body);
+    }
+  }
+  return bodies;
+}
+
+auto scheduler_adapter::Tick(instant now) -> std::vector<program::call_ref> {
+  EnqueueDelayed(now);
+  ForgetEnded(now);
+  const auto decided = scheduler_.Tick(now);
+  for (const auto& order : decided.dispatches) {
+    Grant(order);
+  }
+  for (const auto& why : decided.refusals) {
+    const auto found = entries_.find(why.call);
+    if (found != entries_.end()) {
+      const auto call = found->second.call;
+      by_call_.erase(call);
+      entries_.erase(found);
+      Refuse(why, call);
+    }
+  }
+  auto hung = std::vector<program::call_ref>{};
+  for (const auto ref : decided.hung) {
+    const auto found = entries_.find(ref);
+    if (found != entries_.end()) {
+      found->second.is_hung = true;
+      hung.push_back(found->second.call);
+    }
+  }
+  return hung;
+}
+
+auto scheduler_adapter::FindEntry(const program::call_ref& call) -> entry* {
+  const auto found = by_call_.find(call);
+  return found == by_call_.end() ? nullptr : &entries_.at(found->second);
+}
+
+auto scheduler_adapter::Enqueue(policy::call_request request,
+                                const program::call_ref& call,
+                                instant now) -> void {
+  request.call = ++last_;
+  const auto why = scheduler_.Enqueue(request, now);
+  if (why) {
+    Refuse(*why, call);
+    return;
+  }
+  auto item = entry{};
+  item.request = std::move(request);
+  item.call = call;
+  by_call_[call] = last_;
+  entries_.emplace(last_, std::move(item));
+}
+
+auto scheduler_adapter::EnqueueDelayed(instant now) -> void {
+  auto due = std::vector<delayed_call>{};
+  std::erase_if(delayed_, [&](const delayed_call& waiting) {
+    if (waiting.due > now) {
+      return false;
+    }
+    due.push_back(waiting);
+    return true;
+  });
+  for (auto& waiting : due) {
+    Enqueue(std::move(waiting.request), waiting.call, now);
+  }
+}
+
+auto scheduler_adapter::Refuse(const policy::refusal& why,
+                               const program::call_ref& call) -> void {
+  submit_(program::endpoint_refused{call, ToReason(why.reason),
+                                    why.retry_after});
+}
+
+auto scheduler_adapter::Grant(const policy::dispatch& order) -> void {
+  const auto found = entries_.find(order.call);
+  if (found == entries_.end()) {
+    return;
+  }
+  found->second.endpoint = order.endpoint;
+  found->second.priority = order.priority;
+  submit_(program::endpoint_granted{found->second.call, order.endpoint});
+}
+
+auto scheduler_adapter::ForgetEnded(instant now) -> void {
+  std::erase_if(ended_, [&](const auto& item) {
+    return now - item.second.at > kEndedKeep;
+  });
+}
+
+}  // namespace daisywind::gateway
--- a/source/core/net/http_server.cc
+++ b/source/core/net/http_server.cc
@@ -160,6 +160,10 @@
     }
   }
 
+  [[nodiscard]] auto IsClosed() -> bool override {
+    return !stream_.socket().is_open() || IsPeerClosed();
+  }
+
   auto Run(server_state server) -> asio::awaitable<void> {
     while (keep_alive_ && !server->is_closing) {
       if (!co_await ReadRequest()) {
--- a/source/core/net/http_server.h
+++ b/source/core/net/http_server.h
@@ -59,6 +59,9 @@
 
   // Completes when the caller closes its side, for use beside other work.
   virtual auto WaitForClose() -> boost::asio::awaitable<void> = 0;
+
+  // Whether the caller has closed its side.
+  [[nodiscard]] virtual auto IsClosed() -> bool = 0;
 };
 
 using http_handler =
