Add the stand-ins for engines, services and the platform

One program plays a model engine, a plain service, the key-value service, the weight store or the list of VMs on loopback, with faults that are set over HTTP. Answers follow from the request alone, so that a client can recompute them.

--- a/source/core/common/log_events.cc
+++ b/source/core/common/log_events.cc
@@ -17,6 +17,9 @@
     kFrameRejected,
     kPeerConnected,
     kPeerDisconnected,
+    kFaultApplied,
+    kModelLoaded,
+    kStaleOrderRefused,
 });
 
 }  // namespace
--- a/source/core/common/log_events.h
+++ b/source/core/common/log_events.h
@@ -59,6 +59,14 @@
     1104, log_subsystem::kNet, log_level::kInfo, "peer link connected"};
 inline constexpr auto kPeerDisconnected =
     log_event{1105, log_subsystem::kNet, log_level::kInfo, "peer link lost"};
+inline constexpr auto kFaultApplied =
+    log_event{1801, log_subsystem::kStandin, log_level::kInfo,
+              "fault applied to a request"};
+inline constexpr auto kModelLoaded = log_event{
+    1802, log_subsystem::kStandin, log_level::kInfo, "model or adapter loaded"};
+inline constexpr auto kStaleOrderRefused =
+    log_event{1803, log_subsystem::kStandin, log_level::kInfo,
+              "order with an old fencing number refused"};
 
 }  // namespace log_events
 
--- /dev/null
+++ b/source/core/standin/chat_json.cc
@@ -0,0 +1,97 @@
+#include "standin/chat_json.h"
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+namespace daisywind::standin {
+namespace {
+
+auto Usage(const engine_run& run) -> json::object {
+  const auto answer_tokens = run.request.answer.size();
+  const auto details = json::object{{"cached_tokens", run.cached_tokens}};
+  return {{"prompt_tokens", run.prompt_tokens},
+          {"completion_tokens", answer_tokens},
+          {"total_tokens", run.prompt_tokens + answer_tokens},
+          {"prompt_tokens_details", details}};
+}
+
+auto FinishReason(const engine_run& run) -> std::string_view {
+  return run.request.is_cut_by_bound ? "length" : "stop";
+}
+
+auto Envelope(const engine_run& run, std::string_view kind) -> json::object {
+  return {{"id", "chatcmpl-" + run.request.id},
+          {"object", kind},
+          {"created", 0},
+          {"model", run.request.model}};
+}
+
+auto Chunk(const engine_run& run, json::array choices) -> json::object {
+  auto chunk = Envelope(run, "chat.completion.chunk");
+  chunk["choices"] = std::move(choices);
+  return chunk;
+}
+
+auto TokenChunk(const engine_run& run, std::size_t index) -> std::string {
+  auto delta = json::object{{"content", run.request.answer[index]}};
+  if (index == 0) {
+    delta["role"] = "assistant";
+  }
+  const auto choice = json::object{
+      {"index", 0}, {"delta", std::move(delta)}, {"finish_reason", nullptr}};
+  return json::serialize(Chunk(run, {choice}));
+}
+
+auto FinishChunk(const engine_run& run) -> std::string {
+  const auto choice = json::object{{"index", 0},
+                                   {"delta", json::object{}},
+                                   {"finish_reason", FinishReason(run)}};
+  return json::serialize(Chunk(run, {choice}));
+}
+
+auto UsageChunk(const engine_run& run) -> std::string {
+  auto chunk = Chunk(run, {});
+  chunk["usage"] = Usage(run);
+  return json::serialize(chunk);
+}
+
+}  // namespace
+
+auto WholeAnswer(const engine_run& run) -> json::object {
+  auto text = std::string{};
+  for (const auto& token : run.request.answer) {
+    text += token;
+  }
+  const auto message =
+      json::object{{"role", "assistant"}, {"content", std::move(text)}};
+  const auto choice = json::object{
+      {"index", 0}, {"message", message}, {"finish_reason", FinishReason(run)}};
+  auto body = Envelope(run, "chat.completion");
+  body["choices"] = json::array{choice};
+  body["usage"] = Usage(run);
+  return body;
+}
+
+auto StreamEvents(const engine_run& run, std::size_t first, bool includes_usage)
+    -> std::vector<std::string> {
+  auto events = std::vector<std::string>{};
+  for (auto index = first; index < run.emitted; ++index) {
+    events.push_back(TokenChunk(run, index));
+  }
+  if (run.state != run_state::kFinished) {
+    return events;
+  }
+  auto closing = std::vector<std::string>{FinishChunk(run)};
+  if (includes_usage) {
+    closing.push_back(UsageChunk(run));
+  }
+  closing.emplace_back("[DONE]");
+  const auto skipped =
+      std::min(first - std::min(first, run.emitted), closing.size());
+  std::move(closing.begin() + static_cast<std::ptrdiff_t>(skipped),
+            closing.end(), std::back_inserter(events));
+  return events;
+}
+
+}  // namespace daisywind::standin
--- /dev/null
+++ b/source/core/standin/clock.h
@@ -0,0 +1,19 @@
+// The real clock of the stand-ins.
+#ifndef DAISYWIND_STANDIN_CLOCK_H_
+#define DAISYWIND_STANDIN_CLOCK_H_
+
+#include <chrono>
+
+#include "common/time.h"
+
+namespace daisywind::standin {
+
+// The present time, from an arbitrary start.
+inline auto Now() -> instant {
+  const auto since_start = std::chrono::steady_clock::now().time_since_epoch();
+  return instant(std::chrono::duration_cast<duration>(since_start));
+}
+
+}  // namespace daisywind::standin
+
+#endif  // DAISYWIND_STANDIN_CLOCK_H_
