Add the first scheduling policy and its baselines

Queueing by program with aging and tenant shares, routing by expected finish, adaptive limits, retry budgets, outlier ejection and crash quarantine, with round robin, least loaded, pure affinity and arrival order beside them. policy_test: 28 cases pass.

--- /dev/null
+++ b/source/core/policy/admission.cc
@@ -0,0 +1,65 @@
+#include "policy/admission.h"
+
+#include <algorithm>
+
+namespace daisywind::policy {
+namespace {
+
+constexpr auto kMaxStartWait = seconds{4.0};
+constexpr auto kMaxQueued = std::size_t{10'000};
+constexpr auto kMinRetryAfter = duration{1s};
+
+auto ServingCapacity(const target_entry& target,
+                     const endpoint_table& endpoints) -> double {
+  auto capacity = 0.0;
+  for (const auto index : target.members) {
+    if (endpoints.IsUsable(index)) {
+      capacity += endpoints.At(index).info.capacity;
+    }
+  }
+  return capacity;
+}
+
+auto HasServing(const target_entry& target, const endpoint_table& endpoints)
+    -> bool {
+  return std::ranges::any_of(target.members, [&endpoints](auto index) {
+    const auto& entry = endpoints.At(index);
+    return entry.is_present && !entry.is_leaving &&
+           entry.info.role == endpoint_role::kServing;
+  });
+}
+
+}  // namespace
+
+auto ExpectedWait(const target_entry& target,
+                  const endpoint_table& endpoints,
+                  std::int32_t rank,
+                  std::uint32_t gateways) -> seconds {
+  const auto ahead = target.queue.CountUpTo(rank);
+  if (ahead == 0) {
+    return seconds{0};
+  }
+  const auto capacity = std::max(1.0, ServingCapacity(target, endpoints));
+  return target.costs.MeanService() * (static_cast<double>(ahead) * gateways) /
+         capacity;
+}
+
+auto Admit(const call_request& call,
+           const target_entry& target,
+           const endpoint_table& endpoints,
+           std::int32_t rank,
+           std::uint32_t gateways) -> std::optional<refusal> {
+  if (!HasServing(target, endpoints)) {
+    return refusal{call.call, refusal_reason::kNoEndpoint, kMinRetryAfter};
+  }
+  const auto wait = ExpectedWait(target, endpoints, rank, gateways);
+  const auto is_full = target.queue.size() >= kMaxQueued;
+  const auto bound = kMaxStartWait / (1.0 + std::max(0, rank));
+  if (is_full || (!call.is_continuation && wait > bound)) {
+    const auto retry_after = std::max(kMinRetryAfter, ToDuration(wait));
+    return refusal{call.call, refusal_reason::kOverloaded, retry_after};
+  }
+  return std::nullopt;
+}
+
+}  // namespace daisywind::policy
--- /dev/null
+++ b/source/core/policy/call_queue.cc
@@ -0,0 +1,94 @@
+#include "policy/call_queue.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace daisywind::policy {
+
+auto call_queue::LeastServed() const -> double {
+  auto least = std::numeric_limits<double>::infinity();
+  for (const auto& [id, tenant] : tenants_) {
+    if (!tenant.calls.empty()) {
+      least = std::min(least, tenant.served);
+    }
+  }
+  return std::isinf(least) ? 0.0 : least;
+}
+
+auto call_queue::Add(const waiting_call& call, instant virtual_arrival)
+    -> void {
+  auto& tenant = tenants_[call.request.tenant];
+  if (tenant.calls.empty()) {
+    tenant.served = std::max(tenant.served, LeastServed());
+  }
+  const auto order = queue_order{virtual_arrival, next_sequence_++};
+  tenant.calls.emplace(order, call);
+  places_.emplace(call.request.call, place{call.request.tenant, order});
+  ++counts_[call.rank];
+}
+
+auto call_queue::Remove(call_ref call) -> std::optional<waiting_call> {
+  const auto found = places_.find(call);
+  if (found == places_.end()) {
+    return std::nullopt;
+  }
+  auto& calls = tenants_[found->second.tenant].calls;
+  const auto item = calls.find(found->second.order);
+  auto out = std::optional{std::move(item->second)};
+  calls.erase(item);
+  places_.erase(found);
+  --counts_[out->rank];
+  return out;
+}
+
+auto call_queue::Next(std::size_t limit) const
+    -> std::vector<const waiting_call*> {
+  auto order = std::vector<const tenant_queue*>{};
+  for (const auto& [id, tenant] : tenants_) {
+    if (!tenant.calls.empty()) {
+      order.push_back(&tenant);
+    }
+  }
+  std::ranges::sort(order, {}, &tenant_queue::served);
+  auto out = std::vector<const waiting_call*>{};
+  for (const auto* tenant : order) {
+    auto taken = std::size_t{0};
+    for (const auto& [key, call] : tenant->calls) {
+      if (taken++ >= limit) {
+        break;
+      }
+      out.push_back(&call);
+    }
+  }
+  return out;
+}
+
+auto call_queue::Charge(const tenant_id& tenant, seconds service, double share)
+    -> void {
+  tenants_[tenant].served += service.count() / share;
+}
+
+auto call_queue::CountUpTo(std::int32_t rank) const -> std::size_t {
+  auto count = std::size_t{0};
+  for (const auto& [item_rank, item_count] : counts_) {
+    if (item_rank <= rank) {
+      count += item_count;
+    }
+  }
+  return count;
+}
+
+auto call_queue::ArrivedBefore(instant limit) const -> std::vector<call_ref> {
+  auto out = std::vector<call_ref>{};
+  for (const auto& [id, tenant] : tenants_) {
+    for (const auto& [key, call] : tenant.calls) {
+      if (call.arrived < limit) {
+        out.push_back(call.request.call);
+      }
+    }
+  }
+  return out;
+}
+
+}  // namespace daisywind::policy
--- /dev/null
+++ b/source/core/policy/expected_finish_routing.cc
@@ -0,0 +1,87 @@
+#include "policy/expected_finish_routing.h"
+
+#include <algorithm>
+
+namespace daisywind::policy {
+namespace {
+
+constexpr auto kMaxHolders = std::size_t{8};
+constexpr auto kRandomOptions = std::size_t{4};
+constexpr auto kAnswerBytesPerToken = 4.0;
+
+}  // namespace
+
+auto ExpectedFinish(const route_context& context,
+                    endpoint_index index,
+                    double cached_tokens) -> seconds {
+  const auto& entry = context.endpoints.At(index);
+  const auto capacity = static_cast<double>(entry.info.capacity);
+  const auto load = context.endpoints.EstimatedLoad(index);
+  const auto ahead = std::max(0.0, load + 1.0 - capacity);
+  const auto wait = context.costs.MeanService() * (ahead / capacity);
+  const auto uncached =
+      std::max(0.0, context.call.prompt_tokens - cached_tokens);
+  const auto prefill = context.costs.PrefillTime(uncached);
+  const auto contention = 1.0 + load / capacity;
+  auto total = (wait + prefill * contention) * entry.health.slowdown();
+  if (!entry.is_local) {
+    const auto bytes = context.call.body_bytes +
+                       kAnswerBytesPerToken * context.call.max_tokens;
+    total += context.link.CrossingTime(bytes, context.now);
+  }
+  return total;
+}
+
+auto expected_finish_routing::CollectOptions(const route_context& context)
+    -> void {
+  options_ = context.cache.Holders(context.call.prefix, kMaxHolders);
+  std::erase_if(options_, [&context](const auto& item) {
+    return !std::ranges::binary_search(context.candidates, item.endpoint);
+  });
+  const auto holders = options_.size();
+  for (auto i = std::size_t{0}; i < kRandomOptions; ++i) {
+    const auto pick = context.random.Below(context.candidates.size());
+    const auto index = context.candidates[pick];
+    const auto is_known = std::any_of(
+        options_.begin(), options_.begin() + holders,
+        [index](const auto& item) { return item.endpoint == index; });
+    if (!is_known) {
+      options_.push_back({index, 0.0});
+    }
+  }
+}
+
+auto expected_finish_routing::Choose(const route_context& context)
+    -> std::optional<endpoint_index> {
+  if (context.candidates.empty()) {
+    return std::nullopt;
+  }
+  CollectOptions(context);
+  auto best = std::optional<endpoint_index>{};
+  auto best_finish = seconds::max();
+  for (const auto& option : options_) {
+    if (!IsEligible(context, option.endpoint)) {
+      continue;
+    }
+    const auto finish = ExpectedFinish(context, option.endpoint, option.tokens);
+    if (finish < best_finish) {
+      best = option.endpoint;
+      best_finish = finish;
+    }
+  }
+  if (best) {
+    return best;
+  }
+  // None of the few had room: take the first that has, from a random start.
+  const auto count = context.candidates.size();
+  const auto start = context.random.Below(count);
+  for (auto step = std::size_t{0}; step < count; ++step) {
+    const auto index = context.candidates[(start + step) % count];
+    if (IsEligible(context, index)) {
+      return index;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace daisywind::policy
--- /dev/null
+++ b/source/core/policy/link_budget.h
@@ -0,0 +1,37 @@
+// The link between regions as a shared resource: what a crossing costs in time.
+#ifndef DAISYWIND_POLICY_LINK_BUDGET_H_
+#define DAISYWIND_POLICY_LINK_BUDGET_H_
+
+#include <algorithm>
+
+#include "policy/units.h"
+
+namespace daisywind::policy {
+
+// This gateway's part of the link. Calls are charged when they are sent.
+class link_budget {
+ public:
+  link_budget(double bytes_per_second, duration delay)
+      : bytes_per_second_(bytes_per_second), delay_(delay) {}
+
+  // Expected time that a call spends on the link, there and back.
+  [[nodiscard]] auto CrossingTime(double bytes, instant now) const -> seconds {
+    const auto backlog = std::max(duration{0}, busy_until_ - now);
+    return seconds{2 * delay_ + backlog} + seconds{bytes / bytes_per_second_};
+  }
+
+  // Charges a call.
+  auto Charge(double bytes, instant now) -> void {
+    busy_until_ = std::max(busy_until_, now) +
+                  ToDuration(seconds{bytes / bytes_per_second_});
+  }
+
+ private:
+  double bytes_per_second_;
+  duration delay_;
+  instant busy_until_;
+};
+
+}  // namespace daisywind::policy
+
+#endif  // DAISYWIND_POLICY_LINK_BUDGET_H_
--- /dev/null
+++ b/source/core/policy/routing.h
@@ -0,0 +1,59 @@
+// Strategies that choose the endpoint of a call.
+#ifndef DAISYWIND_POLICY_ROUTING_H_
+#define DAISYWIND_POLICY_ROUTING_H_
+
+#include <memory>
+#include <optional>
+#include <span>
+
+#include "common/random.h"
+#include "policy/cache_view.h"
+#include "policy/cost_model.h"
+#include "policy/endpoint_table.h"
+#include "policy/link_budget.h"
+#include "policy/options.h"
+#include "policy/types.h"
+
+namespace daisywind::policy {
+
+// What a choice is made from. The candidates offer the call's target and are in
+// ascending order; whether each may be used now is asked of `endpoints`.
+struct route_context {
+  const call_request& call;
+  std::span<const endpoint_index> candidates;
+  const endpoint_table& endpoints;
+  const cache_view& cache;
+  const cost_model& costs;
+  const link_budget& link;
+  random_source& random;
+  instant now;
+  // Whether endpoints over their concurrency limit are left out.
+  bool respects_limits = true;
+  // Whether endpoints that run a suspect of a crash are left out.
+  bool avoids_suspects = false;
+};
+
+class routing_strategy {
+ public:
+  routing_strategy() = default;
+  virtual ~routing_strategy() = default;
+  routing_strategy(const routing_strategy&) = delete;
+  auto operator=(const routing_strategy&) -> routing_strategy& = delete;
+  routing_strategy(routing_strategy&&) = delete;
+  auto operator=(routing_strategy&&) -> routing_strategy& = delete;
+
+  // Chooses an endpoint. Returns nothing when the call should wait.
+  virtual auto Choose(const route_context& context)
+      -> std::optional<endpoint_index> = 0;
+};
+
+// Makes a strategy.
+auto MakeRouting(routing_kind kind) -> std::unique_ptr<routing_strategy>;
+
+// Whether a call may go to an endpoint: usable, not excluded for the call, and
+// under its limit when limits are respected.
+auto IsEligible(const route_context& context, endpoint_index index) -> bool;
+
+}  // namespace daisywind::policy
+
+#endif  // DAISYWIND_POLICY_ROUTING_H_
--- a/source/core/policy/scheduler.cc
+++ b/source/core/policy/scheduler.cc
@@ -1,68 +1,21 @@
 #include "policy/scheduler.h"
 
 #include <algorithm>
-#include <deque>
-#include <map>
-#include <set>
 #include <utility>
 
-namespace daisywind::policy {
-namespace {
-
-struct endpoint_entry {
-  endpoint_info info;
-  load_report report;
-  std::uint32_t in_flight = 0;
-  bool is_leaving = false;
-};
-
-auto Offers(const endpoint_info& info, const call_request& call) -> bool {
-  if (info.kind != call.kind || info.role != endpoint_role::kServing) {
-    return false;
-  }
-  if (call.kind == endpoint_kind::kService) {
-    return std::ranges::find(info.services, call.target) != info.services.end();
-  }
-  const auto has_adapter =
-      call.adapter.empty() ||
-      std::ranges::find(info.adapters, call.adapter) != info.adapters.end();
-  return has_adapter && std::ranges::find(info.models, model_id{call.target}) !=
-                            info.models.end();
-}
+#include "policy/scheduler_tables.h"
 
-}  // namespace
+namespace daisywind::policy {
 
 struct scheduler::implementation {
-  scheduler_options options;
-  std::map<endpoint_id, endpoint_entry> endpoints;
-  std::deque<call_request> queue;
-  std::map<call_ref, endpoint_id> in_flight;
-  std::set<digest> quarantined;
-  quarantine_message outbox;
-
-  auto Choose(const call_request& call) -> endpoint_entry* {
-    auto* best = static_cast<endpoint_entry*>(nullptr);
-    for (auto& [id, entry] : endpoints) {
-      const auto excluded =
-          std::ranges::find(call.excluded, id) != call.excluded.end();
-      if (entry.is_leaving || excluded || !Offers(entry.info, call)) {
-        continue;
-      }
-      if (entry.in_flight >= entry.info.capacity) {
-        continue;
-      }
-      if (best == nullptr || entry.in_flight < best->in_flight) {
-        best = &entry;
-      }
-    }
-    return best;
-  }
+  implementation(const scheduler_options& options, std::uint64_t seed)
+      : tables(options, seed) {}
+
+  scheduler_tables tables;
 };
 
-scheduler::scheduler(const scheduler_options& options, std::uint64_t /*seed*/)
-    : implementation_(std::make_unique<implementation>()) {
-  implementation_->options = options;
-}
+scheduler::scheduler(const scheduler_options& options, std::uint64_t seed)
+    : implementation_(std::make_unique<implementation>(options, seed)) {}
 
 scheduler::~scheduler() = default;
 scheduler::scheduler(scheduler&&) noexcept = default;
@@ -70,130 +23,152 @@
 
 auto scheduler::SetEndpoints(const std::vector<endpoint_info>& endpoints,
                              instant /*now*/) -> void {
-  auto next = std::map<endpoint_id, endpoint_entry>{};
-  for (const auto& info : endpoints) {
-    auto& entry = next[info.id];
-    const auto old = implementation_->endpoints.find(info.id);
-    if (old != implementation_->endpoints.end()) {
-      entry = old->second;
-    }
-    entry.info = info;
-  }
-  implementation_->endpoints = std::move(next);
+  auto& tables = implementation_->tables;
+  tables.endpoints.Set(endpoints);
+  tables.targets.Rebuild(tables.endpoints);
 }
 
-auto scheduler::SetTenants(const std::vector<tenant_policy>& /*tenants*/,
-                           const std::vector<target_need>& /*needs*/) -> void {}
+auto scheduler::SetTenants(const std::vector<tenant_policy>& tenants,
+                           const std::vector<target_need>& needs) -> void {
+  implementation_->tables.tenants.Set(tenants);
+  implementation_->tables.targets.SetNeeds(needs);
+}
 
 auto scheduler::OnLoadReport(const load_report& report, instant /*now*/)
     -> void {
-  const auto found = implementation_->endpoints.find(report.endpoint);
-  if (found != implementation_->endpoints.end()) {
-    found->second.report = report;
-  }
+  implementation_->tables.endpoints.Report(report);
 }
 
-auto scheduler::OnCacheEvents(const endpoint_id& /*endpoint*/,
-                              std::span<const cache_event> /*events*/,
-                              instant /*now*/) -> void {}
+auto scheduler::OnCacheEvents(const endpoint_id& endpoint,
+                              std::span<const cache_event> events,
+                              instant now) -> void {
+  auto& tables = implementation_->tables;
+  if (const auto index = tables.endpoints.Find(endpoint)) {
+    tables.cache.Apply(*index, events, now);
+  }
+}
 
 auto scheduler::OnLeaving(const endpoint_id& endpoint) -> void {
-  const auto found = implementation_->endpoints.find(endpoint);
-  if (found != implementation_->endpoints.end()) {
-    found->second.is_leaving = true;
-  }
+  implementation_->tables.endpoints.SetLeaving(endpoint);
 }
 
-auto scheduler::Enqueue(const call_request& request, instant /*now*/)
+auto scheduler::Enqueue(const call_request& request, instant now)
     -> std::optional<refusal> {
-  if (IsQuarantined(request.body)) {
-    return refusal{request.call, refusal_reason::kQuarantined, 60s};
+  auto& tables = implementation_->tables;
+  tables.crashes.Advance(now);
+  auto refused = CheckEnqueue(tables, request, now);
+  if (refused) {
+    ++tables.refused;
+    return refused;
+  }
+  if (request.attempt == 1) {
+    tables.retries.OnFirstAttempt(request.tenant);
   }
-  implementation_->queue.push_back(request);
+  AddToQueue(tables, request, now);
   return std::nullopt;
 }
 
 auto scheduler::Cancel(call_ref call) -> bool {
-  return std::erase_if(implementation_->queue, [call](const auto& item) {
-           return item.call == call;
-         }) > 0;
+  return std::ranges::any_of(
+      implementation_->tables.targets.rows(),
+      [call](auto& row) { return row.second.queue.Remove(call).has_value(); });
 }
 
-auto scheduler::OnSent(call_ref /*call*/, instant /*now*/) -> void {}
-auto scheduler::OnFirstToken(call_ref /*call*/, instant /*now*/) -> void {}
-auto scheduler::OnProgress(call_ref /*call*/, instant /*now*/) -> void {}
+auto scheduler::OnSent(call_ref call, instant now) -> void {
+  if (auto* sent = implementation_->tables.FindSent(call)) {
+    sent->sent_at = now;
+    sent->last_progress = now;
+  }
+}
 
-auto scheduler::OnFinished(call_ref call,
-                           finish_kind /*how*/,
-                           const token_usage& /*usage*/,
-                           instant /*now*/) -> void {
-  const auto found = implementation_->in_flight.find(call);
-  if (found == implementation_->in_flight.end()) {
-    return;
+auto scheduler::OnFirstToken(call_ref call, instant now) -> void {
+  if (auto* sent = implementation_->tables.FindSent(call)) {
+    sent->first_token_at = now;
+    sent->last_progress = now;
   }
-  const auto endpoint = implementation_->endpoints.find(found->second);
-  if (endpoint != implementation_->endpoints.end()) {
-    --endpoint->second.in_flight;
+}
+
+auto scheduler::OnProgress(call_ref call, instant now) -> void {
+  if (auto* sent = implementation_->tables.FindSent(call)) {
+    sent->last_progress = now;
   }
-  implementation_->in_flight.erase(found);
+}
+
+auto scheduler::OnFinished(call_ref call,
+                           finish_kind how,
+                           const token_usage& usage,
+                           instant now) -> void {
+  Settle(implementation_->tables, call, how, usage, now);
 }
 
 auto scheduler::PlanRetry(const call_request& request,
                           finish_kind how,
                           instant /*now*/) -> std::optional<duration> {
-  constexpr auto kMaxAttempts = 3U;
-  if (request.attempt >= kMaxAttempts ||
-      (!request.is_idempotent && how != finish_kind::kNotRun)) {
-    return std::nullopt;
+  auto& tables = implementation_->tables;
+  const auto delay = tables.retries.Plan(request, how, tables.random);
+  if (delay) {
+    ++tables.retried;
   }
-  return 100ms;
+  return delay;
 }
 
-auto scheduler::Tick(instant /*now*/) -> decisions {
+auto scheduler::Tick(instant now) -> decisions {
+  auto& tables = implementation_->tables;
   auto out = decisions{};
-  auto waiting = std::deque<call_request>{};
-  for (auto& call : implementation_->queue) {
-    auto* entry = implementation_->Choose(call);
-    if (entry == nullptr) {
-      waiting.push_back(std::move(call));
-      continue;
-    }
-    ++entry->in_flight;
-    implementation_->in_flight[call.call] = entry->info.id;
-    out.dispatches.push_back({call.call, entry->info.id, 0});
-  }
-  implementation_->queue = std::move(waiting);
+  AdvanceHealth(tables, now);
+  RefuseExpired(tables, now, out);
+  DispatchWaiting(tables, now, out);
+  FindHung(tables, now, out);
+  tables.cache.Prune(now);
   return out;
 }
 
-auto scheduler::OnEndpointCrash(const endpoint_id& /*endpoint*/,
-                                std::span<const digest> /*running_bodies*/,
-                                instant /*now*/) -> void {}
+auto scheduler::OnEndpointCrash(const endpoint_id& endpoint,
+                                std::span<const digest> running_bodies,
+                                instant now) -> void {
+  auto& tables = implementation_->tables;
+  const auto index = tables.endpoints.Find(endpoint);
+  if (!index) {
+    return;
+  }
+  tables.cache.Clear(*index);
+  const auto& domain = tables.endpoints.At(*index).info.failure_domain;
+  tables.crashes.OnCrash(endpoint, domain, running_bodies, now);
+}
 
 auto scheduler::TakeQuarantineMessage() -> quarantine_message {
-  return std::exchange(implementation_->outbox, {});
+  return implementation_->tables.crashes.TakeMessage();
 }
 
-auto scheduler::OnQuarantineMessage(const quarantine_message& /*message*/,
-                                    instant /*now*/) -> void {}
+auto scheduler::OnQuarantineMessage(const quarantine_message& message,
+                                    instant now) -> void {
+  implementation_->tables.crashes.Merge(message, now);
+}
 
 auto scheduler::WatchedEndpoints() const -> std::vector<endpoint_id> {
+  const auto& tables = implementation_->tables;
+  auto watched = std::vector<bool>(tables.endpoints.size());
+  for (const auto& [key, target] : tables.targets.rows()) {
+    for (const auto index : target.members) {
+      watched[index] = true;
+    }
+  }
   auto out = std::vector<endpoint_id>{};
-  for (const auto& [id, entry] : implementation_->endpoints) {
-    out.push_back(id);
+  for (auto index = std::size_t{0}; index < watched.size(); ++index) {
+    if (watched[index]) {
+      out.push_back(
+          tables.endpoints.At(static_cast<endpoint_index>(index)).info.id);
+    }
   }
   return out;
 }
 
 auto scheduler::IsQuarantined(const digest& body) const -> bool {
-  return implementation_->quarantined.contains(body);
+  return implementation_->tables.crashes.IsQuarantined(body);
 }
 
 auto scheduler::Summary() const -> scheduler_summary {
-  auto out = scheduler_summary{};
-  out.queued = implementation_->queue.size();
-  out.in_flight = implementation_->in_flight.size();
-  return out;
+  return Summarise(implementation_->tables);
 }
 
 }  // namespace daisywind::policy
--- a/source/core/policy/types.h
+++ b/source/core/policy/types.h
@@ -93,7 +93,7 @@
   bool is_idempotent = false;
   // Whether earlier calls of the program have run; such calls are refused last.
   bool is_continuation = false;
-  // From 1; more than 1 is a retry and is charged to the retry budgets.
+  // From 1; more than 1 is a retry, paid for with PlanRetry.
   std::uint32_t attempt = 1;
   std::vector<endpoint_id> excluded;
   // Engine time that the program's earlier calls have used.
