Add the membership of entry VMs

Cause: owners, witnesses and reconcilers are chosen among the live VMs, and the key-value service is away for long stretches, so its leases alone can't tell who is alive.

Members are probed at random (SWIM): direct ping, three relays, a suspicion that the member refutes with a greater number, then the verdict. Records form a lattice (run, refutation, state), so the order of messages does not matter. Lease keys and seed addresses only give places to ask.

An outage of the service of 30 minutes gives no verdict.

--- /dev/null
+++ b/source/core/membership/member_table.cc
@@ -0,0 +1,199 @@
+#include "membership/member_table.h"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <string>
+
+#include "common/digest.h"
+
+namespace daisywind::membership {
+namespace {
+
+// Fisher-Yates with the injected source, which is the same on every platform.
+template <class T>
+auto Shuffle(std::vector<T>& items, random_source& random) -> void {
+  for (auto i = items.size(); i > 1; --i) {
+    std::swap(items[i - 1], items[random.Below(i)]);
+  }
+}
+
+auto HashOfRun(const vm_ref& ref) -> std::uint64_t {
+  return PlacementHash(ref.vm.value, ref.run);
+}
+
+}  // namespace
+
+auto member_table::Find(const vm_id& vm) const -> const member_row* {
+  const auto found = rows_.find(vm);
+  return found == rows_.end() ? nullptr : &found->second;
+}
+
+auto member_table::Store(const member& record,
+                         instant now,
+                         std::uint32_t transmissions) -> void {
+  auto& row = rows_[record.ref.vm];
+  const auto is_new = row.record.ref.empty();
+  const auto was_live = !is_new && IsLive(row.record);
+  const auto was_suspect =
+      !is_new && row.record.state == member_state::kSuspect;
+  live_count_ += IsLive(record) ? 1 : 0;
+  live_count_ -= was_live ? 1 : 0;
+  suspect_count_ += record.state == member_state::kSuspect ? 1 : 0;
+  suspect_count_ -= was_suspect ? 1 : 0;
+  row = member_row{record, now, transmissions};
+  spreading_.insert(record.ref.vm);
+}
+
+auto member_table::Forget(instant now, duration age) -> void {
+  std::erase_if(rows_, [&](const auto& item) {
+    const auto& row = item.second;
+    return !IsLive(row.record) && row.since + age <= now;
+  });
+}
+
+auto member_table::DelaySuspicions(duration pause) -> void {
+  for (auto& [vm, row] : rows_) {
+    if (row.record.state == member_state::kSuspect) {
+      row.since += pause;
+    }
+  }
+}
+
+auto member_table::NextToProbe(random_source& random) -> std::optional<member> {
+  if (probe_round_.empty()) {
+    for (const auto& [vm, row] : rows_) {
+      probe_round_.push_back(vm);
+    }
+    Shuffle(probe_round_, random);
+  }
+  while (!probe_round_.empty()) {
+    const auto* row = Find(probe_round_.back());
+    probe_round_.pop_back();
+    if (row != nullptr && IsLive(row->record)) {
+      return row->record;
+    }
+  }
+  return std::nullopt;
+}
+
+auto member_table::SampleAlive(random_source& random,
+                               std::size_t count,
+                               const vm_id& except) const
+    -> std::vector<member> {
+  auto sample = std::vector<member>{};
+  auto seen = std::uint64_t{0};
+  for (const auto& [vm, row] : rows_) {
+    if (row.record.state != member_state::kAlive || vm == except) {
+      continue;
+    }
+    ++seen;
+    if (sample.size() < count) {
+      sample.push_back(row.record);
+    } else if (const auto slot = random.Below(seen); slot < count) {
+      sample[slot] = row.record;
+    }
+  }
+  return sample;
+}
+
+auto member_table::SampleDead(random_source& random) const
+    -> std::optional<member> {
+  auto live_addresses = std::set<std::string>{};
+  auto dead = std::vector<const member*>{};
+  for (const auto& [vm, row] : rows_) {
+    if (IsLive(row.record)) {
+      live_addresses.insert(row.record.address);
+    } else {
+      dead.push_back(&row.record);
+    }
+  }
+  std::erase_if(dead, [&](const member* record) {
+    return live_addresses.contains(record->address);
+  });
+  if (dead.empty()) {
+    return std::nullopt;
+  }
+  return *dead[random.Below(dead.size())];
+}
+
+auto member_table::HoldsAddress(const std::string& address) const -> bool {
+  return std::any_of(rows_.begin(), rows_.end(), [&](const auto& item) {
+    return item.second.record.address == address && IsLive(item.second.record);
+  });
+}
+
+auto member_table::TakeUpdates(std::size_t count) -> std::vector<member> {
+  auto rows = std::vector<member_row*>{};
+  for (auto it = spreading_.begin(); it != spreading_.end();) {
+    const auto row = rows_.find(*it);
+    if (row == rows_.end() || row->second.transmissions_left == 0) {
+      it = spreading_.erase(it);
+      continue;
+    }
+    rows.push_back(&row->second);
+    ++it;
+  }
+  const auto taken = std::min(count, rows.size());
+  std::partial_sort(rows.begin(),
+                    rows.begin() + static_cast<std::ptrdiff_t>(taken),
+                    rows.end(), [](const member_row* a, const member_row* b) {
+                      return a->transmissions_left > b->transmissions_left;
+                    });
+  rows.resize(taken);
+  auto updates = std::vector<member>{};
+  for (auto* row : rows) {
+    --row->transmissions_left;
+    updates.push_back(row->record);
+  }
+  return updates;
+}
+
+auto member_table::Page(std::size_t& cursor, std::size_t count) const
+    -> std::vector<member> {
+  auto page = std::vector<member>{};
+  if (cursor >= rows_.size()) {
+    cursor = 0;
+  }
+  auto row = std::next(rows_.begin(), static_cast<std::ptrdiff_t>(cursor));
+  for (; row != rows_.end() && page.size() < count; ++row) {
+    page.push_back(row->second.record);
+  }
+  cursor += page.size();
+  return page;
+}
+
+auto member_table::SuspectedBefore(instant time) const -> std::vector<member> {
+  auto found = std::vector<member>{};
+  if (suspect_count_ == 0) {
+    return found;
+  }
+  for (const auto& [vm, row] : rows_) {
+    if (row.record.state == member_state::kSuspect && row.since <= time) {
+      found.push_back(row.record);
+    }
+  }
+  return found;
+}
+
+auto member_table::Live() const -> member_list {
+  auto live = member_list{};
+  for (const auto& [vm, row] : rows_) {
+    if (IsLive(row.record)) {
+      live.push_back(row.record);
+    }
+  }
+  return live;
+}
+
+auto member_table::ViewDigest(const member& self) const -> std::uint64_t {
+  auto view = HashOfRun(self.ref);
+  for (const auto& [vm, row] : rows_) {
+    if (IsLive(row.record)) {
+      view ^= HashOfRun(row.record.ref);
+    }
+  }
+  return view;
+}
+
+}  // namespace daisywind::membership
--- a/source/core/membership/member_table.h
+++ b/source/core/membership/member_table.h
@@ -4,9 +4,10 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <optional>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "common/ids.h"
@@ -52,6 +53,9 @@
   // A random dead member whose address no live member holds.
   auto SampleDead(random_source& random) const -> std::optional<member>;
 
+  // Whether a live member has the address.
+  [[nodiscard]] auto HoldsAddress(const std::string& address) const -> bool;
+
   // Up to `count` records that were sent least often, counted as sent.
   auto TakeUpdates(std::size_t count) -> std::vector<member>;
 
@@ -63,7 +67,7 @@
   [[nodiscard]] auto SuspectedBefore(instant time) const -> std::vector<member>;
 
   [[nodiscard]] auto Live() const -> member_list;
-  [[nodiscard]] auto CountLive() const -> std::size_t;
+  [[nodiscard]] auto CountLive() const -> std::size_t { return live_count_; }
   [[nodiscard]] auto size() const -> std::size_t { return rows_.size(); }
 
   // Digest over the live rows and the given record, independent of order and
@@ -73,7 +77,10 @@
  private:
   std::map<vm_id, member_row> rows_;
   std::vector<vm_id> probe_round_;
+  // Rows that may have transmissions left.
+  std::set<vm_id> spreading_;
   std::size_t live_count_ = 0;
+  std::size_t suspect_count_ = 0;
 };
 
 }  // namespace daisywind::membership
--- a/source/core/membership/membership_system.h
+++ b/source/core/membership/membership_system.h
@@ -52,7 +52,9 @@
   // Merges a record into the table and reports what it changes.
   auto Learn(const member& record, instant now) -> void;
   auto LearnOfSelf(const member& record) -> void;
+  auto ReportChange(const member& known, const member& record) -> void;
   auto Suspect(const vm_ref& ref, instant now) -> void;
+  auto Store(const member& record, instant now) -> void;
 
   auto CompensatePause(instant now) -> void;
   auto StartProbe(instant now) -> void;
@@ -60,13 +62,19 @@
   auto CheckSuspicions(instant now) -> void;
   auto JoinWhileAlone(instant now) -> void;
   auto OfferSync(instant now) -> void;
-  auto PingDeadMember(instant now) -> void;
+  auto SeekLostMembers(instant now) -> void;
   auto UseService(instant now) -> void;
 
   auto Send(const std::string& address, const vm_ref& ref, message_body body)
       -> void;
+  // Updates for a receiver: first what it should know about itself.
+  auto UpdatesFor(const vm_ref& receiver) -> std::vector<member>;
+  auto SendPing(const member& target, instant now, bool may_relay) -> void;
   auto SendPages(const member& receiver) -> void;
   auto SendPage(const member& receiver, bool wants_answer) -> void;
+  [[nodiscard]] auto IsRunning() const -> bool;
+  [[nodiscard]] auto BootstrapAddresses() const -> std::vector<std::string>;
+  [[nodiscard]] auto LogOfFleet() const -> double;
   [[nodiscard]] auto SuspicionTime() const -> duration;
   [[nodiscard]] auto LeaseInterval() const -> duration;
   auto TakeCommands() -> std::vector<command>;
--- /dev/null
+++ b/source/core/membership/probe_table.cc
@@ -0,0 +1,45 @@
+#include "membership/probe_table.h"
+
+#include <utility>
+
+namespace daisywind::membership {
+
+auto probe_table::Add(probe item) -> std::uint64_t {
+  item.sequence = ++last_sequence_;
+  probes_.emplace(item.sequence, std::move(item));
+  return last_sequence_;
+}
+
+auto probe_table::Take(std::uint64_t sequence) -> std::optional<probe> {
+  auto node = probes_.extract(sequence);
+  if (node.empty()) {
+    return std::nullopt;
+  }
+  return std::move(node.mapped());
+}
+
+auto probe_table::TakeUnrelayed(instant sent_before) -> std::vector<probe> {
+  auto taken = std::vector<probe>{};
+  for (auto& [sequence, item] : probes_) {
+    if (item.sent_at > sent_before || item.relays_asked || item.asked_by) {
+      continue;
+    }
+    item.relays_asked = true;
+    taken.push_back(item);
+  }
+  return taken;
+}
+
+auto probe_table::TakeExpired(instant sent_before) -> std::vector<probe> {
+  auto taken = std::vector<probe>{};
+  std::erase_if(probes_, [&](const auto& entry) {
+    if (entry.second.sent_at > sent_before) {
+      return false;
+    }
+    taken.push_back(entry.second);
+    return true;
+  });
+  return taken;
+}
+
+}  // namespace daisywind::membership
--- /dev/null
+++ b/source/testing/fake_fleet.cc
@@ -0,0 +1,217 @@
+#include "testing/fake_fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace daisywind::testing {
+namespace {
+
+constexpr auto kTick = duration{100ms};
+constexpr auto kStep = duration{1ms};
+constexpr auto kDelayInRegion = duration{1ms};
+constexpr auto kDelayBetweenRegions = duration{20ms};
+
+auto RegionOf(const std::string& domain) -> std::string {
+  return domain.substr(0, domain.find('-'));
+}
+
+}  // namespace
+
+fake_fleet::fake_fleet(membership::membership_options options,
+                       std::uint64_t seed)
+    : options_(options), random_(seed), now_(duration{1s}) {}
+
+auto fake_fleet::Start(const std::string& vm,
+                       const std::string& domain,
+                       const std::vector<std::string>& seeds,
+                       const std::string& address) -> void {
+  vms_.erase(vm);
+  auto system = membership::membership_system{options_, random_.Next()};
+  auto& item = vms_.emplace(vm, fake_vm{std::move(system)}).first->second;
+  item.self.ref = vm_ref{vm_id{vm}, ++last_run_};
+  item.self.address = address.empty() ? vm + ":1" : address;
+  item.self.failure_domain = failure_domain_id{domain};
+  item.self.region = region_id{RegionOf(domain)};
+  by_address_[item.self.address] = vm;
+  Run(item, membership::started{item.self, seeds});
+}
+
+auto fake_fleet::Kill(const std::string& vm) -> void {
+  vms_.at(vm).is_running = false;
+}
+
+auto fake_fleet::Leave(const std::string& vm) -> void {
+  auto& item = vms_.at(vm);
+  Run(item, membership::leaving{});
+  item.is_running = false;
+}
+
+auto fake_fleet::Pause(const std::string& vm) -> void {
+  vms_.at(vm).is_paused = true;
+}
+
+auto fake_fleet::Resume(const std::string& vm) -> void {
+  auto& item = vms_.at(vm);
+  item.is_paused = false;
+  for (auto& content : std::exchange(item.delayed, {})) {
+    Run(item, membership::peer_message{std::move(content)});
+  }
+}
+
+auto fake_fleet::Advance(duration time) -> void {
+  const auto end = now_ + time;
+  while (now_ < end) {
+    now_ += kStep;
+    while (!network_.empty() && network_.begin()->first <= now_) {
+      auto node = network_.extract(network_.begin());
+      Deliver(node.mapped().first, node.mapped().second);
+    }
+    TickAll();
+  }
+}
+
+auto fake_fleet::TickAll() -> void {
+  // Ticks of the VMs are spread over the interval.
+  const auto phase = now_.time_since_epoch() % kTick;
+  auto offset = duration{0};
+  for (auto& [name, vm] : vms_) {
+    offset = (offset + kStep) % kTick;
+    if (offset == phase && vm.is_running && !vm.is_paused) {
+      Execute(vm, vm.system.Tick(now_));
+    }
+  }
+}
+
+auto fake_fleet::Run(fake_vm& vm, const membership::event& input) -> void {
+  Execute(vm, vm.system.Handle(input, now_));
+}
+
+auto fake_fleet::Execute(fake_vm& vm,
+                         const std::vector<membership::command>& commands)
+    -> void {
+  for (const auto& item : commands) {
+    if (const auto* send = std::get_if<membership::send_message>(&item)) {
+      Transmit(vm, *send);
+    } else if (const auto* dead = std::get_if<membership::member_dead>(&item)) {
+      verdicts_.push_back({now_, vm.self.ref.vm, dead->ref, true});
+    } else if (const auto* suspect =
+                   std::get_if<membership::member_suspected>(&item)) {
+      verdicts_.push_back({now_, vm.self.ref.vm, suspect->ref, false});
+    } else if (const auto* lease =
+                   std::get_if<membership::publish_lease>(&item)) {
+      Publish(vm, *lease);
+    } else if (std::holds_alternative<membership::read_members>(item)) {
+      AnswerRead(vm);
+    } else if (std::holds_alternative<membership::withdraw_lease>(item)) {
+      leases_.erase(vm.self.ref.vm);
+    } else if (std::holds_alternative<membership::self_superseded>(item)) {
+      superseded_.insert(vm.self.ref);
+    }
+  }
+}
+
+auto fake_fleet::Transmit(const fake_vm& from,
+                          const membership::send_message& item) -> void {
+  ++counts_.messages;
+  counts_.bytes += size_ ? size_(item.content) : 0;
+  const auto to = by_address_.find(item.address);
+  if (to == by_address_.end() || random_.Unit() < lost_share_) {
+    return;
+  }
+  const auto& region = vms_.at(to->second).self.region;
+  if (IsCut(from.self.region, region)) {
+    return;
+  }
+  const auto delay =
+      region == from.self.region ? kDelayInRegion : kDelayBetweenRegions;
+  network_.emplace(now_ + delay, std::pair{item.address, item.content});
+}
+
+auto fake_fleet::Deliver(const std::string& address,
+                         const membership::message& content) -> void {
+  auto& vm = vms_.at(by_address_.at(address));
+  if (!vm.is_running) {
+    return;
+  }
+  if (vm.is_paused) {
+    vm.delayed.push_back(content);
+    return;
+  }
+  Run(vm, membership::peer_message{content});
+}
+
+auto fake_fleet::Publish(fake_vm& vm, const membership::publish_lease& item)
+    -> void {
+  ++counts_.service_calls;
+  if (is_service_up_) {
+    leases_[vm.self.ref.vm] = lease{item.self, now_ + item.time_to_live};
+  }
+  if (!is_service_up_ || are_answers_lost_) {
+    Run(vm, membership::kv_unavailable{});
+  }
+}
+
+auto fake_fleet::AnswerRead(fake_vm& vm) -> void {
+  ++counts_.service_calls;
+  if (!is_service_up_ || are_answers_lost_) {
+    Run(vm, membership::kv_unavailable{});
+    return;
+  }
+  auto answer = membership::kv_members{};
+  std::erase_if(leases_,
+                [&](const auto& item) { return item.second.until <= now_; });
+  for (const auto& [name, item] : leases_) {
+    answer.members.push_back(item.record);
+  }
+  Run(vm, answer);
+}
+
+auto fake_fleet::IsCut(const region_id& a, const region_id& b) const -> bool {
+  return a != b && (cut_.contains(a.value) || cut_.contains(b.value));
+}
+
+auto fake_fleet::Seen(const std::string& vm) const -> std::set<std::string> {
+  auto names = std::set<std::string>{};
+  for (const auto& record : vms_.at(vm).system.Members()) {
+    names.insert(record.ref.vm.value);
+  }
+  return names;
+}
+
+auto fake_fleet::HasConverged() const -> bool {
+  auto expected = membership::member_list{};
+  for (const auto& [name, vm] : vms_) {
+    if (vm.is_running) {
+      expected.push_back(vm.self);
+    }
+  }
+  return std::all_of(vms_.begin(), vms_.end(), [&](const auto& item) {
+    const auto seen = item.second.system.Members();
+    return !item.second.is_running ||
+           std::equal(seen.begin(), seen.end(), expected.begin(),
+                      expected.end(), [](const auto& a, const auto& b) {
+                        return a.ref == b.ref &&
+                               a.state == membership::member_state::kAlive;
+                      });
+  });
+}
+
+auto fake_fleet::Ref(const std::string& vm) const -> vm_ref {
+  return vms_.at(vm).self.ref;
+}
+
+auto fake_fleet::IsSuperseded(const vm_ref& ref) const -> bool {
+  return superseded_.contains(ref);
+}
+
+auto fake_fleet::LeaseCount() const -> std::size_t {
+  return static_cast<std::size_t>(std::count_if(
+      leases_.begin(), leases_.end(),
+      [&](const auto& item) { return item.second.until > now_; }));
+}
+
+auto fake_fleet::ResetCounts() -> void {
+  counts_ = {};
+}
+
+}  // namespace daisywind::testing
