--- a/source/core/common/log_events.h
+++ b/source/core/common/log_events.h
@@ -68,6 +68,20 @@
     log_event{1803, log_subsystem::kStandin, log_level::kInfo,
               "order with an old fencing number refused"};
 
+inline constexpr auto kVersionInstalled =
+    log_event{1201, log_subsystem::kGateway, log_level::kInfo,
+              "configuration version in force"};
+inline constexpr auto kRoutingChanged =
+    log_event{1202, log_subsystem::kGateway, log_level::kInfo,
+              "routing of an endpoint changed"};
+inline constexpr auto kMemberSuspected = log_event{
+    1301, log_subsystem::kMembership, log_level::kWarning, "member suspected"};
+inline constexpr auto kMemberDead = log_event{
+    1302, log_subsystem::kMembership, log_level::kWarning, "member dead"};
+inline constexpr auto kSelfSuperseded =
+    log_event{1303, log_subsystem::kMembership, log_level::kError,
+              "a newer run of this VM was heard, this process stops"};
+
 }  // namespace log_events
 
 // Every event that the system can log, by ascending number.
--- a/source/core/gateway/admin_api.cc
+++ b/source/core/gateway/admin_api.cc
@@ -62,8 +62,7 @@
 auto VersionResponse(version_number number,
                      const configuration::document& document)
     -> net::http_response {
-  auto response =
-      net::JsonResponse(200, configuration::Serialize(document));
+  auto response = net::JsonResponse(200, configuration::Serialize(document));
   response.headers.push_back({"ETag", "\"" + std::to_string(number) + "\""});
   return response;
 }
@@ -214,9 +213,8 @@
   patch.if_match = *number;
   patch.patch_id = patch_id;
   patch.author = std::string(request.Header("Patch-Author"));
-  patch.kind = type == kMergePatchType
-                   ? configuration::patch_kind::kMergePatch
-                   : configuration::patch_kind::kJsonPatch;
+  patch.kind = type == kMergePatchType ? configuration::patch_kind::kMergePatch
+                                       : configuration::patch_kind::kJsonPatch;
   patch.text = request.body;
   const auto id = patch.request;
   hooks_.submit(std::move(patch));
@@ -234,14 +232,14 @@
       ParseNumber(request.Query("limit").value_or("")).value_or(kMaxHistory);
   auto query = configuration::history_requested{};
   query.request = answers_.histories.Open();
-  query.limit = static_cast<std::uint32_t>(
-      std::min<std::uint64_t>(limit, kMaxHistory));
+  query.limit =
+      static_cast<std::uint32_t>(std::min<std::uint64_t>(limit, kMaxHistory));
   const auto id = query.request;
   hooks_.submit(query);
   const auto reply = co_await answers_.histories.Wait(id, kAnswerBound);
   if (!reply || reply->outcome != configuration::query_outcome::kFound) {
-    co_return QueryFailure(
-        reply ? reply->outcome : configuration::query_outcome::kUnavailable);
+    co_return QueryFailure(reply ? reply->outcome
+                                 : configuration::query_outcome::kUnavailable);
   }
   co_return Ok(ToJson(*reply));
 }
@@ -279,9 +277,9 @@
 }
 
 auto admin_api::GetMetrics(const net::http_request&) -> answer {
-  co_return net::http_response{
-      200, {{"Content-Type", "text/plain; version=0.0.4"}},
-      hooks_.metrics_text()};
+  co_return net::http_response{200,
+                               {{"Content-Type", "text/plain; version=0.0.4"}},
+                               hooks_.metrics_text()};
 }
 
 auto admin_api::WaitForVersion(version_number after, duration bound)
@@ -295,14 +293,14 @@
 }
 
 auto admin_api::GetOldVersion(version_number number) -> answer {
-  auto query = configuration::version_requested{answers_.versions.Open(),
-                                                number};
+  auto query =
+      configuration::version_requested{answers_.versions.Open(), number};
   const auto id = query.request;
   hooks_.submit(query);
   const auto reply = co_await answers_.versions.Wait(id, kAnswerBound);
   if (!reply || reply->outcome != configuration::query_outcome::kFound) {
-    co_return QueryFailure(
-        reply ? reply->outcome : configuration::query_outcome::kUnavailable);
+    co_return QueryFailure(reply ? reply->outcome
+                                 : configuration::query_outcome::kUnavailable);
   }
   co_return VersionResponse(reply->number, *reply->content);
 }
--- a/source/core/gateway/call_reader.cc
+++ b/source/core/gateway/call_reader.cc
@@ -23,8 +23,8 @@
 constexpr auto kBadRequest = 400U;
 constexpr auto kNotFound = 404U;
 // Limits of a program when the configuration sets none.
-constexpr auto kDefaultBudget = configuration::program_budget{
-    1'000'000, 1000, 86'400};
+constexpr auto kDefaultBudget =
+    configuration::program_budget{1'000'000, 1000, 86'400};
 
 auto BadRequest(std::string detail) -> problem {
   return {kBadRequest, "bad_request", std::move(detail),
@@ -55,8 +55,7 @@
   return *found->second.budget;
 }
 
-auto ToBudget(const configuration::program_budget& limits)
-    -> program::budget {
+auto ToBudget(const configuration::program_budget& limits) -> program::budget {
   return {limits.tokens, limits.calls, std::chrono::seconds(limits.seconds)};
 }
 
--- a/source/core/gateway/call_session.cc
+++ b/source/core/gateway/call_session.cc
@@ -130,8 +130,7 @@
     co_await exchange_.Respond(std::move(response));
     co_return;
   }
-  const auto event =
-      net::FormatSseEvent("{\"error\":" + response.body + "}");
+  const auto event = net::FormatSseEvent("{\"error\":" + response.body + "}");
   co_await exchange_.WriteChunk(event);
   co_await exchange_.EndStream();
 }
--- a/source/core/gateway/call_session.h
+++ b/source/core/gateway/call_session.h
@@ -35,13 +35,10 @@
   ~call_session();
 
   // The identifier under which replies come.
-  [[nodiscard]] auto request() const -> program::request_id {
-    return request_;
-  }
+  [[nodiscard]] auto request() const -> program::request_id { return request_; }
 
   // Serves a call to its end. Returns the outcome's name.
-  auto ServeCall(call_summary call)
-      -> boost::asio::awaitable<std::string_view>;
+  auto ServeCall(call_summary call) -> boost::asio::awaitable<std::string_view>;
 
   // Serves a request that is answered by the state of a program.
   auto ServeControl(unsigned status) -> boost::asio::awaitable<void>;
--- a/source/core/gateway/caller_api.cc
+++ b/source/core/gateway/caller_api.cc
@@ -157,14 +157,14 @@
   const auto tenant = arrived.tenant;
   auto session = call_session(exchange, replies_, hooks_.submit);
   arrived.request = session.request();
-  const auto call = call_summary{
-      arrived.call.kind, arrived.call.is_stream,
-      arrived.call.adapter.empty() ? arrived.call.target
-                                   : arrived.call.adapter.value};
+  const auto call =
+      call_summary{arrived.call.kind, arrived.call.is_stream,
+                   arrived.call.adapter.empty() ? arrived.call.target
+                                                : arrived.call.adapter.value};
   hooks_.submit(std::move(arrived));
   const auto outcome = co_await session.ServeCall(call);
-  series_.Count("daisywind_calls_total", {{"tenant", tenant.value},
-                                          {"outcome", std::string(outcome)}});
+  series_.Count("daisywind_calls_total",
+                {{"tenant", tenant.value}, {"outcome", std::string(outcome)}});
 }
 
 auto caller_api::RunControl(exchange_ref exchange,
--- /dev/null
+++ b/source/core/gateway/configuration_adapter.cc
@@ -0,0 +1,113 @@
+#include "gateway/configuration_adapter.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <utility>
+#include <variant>
+
+#include "configuration_wire/codec.h"
+#include "gateway/process_clock.h"
+
+namespace daisywind::gateway {
+
+namespace asio = boost::asio;
+
+configuration_adapter::configuration_adapter(asio::io_context& context,
+                                             kv::kv_client& service,
+                                             peer_network& peers,
+                                             admin_answers& answers,
+                                             std::uint64_t seed,
+                                             install_handler on_install)
+    : context_(context),
+      service_(service),
+      peers_(peers),
+      answers_(answers),
+      on_install_(std::move(on_install)),
+      system_(seed) {}
+
+auto configuration_adapter::Submit(const configuration::event& event) -> void {
+  Execute(system_.Handle(event, Now()));
+}
+
+auto configuration_adapter::Tick() -> void {
+  Execute(system_.Tick(Now()));
+}
+
+auto configuration_adapter::Execute(
+    const std::vector<configuration::command>& commands) -> void {
+  for (const auto& item : commands) {
+    std::visit([this](const auto& command) { Execute(command); }, item);
+  }
+}
+
+auto configuration_adapter::Execute(const configuration::kv_command& command)
+    -> void {
+  asio::co_spawn(context_, service_.Txn(command.request),
+                 [this, id = command.operation](const std::exception_ptr&,
+                                                kv::txn_result result) {
+                   Submit(configuration::kv_result{id, result.how,
+                                                   std::move(result.response)});
+                 });
+}
+
+auto configuration_adapter::Execute(const configuration::start_watch& command)
+    -> void {
+  watches_.insert(command.watch);
+  asio::co_spawn(context_, RunWatch(command), asio::detached);
+}
+
+auto configuration_adapter::Execute(const configuration::stop_watch& command)
+    -> void {
+  watches_.erase(command.watch);
+}
+
+auto configuration_adapter::Execute(const configuration::send_message& command)
+    -> void {
+  peers_.Send(command.to.vm, wire::protocol::kConfiguration,
+              configuration::EncodeMessage(command.content));
+}
+
+auto configuration_adapter::Execute(const configuration::patch_reply& command)
+    -> void {
+  answers_.patches.Resolve(command.request, command.result);
+}
+
+auto configuration_adapter::Execute(const configuration::version_reply& command)
+    -> void {
+  answers_.versions.Resolve(command.request, command);
+}
+
+auto configuration_adapter::Execute(const configuration::history_reply& command)
+    -> void {
+  answers_.histories.Resolve(command.request, command);
+}
+
+auto configuration_adapter::Execute(const configuration::status_reply& command)
+    -> void {
+  answers_.states.Resolve(command.request, command);
+}
+
+auto configuration_adapter::Execute(
+    const configuration::install_version& command) -> void {
+  on_install_(command);
+}
+
+auto configuration_adapter::RunWatch(configuration::start_watch command)
+    -> asio::awaitable<void> {
+  const auto id = command.watch;
+  auto handler = kv::watch_handler([this, id](const kv::key_value& item) {
+    if (!watches_.contains(id)) {
+      return false;
+    }
+    Submit(configuration::watch_event{id, item});
+    return watches_.contains(id);
+  });
+  co_await service_.Watch(command.key, command.after_revision + 1,
+                          std::move(handler));
+  if (watches_.erase(id) != 0) {
+    Submit(configuration::watch_lost{id});
+  }
+}
+
+}  // namespace daisywind::gateway
--- /dev/null
+++ b/source/core/gateway/configuration_adapter.h
@@ -0,0 +1,69 @@
+// Carries out the commands of the configuration system.
+#ifndef DAISYWIND_GATEWAY_CONFIGURATION_ADAPTER_H_
+#define DAISYWIND_GATEWAY_CONFIGURATION_ADAPTER_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "configuration/configuration_system.h"
+#include "gateway/admin_api.h"
+#include "gateway/peer_network.h"
+#include "kv/kv_client.h"
+
+namespace daisywind::gateway {
+
+// Feeds the configuration system and carries out what it says.
+class configuration_adapter {
+ public:
+  using install_handler =
+      std::function<void(const configuration::install_version&)>;
+
+  configuration_adapter(boost::asio::io_context& context,
+                        kv::kv_client& service,
+                        peer_network& peers,
+                        admin_answers& answers,
+                        std::uint64_t seed,
+                        install_handler on_install);
+  configuration_adapter(const configuration_adapter&) = delete;
+  auto operator=(const configuration_adapter&)
+      -> configuration_adapter& = delete;
+
+  auto Submit(const configuration::event& event) -> void;
+  auto Tick() -> void;
+
+  [[nodiscard]] auto system() const
+      -> const configuration::configuration_system& {
+    return system_;
+  }
+
+ private:
+  auto Execute(const std::vector<configuration::command>& commands) -> void;
+  auto Execute(const configuration::kv_command& command) -> void;
+  auto Execute(const configuration::start_watch& command) -> void;
+  auto Execute(const configuration::stop_watch& command) -> void;
+  auto Execute(const configuration::send_message& command) -> void;
+  auto Execute(const configuration::patch_reply& command) -> void;
+  auto Execute(const configuration::version_reply& command) -> void;
+  auto Execute(const configuration::history_reply& command) -> void;
+  auto Execute(const configuration::status_reply& command) -> void;
+  auto Execute(const configuration::install_version& command) -> void;
+
+  auto RunWatch(configuration::start_watch command)
+      -> boost::asio::awaitable<void>;
+
+  boost::asio::io_context& context_;
+  kv::kv_client& service_;
+  peer_network& peers_;
+  admin_answers& answers_;
+  install_handler on_install_;
+  configuration::configuration_system system_;
+  std::set<configuration::watch_id> watches_;
+};
+
+}  // namespace daisywind::gateway
+
+#endif  // DAISYWIND_GATEWAY_CONFIGURATION_ADAPTER_H_
--- a/source/core/gateway/endpoint_calls.cc
+++ b/source/core/gateway/endpoint_calls.cc
@@ -21,9 +21,9 @@
   }
   auto request = net::http_request{"POST", "/v1/chat/completions", {}, ""};
   request.headers.push_back({"Content-Type", "application/json"});
-  request.body = EngineBody(
-      program::BytesOf(command.call.body),
-      static_cast<std::uint64_t>(command.call.max_tokens), priority);
+  request.body =
+      EngineBody(program::BytesOf(command.call.body),
+                 static_cast<std::uint64_t>(command.call.max_tokens), priority);
   return request;
 }
 
--- a/source/core/gateway/endpoint_poller.cc
+++ b/source/core/gateway/endpoint_poller.cc
@@ -61,8 +61,8 @@
   if (const auto* blocks = ArrayOrNull(object, "blocks")) {
     for (const auto& block : *blocks) {
       if (block.is_string()) {
-        event.blocks.push_back(ToBlock(
-            {block.get_string().data(), block.get_string().size()}));
+        event.blocks.push_back(
+            ToBlock({block.get_string().data(), block.get_string().size()}));
       }
     }
   }
@@ -139,8 +139,7 @@
                                       net::socket_address address)
     -> asio::awaitable<bool> {
   const auto asked = Now();
-  const auto body =
-      co_await GetObject(client_, std::move(address), "/v1/load");
+  const auto body = co_await GetObject(client_, std::move(address), "/v1/load");
   if (!body) {
     co_return false;
   }
@@ -176,11 +175,7 @@
 
 auto ReadLeavingVms(net::http_client& client, net::socket_address address)
     -> asio::awaitable<std::optional<std::vector<endpoint_id>>> {
-  auto request = net::http_request{"GET", "/v1/vms", {}, ""};
-  const auto options = ShortOptions(kReadBound);
-  const auto answer =
-      co_await client.Send(std::move(address), std::move(request), options);
-  const auto body = ParseObject(answer);
+  const auto body = co_await GetObject(client, std::move(address), "/v1/vms");
   const auto* list = body ? ArrayOrNull(*body, "vms") : nullptr;
   if (list == nullptr) {
     co_return std::nullopt;
--- /dev/null
+++ b/source/core/gateway/membership_adapter.cc
@@ -0,0 +1,176 @@
+#include "gateway/membership_adapter.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "common/json.h"
+#include "common/logging.h"
+#include "gateway/process_clock.h"
+#include "membership_wire/codec.h"
+
+namespace daisywind::gateway {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::string_view kMemberPrefix = "daisywind/members/";
+// The first key after all that begin with the prefix.
+constexpr std::string_view kMemberEnd = "daisywind/members0";
+
+auto ToValue(const membership::member& self) -> std::string {
+  auto value = json::object{};
+  value["vm"] = self.ref.vm.value;
+  value["run"] = self.ref.run;
+  value["address"] = self.address;
+  value["failure_domain"] = self.failure_domain.value;
+  value["region"] = self.region.value;
+  return json::serialize(value);
+}
+
+auto FromValue(const std::string& text) -> std::optional<membership::member> {
+  auto error = json::error_code{};
+  const auto value = json::parse(text, error);
+  if (error || !value.is_object()) {
+    return std::nullopt;
+  }
+  const auto& object = value.get_object();
+  auto member = membership::member{};
+  member.ref.vm = vm_id(StringOr(object, "vm", ""));
+  member.ref.run = static_cast<incarnation>(IntegerOr(object, "run", 0));
+  member.address = StringOr(object, "address", "");
+  member.failure_domain =
+      failure_domain_id(StringOr(object, "failure_domain", ""));
+  member.region = region_id(StringOr(object, "region", ""));
+  if (member.ref.empty() || member.address.empty()) {
+    return std::nullopt;
+  }
+  return member;
+}
+
+}  // namespace
+
+membership_adapter::membership_adapter(asio::io_context& context,
+                                       kv::kv_client& service,
+                                       peer_network& peers,
+                                       std::uint64_t seed,
+                                       membership_handlers handlers)
+    : context_(context),
+      service_(service),
+      peers_(peers),
+      handlers_(std::move(handlers)),
+      system_(membership::membership_options{}, seed) {}
+
+auto membership_adapter::Submit(const membership::event& event) -> void {
+  Execute(system_.Handle(event, Now()));
+}
+
+auto membership_adapter::Tick() -> void {
+  Execute(system_.Tick(Now()));
+}
+
+auto membership_adapter::Execute(
+    const std::vector<membership::command>& commands) -> void {
+  for (const auto& item : commands) {
+    std::visit([this](const auto& command) { Execute(command); }, item);
+  }
+}
+
+auto membership_adapter::Execute(const membership::send_message& command)
+    -> void {
+  peers_.SendToAddress(command.address, wire::protocol::kMembership,
+                       membership::EncodeMessage(command.content));
+}
+
+auto membership_adapter::Execute(const membership::members_changed& command)
+    -> void {
+  for (const auto& member : command.members) {
+    peers_.SetAddress(member.ref.vm, member.address);
+  }
+  handlers_.on_members(command.members);
+}
+
+auto membership_adapter::Execute(const membership::member_suspected& command)
+    -> void {
+  Log(log_events::kMemberSuspected,
+      {{"vm", std::string_view(command.ref.vm.value)}});
+}
+
+auto membership_adapter::Execute(const membership::member_dead& command)
+    -> void {
+  Log(log_events::kMemberDead,
+      {{"vm", std::string_view(command.ref.vm.value)}});
+  handlers_.on_dead(command.ref);
+}
+
+auto membership_adapter::Execute(const membership::self_superseded&) -> void {
+  Log(log_events::kSelfSuperseded);
+  handlers_.on_superseded();
+}
+
+auto membership_adapter::Execute(const membership::publish_lease& command)
+    -> void {
+  asio::co_spawn(context_, Publish(command.self, command.time_to_live),
+                 asio::detached);
+}
+
+auto membership_adapter::Execute(const membership::withdraw_lease&) -> void {
+  const auto lease = std::exchange(lease_, 0);
+  if (lease != 0) {
+    asio::co_spawn(context_, service_.RevokeLease(lease),
+                   [](const std::exception_ptr&, const kv::lease_result&) {});
+  }
+}
+
+auto membership_adapter::Execute(const membership::read_members&) -> void {
+  asio::co_spawn(context_, Read(), asio::detached);
+}
+
+auto membership_adapter::Publish(membership::member self, duration time_to_live)
+    -> asio::awaitable<void> {
+  if (lease_ != 0) {
+    const auto kept = co_await service_.KeepAlive(lease_);
+    if (kept.how == kv::outcome::kAnswered && kept.lease != 0) {
+      co_return;
+    }
+    lease_ = 0;
+  }
+  const auto granted = co_await service_.GrantLease(time_to_live);
+  if (granted.how != kv::outcome::kAnswered || granted.lease == 0) {
+    Submit(membership::kv_unavailable{});
+    co_return;
+  }
+  auto request = kv::txn_request{};
+  request.success.emplace_back(
+      kv::put_request{std::string(kMemberPrefix) + self.ref.vm.value,
+                      ToValue(self), granted.lease});
+  const auto written = co_await service_.Txn(std::move(request));
+  if (written.how != kv::outcome::kAnswered) {
+    Submit(membership::kv_unavailable{});
+    co_return;
+  }
+  lease_ = granted.lease;
+}
+
+auto membership_adapter::Read() -> asio::awaitable<void> {
+  auto request = kv::txn_request{};
+  request.success.emplace_back(kv::range_request{
+      std::string(kMemberPrefix), std::string(kMemberEnd), 0, false});
+  const auto result = co_await service_.Txn(std::move(request));
+  if (result.how != kv::outcome::kAnswered || result.response.ranges.empty()) {
+    Submit(membership::kv_unavailable{});
+    co_return;
+  }
+  auto found = membership::kv_members{};
+  for (const auto& item : result.response.ranges.front().items) {
+    if (auto member = FromValue(item.value)) {
+      found.members.push_back(std::move(*member));
+    }
+  }
+  Submit(found);
+}
+
+}  // namespace daisywind::gateway
--- /dev/null
+++ b/source/core/gateway/membership_adapter.h
@@ -0,0 +1,67 @@
+// Carries out the commands of the membership system.
+#ifndef DAISYWIND_GATEWAY_MEMBERSHIP_ADAPTER_H_
+#define DAISYWIND_GATEWAY_MEMBERSHIP_ADAPTER_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <vector>
+
+#include "gateway/peer_network.h"
+#include "kv/kv_client.h"
+#include "membership/membership_system.h"
+
+namespace daisywind::gateway {
+
+// What the rest of the process learns of the membership.
+struct membership_handlers {
+  std::function<void(const membership::member_list&)> on_members;
+  std::function<void(const vm_ref&)> on_dead;
+  std::function<void()> on_superseded;
+};
+
+// Feeds the membership system and carries out what it says.
+class membership_adapter {
+ public:
+  membership_adapter(boost::asio::io_context& context,
+                     kv::kv_client& service,
+                     peer_network& peers,
+                     std::uint64_t seed,
+                     membership_handlers handlers);
+  membership_adapter(const membership_adapter&) = delete;
+  auto operator=(const membership_adapter&) -> membership_adapter& = delete;
+
+  auto Submit(const membership::event& event) -> void;
+  auto Tick() -> void;
+
+  [[nodiscard]] auto Members() const -> membership::member_list {
+    return system_.Members();
+  }
+
+ private:
+  auto Execute(const std::vector<membership::command>& commands) -> void;
+  auto Execute(const membership::send_message& command) -> void;
+  auto Execute(const membership::members_changed& command) -> void;
+  auto Execute(const membership::member_suspected& command) -> void;
+  auto Execute(const membership::member_dead& command) -> void;
+  auto Execute(const membership::self_superseded& command) -> void;
+  auto Execute(const membership::publish_lease& command) -> void;
+  auto Execute(const membership::withdraw_lease& command) -> void;
+  auto Execute(const membership::read_members& command) -> void;
+
+  auto Publish(membership::member self, duration time_to_live)
+      -> boost::asio::awaitable<void>;
+  auto Read() -> boost::asio::awaitable<void>;
+
+  boost::asio::io_context& context_;
+  kv::kv_client& service_;
+  peer_network& peers_;
+  membership_handlers handlers_;
+  membership::membership_system system_;
+  kv::lease_id lease_ = 0;
+};
+
+}  // namespace daisywind::gateway
+
+#endif  // DAISYWIND_GATEWAY_MEMBERSHIP_ADAPTER_H_
--- a/source/core/gateway/migration_adapter.cc
+++ b/source/core/gateway/migration_adapter.cc
@@ -146,11 +146,9 @@
 }
 
 auto migration_adapter::Execute(const migration::send_order& command) -> void {
-  asio::co_spawn(
-      context_, SendOrder(command),
-      [this](const std::exception_ptr&, migration::order_result result) {
-        Submit(result);
-      });
+  asio::co_spawn(context_, SendOrder(command),
+                 [this](const std::exception_ptr&,
+                        migration::order_result result) { Submit(result); });
 }
 
 auto migration_adapter::Execute(const migration::read_state& command) -> void {
@@ -177,16 +175,17 @@
 
 auto migration_adapter::SendOrder(migration::send_order command)
     -> asio::awaitable<migration::order_result> {
-  auto result = migration::order_result{command.endpoint, command.fence,
-                                        command.version,
-                                        migration::order_outcome::kRejected};
+  auto result =
+      migration::order_result{command.endpoint, command.fence, command.version,
+                              migration::order_outcome::kRejected};
   auto address = net::ParseSocketAddress(command.address);
   if (!address || Now() >= command.send_before) {
     co_return result;
   }
-  auto request = net::http_request{
-      "POST", "/v1/orders", {{"Content-Type", "application/json"}},
-      OrderBody(command)};
+  auto request = net::http_request{"POST",
+                                   "/v1/orders",
+                                   {{"Content-Type", "application/json"}},
+                                   OrderBody(command)};
   const auto options = ShortOptions();
   const auto answer =
       co_await client_.Send(*address, std::move(request), options);
--- a/source/core/gateway/pending_table.h
+++ b/source/core/gateway/pending_table.h
@@ -46,7 +46,7 @@
     const auto entry = slots_.at(request);
     if (!entry->answer) {
       entry->wake.expires_after(bound);
-      const auto [error] = co_await entry->wake.async_wait(
+      co_await entry->wake.async_wait(
           boost::asio::as_tuple(boost::asio::use_awaitable));
     }
     slots_.erase(request);
--- a/source/core/gateway/program_adapter.cc
+++ b/source/core/gateway/program_adapter.cc
@@ -120,9 +120,8 @@
     return;
   }
   const auto now = Now();
-  auto request = MakeAttempt(
-      command, endpoint->address,
-      parts_.scheduler.PriorityOf(command.attempt.call));
+  auto request = MakeAttempt(command, endpoint->address,
+                             parts_.scheduler.PriorityOf(command.attempt.call));
   request.timeout = bounds_.call;
   request.idle_timeout = bounds_.token_idle;
   const auto id = request.id;
@@ -181,13 +180,13 @@
         command.call, program::lookup_status::kNoAnswer, {}});
     return;
   }
-  asio::co_spawn(
-      parts_.context, AskRun(parts_.client, endpoint->address, command.key),
-      [this, call = command.call](const std::exception_ptr&,
-                                  program::lookup_result result) {
-        result.call = call;
-        Submit(std::move(result));
-      });
+  asio::co_spawn(parts_.context,
+                 AskRun(parts_.client, endpoint->address, command.key),
+                 [this, call = command.call](const std::exception_ptr&,
+                                             program::lookup_result result) {
+                   result.call = call;
+                   Submit(std::move(result));
+                 });
 }
 
 auto program_adapter::Execute(const program::release_memory& command) -> void {
--- a/source/core/gateway/reply_box.cc
+++ b/source/core/gateway/reply_box.cc
@@ -19,8 +19,7 @@
     -> asio::awaitable<std::optional<reply_item>> {
   if (items_.empty()) {
     wake_.expires_after(bound);
-    const auto [error] =
-        co_await wake_.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_await wake_.async_wait(asio::as_tuple(asio::use_awaitable));
   }
   if (items_.empty()) {
     co_return std::nullopt;
--- a/source/core/gateway/reply_box.h
+++ b/source/core/gateway/reply_box.h
@@ -32,7 +32,8 @@
   auto Push(reply_item item) -> void;
 
   // The next reply, or nothing when none came within the bound.
-  auto Next(duration bound) -> boost::asio::awaitable<std::optional<reply_item>>;
+  auto Next(duration bound)
+      -> boost::asio::awaitable<std::optional<reply_item>>;
 
  private:
   boost::asio::steady_timer wake_;
--- a/source/core/gateway/reply_writer.cc
+++ b/source/core/gateway/reply_writer.cc
@@ -113,10 +113,9 @@
 }
 
 auto ServiceResponse(const program::reply_end& end) -> net::http_response {
-  auto response = net::http_response{static_cast<unsigned>(end.answer.status),
-                                     AnswerHeaders(end.handle),
-                                     std::string(
-                                         program::BytesOf(end.answer.body))};
+  auto response = net::http_response{
+      static_cast<unsigned>(end.answer.status), AnswerHeaders(end.handle),
+      std::string(program::BytesOf(end.answer.body))};
   if (!end.answer.content_type.empty()) {
     response.headers.push_back({"Content-Type", end.answer.content_type});
   }
--- a/source/core/gateway/scheduler_adapter.cc
+++ b/source/core/gateway/scheduler_adapter.cc
@@ -90,8 +90,8 @@
     return;
   }
   request.attempt = earlier->second.request.attempt + 1;
-  const auto wait = scheduler_.PlanRetry(earlier->second.request,
-                                         earlier->second.how, now);
+  const auto wait =
+      scheduler_.PlanRetry(earlier->second.request, earlier->second.how, now);
   if (!wait) {
     Refuse({0, policy::refusal_reason::kRetryBudgetSpent, 1s}, wanted.call);
     return;
@@ -118,8 +118,8 @@
   if (found == nullptr) {
     return;
   }
-  const auto how = found->is_hung ? policy::finish_kind::kTimedOut
-                                  : ToFinish(slot.result);
+  const auto how =
+      found->is_hung ? policy::finish_kind::kTimedOut : ToFinish(slot.result);
   scheduler_.OnFinished(found->request.call, how, found->usage, now);
   ended_.erase(slot.call);
   if (how != policy::finish_kind::kCompleted) {
@@ -246,8 +246,8 @@
 
 auto scheduler_adapter::Refuse(const policy::refusal& why,
                                const program::call_ref& call) -> void {
-  submit_(program::endpoint_refused{call, ToReason(why.reason),
-                                    why.retry_after});
+  submit_(
+      program::endpoint_refused{call, ToReason(why.reason), why.retry_after});
 }
 
 auto scheduler_adapter::Grant(const policy::dispatch& order) -> void {
--- a/source/core/standin/stand_in.cc
+++ b/source/core/standin/stand_in.cc
@@ -80,6 +80,8 @@
     co_await inner_.WaitForClose();
   }
 
+  [[nodiscard]] auto IsClosed() -> bool override { return inner_.IsClosed(); }
+
  private:
   // Returns true when no answer may follow.
   auto Spoil() -> asio::awaitable<bool> {
