Add placement, order, budget, attempts, replication and takeover of programs

Cause: programs outlive the VM that owns them. The owner and the witness apply the same updates to a value type; a change of the set is decided by ballots among owner, witness and arbiter; calls, attempts, releases and entry requests are tables with one system each.

--- /dev/null
+++ b/source/core/program/change.cc
@@ -0,0 +1,395 @@
+#include "program/change.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "program/epoch.h"
+
+namespace daisywind::program {
+namespace {
+
+// A proposal that is not decided after this many repeats takes a new ballot.
+constexpr int kRepeatsPerBallot = 4;
+
+auto IsLive(const system_tables& tables, const vm_ref& vm) -> bool {
+  return vm == tables.self || FindMember(tables.members, vm) != nullptr;
+}
+
+auto IsUsable(const system_tables& tables,
+              const std::set<vm_ref>& suspects,
+              const vm_ref& vm) -> bool {
+  return !vm.empty() && IsLive(tables, vm) && suspects.count(vm) == 0;
+}
+
+// Excludes suspects at first; a suspect that is live is better than no replica.
+auto PickWitness(const system_tables& tables,
+                 const program_copy& copy,
+                 const vm_ref& owner,
+                 const std::vector<vm_ref>& taken,
+                 const std::set<vm_ref>& suspects) -> vm_ref {
+  auto excluded = taken;
+  excluded.insert(excluded.end(), suspects.begin(), suspects.end());
+  const auto vm = ChooseWitness(copy.state.id, tables.members, owner, excluded);
+  return vm.empty() ? ChooseWitness(copy.state.id, tables.members, owner, taken)
+                    : vm;
+}
+
+auto PickArbiter(const system_tables& tables,
+                 const program_copy& copy,
+                 const replica_set& next,
+                 const std::vector<vm_ref>& taken,
+                 const std::set<vm_ref>& suspects) -> vm_ref {
+  auto excluded = taken;
+  excluded.insert(excluded.end(), suspects.begin(), suspects.end());
+  const auto vm = ChooseArbiter(copy.state.id, tables.members, next.owner,
+                                next.witness, excluded);
+  return vm.empty() ? ChooseArbiter(copy.state.id, tables.members, next.owner,
+                                    next.witness, taken)
+                    : vm;
+}
+
+// Keeps the usable members in their places and fills the others.
+auto FillSet(const system_tables& tables,
+             const program_copy& copy,
+             replica_set next,
+             const vm_ref& leaving,
+             const std::set<vm_ref>& suspects) -> replica_set {
+  auto taken = std::vector<vm_ref>{next.owner};
+  if (!leaving.empty()) {
+    taken.push_back(leaving);
+  }
+  const auto keeps_arbiter = IsUsable(tables, suspects, next.arbiter);
+  if (!IsUsable(tables, suspects, next.witness)) {
+    auto others = taken;
+    if (keeps_arbiter) {
+      others.push_back(next.arbiter);
+    }
+    next.witness = PickWitness(tables, copy, next.owner, others, suspects);
+    if (next.witness.empty() && keeps_arbiter) {
+      next.witness = next.arbiter;
+      next.arbiter = vm_ref{};
+    }
+  }
+  if (!keeps_arbiter || next.arbiter.empty()) {
+    taken.push_back(next.witness);
+    next.arbiter = PickArbiter(tables, copy, next, taken, suspects);
+  }
+  return next;
+}
+
+auto RepairedSet(const system_tables& tables,
+                 const program_copy& copy,
+                 const std::set<vm_ref>& suspects) -> replica_set {
+  auto next = copy.replicas;
+  ++next.epoch;
+  if (copy.role == copy_role::kWitness) {
+    next.witness = next.owner;
+    next.owner = tables.self;
+    auto all = suspects;
+    all.insert(next.witness);
+    return FillSet(tables, copy, next, vm_ref{}, all);
+  }
+  return FillSet(tables, copy, next, vm_ref{}, suspects);
+}
+
+auto SendBallot(system_tables& tables,
+                const program_id& program,
+                const change_record& change) -> void {
+  for (const auto& vm : MembersOf(change.current)) {
+    if (change.phase == change_phase::kPreparing) {
+      Send(tables, vm, prepare{program, change.current, change.number});
+    } else {
+      Send(tables, vm,
+           accept{program, change.current, change.number, change.value});
+    }
+  }
+}
+
+auto StartBallot(system_tables& tables,
+                 const program_id& program,
+                 change_record& change,
+                 std::uint32_t above_round) -> void {
+  const auto round = std::max(above_round, change.highest_round) + 1;
+  change.highest_round = round;
+  change.number = ballot{round, tables.self};
+  change.phase = change_phase::kPreparing;
+  change.agreed.clear();
+  change.value = change.wish;
+  change.value_number = ballot{};
+  change.next_resend = tables.now + tables.options.resend_after;
+  // A random part lets one of two proposers finish before the other raises.
+  const auto spread = static_cast<std::uint64_t>(
+      tables.options.resend_after.count() * kRepeatsPerBallot);
+  change.next_ballot =
+      tables.now + kRepeatsPerBallot * tables.options.resend_after +
+      duration{static_cast<duration::rep>(tables.random.Below(spread))};
+  SendBallot(tables, program, change);
+}
+
+auto StartChange(system_tables& tables,
+                 program_copy& copy,
+                 const replica_set& wish) -> void {
+  const auto& program = copy.state.id;
+  if (tables.changes.count(program) != 0) {
+    return;
+  }
+  auto change = change_record{};
+  change.current = copy.replicas;
+  change.wish = wish;
+  const auto vote = tables.votes.find(program);
+  const auto has_vote =
+      vote != tables.votes.end() && vote->second.epoch == copy.replicas.epoch;
+  const auto round = has_vote ? vote->second.promised.round : 0;
+  auto& stored = tables.changes[program] = std::move(change);
+  StartBallot(tables, program, stored, round);
+  Arm(tables, stored.next_resend, change_timer{program});
+}
+
+// An owner or witness without its copy has no vote: what it had acknowledged
+// would not be in the next epoch.
+auto MayVote(system_tables& tables,
+             const program_id& program,
+             const replica_set& current) -> bool {
+  if (!IsMember(current, tables.self)) {
+    return false;
+  }
+  if (KnownSet(tables, program).epoch > current.epoch) {
+    return false;
+  }
+  const auto vote = tables.votes.find(program);
+  if (vote != tables.votes.end() && vote->second.epoch > current.epoch) {
+    return false;
+  }
+  if (current.arbiter == tables.self) {
+    return true;
+  }
+  const auto* copy = FindCopy(tables, program);
+  return copy != nullptr && copy->replicas == current;
+}
+
+auto VoteOf(system_tables& tables,
+            const program_id& program,
+            epoch_number epoch) -> vote_record& {
+  auto& vote = tables.votes[program];
+  if (vote.epoch < epoch) {
+    vote = vote_record{};
+    vote.epoch = epoch;
+  }
+  vote.touched = tables.now;
+  return vote;
+}
+
+auto CloseEpoch(system_tables& tables,
+                const program_id& program,
+                epoch_number epoch) -> void {
+  auto* copy = FindCopy(tables, program);
+  const auto closes = copy != nullptr && copy->replicas.epoch == epoch &&
+                      !copy->is_closed &&
+                      !tables.options.mutations.keep_epoch_open;
+  if (closes) {
+    copy->is_closed = true;
+    copy->closed_since = tables.now;
+    ArmCopy(tables, *copy, tables.now + tables.options.resend_after);
+  }
+}
+
+auto RefuseBallot(system_tables& tables,
+                  const vm_ref& to,
+                  const program_id& program,
+                  epoch_number epoch,
+                  const ballot& promised) -> void {
+  const auto known = KnownSet(tables, program);
+  const auto is_later = known.epoch > epoch;
+  Send(tables, to,
+       ballot_refused{program, epoch, promised,
+                      is_later ? known : replica_set{}});
+}
+
+auto FindChange(system_tables& tables,
+                const program_id& program,
+                epoch_number epoch) -> change_record* {
+  const auto found = tables.changes.find(program);
+  const auto fits =
+      found != tables.changes.end() && found->second.current.epoch == epoch;
+  return fits ? &found->second : nullptr;
+}
+
+auto Decide(system_tables& tables,
+            const program_id& program,
+            const change_record& change) -> void {
+  ++tables.changes_decided;
+  auto told = std::set<vm_ref>{};
+  for (const auto& set : {change.current, change.value}) {
+    for (const auto& vm : MembersOf(set)) {
+      if (vm != tables.self && told.insert(vm).second) {
+        Send(tables, vm, locate_reply{0, program, change.value});
+      }
+    }
+  }
+  LearnSet(tables, program, change.value);
+}
+
+}  // namespace
+
+auto LostMembers(const system_tables& tables, const program_copy& copy)
+    -> std::set<vm_ref> {
+  auto lost = std::set<vm_ref>{};
+  for (const auto& vm : MembersOf(copy.replicas)) {
+    if (!IsLive(tables, vm)) {
+      lost.insert(vm);
+    }
+  }
+  return lost;
+}
+
+auto NeedsRepair(const system_tables& tables, const program_copy& copy)
+    -> bool {
+  const auto lost = LostMembers(tables, copy);
+  if (copy.role == copy_role::kWitness) {
+    return lost.count(copy.replicas.owner) != 0;
+  }
+  if (!lost.empty()) {
+    return true;
+  }
+  const auto present = MembersOf(copy.replicas).size();
+  const auto others = std::count_if(
+      tables.members.members.begin(), tables.members.members.end(),
+      [&](const member& item) { return item.vm != tables.self; });
+  constexpr auto kFullSet = std::size_t{3};
+  return present < kFullSet && static_cast<std::size_t>(others) >= present;
+}
+
+auto ProposeRepair(system_tables& tables,
+                   program_copy& copy,
+                   const std::set<vm_ref>& suspects) -> void {
+  StartChange(tables, copy, RepairedSet(tables, copy, suspects));
+}
+
+auto ProposeHandover(system_tables& tables, program_copy& copy) -> void {
+  auto next = copy.replicas;
+  ++next.epoch;
+  next.owner = next.witness;
+  next.witness = vm_ref{};
+  StartChange(
+      tables, copy,
+      FillSet(tables, copy, next, tables.self, LostMembers(tables, copy)));
+}
+
+auto CheckChange(system_tables& tables, const program_id& program) -> void {
+  const auto found = tables.changes.find(program);
+  if (found == tables.changes.end()) {
+    return;
+  }
+  auto& change = found->second;
+  auto* copy = FindCopy(tables, program);
+  if (copy == nullptr || copy->replicas.epoch != change.current.epoch) {
+    tables.changes.erase(found);
+    return;
+  }
+  if (tables.now >= change.next_ballot) {
+    const auto is_repair =
+        change.wish.owner == tables.self || !IsLive(tables, change.wish.owner);
+    if (is_repair) {
+      change.wish = RepairedSet(tables, *copy, LostMembers(tables, *copy));
+    }
+    StartBallot(tables, program, change, change.number.round);
+  } else if (tables.now >= change.next_resend) {
+    change.next_resend = tables.now + tables.options.resend_after;
+    SendBallot(tables, program, change);
+  }
+  Arm(tables, std::min(change.next_resend, change.next_ballot),
+      change_timer{program});
+}
+
+auto OnPrepare(system_tables& tables, const vm_ref& from, const prepare& item)
+    -> void {
+  const auto epoch = item.current.epoch;
+  if (!MayVote(tables, item.program, item.current)) {
+    RefuseBallot(tables, from, item.program, epoch, ballot{});
+    return;
+  }
+  auto& vote = VoteOf(tables, item.program, epoch);
+  if (item.number < vote.promised) {
+    RefuseBallot(tables, from, item.program, epoch, vote.promised);
+    return;
+  }
+  vote.promised = item.number;
+  CloseEpoch(tables, item.program, epoch);
+  Send(tables, from,
+       promise{item.program, epoch, item.number, vote.accepted_number,
+               vote.accepted});
+}
+
+auto OnPromise(system_tables& tables, const vm_ref& from, const promise& item)
+    -> void {
+  auto* change = FindChange(tables, item.program, item.epoch);
+  const auto fits = change != nullptr && change->number == item.number &&
+                    change->phase == change_phase::kPreparing &&
+                    IsMember(change->current, from);
+  if (!fits) {
+    return;
+  }
+  if (item.accepted.epoch != 0 && item.accepted_number > change->value_number) {
+    change->value = item.accepted;
+    change->value_number = item.accepted_number;
+  }
+  change->agreed.insert(from);
+  if (change->agreed.size() < MajorityOf(change->current)) {
+    return;
+  }
+  change->phase = change_phase::kAccepting;
+  change->agreed.clear();
+  SendBallot(tables, item.program, *change);
+}
+
+auto OnAccept(system_tables& tables, const vm_ref& from, const accept& item)
+    -> void {
+  const auto epoch = item.current.epoch;
+  if (!MayVote(tables, item.program, item.current)) {
+    RefuseBallot(tables, from, item.program, epoch, ballot{});
+    return;
+  }
+  auto& vote = VoteOf(tables, item.program, epoch);
+  if (item.number < vote.promised) {
+    RefuseBallot(tables, from, item.program, epoch, vote.promised);
+    return;
+  }
+  vote.promised = item.number;
+  vote.accepted_number = item.number;
+  vote.accepted = item.next;
+  CloseEpoch(tables, item.program, epoch);
+  Send(tables, from, accepted{item.program, epoch, item.number});
+}
+
+auto OnAccepted(system_tables& tables, const vm_ref& from, const accepted& item)
+    -> void {
+  auto* change = FindChange(tables, item.program, item.epoch);
+  const auto fits = change != nullptr && change->number == item.number &&
+                    change->phase == change_phase::kAccepting &&
+                    IsMember(change->current, from);
+  if (!fits) {
+    return;
+  }
+  change->agreed.insert(from);
+  if (change->agreed.size() < MajorityOf(change->current)) {
+    return;
+  }
+  const auto decided = *change;
+  tables.changes.erase(item.program);
+  Decide(tables, item.program, decided);
+}
+
+auto OnBallotRefused(system_tables& tables, const ballot_refused& item)
+    -> void {
+  if (item.known.epoch > item.epoch) {
+    LearnSet(tables, item.program, item.known);
+    return;
+  }
+  auto* change = FindChange(tables, item.program, item.epoch);
+  if (change != nullptr && item.promised > change->number) {
+    change->highest_round =
+        std::max(change->highest_round, item.promised.round);
+  }
+}
+
+}  // namespace daisywind::program
--- /dev/null
+++ b/source/core/program/entry.cc
@@ -0,0 +1,455 @@
+#include "program/entry.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "program/lifecycle.h"
+#include "program/replies.h"
+
+namespace daisywind::program {
+namespace {
+
+// Requests that this VM makes for itself; adapters never see them.
+constexpr request_id kInternalRequest = request_id{1} << 63U;
+
+// After this many rounds in which every member said that it does not know the
+// program, it does not exist.
+constexpr std::size_t kRoundsUntilNotFound = 2;
+
+// An accepted request whose owner is silent for this many bounds is taken to
+// another member.
+constexpr int kSilencesUntilMove = 2;
+
+auto IsInternal(request_id request) -> bool {
+  return (request & kInternalRequest) != 0;
+}
+
+auto CallName(const entry_request& item) -> call_ref {
+  return call_ref{item.handle.program, item.call.branch, item.call.turn};
+}
+
+auto FindRequest(system_tables& tables, request_id request) -> entry_request* {
+  const auto found = tables.requests.find(request);
+  return found == tables.requests.end() ? nullptr : &found->second;
+}
+
+auto Forward(system_tables& tables, entry_request& item) -> void {
+  item.is_forwarded = true;
+  item.next_resend = tables.now + tables.options.resend_after;
+  if (item.kind == entry_kind::kControl) {
+    Send(tables, item.target,
+         forward_control{item.request, item.handle, item.tenant, item.action,
+                         item.branch, item.parent, item.is_owner_silent});
+    return;
+  }
+  auto message = forward_call{};
+  message.request = item.request;
+  message.handle = item.handle;
+  message.tenant = item.tenant;
+  message.call = item.call;
+  message.call.offset = item.offset;
+  message.delivered = MakePayload(item.delivered);
+  message.is_owner_silent = item.is_owner_silent;
+  Send(tables, item.target, std::move(message));
+}
+
+auto GoTo(system_tables& tables, entry_request& item, const vm_ref& target)
+    -> void {
+  item.target = target;
+  item.tried.insert(target);
+  item.is_accepted = false;
+  item.heard = tables.now;
+  item.is_owner_silent = target != item.handle.replicas.owner;
+  Forward(tables, item);
+}
+
+auto GoToOwner(system_tables& tables, entry_request& item) -> void {
+  item.tried.clear();
+  GoTo(tables, item, item.handle.replicas.owner);
+}
+
+auto AskForSet(system_tables& tables, const entry_request& item) -> void {
+  for (const auto& vm : LocateCandidates(item.handle.program, tables.members)) {
+    if (vm != tables.self) {
+      Send(tables, vm, locate{item.request, item.handle.program});
+    }
+  }
+}
+
+auto Erase(system_tables& tables, request_id request) -> void {
+  const auto found = tables.requests.find(request);
+  const auto item = std::move(found->second);
+  tables.requests.erase(found);
+  if (!item.is_single_call || item.handle.program == program_id{}) {
+    return;
+  }
+  auto end = control_arrived{};
+  end.request = kInternalRequest | request;
+  end.handle = item.handle;
+  end.tenant = item.tenant;
+  end.action = control_action::kEnd;
+  OnControlArrived(tables, end);
+}
+
+auto Refuse(system_tables& tables, entry_request& item, const problem& refusal)
+    -> void {
+  if (item.has_head) {
+    tables.out.emplace_back(reply_end{item.request, item.handle, {}, true});
+  } else if (!IsInternal(item.request)) {
+    tables.out.emplace_back(reply_problem{item.request, item.handle, refusal});
+  }
+  Erase(tables, item.request);
+}
+
+// What the entry can say when no owner answered: once forwarded, a call may
+// have run.
+auto GiveUp(system_tables& tables, entry_request& item, refusal_reason reason)
+    -> void {
+  const auto result = item.is_forwarded ? outcome::kUnknown : outcome::kNotRun;
+  Refuse(tables, item, MakeProblem(result, reason));
+}
+
+// A repeated request to end a program that is over has had its effect.
+auto EndOnOverProgram(system_tables& tables, entry_request& item) -> void {
+  const auto wants_end = item.kind == entry_kind::kControl &&
+                         item.action == control_action::kEnd;
+  if (!wants_end) {
+    GiveUp(tables, item, refusal_reason::kProgramEnded);
+    return;
+  }
+  if (!IsInternal(item.request)) {
+    auto view = program_view{};
+    view.handle = item.handle;
+    view.tenant = item.tenant;
+    view.is_ended = true;
+    tables.out.emplace_back(control_done{item.request, view});
+  }
+  Erase(tables, item.request);
+}
+
+auto EndRound(system_tables& tables, entry_request& item) -> void {
+  ++item.rounds;
+  const auto is_unknown_to_all = item.unknown_replies >= item.tried.size();
+  if (is_unknown_to_all && item.rounds >= kRoundsUntilNotFound) {
+    GiveUp(tables, item, refusal_reason::kProgramNotFound);
+    return;
+  }
+  item.unknown_replies = 0;
+  AskForSet(tables, item);
+  GoToOwner(tables, item);
+}
+
+auto TryNext(system_tables& tables, entry_request& item) -> void {
+  for (const auto& vm : MembersOf(item.handle.replicas)) {
+    if (item.tried.count(vm) == 0) {
+      GoTo(tables, item, vm);
+      return;
+    }
+  }
+  EndRound(tables, item);
+}
+
+auto Poll(system_tables& tables, entry_request& item) -> void {
+  item.next_resend = tables.now + tables.options.resend_after;
+  if (item.kind == entry_kind::kControl) {
+    Forward(tables, item);
+    return;
+  }
+  Send(tables, item.target,
+       forward_poll{item.request, CallName(item), item.offset});
+}
+
+auto Adopt(entry_request& item, const replica_set& replicas) -> void {
+  if (replicas.epoch > item.handle.replicas.epoch &&
+      replicas.epoch != kOverEpoch) {
+    item.handle.replicas = replicas;
+  }
+}
+
+auto StartRequest(system_tables& tables, entry_request item) -> void {
+  const auto request = item.request;
+  auto known = replica_set{};
+  if (const auto* copy = FindCopy(tables, item.handle.program)) {
+    known = copy->replicas;
+  }
+  Adopt(item, known);
+  item.arrived = tables.now;
+  item.silent_since = tables.now;
+  auto& stored = tables.requests[request] = std::move(item);
+  const auto& replicas = stored.handle.replicas;
+  const auto is_owner_live =
+      replicas.owner == tables.self ||
+      FindMember(tables.members, replicas.owner) != nullptr;
+  Arm(tables, tables.now + tables.options.resend_after, entry_timer{request});
+  if (is_owner_live || replicas.witness.empty()) {
+    GoToOwner(tables, stored);
+    return;
+  }
+  stored.tried.insert(replicas.owner);
+  GoTo(tables, stored, replicas.witness);
+}
+
+auto HasRoom(const system_tables& tables) -> bool {
+  return tables.requests.size() < tables.options.max_waiting_requests;
+}
+
+auto RefuseAtOnce(system_tables& tables,
+                  request_id request,
+                  const program_handle& handle,
+                  refusal_reason reason) -> void {
+  tables.out.emplace_back(
+      reply_problem{request, handle, MakeProblem(outcome::kNotRun, reason)});
+}
+
+}  // namespace
+
+auto OnCallArrived(system_tables& tables, const call_arrived& item) -> void {
+  // The key may have been used before, so a full table says nothing about it.
+  if (!HasRoom(tables)) {
+    tables.out.emplace_back(reply_problem{
+        item.request, item.handle,
+        MakeProblem(outcome::kUnknown, refusal_reason::kOverloaded)});
+    return;
+  }
+  auto request = entry_request{};
+  request.request = item.request;
+  request.kind = entry_kind::kCall;
+  request.handle = item.handle;
+  request.tenant = item.tenant;
+  request.call = item.call;
+  request.offset = item.call.offset;
+  if (item.handle.program != program_id{}) {
+    StartRequest(tables, std::move(request));
+    return;
+  }
+  request.is_single_call = true;
+  request.arrived = tables.now;
+  request.silent_since = tables.now;
+  tables.requests[item.request] = std::move(request);
+  OpenProgram(tables, open_program{item.request, item.tenant,
+                                   item.service_class, item.limits});
+}
+
+auto OnControlArrived(system_tables& tables, const control_arrived& item)
+    -> void {
+  if (!HasRoom(tables) && !IsInternal(item.request)) {
+    RefuseAtOnce(tables, item.request, item.handle,
+                 refusal_reason::kOverloaded);
+    return;
+  }
+  auto request = entry_request{};
+  request.request = item.request;
+  request.kind = entry_kind::kControl;
+  request.handle = item.handle;
+  request.tenant = item.tenant;
+  request.action = item.action;
+  request.branch = item.branch;
+  request.parent = item.parent;
+  StartRequest(tables, std::move(request));
+}
+
+auto OnCallerGone(system_tables& tables, const caller_gone& item) -> void {
+  auto* request = FindRequest(tables, item.request);
+  if (request == nullptr) {
+    return;
+  }
+  if (request->is_forwarded && request->kind == entry_kind::kCall) {
+    Send(tables, request->target,
+         forward_cancel{item.request, CallName(*request)});
+  }
+  Erase(tables, item.request);
+}
+
+auto AnswerOpen(system_tables& tables,
+                request_id request,
+                const program_view& view) -> void {
+  auto* item = FindRequest(tables, request);
+  if (item == nullptr) {
+    tables.out.emplace_back(control_done{request, view});
+    return;
+  }
+  auto call = std::move(*item);
+  call.handle = view.handle;
+  StartRequest(tables, std::move(call));
+}
+
+auto RefuseOpen(system_tables& tables,
+                request_id request,
+                const problem& refusal) -> void {
+  tables.requests.erase(request);
+  tables.out.emplace_back(reply_problem{request, program_handle{}, refusal});
+}
+
+auto CheckRequest(system_tables& tables, request_id request) -> void {
+  auto* item = FindRequest(tables, request);
+  if (item == nullptr) {
+    return;
+  }
+  Arm(tables, tables.now + tables.options.resend_after / 2,
+      entry_timer{request});
+  const auto& options = tables.options;
+  const auto is_opening = item->target.empty();
+  if (is_opening) {
+    return;
+  }
+  if (tables.now >= item->silent_since + options.forward_bound) {
+    GiveUp(tables, *item, refusal_reason::kOwnerUnreachable);
+    return;
+  }
+  const auto factor = item->is_accepted ? kSilencesUntilMove : 1;
+  if (tables.now >= item->heard + factor * options.member_silence) {
+    TryNext(tables, *item);
+    return;
+  }
+  if (tables.now < item->next_resend) {
+    return;
+  }
+  if (item->is_accepted) {
+    Poll(tables, *item);
+  } else {
+    Forward(tables, *item);
+  }
+}
+
+auto OnForwardAccepted(system_tables& tables,
+                       const vm_ref& from,
+                       const forward_accepted& item) -> void {
+  auto* request = FindRequest(tables, item.request);
+  if (request == nullptr || request->target != from) {
+    return;
+  }
+  Adopt(*request, item.replicas);
+  request->is_accepted = true;
+  request->heard = tables.now;
+  request->silent_since = tables.now;
+  request->next_resend = tables.now + tables.options.resend_after;
+}
+
+auto OnForwardRedirect(system_tables& tables,
+                       const vm_ref& from,
+                       const forward_redirect& item) -> void {
+  auto* request = FindRequest(tables, item.request);
+  if (request == nullptr || request->handle.program != item.program) {
+    return;
+  }
+  if (item.replicas.epoch == kOverEpoch) {
+    EndOnOverProgram(tables, *request);
+    return;
+  }
+  if (item.replicas.epoch > request->handle.replicas.epoch) {
+    Adopt(*request, item.replicas);
+    GoToOwner(tables, *request);
+    return;
+  }
+  if (request->target != from) {
+    return;
+  }
+  if (item.replicas.epoch == 0) {
+    ++request->unknown_replies;
+    TryNext(tables, *request);
+    return;
+  }
+  // The owner no longer works on a call that it had accepted.
+  if (request->is_accepted) {
+    request->is_accepted = false;
+    Forward(tables, *request);
+  }
+}
+
+auto OnCallPart(system_tables& tables,
+                const vm_ref& from,
+                const call_part& item) -> void {
+  auto* request = FindRequest(tables, item.request);
+  // A part of an owner that this request has left may be of another attempt.
+  if (request == nullptr || request->target != from) {
+    return;
+  }
+  Adopt(*request, item.replicas);
+  request->heard = tables.now;
+  request->silent_since = tables.now;
+  const auto bytes = BytesOf(item.bytes);
+  const auto end = item.offset + bytes.size();
+  if (item.offset > request->offset) {
+    Poll(tables, *request);
+    return;
+  }
+  if (end <= request->offset) {
+    return;
+  }
+  const auto fresh = bytes.substr(request->offset - item.offset);
+  if (!request->has_head) {
+    request->has_head = true;
+    tables.out.emplace_back(reply_head{request->request, request->handle});
+  }
+  tables.out.emplace_back(reply_part{request->request, request->offset,
+                                     MakePayload(std::string{fresh})});
+  request->delivered += fresh;
+  request->offset = end;
+}
+
+auto OnCallEnd(system_tables& tables, const vm_ref& from, const call_end& item)
+    -> void {
+  auto* request = FindRequest(tables, item.request);
+  if (request == nullptr || request->kind != entry_kind::kCall) {
+    return;
+  }
+  Adopt(*request, item.replicas);
+  if (item.is_lost) {
+    Refuse(tables, *request,
+           MakeProblem(outcome::kUnknown, refusal_reason::kStreamLost));
+    return;
+  }
+  const auto lacks_text =
+      request->call.is_stream && request->offset < item.text_bytes;
+  if (lacks_text) {
+    if (request->target == from) {
+      Poll(tables, *request);
+    }
+    return;
+  }
+  tables.out.emplace_back(
+      reply_end{item.request, request->handle, item.answer, false});
+  Erase(tables, item.request);
+}
+
+auto OnCallProblem(system_tables& tables, const call_problem& item) -> void {
+  auto* request = FindRequest(tables, item.request);
+  if (request == nullptr) {
+    return;
+  }
+  Adopt(*request, item.replicas);
+  Refuse(tables, *request, item.refusal);
+}
+
+auto OnControlReply(system_tables& tables, const control_reply& item) -> void {
+  const auto* request = FindRequest(tables, item.request);
+  if (request == nullptr || request->kind != entry_kind::kControl) {
+    return;
+  }
+  if (!IsInternal(item.request)) {
+    tables.out.emplace_back(control_done{item.request, item.view});
+  }
+  Erase(tables, item.request);
+}
+
+auto FollowSet(system_tables& tables,
+               const program_id& program,
+               const replica_set& replicas) -> void {
+  auto stale = std::vector<request_id>{};
+  for (const auto& [request, item] : tables.requests) {
+    const auto follows = item.handle.program == program &&
+                         item.handle.replicas.epoch < replicas.epoch;
+    if (follows) {
+      stale.push_back(request);
+    }
+  }
+  for (const auto request : stale) {
+    auto* item = FindRequest(tables, request);
+    if (item != nullptr && replicas.epoch != kOverEpoch) {
+      Adopt(*item, replicas);
+      GoToOwner(tables, *item);
+    }
+  }
+}
+
+}  // namespace daisywind::program
--- /dev/null
+++ b/source/core/program/entry.h
@@ -0,0 +1,47 @@
+// The entry role: carries local requests to the owner and its answers back.
+#ifndef DAISYWIND_PROGRAM_ENTRY_H_
+#define DAISYWIND_PROGRAM_ENTRY_H_
+
+#include "program/tables.h"
+
+namespace daisywind::program {
+
+auto OnCallArrived(system_tables& tables, const call_arrived& item) -> void;
+auto OnControlArrived(system_tables& tables, const control_arrived& item)
+    -> void;
+auto OnCallerGone(system_tables& tables, const caller_gone& item) -> void;
+
+// Answers the request that opened a program, or starts the one call that the
+// program was opened for.
+auto AnswerOpen(system_tables& tables,
+                request_id request,
+                const program_view& view) -> void;
+auto RefuseOpen(system_tables& tables,
+                request_id request,
+                const problem& refusal) -> void;
+
+// Repeats a request, or takes it to the next member.
+auto CheckRequest(system_tables& tables, request_id request) -> void;
+
+auto OnForwardAccepted(system_tables& tables,
+                       const vm_ref& from,
+                       const forward_accepted& item) -> void;
+auto OnForwardRedirect(system_tables& tables,
+                       const vm_ref& from,
+                       const forward_redirect& item) -> void;
+auto OnCallPart(system_tables& tables,
+                const vm_ref& from,
+                const call_part& item) -> void;
+auto OnCallEnd(system_tables& tables, const vm_ref& from, const call_end& item)
+    -> void;
+auto OnCallProblem(system_tables& tables, const call_problem& item) -> void;
+auto OnControlReply(system_tables& tables, const control_reply& item) -> void;
+
+// A set of a program has become known: requests for it follow.
+auto FollowSet(system_tables& tables,
+               const program_id& program,
+               const replica_set& replicas) -> void;
+
+}  // namespace daisywind::program
+
+#endif  // DAISYWIND_PROGRAM_ENTRY_H_
--- /dev/null
+++ b/source/core/program/epoch.cc
@@ -0,0 +1,401 @@
+#include "program/epoch.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "program/attempts.h"
+#include "program/change.h"
+#include "program/lifecycle.h"
+#include "program/release.h"
+#include "program/replication.h"
+#include "program/retire.h"
+
+namespace daisywind::program {
+namespace {
+
+auto StateToCopy(const system_tables& tables, const program_copy& copy)
+    -> program_state {
+  auto state = copy.state;
+  state.age = tables.now - copy.opened;
+  return state;
+}
+
+auto StartTransfer(system_tables& tables,
+                   const program_copy& copy,
+                   const replica_set& replicas) -> void {
+  auto transfer = transfer_record{};
+  transfer.replicas = replicas;
+  transfer.state = StateToCopy(tables, copy);
+  transfer.next_resend = tables.now + tables.options.resend_after;
+  Send(tables, replicas.owner, install{replicas, transfer.state});
+  Arm(tables, transfer.next_resend, transfer_timer{copy.state.id});
+  tables.transfers[copy.state.id] = std::move(transfer);
+}
+
+auto EraseCopy(system_tables& tables, const program_id& program) -> void {
+  tables.copies.erase(program);
+  tables.changes.erase(program);
+}
+
+auto Retire(system_tables& tables,
+            program_copy& copy,
+            const replica_set& replicas) -> void {
+  const auto program = copy.state.id;
+  const auto was_owner = copy.role == copy_role::kOwner;
+  const auto is_next = replicas.epoch == copy.replicas.epoch + 1;
+  const auto has_own_copy = replicas.owner == copy.replicas.owner ||
+                            replicas.owner == copy.replicas.witness;
+  if (is_next && (was_owner || !has_own_copy)) {
+    StartTransfer(tables, copy, replicas);
+  }
+  if (was_owner) {
+    RetireCalls(tables, copy, replicas);
+  }
+  if (is_next && replicas.witness == tables.self) {
+    // The next epoch can't have begun without this witness, so its own state
+    // stands in for the new owner's until that arrives.
+    copy.replicas = replicas;
+    copy.role = copy_role::kWitness;
+    copy.is_active = true;
+    copy.is_closed = false;
+    copy.is_provisional = true;
+    copy.sequence = 0;
+    copy.outbox.clear();
+    ArmCopy(tables, copy, tables.now + tables.options.resend_after);
+    return;
+  }
+  EraseCopy(tables, program);
+}
+
+auto Activate(system_tables& tables, program_copy& copy) -> void {
+  copy.is_active = true;
+  if (!copy.installer.empty()) {
+    Send(tables, copy.installer,
+         install_ack{copy.state.id, copy.replicas.epoch});
+    copy.installer = vm_ref{};
+  }
+  FinishOpen(tables, copy);
+  ReleaseUnused(tables, copy);
+  OnRecorded(tables, copy);
+  ArmCopy(tables, copy, tables.now + tables.options.resend_after);
+}
+
+auto SendInstall(system_tables& tables, program_copy& copy) -> void {
+  copy.next_resend = tables.now + tables.options.resend_after;
+  Send(tables, copy.replicas.witness,
+       install{copy.replicas, StateToCopy(tables, copy)});
+  ArmCopy(tables, copy, copy.next_resend);
+}
+
+auto MakeCopy(system_tables& tables, const install& item) -> program_copy& {
+  auto copy = program_copy{};
+  copy.state = item.state;
+  copy.opened = tables.now - item.state.age;
+  copy.last_activity = tables.now;
+  const auto program = item.state.id;
+  tables.changes.erase(program);
+  auto& stored = tables.copies[program];
+  stored = std::move(copy);
+  return stored;
+}
+
+auto InstallAsWitness(system_tables& tables,
+                      const vm_ref& from,
+                      const install& item) -> void {
+  const auto* known = FindCopy(tables, item.state.id);
+  const auto is_repeat =
+      known != nullptr && known->replicas.epoch == item.replicas.epoch;
+  if (is_repeat && known->is_provisional && known->is_closed) {
+    return;
+  }
+  if (!is_repeat || known->is_provisional) {
+    auto& copy = MakeCopy(tables, item);
+    copy.replicas = item.replicas;
+    copy.role = copy_role::kWitness;
+    copy.is_active = true;
+    ArmCopy(tables, copy, tables.now + tables.options.audit_period);
+  }
+  Send(tables, from, install_ack{item.state.id, item.replicas.epoch});
+}
+
+auto InstallAsOwner(system_tables& tables,
+                    const vm_ref& from,
+                    const install& item) -> void {
+  auto* known = FindCopy(tables, item.state.id);
+  if (known != nullptr && known->replicas.epoch == item.replicas.epoch) {
+    known->installer = from;
+    if (known->is_active) {
+      Send(tables, from, install_ack{item.state.id, item.replicas.epoch});
+      known->installer = vm_ref{};
+    }
+    return;
+  }
+  // The replaced owner's state has all that its witness was told and more.
+  const auto has_own_copy = known != nullptr &&
+                            known->replicas.epoch + 1 == item.replicas.epoch &&
+                            from != known->replicas.owner;
+  auto& copy = has_own_copy ? *known : MakeCopy(tables, item);
+  copy.installer = from;
+  BecomeOwner(tables, copy, item.replicas);
+}
+
+auto SendReport(system_tables& tables, const retired_attempt& attempt) -> void {
+  const auto& program = attempt.attempt.call.program;
+  const auto known = KnownSet(tables, program);
+  auto report = late_settlement{};
+  report.program = program;
+  report.attempt = attempt.attempt.number;
+  report.update = attempt.update;
+  report.endpoint = attempt.endpoint;
+  report.holds_memory = attempt.kind == call_kind::kChat;
+  Send(tables, known.owner, report);
+}
+
+auto EraseRetired(system_tables& tables,
+                  const program_id& program,
+                  attempt_number number,
+                  bool releases) -> void {
+  const auto found = std::find_if(
+      tables.retired.begin(), tables.retired.end(), [&](const auto& entry) {
+        return entry.first.call.program == program &&
+               entry.first.number == number;
+      });
+  if (found == tables.retired.end() || !found->second.is_reported) {
+    return;
+  }
+  if (releases && found->second.kind == call_kind::kChat) {
+    StartRelease(tables, release_key{found->second.endpoint, program});
+  }
+  tables.retired.erase(found);
+}
+
+}  // namespace
+
+auto LearnSet(system_tables& tables,
+              const program_id& program,
+              const replica_set& replicas) -> void {
+  NoteReference(tables, program, replicas);
+  auto* copy = FindCopy(tables, program);
+  if (copy == nullptr || copy->replicas.epoch >= replicas.epoch) {
+    return;
+  }
+  tables.changes.erase(program);
+  const auto is_next = replicas.epoch == copy->replicas.epoch + 1;
+  if (is_next && replicas.owner == tables.self) {
+    BecomeOwner(tables, *copy, replicas);
+    return;
+  }
+  Retire(tables, *copy, replicas);
+}
+
+auto BecomeOwner(system_tables& tables,
+                 program_copy& copy,
+                 const replica_set& replicas) -> void {
+  if (copy.role == copy_role::kWitness && !copy.replicas.owner.empty()) {
+    ++tables.takeovers;
+  }
+  NoteReference(tables, copy.state.id, replicas);
+  copy.replicas = replicas;
+  copy.role = copy_role::kOwner;
+  copy.is_closed = false;
+  copy.is_active = false;
+  copy.is_provisional = false;
+  copy.is_releasing = false;
+  copy.sequence = 0;
+  copy.acknowledged = 0;
+  copy.outbox.clear();
+  copy.inactive_since = tables.now;
+  copy.last_activity = tables.now;
+  for (auto& [key, call] : copy.live) {
+    call.sequence = 0;
+  }
+  for (auto& control : copy.controls) {
+    control.sequence = 0;
+  }
+  if (replicas.witness.empty()) {
+    Activate(tables, copy);
+    return;
+  }
+  SendInstall(tables, copy);
+}
+
+auto CheckInstall(system_tables& tables, program_copy& copy) -> void {
+  if (copy.is_active || tables.now < copy.next_resend) {
+    return;
+  }
+  SendInstall(tables, copy);
+}
+
+auto CheckTransfer(system_tables& tables, const program_id& program) -> void {
+  const auto found = tables.transfers.find(program);
+  if (found == tables.transfers.end()) {
+    return;
+  }
+  auto& transfer = found->second;
+  const auto known = KnownSet(tables, program);
+  const auto is_over =
+      known.epoch > transfer.replicas.epoch ||
+      tables.now > transfer.next_resend + tables.options.report_bound;
+  if (is_over) {
+    tables.transfers.erase(found);
+    return;
+  }
+  Send(tables, transfer.replicas.owner,
+       install{transfer.replicas, transfer.state});
+  Arm(tables, tables.now + tables.options.resend_after,
+      transfer_timer{program});
+}
+
+auto CheckRetired(system_tables& tables, const attempt_ref& attempt) -> void {
+  const auto found = tables.retired.find(attempt);
+  if (found == tables.retired.end()) {
+    return;
+  }
+  const auto& program = attempt.call.program;
+  const auto& item = found->second;
+  if (item.is_reported && KnownSet(tables, program).epoch == kOverEpoch) {
+    EraseRetired(tables, program, attempt.number, true);
+    return;
+  }
+  if (tables.now > item.since + tables.options.report_bound) {
+    // Nobody is left to take the report; what the attempt holds must not stay.
+    const auto is_lost = item.is_reported;
+    if (is_lost) {
+      EraseRetired(tables, program, attempt.number, true);
+      return;
+    }
+  }
+  if (item.is_reported) {
+    SendReport(tables, item);
+  }
+  Arm(tables, tables.now + tables.options.resend_after, retired_timer{attempt});
+}
+
+auto EndRetired(system_tables& tables, const attempt_ended& ended) -> bool {
+  const auto found = tables.retired.find(ended.attempt);
+  if (found == tables.retired.end() || found->second.is_reported) {
+    return false;
+  }
+  auto& item = found->second;
+  const auto& call = ended.attempt.call;
+  if (item.has_slot) {
+    tables.out.emplace_back(
+        release_endpoint_slot{call, item.endpoint, ended.result});
+    item.has_slot = false;
+  }
+  const auto key = live_key{call.branch, call.turn};
+  const auto is_proved_not_run = ended.result == attempt_result::kNotSent ||
+                                 ended.result == attempt_result::kRefusedNotRun;
+  if (ended.result == attempt_result::kAnswered) {
+    item.update = SettlementOf(key, ended.attempt.number, item.history,
+                               item.history_size, ended, item.text);
+  } else if (is_proved_not_run) {
+    item.update = withdrawal{call.branch, call.turn, ended.attempt.number};
+  }
+  item.is_reported = true;
+  item.since = tables.now;
+  SendReport(tables, item);
+  return true;
+}
+
+auto ExtendRetired(system_tables& tables, const attempt_output& output)
+    -> void {
+  const auto found = tables.retired.find(output.attempt);
+  if (found == tables.retired.end()) {
+    return;
+  }
+  auto& text = found->second.text;
+  if (found->second.is_stream && output.offset == text.size()) {
+    text += BytesOf(output.bytes);
+  }
+}
+
+auto OnInstall(system_tables& tables, const vm_ref& from, const install& item)
+    -> void {
+  const auto& program = item.state.id;
+  const auto known = KnownSet(tables, program);
+  if (known.epoch > item.replicas.epoch) {
+    Send(tables, from, locate_reply{0, program, known});
+    return;
+  }
+  NoteReference(tables, program, item.replicas);
+  if (item.replicas.owner == tables.self) {
+    InstallAsOwner(tables, from, item);
+  } else if (item.replicas.witness == tables.self) {
+    InstallAsWitness(tables, from, item);
+  }
+}
+
+auto OnInstallAck(system_tables& tables,
+                  const vm_ref& from,
+                  const install_ack& item) -> void {
+  const auto transfer = tables.transfers.find(item.program);
+  const auto ends_transfer = transfer != tables.transfers.end() &&
+                             transfer->second.replicas.epoch == item.epoch &&
+                             transfer->second.replicas.owner == from;
+  if (ends_transfer) {
+    tables.transfers.erase(transfer);
+    return;
+  }
+  auto* copy = FindOwned(tables, item.program);
+  const auto fits = copy != nullptr && copy->replicas.epoch == item.epoch &&
+                    copy->replicas.witness == from && !copy->is_active;
+  if (fits) {
+    Activate(tables, *copy);
+  }
+}
+
+auto OnLateSettlement(system_tables& tables,
+                      const vm_ref& from,
+                      const late_settlement& item) -> void {
+  auto* copy = FindOwned(tables, item.program);
+  if (copy == nullptr) {
+    const auto known = KnownSet(tables, item.program);
+    if (known.epoch == kOverEpoch) {
+      Send(tables, from, late_settlement_ack{item.program, item.attempt, true});
+    } else if (known.epoch != 0) {
+      Send(tables, from, locate_reply{0, item.program, known});
+    }
+    return;
+  }
+  if (!MayAct(*copy)) {
+    return;
+  }
+  if (item.update) {
+    TakeLateUpdate(tables, *copy, *item.update);
+  }
+  if (item.holds_memory) {
+    NoteHolder(tables, *copy, item.endpoint);
+  }
+  Send(tables, from, late_settlement_ack{item.program, item.attempt, false});
+}
+
+auto OnLateSettlementAck(system_tables& tables, const late_settlement_ack& item)
+    -> void {
+  EraseRetired(tables, item.program, item.attempt, item.is_gone);
+}
+
+auto OnDiscard(system_tables& tables, const discard& item) -> void {
+  const auto known = KnownSet(tables, item.program);
+  if (known.epoch <= item.epoch) {
+    DropProgram(tables, item.program, known);
+  }
+}
+
+auto DropProgram(system_tables& tables,
+                 const program_id& program,
+                 const replica_set& replicas) -> void {
+  auto over = replicas;
+  over.epoch = kOverEpoch;
+  if (auto* copy = FindCopy(tables, program)) {
+    if (copy->role == copy_role::kOwner) {
+      RetireCalls(tables, *copy, over);
+    }
+  }
+  NoteReference(tables, program, over);
+  EraseCopy(tables, program);
+  tables.votes.erase(program);
+  tables.transfers.erase(program);
+}
+
+}  // namespace daisywind::program
--- a/source/core/program/messages.h
+++ b/source/core/program/messages.h
@@ -17,7 +17,8 @@
 // A request other than a call.
 enum class control_action : std::uint8_t { kStart, kJoin, kEnd, kQuery };
 
-// Entry to owner: a call. `delivered` is the answer text that the caller has.
+// Entry to owner: a call. `delivered` is the answer text that the entry has
+// passed on, up to the call's offset.
 struct forward_call {
   request_id request = 0;
   program_handle handle;
@@ -74,11 +75,17 @@
   payload bytes;
 };
 
-// Owner to entry: the whole answer.
+// Epoch of a program that is over.
+inline constexpr epoch_number kOverEpoch = UINT64_MAX;
+
+// Owner to entry: the whole answer, or the end of a stream whose rest is lost.
 struct call_end {
   request_id request = 0;
   replica_set replicas;
   call_answer answer;
+  // Length of the answer text of a stream, whose body is not repeated here.
+  std::uint64_t text_bytes = 0;
+  bool is_lost = false;
 };
 
 // Owner to entry: the request is refused.
@@ -172,9 +179,11 @@
 // A replaced owner to the new owner: the end of an attempt of an earlier epoch.
 struct late_settlement {
   program_id program;
-  epoch_number epoch = 0;
-  state_update update;
+  attempt_number attempt = 0;
+  // Absent when the end of the attempt is not known.
+  std::optional<state_update> update;
   endpoint_id endpoint;
+  bool holds_memory = false;
 };
 
 // The late settlement has been taken in. When the program is gone, the sender
--- a/source/core/program/program_options.h
+++ b/source/core/program/program_options.h
@@ -38,27 +38,33 @@
   // A call of a taken-over program that is in doubt waits this long for a late
   // settlement or a lookup.
   duration doubt_bound = 3s;
-  // An answer to a non-idempotent call leaves at the latest after this time,
-  // also without the witness.
-  duration settle_bound = 1s;
+  // An answer leaves at the latest after this time, also when the witness has
+  // not recorded it.
+  duration settle_bound = 10s;
   // A call is refused when its intent cannot be recorded within this time.
   duration intent_bound = 20s;
   // A peer that does not acknowledge for this time is taken for lost.
   duration witness_silence = 2s;
   duration release_period = 1s;
+  // A replaced owner reports the end of its attempts for this time.
+  duration report_bound = 60s;
+  // A witness asks the owner about a program that should have ended.
+  duration audit_period = 60s;
   // A program without a call for this time ends.
   duration idle_limit = 600s;
   // Upper bound of any program's own time limit.
-  duration time_limit = 86400s;
+  duration time_limit = 28800s;
   // Votes and references of programs that moved are kept this long.
-  duration vote_keep = 172800s;
+  duration vote_keep = 32400s;
   std::size_t max_programs = 200000;
   std::size_t max_branches = 64;
   std::int64_t max_calls = 4096;
   std::size_t max_waiting_calls = 16;
   std::size_t max_waiting_requests = 65536;
-  std::size_t max_references = 500000;
-  std::size_t max_attempts_per_call = 6;
+  // Votes and references together.
+  std::size_t max_references = 2000000;
+  // A call that fails this often is refused: it may be what crashes endpoints.
+  std::size_t max_attempts_per_call = 3;
   std::size_t max_stream_bytes = 4U * 1024U * 1024U;
   protocol_mutations mutations;
 };
--- /dev/null
+++ b/source/core/program/program_state.cc
@@ -0,0 +1,239 @@
+#include "program/program_state.h"
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+
+namespace daisywind::program {
+namespace {
+
+// Memory of a map node besides its value, and of a string's control block.
+constexpr std::size_t kNodeBytes = 64;
+
+auto AddUsage(budget& total, const budget& part) -> void {
+  total.tokens += part.tokens;
+  total.calls += part.calls;
+}
+
+auto AnswerBytes(const call_record& call) -> std::size_t {
+  return call.answer ? BytesOf(call.answer->body).size() : 0;
+}
+
+// An idempotent call can be made again, so only the last two turns need their
+// records; the record of any other call proves for good that it has run.
+auto PruneBranch(branch_record& branch) -> void {
+  std::erase_if(branch.calls, [&branch](const auto& entry) {
+    const auto& call = entry.second;
+    return call.is_idempotent && call.phase == call_phase::kSettled &&
+           entry.first + 1 < branch.last_turn;
+  });
+}
+
+auto DropOldestAnswer(program_state& state, const call_record* newest) -> bool {
+  call_record* oldest = nullptr;
+  for (auto& [name, branch] : state.branches) {
+    for (auto& [turn, call] : branch.calls) {
+      const auto can_drop = call.answer && &call != newest;
+      if (can_drop && (oldest == nullptr || call.attempt < oldest->attempt)) {
+        oldest = &call;
+      }
+    }
+  }
+  if (oldest != nullptr) {
+    oldest->answer.reset();
+  }
+  return oldest != nullptr;
+}
+
+auto BoundAnswers(const state_bounds& bounds,
+                  program_state& state,
+                  const call_record* newest) -> void {
+  auto total = std::size_t{0};
+  for (const auto& [name, branch] : state.branches) {
+    for (const auto& [turn, call] : branch.calls) {
+      total += AnswerBytes(call);
+    }
+  }
+  while (total > bounds.answers_bytes && DropOldestAnswer(state, newest)) {
+    total = 0;
+    for (const auto& [name, branch] : state.branches) {
+      for (const auto& [turn, call] : branch.calls) {
+        total += AnswerBytes(call);
+      }
+    }
+  }
+}
+
+auto ApplyTo(const branch_started& update,
+             const state_bounds& /*bounds*/,
+             program_state& state) -> void {
+  auto branch = branch_record{};
+  branch.name = update.name;
+  branch.parent = update.parent;
+  state.branches.try_emplace(update.name, std::move(branch));
+}
+
+auto ApplyTo(const branch_joined& update,
+             const state_bounds& /*bounds*/,
+             program_state& state) -> void {
+  if (auto* branch = FindBranch(state, update.name)) {
+    branch->is_joined = true;
+  }
+}
+
+auto ApplyTo(const intent& update,
+             const state_bounds& /*bounds*/,
+             program_state& state) -> void {
+  auto* branch = FindBranch(state, update.branch);
+  if (branch == nullptr) {
+    return;
+  }
+  auto& call = branch->calls[update.call.turn];
+  if (call.attempt >= update.call.attempt) {
+    return;
+  }
+  // An attempt that was never settled may have used all that it reserved.
+  const auto is_in_doubt =
+      call.attempt != 0 && call.phase == call_phase::kIntended;
+  if (is_in_doubt) {
+    AddUsage(state.used, call.reserved);
+  }
+  call = update.call;
+  branch->last_turn = std::max(branch->last_turn, call.turn);
+  state.last_attempt = std::max(state.last_attempt, call.attempt);
+  if (call.kind == call_kind::kChat) {
+    state.holders.insert(call.endpoint);
+  }
+  PruneBranch(*branch);
+}
+
+auto ApplyTo(const withdrawal& update,
+             const state_bounds& /*bounds*/,
+             program_state& state) -> void {
+  auto* call = FindCall(state, update.branch, update.turn);
+  const auto fits = call != nullptr && call->attempt == update.attempt &&
+                    call->phase == call_phase::kIntended;
+  if (fits) {
+    call->phase = call_phase::kWithdrawn;
+    call->reserved = budget{};
+  }
+}
+
+auto ApplyTo(const settlement& update,
+             const state_bounds& bounds,
+             program_state& state) -> void {
+  auto* call = FindCall(state, update.branch, update.turn);
+  const auto fits = call != nullptr && call->attempt == update.attempt &&
+                    call->phase == call_phase::kIntended;
+  if (!fits) {
+    return;
+  }
+  call->phase = call_phase::kSettled;
+  call->reserved = budget{};
+  AddUsage(state.used, update.used);
+  auto* branch = FindBranch(state, update.branch);
+  const auto extends_history =
+      call->kind == call_kind::kChat && call->turn == branch->last_turn;
+  if (extends_history) {
+    branch->message_count = update.message_count;
+    branch->history = update.history;
+  }
+  const auto is_kept = update.answer && BytesOf(update.answer->body).size() <=
+                                            bounds.answer_bytes;
+  if (is_kept) {
+    call->answer = update.answer;
+    BoundAnswers(bounds, state, call);
+  }
+}
+
+auto ApplyTo(const program_ended& /*update*/,
+             const state_bounds& /*bounds*/,
+             program_state& state) -> void {
+  state.is_ended = true;
+}
+
+auto ApplyTo(const holder_released& update,
+             const state_bounds& /*bounds*/,
+             program_state& state) -> void {
+  state.holders.erase(update.endpoint);
+}
+
+auto MemoryOf(const call_record& call) -> std::size_t {
+  auto bytes = sizeof(call_record) + kNodeBytes;
+  bytes += call.target.capacity() + call.endpoint.value.capacity();
+  bytes += AnswerBytes(call);
+  return bytes;
+}
+
+}  // namespace
+
+auto Apply(const state_update& update,
+           const state_bounds& bounds,
+           program_state& state) -> void {
+  std::visit([&](const auto& item) { ApplyTo(item, bounds, state); }, update);
+}
+
+auto ReservedOf(const program_state& state) -> budget {
+  auto total = budget{};
+  for (const auto& [name, branch] : state.branches) {
+    for (const auto& [turn, call] : branch.calls) {
+      if (call.phase == call_phase::kIntended) {
+        AddUsage(total, call.reserved);
+      }
+    }
+  }
+  return total;
+}
+
+auto FindBranch(program_state& state, const branch_id& name) -> branch_record* {
+  const auto found = state.branches.find(name);
+  return found == state.branches.end() ? nullptr : &found->second;
+}
+
+auto FindBranch(const program_state& state, const branch_id& name)
+    -> const branch_record* {
+  const auto found = state.branches.find(name);
+  return found == state.branches.end() ? nullptr : &found->second;
+}
+
+auto FindCall(program_state& state, const branch_id& branch, turn_number turn)
+    -> call_record* {
+  auto* record = FindBranch(state, branch);
+  if (record == nullptr) {
+    return nullptr;
+  }
+  const auto found = record->calls.find(turn);
+  return found == record->calls.end() ? nullptr : &found->second;
+}
+
+auto FindCall(const program_state& state,
+              const branch_id& branch,
+              turn_number turn) -> const call_record* {
+  return FindCall(const_cast<program_state&>(state), branch, turn);
+}
+
+auto FindByKey(const program_state& state, const digest& key)
+    -> std::optional<keyed_call> {
+  for (const auto& [name, branch] : state.branches) {
+    for (const auto& [turn, call] : branch.calls) {
+      if (call.key == key) {
+        return keyed_call{name, turn};
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+auto MemoryOf(const program_state& state) -> std::size_t {
+  auto bytes = sizeof(program_state);
+  for (const auto& [name, branch] : state.branches) {
+    bytes += sizeof(branch_record) + kNodeBytes;
+    for (const auto& [turn, call] : branch.calls) {
+      bytes += MemoryOf(call);
+    }
+  }
+  bytes += state.holders.size() * (sizeof(endpoint_id) + kNodeBytes);
+  return bytes;
+}
+
+}  // namespace daisywind::program
--- a/source/core/program/program_state.h
+++ b/source/core/program/program_state.h
@@ -34,6 +34,8 @@
   call_phase phase = call_phase::kIntended;
   bool is_idempotent = false;
   bool has_lookup = false;
+  // A fresh attempt has replaced one whose text some caller may have.
+  bool is_rerun = false;
   digest key;
   digest body;
   std::string target;
