--- a/source/core/gateway/admin_json.cc
+++ b/source/core/gateway/admin_json.cc
@@ -23,10 +23,10 @@
 
 auto ToJson(const configuration::history_entry& entry) -> json::object {
   auto object = json::object{};
-  object["version"] = entry.ref.number;
-  object["patch_id"] = entry.patch_id;
-  object["author"] = entry.author;
-  object["accepted_unix_ms"] = entry.accepted_unix_ms;
+  object["version"] = entry.info.ref.number;
+  object["patch_id"] = entry.info.patch_id;
+  object["author"] = entry.info.author;
+  object["accepted_unix_ms"] = entry.info.accepted_unix_ms;
   object["paths"] = json::value_from(entry.paths);
   return object;
 }
--- /dev/null
+++ b/source/unit_tests/gateway/site_fixture.cc
@@ -0,0 +1,209 @@
+#include "site_fixture.h"
+
+#include <doctest/doctest.h>
+
+#include <utility>
+
+#include "common/digest.h"
+#include "configuration/storage.h"
+#include "gateway/gateway_settings.h"
+#include "kv/kv_client.h"
+#include "standin/role.h"
+
+namespace daisywind::gateway {
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+constexpr auto kLoopback = "127.0.0.1";
+
+auto Loopback(std::uint16_t port) -> std::string {
+  return std::string(kLoopback) + ":" + std::to_string(port);
+}
+
+// A port that was free a moment ago.
+auto FreePort(asio::io_context& context) -> std::uint16_t {
+  auto acceptor =
+      tcp::acceptor(context, {asio::ip::make_address(kLoopback), 0});
+  return acceptor.local_endpoint().port();
+}
+
+}  // namespace
+
+site::site(std::size_t node_count) : client_(context_) {
+  kv_port_ = StartStandIn("kv", {});
+  auto engine = standin::stand_in_options{};
+  engine.models = {{"agent", "1"}};
+  engine.prefill_per_token = 1us;
+  engine.decode_per_token = 200us;
+  engine.metrics_lag = 10ms;
+  engine_ports_ = {StartStandIn("engine", engine),
+                   StartStandIn("engine", engine)};
+  auto service = standin::stand_in_options{};
+  service.run_time = 1ms;
+  service_port_ = StartStandIn("service", service);
+  Run([this] { return WriteConfiguration(); });
+  for (auto i = std::size_t{0}; i < node_count; ++i) {
+    peer_ports_.push_back(FreePort(context_));
+  }
+  for (auto i = std::size_t{0}; i < node_count; ++i) {
+    StartNode(i);
+  }
+}
+
+auto site::Run(std::function<asio::awaitable<void>()> work) -> void {
+  context_.restart();
+  asio::co_spawn(context_, std::move(work),
+                 [this](const std::exception_ptr& error) {
+                   context_.stop();
+                   if (error) {
+                     std::rethrow_exception(error);
+                   }
+                 });
+  context_.run();
+}
+
+auto site::Call(std::size_t node, net::http_request request)
+    -> asio::awaitable<net::http_response> {
+  request.headers.push_back(
+      {"Authorization", "Bearer " + std::string(kTenantKey)});
+  co_return co_await Tell(nodes_.at(node).caller_port, std::move(request));
+}
+
+auto site::Admin(std::size_t node, net::http_request request)
+    -> asio::awaitable<net::http_response> {
+  request.headers.push_back(
+      {"Authorization", "Bearer " + std::string(kOperatorKey)});
+  co_return co_await Tell(nodes_.at(node).admin_port, std::move(request));
+}
+
+auto site::Tell(std::uint16_t port, net::http_request request)
+    -> asio::awaitable<net::http_response> {
+  auto address = net::socket_address{kLoopback, port};
+  auto options = net::http_options{};
+  options.use_fresh_connection = true;
+  auto result =
+      co_await client_.Send(std::move(address), std::move(request), options);
+  co_return std::move(result.response);
+}
+
+auto site::WaitReady() -> asio::awaitable<void> {
+  for (auto i = std::size_t{0}; i < nodes_.size(); ++i) {
+    auto is_ready = false;
+    while (!is_ready) {
+      auto ready = net::http_request{"GET", "/readyz", {}, ""};
+      const auto answer = co_await Call(i, std::move(ready));
+      auto query = net::http_request{"GET", "/admin/v1/status", {}, ""};
+      const auto status = co_await Admin(i, std::move(query));
+      const auto body = json::parse(status.body);
+      const auto* members = ArrayOrNull(body.get_object(), "members");
+      is_ready = answer.status == 200 && members != nullptr &&
+                 members->size() == nodes_.size();
+      co_await Pause();
+    }
+  }
+}
+
+auto site::Pause() -> asio::awaitable<void> {
+  auto timer = asio::steady_timer(context_, 20ms);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+auto site::StartStandIn(const std::string& role,
+                        const standin::stand_in_options& options)
+    -> std::uint16_t {
+  auto made = std::make_unique<standin::stand_in>(
+      context_, role, standin::MakeRole(role, context_, options));
+  const auto port = made->Listen({kLoopback, 0});
+  REQUIRE(port != 0);
+  stand_ins_.push_back(std::move(made));
+  return port;
+}
+
+auto site::StartNode(std::size_t index) -> void {
+  static constexpr auto kDomains =
+      std::to_array<std::pair<const char*, const char*>>(
+          {{"cordoba-a", "cordoba"},
+           {"cordoba-b", "cordoba"},
+           {"rosario-a", "rosario"}});
+  const auto [domain, region] = kDomains.at(index % kDomains.size());
+  auto running = running_node{};
+  running.caller_port = FreePort(context_);
+  running.admin_port = FreePort(context_);
+  auto values = settings(GatewaySchema());
+  const auto text =
+      json::object{{"vm", "vm-" + std::to_string(index)},
+                   {"failure_domain", domain},
+                   {"region", region},
+                   {"listen.callers", Loopback(running.caller_port)},
+                   {"listen.admin", Loopback(running.admin_port)},
+                   {"listen.peers", Loopback(peer_ports_.at(index))},
+                   {"peers.seeds", json::array{Loopback(peer_ports_.front())}},
+                   {"key_value.addresses", json::array{Loopback(kv_port_)}},
+                   {"operator.key_digest", Sha256Hex(kOperatorKey)},
+                   {"poll.load_ms", 20}};
+  REQUIRE(values.AddText("test", json::serialize(text)));
+  running.process = std::make_unique<node>(context_, values);
+  REQUIRE(running.process->Start());
+  nodes_.push_back(std::move(running));
+}
+
+auto site::WriteConfiguration() -> asio::awaitable<void> {
+  auto service = kv::kv_client(client_, {{kLoopback, kv_port_}}, 2s);
+  auto document = configuration::ParseDocument(Document());
+  REQUIRE(document);
+  const auto info = configuration::version_info{};
+  for (const auto& request : configuration::InitialRequests(*document, info)) {
+    const auto result = co_await service.Txn(request);
+    REQUIRE(result.how == kv::outcome::kAnswered);
+  }
+}
+
+auto site::Document() const -> std::string {
+  auto endpoints = json::object{};
+  for (auto i = std::size_t{0}; i < engine_ports_.size(); ++i) {
+    const auto* domain = i == 0 ? "cordoba-a" : "rosario-a";
+    endpoints["agent-" + std::to_string(i)] =
+        json::object{{"address", Loopback(engine_ports_[i])},
+                     {"failure_domain", domain},
+                     {"kind", "engine"},
+                     {"checks_fencing", true},
+                     {"capacity", 8},
+                     {"role", "serving"},
+                     {"models", json::array{"agent"}},
+                     {"adapters", json::array{}}};
+  }
+  endpoints["cart-0"] = json::object{{"address", Loopback(service_port_)},
+                                     {"failure_domain", "cordoba-a"},
+                                     {"kind", "service"},
+                                     {"capacity", 8},
+                                     {"role", "serving"},
+                                     {"services", json::array{"cart"}}};
+  const auto tenant = json::object{
+      {"key_digest", Sha256Hex(kTenantKey)},
+      {"share", 1.0},
+      {"classes", json::object{{"vendor", json::object{{"rank", 0}}},
+                               {"customer", json::object{{"rank", 1}}}}}};
+  const auto document = json::object{
+      {"failure_domains",
+       json::object{{"cordoba-a", json::object{{"region", "cordoba"}}},
+                    {"cordoba-b", json::object{{"region", "cordoba"}}},
+                    {"rosario-a", json::object{{"region", "rosario"}}}}},
+      {"tenants", json::object{{"choclo", tenant}}},
+      {"models", json::object{{"agent", json::object{{"version", "1"}}}}},
+      {"adapters", json::object{}},
+      {"services", json::object{{"cart", json::object{{"lookup", false}}}}},
+      {"endpoints", endpoints},
+      {"need", json::object{{"agent", 1}, {"cart", 1}}},
+      {"migration", json::object{{"deadline_seconds", 60}}}};
+  return json::serialize(document);
+}
+
+auto Post(std::string target, json::value body, net::http_headers headers)
+    -> net::http_request {
+  headers.push_back({"Content-Type", "application/json"});
+  return {"POST", std::move(target), std::move(headers), json::serialize(body)};
+}
+
+}  // namespace daisywind::gateway
--- /dev/null
+++ b/source/unit_tests/gateway/site_fixture.h
@@ -0,0 +1,90 @@
+// A small deployment in one process: stand-ins of the platform and endpoints,
+// and nodes, all on loopback and one context.
+#ifndef DAISYWIND_UNIT_TESTS_GATEWAY_SITE_FIXTURE_H_
+#define DAISYWIND_UNIT_TESTS_GATEWAY_SITE_FIXTURE_H_
+
+#include <boost/asio.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "common/json.h"
+#include "gateway/node.h"
+#include "net/http_client.h"
+#include "standin/options.h"
+#include "standin/stand_in.h"
+
+namespace daisywind::gateway {
+
+inline constexpr std::string_view kTenantKey = "tenant-key";
+inline constexpr std::string_view kOperatorKey = "operator-key";
+
+// One running node and its ports.
+struct running_node {
+  std::unique_ptr<node> process;
+  std::uint16_t caller_port = 0;
+  std::uint16_t admin_port = 0;
+};
+
+// Two engines, a plain service, the key-value service and some nodes.
+class site {
+ public:
+  explicit site(std::size_t node_count);
+
+  // Runs the context until the work is done.
+  auto Run(std::function<boost::asio::awaitable<void>()> work) -> void;
+
+  // Sends a request of the tenant to a node.
+  auto Call(std::size_t node, net::http_request request)
+      -> boost::asio::awaitable<net::http_response>;
+
+  // Sends a request of an operator to a node.
+  auto Admin(std::size_t node, net::http_request request)
+      -> boost::asio::awaitable<net::http_response>;
+
+  // Sends a request to a stand-in by its port.
+  auto Tell(std::uint16_t port, net::http_request request)
+      -> boost::asio::awaitable<net::http_response>;
+
+  // Waits until every node is ready and knows all others.
+  auto WaitReady() -> boost::asio::awaitable<void>;
+
+  // Ends a node as a crash does: without a word to anybody.
+  auto Kill(std::size_t node) -> void { nodes_.at(node).process.reset(); }
+
+  [[nodiscard]] auto engine_ports() const -> const std::vector<std::uint16_t>& {
+    return engine_ports_;
+  }
+  [[nodiscard]] auto service_port() const -> std::uint16_t {
+    return service_port_;
+  }
+
+  // Waits a little, for polling.
+  auto Pause() -> boost::asio::awaitable<void>;
+
+ private:
+  auto StartStandIn(const std::string& role,
+                    const standin::stand_in_options& options) -> std::uint16_t;
+  auto StartNode(std::size_t index) -> void;
+  auto WriteConfiguration() -> boost::asio::awaitable<void>;
+  auto Document() const -> std::string;
+
+  boost::asio::io_context context_;
+  net::http_client client_;
+  std::vector<std::unique_ptr<standin::stand_in>> stand_ins_;
+  std::vector<std::uint16_t> engine_ports_;
+  std::uint16_t service_port_ = 0;
+  std::uint16_t kv_port_ = 0;
+  std::vector<running_node> nodes_;
+  std::vector<std::uint16_t> peer_ports_;
+};
+
+// A request with a JSON body.
+auto Post(std::string target, json::value body, net::http_headers headers = {})
+    -> net::http_request;
+
+}  // namespace daisywind::gateway
+
+#endif  // DAISYWIND_UNIT_TESTS_GATEWAY_SITE_FIXTURE_H_
--- /dev/null
+++ b/source/unit_tests/gateway/whole_path_test.cc
@@ -0,0 +1,194 @@
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "net/sse.h"
+#include "site_fixture.h"
+#include "standin/answer.h"
+
+namespace daisywind::gateway {
+namespace {
+
+namespace asio = boost::asio;
+
+auto UserMessage(std::string_view text) -> json::object {
+  return {{"role", "user"}, {"content", text}};
+}
+
+auto AssistantMessage(std::string_view text) -> json::object {
+  return {{"role", "assistant"}, {"content", text}};
+}
+
+auto Chat(const json::array& messages, bool is_streamed = false)
+    -> json::object {
+  return {{"model", "agent"}, {"messages", messages}, {"stream", is_streamed}};
+}
+
+auto TurnHeaders(const std::string& handle, int turn) -> net::http_headers {
+  return {{"Daisywind-Program", handle},
+          {"Daisywind-Turn", std::to_string(turn)}};
+}
+
+auto TextOf(const net::http_response& response) -> std::string {
+  const auto body = json::parse(response.body);
+  return std::string(
+      body.at_pointer("/choices/0/message/content").get_string());
+}
+
+auto StreamedText(const net::http_response& response) -> std::string {
+  auto parser = net::sse_parser();
+  auto text = std::string{};
+  for (const auto& event : parser.Feed(response.body)) {
+    if (event == "[DONE]") {
+      continue;
+    }
+    const auto chunk = json::parse(event);
+    const auto* content = chunk.get_object()
+                              .at("choices")
+                              .as_array()
+                              .at(0)
+                              .at("delta")
+                              .get_object()
+                              .if_contains("content");
+    text += content == nullptr ? "" : std::string(content->get_string());
+  }
+  return text;
+}
+
+auto OpenProgram(site& fixture, std::size_t node)
+    -> asio::awaitable<std::string> {
+  const auto body = json::object{{"class", "vendor"}};
+  auto request = Post("/v1/programs", body);
+  const auto response = co_await fixture.Call(node, std::move(request));
+  REQUIRE(response.status == 201);
+  co_return std::string(response.Header("Daisywind-Program"));
+}
+
+}  // namespace
+
+TEST_CASE("a chat call without a program is served by any node") {
+  auto fixture = site(3);
+  fixture.Run([&]() -> asio::awaitable<void> {
+    co_await fixture.WaitReady();
+    const auto messages = json::array{UserMessage("where is the corn?")};
+    for (auto i = std::size_t{0}; i < 3; ++i) {
+      auto request = Post("/v1/chat/completions", Chat(messages));
+      const auto response = co_await fixture.Call(i, std::move(request));
+      REQUIRE(response.status == 200);
+      CHECK(TextOf(response) == standin::ExpectedAnswer("agent", messages));
+    }
+  });
+}
+
+TEST_CASE("a program's turns go through different nodes in their order") {
+  auto fixture = site(3);
+  fixture.Run([&]() -> asio::awaitable<void> {
+    co_await fixture.WaitReady();
+    auto handle = co_await OpenProgram(fixture, 0);
+    auto messages = json::array{};
+    for (auto turn = 1; turn <= 4; ++turn) {
+      messages.push_back(UserMessage("question " + std::to_string(turn)));
+      auto request = Post("/v1/chat/completions", Chat(messages, turn == 2),
+                          TurnHeaders(handle, turn));
+      const auto response = co_await fixture.Call(
+          static_cast<std::size_t>(turn % 3), std::move(request));
+      REQUIRE(response.status == 200);
+      const auto text = turn == 2 ? StreamedText(response) : TextOf(response);
+      CHECK(text == standin::ExpectedAnswer("agent", messages));
+      messages.push_back(AssistantMessage(text));
+      handle = std::string(response.Header("Daisywind-Program"));
+    }
+  });
+}
+
+TEST_CASE("a service call under one key runs once however often it is sent") {
+  auto fixture = site(3);
+  fixture.Run([&]() -> asio::awaitable<void> {
+    co_await fixture.WaitReady();
+    const auto handle = co_await OpenProgram(fixture, 0);
+    auto headers = TurnHeaders(handle, 1);
+    headers.push_back({"Idempotency-Key", "payout-1"});
+    const auto body = json::object{{"amount", 7}};
+    auto first_answer = std::string{};
+    for (auto i = std::size_t{0}; i < 3; ++i) {
+      auto request = Post("/v1/services/cart/payouts", body, headers);
+      const auto response = co_await fixture.Call(i, std::move(request));
+      REQUIRE(response.status == 200);
+      first_answer = first_answer.empty() ? response.body : first_answer;
+      CHECK(response.body == first_answer);
+    }
+    auto query = net::http_request{"GET", "/standin/runs", {}, ""};
+    const auto runs =
+        co_await fixture.Tell(fixture.service_port(), std::move(query));
+    CHECK(json::parse(runs.body).at_pointer("/runs/payout-1") == 1);
+  });
+}
+
+TEST_CASE("a turn with another history is refused and has not run") {
+  auto fixture = site(3);
+  fixture.Run([&]() -> asio::awaitable<void> {
+    co_await fixture.WaitReady();
+    const auto handle = co_await OpenProgram(fixture, 0);
+    const auto first = json::array{UserMessage("one")};
+    auto request =
+        Post("/v1/chat/completions", Chat(first), TurnHeaders(handle, 1));
+    const auto answer = co_await fixture.Call(0, std::move(request));
+    REQUIRE(answer.status == 200);
+    const auto other =
+        json::array{UserMessage("another"), AssistantMessage(TextOf(answer)),
+                    UserMessage("two")};
+    auto second =
+        Post("/v1/chat/completions", Chat(other), TurnHeaders(handle, 2));
+    const auto refusal = co_await fixture.Call(1, std::move(second));
+    CHECK(refusal.status == 409);
+    CHECK(refusal.Header("Daisywind-Outcome") == "not_run");
+    CHECK(json::parse(refusal.body).at("title") == "history_mismatch");
+  });
+}
+
+TEST_CASE("the program lives on when its owner is killed between two turns") {
+  auto fixture = site(4);
+  fixture.Run([&]() -> asio::awaitable<void> {
+    co_await fixture.WaitReady();
+    auto handle = co_await OpenProgram(fixture, 0);
+    auto messages = json::array{UserMessage("one")};
+    auto request =
+        Post("/v1/chat/completions", Chat(messages), TurnHeaders(handle, 1));
+    const auto first = co_await fixture.Call(0, std::move(request));
+    REQUIRE(first.status == 200);
+    handle = std::string(first.Header("Daisywind-Program"));
+    messages.push_back(AssistantMessage(TextOf(first)));
+    messages.push_back(UserMessage("two"));
+    fixture.Kill(0);
+    auto second = net::http_response{};
+    do {
+      auto again =
+          Post("/v1/chat/completions", Chat(messages), TurnHeaders(handle, 2));
+      second = co_await fixture.Call(1, std::move(again));
+      co_await fixture.Pause();
+    } while (second.status == 503);
+    REQUIRE(second.status == 200);
+    CHECK(TextOf(second) == standin::ExpectedAnswer("agent", messages));
+    CHECK(second.Header("Daisywind-Program") != handle);
+  });
+}
+
+TEST_CASE("requests without a known key or of a wrong form are refused") {
+  auto fixture = site(1);
+  fixture.Run([&]() -> asio::awaitable<void> {
+    co_await fixture.WaitReady();
+    auto no_key = Post("/v1/chat/completions", json::object{},
+                       {{"Authorization", "Bearer nobody"}});
+    const auto unknown = co_await fixture.Call(0, std::move(no_key));
+    CHECK(unknown.status == 401);
+    auto broken = Post("/v1/chat/completions", json::array{});
+    const auto refused = co_await fixture.Call(0, std::move(broken));
+    CHECK(refused.status == 400);
+    CHECK(refused.Header("Daisywind-Outcome") == "not_run");
+    auto elsewhere = Post("/v1/nowhere", json::object{});
+    const auto missing = co_await fixture.Call(0, std::move(elsewhere));
+    CHECK(missing.status == 404);
+  });
+}
+
+}  // namespace daisywind::gateway
--- /dev/null
+++ b/source/unit_tests/membership_wire/codec_test.cc
@@ -0,0 +1,67 @@
+#include "membership_wire/codec.h"
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+#include "common/random.h"
+
+namespace daisywind::membership {
+namespace {
+
+auto SampleMember() -> member {
+  return {{vm_id("a"), 7},
+          3,
+          member_state::kSuspect,
+          "127.0.0.1:7000",
+          failure_domain_id("cordoba-a"),
+          region_id("cordoba")};
+}
+
+auto SampleMessages() -> std::vector<message> {
+  auto list = std::vector<message>{};
+  for (const auto& body : std::vector<message_body>{
+           ping{1, {vm_id("b"), 2}}, ping_req{2, SampleMember()},
+           ack{3, SampleMember()}, join{}, sync{9},
+           page{{SampleMember(), SampleMember()}, true}, leave{}}) {
+    list.push_back({SampleMember(), body, {SampleMember()}});
+  }
+  return list;
+}
+
+}  // namespace
+
+TEST_CASE("every kind of message survives encoding") {
+  for (const auto& sample : SampleMessages()) {
+    CHECK(DecodeMessage(EncodeMessage(sample)) == sample);
+  }
+}
+
+TEST_CASE("messages past their bounds are rejected") {
+  auto sample = SampleMessages().front();
+  sample.updates.resize(kMaxUpdatesPerMessage + 1);
+  CHECK_FALSE(DecodeMessage(EncodeMessage(sample)).has_value());
+  sample.updates.clear();
+  sample.body = page{std::vector<member>(kMaxMembersPerPage + 1), false};
+  CHECK_FALSE(DecodeMessage(EncodeMessage(sample)).has_value());
+}
+
+TEST_CASE("bytes that are no message never read out of bounds") {
+  auto random = random_source(1);
+  for (const auto& sample : SampleMessages()) {
+    const auto good = EncodeMessage(sample);
+    for (auto i = 0; i < 300; ++i) {
+      auto bytes = good.substr(0, random.Below(good.size() + 1));
+      if (!bytes.empty()) {
+        bytes[random.Below(bytes.size())] =
+            static_cast<char>(random.Below(256));
+      }
+      const auto decoded = DecodeMessage(bytes);
+      if (decoded.has_value()) {
+        CHECK(!EncodeMessage(*decoded).empty());
+      }
+    }
+  }
+}
+
+}  // namespace daisywind::membership
