--- /dev/null
+++ b/source/unit_tests/standin/prefix_cache_test.cc
@@ -0,0 +1,57 @@
+#include "standin/prefix_cache.h"
+
+#include <doctest/doctest.h>
+
+namespace daisywind::standin {
+
+TEST_CASE("the block used least recently goes first") {
+  auto cache = prefix_cache(2, true);
+  cache.Insert({"a"}, {});
+  cache.Insert({"b"}, {});
+  CHECK(cache.Match({"a"}) == 1);
+  cache.Insert({"c"}, {});
+  CHECK(cache.Contains("a"));
+  CHECK_FALSE(cache.Contains("b"));
+  CHECK(cache.events().back().type == cache_event_type::kStored);
+}
+
+TEST_CASE("a match ends at the first missing block") {
+  auto cache = prefix_cache(4, true);
+  cache.Insert({"a", "c"}, {});
+  CHECK(cache.Match({"a", "b", "c"}) == 1);
+}
+
+TEST_CASE("pinned blocks stay until their session is released") {
+  auto cache = prefix_cache(1, true);
+  cache.Insert({"a"}, {});
+  CHECK(cache.Pin("p", {"a"}, 1) == pin_outcome::kPinned);
+  cache.Insert({"b"}, {});
+  CHECK(cache.Contains("a"));
+  CHECK_FALSE(cache.Contains("b"));
+  CHECK(cache.Release("p"));
+  CHECK_FALSE(cache.Release("p"));
+  cache.Insert({"b"}, {});
+  CHECK(cache.Contains("b"));
+}
+
+TEST_CASE("a pin with an old fencing number is refused where it is checked") {
+  for (const auto checks_fencing : {true, false}) {
+    auto cache = prefix_cache(1, checks_fencing);
+    CHECK(cache.Pin("p", {}, 2) == pin_outcome::kPinned);
+    CHECK(cache.Release("p"));
+    const auto late = cache.Pin("p", {}, 1);
+    CHECK((late == pin_outcome::kStaleFence) == checks_fencing);
+    CHECK(cache.SessionCount() == (checks_fencing ? 0 : 1));
+  }
+}
+
+TEST_CASE("a cleared cache keeps its sessions without blocks") {
+  auto cache = prefix_cache(2, true);
+  cache.Insert({"a", "b"}, {});
+  cache.Pin("p", {"a"}, 1);
+  cache.Clear({});
+  CHECK(cache.Sessions().at("p") == 0);
+  CHECK(cache.Release("p"));
+}
+
+}  // namespace daisywind::standin
