--- /dev/null
+++ b/source/core/gateway/problem.cc
@@ -0,0 +1,48 @@
+#include "gateway/problem.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <chrono>
+
+namespace daisywind::gateway {
+namespace {
+
+constexpr std::string_view kTypePrefix = "urn:daisywind:problem:";
+
+auto RetryAfterSeconds(duration wait) -> std::int64_t {
+  const auto rounded = std::chrono::ceil<std::chrono::seconds>(wait).count();
+  return std::max<std::int64_t>(1, rounded);
+}
+
+}  // namespace
+
+auto FromRefusal(const program::problem& refusal) -> problem {
+  auto why = problem{static_cast<unsigned>(program::StatusOf(refusal.reason)),
+                     std::string(program::NameOf(refusal.reason)),
+                     refusal.detail, refusal.result, std::nullopt};
+  if (refusal.retry_after > duration::zero()) {
+    why.retry_after = refusal.retry_after;
+  }
+  return why;
+}
+
+auto ToResponse(const problem& why) -> net::http_response {
+  auto body = boost::json::object{};
+  body["type"] = std::string(kTypePrefix) + why.reason;
+  body["title"] = why.reason;
+  body["status"] = why.status;
+  body["detail"] = why.detail;
+  body["outcome"] = program::NameOf(why.outcome);
+  auto response = net::http_response{
+      why.status,
+      {{"Content-Type", "application/problem+json"},
+       {"Daisywind-Outcome", std::string(program::NameOf(why.outcome))}},
+      boost::json::serialize(body)};
+  if (why.retry_after) {
+    response.headers.push_back(
+        {"Retry-After", std::to_string(RetryAfterSeconds(*why.retry_after))});
+  }
+  return response;
+}
+
+}  // namespace daisywind::gateway
