--- a/source/core/gateway/configuration_adapter.cc
+++ b/source/core/gateway/configuration_adapter.cc
@@ -14,7 +14,7 @@
 namespace asio = boost::asio;
 
 configuration_adapter::configuration_adapter(asio::io_context& context,
-                                             kv::kv_client& service,
+                                             kv::client& service,
                                              peer_network& peers,
                                              admin_answers& answers,
                                              std::uint64_t seed,
@@ -43,12 +43,13 @@
 
 auto configuration_adapter::Execute(const configuration::kv_command& command)
     -> void {
-  asio::co_spawn(context_, service_.Txn(command.request),
-                 [this, id = command.operation](const std::exception_ptr&,
-                                                kv::txn_result result) {
-                   Submit(configuration::kv_result{id, result.how,
-                                                   std::move(result.response)});
-                 });
+  asio::co_spawn(
+      context_, service_.Txn(command.request),
+      [this, id = command.operation](const std::exception_ptr&,
+                                     kv::call_result<kv::txn_response> result) {
+        Submit(configuration::kv_result{id, result.outcome,
+                                        std::move(result.response)});
+      });
 }
 
 auto configuration_adapter::Execute(const configuration::start_watch& command)
@@ -93,18 +94,28 @@
   on_install_(command);
 }
 
+auto configuration_adapter::HandOn(configuration::watch_id id,
+                                   const std::vector<kv::watch_change>& changes)
+    -> void {
+  for (const auto& change : changes) {
+    if (!change.is_deleted && watches_.contains(id)) {
+      Submit(configuration::watch_event{id, change.item});
+    }
+  }
+}
+
 auto configuration_adapter::RunWatch(configuration::start_watch command)
     -> asio::awaitable<void> {
   const auto id = command.watch;
-  auto handler = kv::watch_handler([this, id](const kv::key_value& item) {
-    if (!watches_.contains(id)) {
-      return false;
+  auto opened =
+      co_await service_.Watch(command.key, command.after_revision + 1);
+  while (opened.stream != nullptr && watches_.contains(id)) {
+    const auto changes = co_await opened.stream->Next();
+    if (!changes) {
+      break;
     }
-    Submit(configuration::watch_event{id, item});
-    return watches_.contains(id);
-  });
-  co_await service_.Watch(command.key, command.after_revision + 1,
-                          std::move(handler));
+    HandOn(id, *changes);
+  }
   if (watches_.erase(id) != 0) {
     Submit(configuration::watch_lost{id});
   }
--- a/source/core/gateway/configuration_adapter.h
+++ b/source/core/gateway/configuration_adapter.h
@@ -12,7 +12,7 @@
 #include "configuration/configuration_system.h"
 #include "gateway/admin_api.h"
 #include "gateway/peer_network.h"
-#include "kv/kv_client.h"
+#include "kv/client.h"
 
 namespace daisywind::gateway {
 
@@ -23,7 +23,7 @@
       std::function<void(const configuration::install_version&)>;
 
   configuration_adapter(boost::asio::io_context& context,
-                        kv::kv_client& service,
+                        kv::client& service,
                         peer_network& peers,
                         admin_answers& answers,
                         std::uint64_t seed,
@@ -52,11 +52,13 @@
   auto Execute(const configuration::status_reply& command) -> void;
   auto Execute(const configuration::install_version& command) -> void;
 
+  auto HandOn(configuration::watch_id id,
+              const std::vector<kv::watch_change>& changes) -> void;
   auto RunWatch(configuration::start_watch command)
       -> boost::asio::awaitable<void>;
 
   boost::asio::io_context& context_;
-  kv::kv_client& service_;
+  kv::client& service_;
   peer_network& peers_;
   admin_answers& answers_;
   install_handler on_install_;
--- a/source/core/gateway/lease_keeper.cc
+++ b/source/core/gateway/lease_keeper.cc
@@ -1,5 +1,6 @@
 #include "gateway/lease_keeper.h"
 
+#include <chrono>
 #include <utility>
 
 #include "gateway/process_clock.h"
@@ -11,6 +12,10 @@
 
 constexpr std::string_view kReconcilerKey = "daisywind/reconciler";
 
+auto WholeSeconds(duration time) -> std::int64_t {
+  return std::chrono::ceil<std::chrono::seconds>(time).count();
+}
+
 auto AcquireRequest(const std::string& holder, kv::lease_id lease)
     -> kv::txn_request {
   const auto key = std::string(kReconcilerKey);
@@ -23,7 +28,7 @@
 
 }  // namespace
 
-lease_keeper::lease_keeper(kv::kv_client& client, vm_ref self)
+lease_keeper::lease_keeper(kv::client& client, vm_ref self)
     : client_(client),
       holder_(self.vm.value + "@" + std::to_string(self.run)) {}
 
@@ -31,15 +36,15 @@
     -> asio::awaitable<migration::event> {
   const auto asked = Now();
   if (lease_ == 0) {
-    const auto granted = co_await client_.GrantLease(time_to_live);
-    if (granted.how != kv::outcome::kAnswered || granted.lease == 0) {
+    const auto granted = co_await client_.Grant(WholeSeconds(time_to_live));
+    if (granted.outcome != kv::outcome::kAnswered) {
       co_return migration::lease_unknown{};
     }
-    lease_ = granted.lease;
+    lease_ = granted.response.id;
   }
   auto request = AcquireRequest(holder_, lease_);
   const auto result = co_await client_.Txn(std::move(request));
-  if (result.how != kv::outcome::kAnswered) {
+  if (result.outcome != kv::outcome::kAnswered) {
     // The lease may have ended meanwhile; the next try takes a new one.
     lease_ = 0;
     co_return migration::lease_unknown{};
@@ -63,10 +68,10 @@
     -> asio::awaitable<migration::event> {
   const auto asked = Now();
   const auto kept = co_await client_.KeepAlive(lease_);
-  if (kept.how != kv::outcome::kAnswered) {
+  if (kept.outcome != kv::outcome::kAnswered) {
     co_return migration::lease_unknown{};
   }
-  if (kept.lease == 0) {
+  if (kept.response.ttl_seconds <= 0) {
     lease_ = 0;
     co_return migration::lease_lost{};
   }
@@ -76,7 +81,7 @@
 auto lease_keeper::Release() -> asio::awaitable<void> {
   const auto lease = std::exchange(lease_, 0);
   if (lease != 0) {
-    co_await client_.RevokeLease(lease);
+    co_await client_.Revoke(lease);
   }
 }
 
--- a/source/core/gateway/lease_keeper.h
+++ b/source/core/gateway/lease_keeper.h
@@ -8,7 +8,7 @@
 
 #include "common/ids.h"
 #include "common/time.h"
-#include "kv/kv_client.h"
+#include "kv/client.h"
 #include "migration/events.h"
 
 namespace daisywind::gateway {
@@ -17,7 +17,7 @@
 // revision at which the key was created, so that it grows with each holder.
 class lease_keeper {
  public:
-  lease_keeper(kv::kv_client& client, vm_ref self);
+  lease_keeper(kv::client& client, vm_ref self);
 
   // Creates the key under a new lease, unless another VM holds it.
   auto Acquire(duration time_to_live)
@@ -34,7 +34,7 @@
   auto Granted(std::uint64_t fence, instant asked, duration time_to_live)
       -> migration::event;
 
-  kv::kv_client& client_;
+  kv::client& client_;
   std::string holder_;
   kv::lease_id lease_ = 0;
 };
--- a/source/core/gateway/membership_adapter.cc
+++ b/source/core/gateway/membership_adapter.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <chrono>
 #include <optional>
 #include <string>
 #include <utility>
@@ -54,7 +55,7 @@
 }  // namespace
 
 membership_adapter::membership_adapter(asio::io_context& context,
-                                       kv::kv_client& service,
+                                       kv::client& service,
                                        peer_network& peers,
                                        std::uint64_t seed,
                                        membership_handlers handlers)
@@ -120,8 +121,9 @@
 auto membership_adapter::Execute(const membership::withdraw_lease&) -> void {
   const auto lease = std::exchange(lease_, 0);
   if (lease != 0) {
-    asio::co_spawn(context_, service_.RevokeLease(lease),
-                   [](const std::exception_ptr&, const kv::lease_result&) {});
+    asio::co_spawn(
+        context_, service_.Revoke(lease),
+        [](const std::exception_ptr&, const kv::call_result<kv::revision>&) {});
   }
 }
 
@@ -133,26 +135,28 @@
     -> asio::awaitable<void> {
   if (lease_ != 0) {
     const auto kept = co_await service_.KeepAlive(lease_);
-    if (kept.how == kv::outcome::kAnswered && kept.lease != 0) {
+    if (kept.outcome == kv::outcome::kAnswered &&
+        kept.response.ttl_seconds > 0) {
       co_return;
     }
     lease_ = 0;
   }
-  const auto granted = co_await service_.GrantLease(time_to_live);
-  if (granted.how != kv::outcome::kAnswered || granted.lease == 0) {
+  const auto granted = co_await service_.Grant(
+      std::chrono::ceil<std::chrono::seconds>(time_to_live).count());
+  if (granted.outcome != kv::outcome::kAnswered) {
     Submit(membership::kv_unavailable{});
     co_return;
   }
   auto request = kv::txn_request{};
   request.success.emplace_back(
       kv::put_request{std::string(kMemberPrefix) + self.ref.vm.value,
-                      ToValue(self), granted.lease});
+                      ToValue(self), granted.response.id});
   const auto written = co_await service_.Txn(std::move(request));
-  if (written.how != kv::outcome::kAnswered) {
+  if (written.outcome != kv::outcome::kAnswered) {
     Submit(membership::kv_unavailable{});
     co_return;
   }
-  lease_ = granted.lease;
+  lease_ = granted.response.id;
 }
 
 auto membership_adapter::Read() -> asio::awaitable<void> {
@@ -160,7 +164,8 @@
   request.success.emplace_back(kv::range_request{
       std::string(kMemberPrefix), std::string(kMemberEnd), 0, false});
   const auto result = co_await service_.Txn(std::move(request));
-  if (result.how != kv::outcome::kAnswered || result.response.ranges.empty()) {
+  if (result.outcome != kv::outcome::kAnswered ||
+      result.response.ranges.empty()) {
     Submit(membership::kv_unavailable{});
     co_return;
   }
--- a/source/core/gateway/membership_adapter.h
+++ b/source/core/gateway/membership_adapter.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "gateway/peer_network.h"
-#include "kv/kv_client.h"
+#include "kv/client.h"
 #include "membership/membership_system.h"
 
 namespace daisywind::gateway {
@@ -25,7 +25,7 @@
 class membership_adapter {
  public:
   membership_adapter(boost::asio::io_context& context,
-                     kv::kv_client& service,
+                     kv::client& service,
                      peer_network& peers,
                      std::uint64_t seed,
                      membership_handlers handlers);
@@ -55,7 +55,7 @@
   auto Read() -> boost::asio::awaitable<void>;
 
   boost::asio::io_context& context_;
-  kv::kv_client& service_;
+  kv::client& service_;
   peer_network& peers_;
   membership_handlers handlers_;
   membership::membership_system system_;
--- a/source/core/gateway/node.cc
+++ b/source/core/gateway/node.cc
@@ -31,7 +31,7 @@
 #include "gateway/program_adapter.h"
 #include "gateway/reply_box.h"
 #include "gateway/scheduler_adapter.h"
-#include "kv/kv_client.h"
+#include "kv/client.h"
 #include "membership_wire/codec.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
@@ -78,6 +78,12 @@
   return options;
 }
 
+auto KeyValueOptions() -> kv::client_options {
+  auto options = kv::client_options{};
+  options.call_timeout = kServiceBound;
+  return options;
+}
+
 auto AttemptBounds(const settings& values) -> attempt_bounds {
   return {std::chrono::milliseconds(values.Get(kCallTimeoutMs)),
           std::chrono::milliseconds(values.Get(kTokenIdleTimeoutMs))};
@@ -90,6 +96,7 @@
 
   auto Start() -> bool;
   auto Stop(std::function<void()> on_stopped) -> void;
+  auto Halt() -> void;
 
   auto OnEnvelope(const wire::envelope& message) -> bool;
   auto OnMembers(const membership::member_list& members) -> void;
@@ -118,7 +125,7 @@
   std::uint64_t seed = SystemSeed();
   metrics series;
   net::http_client client;
-  kv::kv_client service;
+  kv::client service;
   endpoint_directory endpoints;
   tenant_keys keys;
   reply_table replies;
@@ -149,9 +156,9 @@
       values(given),
       self{vm_id(given.Get(kVm)), UnixUs()},
       client(io),
-      service(client,
+      service(io,
               Addresses(given.GetList(kKeyValueAddresses)),
-              kServiceBound),
+              KeyValueOptions()),
       replies(io),
       answers(io),
       peers(
@@ -385,7 +392,9 @@
                   static_cast<double>(system.Number()));
   series.SetGauge("daisywind_members", {}, static_cast<double>(live.size()));
   const auto& counts = service.counts();
-  const auto kv_calls = counts.txns + counts.leases + counts.watches;
+  const auto kv_calls = counts.ranges + counts.puts + counts.txns +
+                        counts.grants + counts.keep_alives + counts.revokes +
+                        counts.watches;
   series.SetGauge("daisywind_key_value_calls", {},
                   static_cast<double>(kv_calls));
   for (const auto& [kind, count] : peers.Traffic()) {
@@ -450,6 +459,16 @@
   asio::co_spawn(context, Drain(std::move(on_stopped)), asio::detached);
 }
 
+auto node::parts::Halt() -> void {
+  is_stopping = true;
+  is_stopped = true;
+  caller_server.StopAccepting();
+  admin_server.StopAccepting();
+  caller_server.CloseAll();
+  admin_server.CloseAll();
+  peers.Close();
+}
+
 auto node::parts::Drain(std::function<void()> on_stopped)
     -> asio::awaitable<void> {
   const auto end = Now() + std::chrono::milliseconds(values.Get(kDrainBoundMs));
@@ -483,6 +502,10 @@
   return parts_->Start();
 }
 
+auto node::Halt() -> void {
+  parts_->Halt();
+}
+
 auto node::Stop(std::function<void()> on_stopped) -> void {
   parts_->Stop(std::move(on_stopped));
 }
--- a/source/core/gateway/node.h
+++ b/source/core/gateway/node.h
@@ -29,6 +29,10 @@
   // passed. A second call ends it at once.
   auto Stop(std::function<void()> on_stopped) -> void;
 
+  // Ends everything at once, without a word to callers or peers, as a crash
+  // does. The object must outlive the context's work all the same.
+  auto Halt() -> void;
+
  private:
   struct parts;
   std::unique_ptr<parts> parts_;
--- a/source/core/gateway/peer_network.cc
+++ b/source/core/gateway/peer_network.cc
@@ -59,7 +59,7 @@
 auto peer_network::SendToAddress(const std::string& address,
                                  wire::protocol kind,
                                  std::string payload) -> bool {
-  auto* link = LinkTo(address);
+  auto* link = is_closed_ ? nullptr : LinkTo(address);
   if (link == nullptr) {
     return false;
   }
@@ -72,6 +72,7 @@
 }
 
 auto peer_network::Close() -> void {
+  is_closed_ = true;
   server_.Close();
   links_.clear();
 }
--- a/source/core/gateway/peer_network.h
+++ b/source/core/gateway/peer_network.h
@@ -80,6 +80,7 @@
 
   boost::asio::io_context& context_;
   vm_ref self_;
+  bool is_closed_ = false;
   envelope_handler on_message_;
   peer_lost_handler on_lost_;
   net::frame_server server_;
--- a/source/core/net/http_server.cc
+++ b/source/core/net/http_server.cc
@@ -371,6 +371,13 @@
   }
 }
 
+auto http_server::CloseAll() -> void {
+  state_->is_closing = true;
+  for (auto* peer : state_->connections) {
+    peer->Abort();
+  }
+}
+
 auto http_server::ConnectionCount() const -> std::size_t {
   return state_->connections.size();
 }
--- a/source/core/net/http_server.h
+++ b/source/core/net/http_server.h
@@ -91,6 +91,9 @@
   // close after their response.
   auto CloseIdle() -> void;
 
+  // Closes every connection at once, also in the middle of a response.
+  auto CloseAll() -> void;
+
   // Number of open connections.
   [[nodiscard]] auto ConnectionCount() const -> std::size_t;
 
--- a/source/unit_tests/gateway/site_fixture.cc
+++ b/source/unit_tests/gateway/site_fixture.cc
@@ -7,7 +7,7 @@
 #include "common/digest.h"
 #include "configuration/storage.h"
 #include "gateway/gateway_settings.h"
-#include "kv/kv_client.h"
+#include "kv/client.h"
 #include "standin/role.h"
 
 namespace daisywind::gateway {
@@ -150,13 +150,13 @@
 }
 
 auto site::WriteConfiguration() -> asio::awaitable<void> {
-  auto service = kv::kv_client(client_, {{kLoopback, kv_port_}}, 2s);
+  auto service = kv::client(context_, {{kLoopback, kv_port_}}, {});
   auto document = configuration::ParseDocument(Document());
   REQUIRE(document);
   const auto info = configuration::version_info{};
   for (const auto& request : configuration::InitialRequests(*document, info)) {
     const auto result = co_await service.Txn(request);
-    REQUIRE(result.how == kv::outcome::kAnswered);
+    REQUIRE(result.outcome == kv::outcome::kAnswered);
   }
 }
 
--- a/source/unit_tests/gateway/site_fixture.h
+++ b/source/unit_tests/gateway/site_fixture.h
@@ -52,7 +52,7 @@
   auto WaitReady() -> boost::asio::awaitable<void>;
 
   // Ends a node as a crash does: without a word to anybody.
-  auto Kill(std::size_t node) -> void { nodes_.at(node).process.reset(); }
+  auto Kill(std::size_t node) -> void { nodes_.at(node).process->Halt(); }
 
   [[nodiscard]] auto engine_ports() const -> const std::vector<std::uint16_t>& {
     return engine_ports_;
