Add the policy experiments with a fixed workload

The scheduler before one fake of the endpoints: batching engines with a limited prefix cache, lagging reports, late cache events with gaps, the link between regions. One processor does prefill and decode, so recomputed prompts delay all running calls. Open-loop arrivals; programs that fail count as infinitely late.

--- /dev/null
+++ b/source/core/experiment/benchmark.cc
@@ -0,0 +1,105 @@
+#include "experiment/benchmark.h"
+
+#include <algorithm>
+#include <chrono>
+#include <deque>
+#include <string>
+#include <vector>
+
+#include "common/random.h"
+#include "experiment/named_policy.h"
+#include "policy/scheduler.h"
+
+namespace daisywind::experiment {
+namespace {
+
+constexpr auto kSeed = std::uint64_t{1};
+constexpr auto kCapacity = 8U;
+constexpr auto kPrograms = std::uint64_t{5000};
+constexpr auto kBlocks = 64U;
+constexpr auto kSharedBlocks = 16U;
+constexpr auto kTokensPerBlock = 256U;
+constexpr auto kLoadedPart = 0.9;
+
+auto MakeEndpoints(std::size_t count) -> std::vector<policy::endpoint_info> {
+  auto out = std::vector<policy::endpoint_info>{};
+  for (auto i = std::size_t{0}; i < count; ++i) {
+    auto info = policy::endpoint_info{};
+    info.id = endpoint_id{"endpoint-" + std::to_string(i)};
+    info.region = region_id{"r"};
+    info.models = {model_id{"agent"}};
+    info.capacity = kCapacity;
+    out.push_back(info);
+  }
+  return out;
+}
+
+auto MakeCall(policy::call_ref ref, random_source& random)
+    -> policy::call_request {
+  const auto program = random.Below(kPrograms);
+  auto call = policy::call_request{};
+  call.call = ref;
+  call.program = {program, program};
+  call.tenant = tenant_id{"t"};
+  call.target = "agent";
+  call.prompt_tokens = kBlocks * kTokensPerBlock;
+  call.is_idempotent = true;
+  call.is_continuation = true;
+  for (auto i = 0U; i < kBlocks; ++i) {
+    const auto stream = i < kSharedBlocks ? kPrograms : program;
+    call.prefix.push_back(
+        {stream * kBlocks + i + 1, (i + 1) * kTokensPerBlock});
+  }
+  return call;
+}
+
+auto Summarise(std::vector<double>& times) -> decision_times {
+  constexpr auto kP99 = 0.99;
+  std::ranges::sort(times);
+  auto sum = 0.0;
+  for (const auto value : times) {
+    sum += value;
+  }
+  const auto count = static_cast<double>(times.size());
+  return {times.size(), sum / count, times[times.size() / 2],
+          times[static_cast<std::size_t>(count * kP99)]};
+}
+
+}  // namespace
+
+auto MeasureDecisions(std::size_t endpoints, std::size_t decisions)
+    -> decision_times {
+  using clock = std::chrono::steady_clock;
+  using microseconds = std::chrono::duration<double, std::micro>;
+  auto options = *FindPolicy("daisywind");
+  options.region = region_id{"r"};
+  auto subject = policy::scheduler{options, kSeed};
+  auto now = instant{1s};
+  subject.SetEndpoints(MakeEndpoints(endpoints), now);
+  auto random = random_source{kSeed};
+  auto in_flight = std::deque<policy::call_ref>{};
+  const auto target = static_cast<std::size_t>(kLoadedPart * kCapacity *
+                                               static_cast<double>(endpoints));
+  auto times = std::vector<double>{};
+  for (auto ref = policy::call_ref{1}; times.size() < decisions; ++ref) {
+    now += 1ms;
+    const auto call = MakeCall(ref, random);
+    const auto start = clock::now();
+    subject.Enqueue(call, now);
+    const auto made = subject.Tick(now);
+    const auto spent = microseconds{clock::now() - start}.count();
+    for (const auto& order : made.dispatches) {
+      in_flight.push_back(order.call);
+    }
+    if (in_flight.size() < target) {
+      continue;
+    }
+    times.push_back(spent);
+    subject.OnFinished(in_flight.front(), policy::finish_kind::kCompleted,
+                       {call.prompt_tokens, 0, 1}, now);
+    in_flight.pop_front();
+  }
+  return Summarise(times);
+}
+
+}  // namespace daisywind::experiment
--- /dev/null
+++ b/source/core/experiment/program_plan.cc
@@ -0,0 +1,107 @@
+#include "experiment/program_plan.h"
+
+namespace daisywind::experiment {
+namespace {
+
+auto Draw(const range& values, random_source& random) -> double {
+  return values.low + (values.high - values.low) * random.Unit();
+}
+
+auto DrawCount(const range& values, random_source& random) -> std::uint32_t {
+  return static_cast<std::uint32_t>(Draw(values, random));
+}
+
+auto Milliseconds(double value) -> duration {
+  constexpr auto kMicrosecondsPerMillisecond = 1000.0;
+  return duration{
+      static_cast<duration::rep>(value * kMicrosecondsPerMillisecond)};
+}
+
+auto DrawChat(const class_shape& shape, random_source& random) -> program_step {
+  auto out = program_step{};
+  out.kind = step_kind::kChat;
+  out.new_tokens = DrawCount(shape.new_tokens, random);
+  out.output_tokens = DrawCount(shape.output_tokens, random);
+  return out;
+}
+
+auto DrawTool(const class_shape& shape, random_source& random) -> program_step {
+  auto out = program_step{};
+  out.kind = step_kind::kTool;
+  out.length = Milliseconds(Draw(shape.tool_ms, random));
+  out.is_idempotent = random.Unit() >= shape.non_idempotent_part;
+  return out;
+}
+
+auto DrawFork(const class_shape& shape, random_source& random) -> program_step {
+  auto out = program_step{};
+  out.kind = step_kind::kFork;
+  for (auto i = 0U; i < shape.sub_agents; ++i) {
+    out.branches.push_back({DrawChat(shape, random), DrawTool(shape, random),
+                            DrawChat(shape, random)});
+  }
+  return out;
+}
+
+auto DrawTurns(const class_shape& shape, random_source& random)
+    -> std::uint32_t {
+  const auto stop = 1.0 / shape.mean_turns;
+  auto turns = std::uint32_t{1};
+  while (turns < shape.max_turns && random.Unit() >= stop) {
+    ++turns;
+  }
+  return turns;
+}
+
+auto AddTurn(const class_shape& shape,
+             random_source& random,
+             std::vector<program_step>& steps) -> void {
+  if (!steps.empty() && random.Unit() < shape.think_part) {
+    auto pause = program_step{};
+    pause.kind = step_kind::kThink;
+    pause.length = Milliseconds(random.Exponential(shape.mean_think_ms));
+    steps.push_back(pause);
+  }
+  steps.push_back(DrawChat(shape, random));
+  if (random.Unit() < shape.tool_part) {
+    steps.push_back(DrawTool(shape, random));
+    steps.push_back(DrawChat(shape, random));
+  }
+  if (random.Unit() < shape.sub_agent_part) {
+    steps.push_back(DrawFork(shape, random));
+    steps.push_back(DrawChat(shape, random));
+  }
+}
+
+auto DrawClass(const deployment_shape& deployment, random_source& random)
+    -> std::size_t {
+  auto total = 0.0;
+  for (const auto& shape : deployment.classes) {
+    total += shape.weight;
+  }
+  auto left = total * random.Unit();
+  for (auto i = std::size_t{0}; i + 1 < deployment.classes.size(); ++i) {
+    left -= deployment.classes[i].weight;
+    if (left < 0.0) {
+      return i;
+    }
+  }
+  return deployment.classes.size() - 1;
+}
+
+}  // namespace
+
+auto DrawProgram(const deployment_shape& deployment, random_source& random)
+    -> program_plan {
+  auto out = program_plan{};
+  out.class_index = DrawClass(deployment, random);
+  const auto& shape = deployment.classes[out.class_index];
+  out.shared_prompt = random.Below(shape.shared_prompts);
+  const auto turns = DrawTurns(shape, random);
+  for (auto i = 0U; i < turns; ++i) {
+    AddTurn(shape, random, out.steps);
+  }
+  return out;
+}
+
+}  // namespace daisywind::experiment
--- /dev/null
+++ b/source/daisywind_load/commands.h
@@ -0,0 +1,16 @@
+// The subcommands of daisywind-load. Each takes the command line from its own
+// name on and returns the exit status of the process.
+#ifndef DAISYWIND_LOAD_COMMANDS_H_
+#define DAISYWIND_LOAD_COMMANDS_H_
+
+namespace daisywind {
+
+// Runs policy experiments from their JSON files.
+auto RunExperimentCommand(int argc, char** argv) -> int;
+
+// Prints the time of scheduling decisions.
+auto RunBenchmarkCommand(int argc, char** argv) -> int;
+
+}  // namespace daisywind
+
+#endif  // DAISYWIND_LOAD_COMMANDS_H_
--- /dev/null
+++ b/source/unit_tests/experiment/measures_test.cc
@@ -0,0 +1,40 @@
+#include "experiment/measures.h"
+
+#include <doctest/doctest.h>
+
+#include <cmath>
+
+namespace daisywind::experiment {
+namespace {
+
+auto MakeRecord(duration latency, program_outcome outcome) -> program_record {
+  auto out = program_record{};
+  out.latency = latency;
+  out.outcome = outcome;
+  out.is_measured = true;
+  return out;
+}
+
+}  // namespace
+
+TEST_CASE("programs that don't finish count as infinitely late") {
+  const auto records =
+      std::vector<program_record>{MakeRecord(1s, program_outcome::kDone),
+                                  MakeRecord(2s, program_outcome::kDone),
+                                  MakeRecord(1s, program_outcome::kUnfinished)};
+  const auto summary = SummariseLatency(records, {});
+  CHECK(summary.p50 == 2.0);
+  CHECK(std::isinf(summary.p95));
+}
+
+TEST_CASE("refused programs and the warm-up are left out") {
+  auto warm_up = MakeRecord(9s, program_outcome::kDone);
+  warm_up.is_measured = false;
+  const auto records = std::vector<program_record>{
+      MakeRecord(1s, program_outcome::kDone), warm_up,
+      MakeRecord(9s, program_outcome::kRefused)};
+  CHECK(SummariseLatency(records, {}) == latency_summary{1, 1.0, 1.0, 1.0});
+  CHECK(CountOutcome(records, program_outcome::kRefused) == 1);
+}
+
+}  // namespace daisywind::experiment
