Add the fault matrix of programs with its checker

Cause: the promises on programs are to be proved by every fault at every step. Several program systems run against fake endpoints and links under an injected clock; a caller retries as the outcomes allow; a checker that knows nothing of the code holds the outside history against the promises. Seven deliberate breaks of the protocol are each caught by the promise that they break.

Found by it and mended here: engine memory of a program both of whose copies are lost was never released (sessions that nobody knows are now released); a turn overtook an earlier one in doubt whose caller had not been told; a witness took over from an owner that was stopping gracefully (leaving VMs now stay in the member list).

--- /dev/null
+++ b/source/core/fault_matrix/checker.cc
@@ -0,0 +1,233 @@
+#include "fault_matrix/checker.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace daisywind::fault_matrix {
+namespace {
+
+using program::outcome;
+using program::refusal_reason;
+
+using turn_name = std::pair<branch_id, program::turn_number>;
+
+// What became of one request of a caller.
+struct request_fate {
+  instant sent{};
+  bool is_not_run = false;
+};
+
+using violations = std::vector<violation>;
+
+auto TextOf(const turn_name& turn) -> std::string {
+  return turn.first.value + "/" + std::to_string(turn.second);
+}
+
+auto CheckAtMostOnce(const case_history& history, violations& found) -> void {
+  auto runs = std::map<std::string, int>{};
+  for (const auto& event : history.events) {
+    const auto counts = event.kind == outside_kind::kRunStarted &&
+                        !event.is_chat && !event.key.empty();
+    if (counts && ++runs[event.key] > 1) {
+      found.push_back({promise_kind::kAtMostOnce, event.key + " ran again"});
+    }
+  }
+}
+
+auto FatesByTurn(const case_history& history)
+    -> std::map<turn_name, std::map<std::uint64_t, request_fate>> {
+  auto fates = std::map<turn_name, std::map<std::uint64_t, request_fate>>{};
+  for (const auto& event : history.events) {
+    auto& requests = fates[{event.branch, event.turn}];
+    if (event.kind == outside_kind::kRequestSent) {
+      requests[event.request].sent = event.at;
+    }
+    const auto is_not_run = event.kind == outside_kind::kRefused &&
+                            event.result == outcome::kNotRun;
+    if (is_not_run) {
+      requests[event.request].is_not_run = true;
+    }
+  }
+  return fates;
+}
+
+// A run belongs to some request that was sent before it. If each of those was
+// answered by "not run", at least one answer was wrong.
+auto CheckTruthfulRefusals(const case_history& history, violations& found)
+    -> void {
+  const auto fates = FatesByTurn(history);
+  for (const auto& event : history.events) {
+    const auto counts =
+        event.kind == outside_kind::kRunStarted && !event.is_chat;
+    const auto requests = fates.find({event.branch, event.turn});
+    if (!counts || requests == fates.end()) {
+      continue;
+    }
+    const auto is_owned = std::any_of(
+        requests->second.begin(), requests->second.end(),
+        [&event](const auto& entry) {
+          return entry.second.sent <= event.at && !entry.second.is_not_run;
+        });
+    if (!is_owned) {
+      found.push_back({promise_kind::kTruthfulRefusal,
+                       event.key + " ran though refused as not run"});
+    }
+  }
+}
+
+auto CheckWholeAnswers(const case_history& history, violations& found) -> void {
+  auto texts = std::set<std::pair<turn_name, std::string>>{};
+  for (const auto& event : history.events) {
+    const auto turn = turn_name{event.branch, event.turn};
+    if (event.kind == outside_kind::kRunStarted) {
+      texts.emplace(turn, event.text);
+    }
+    const auto is_wrong = event.kind == outside_kind::kAnswered &&
+                          texts.count({turn, event.text}) == 0;
+    if (is_wrong) {
+      found.push_back({promise_kind::kWholeAnswer,
+                       TextOf(turn) + " was answered \"" + event.text + "\""});
+    }
+  }
+}
+
+auto CheckHistoryKept(const case_history& history, violations& found) -> void {
+  static constexpr auto kWrong = std::to_array<refusal_reason>(
+      {refusal_reason::kHistoryMismatch, refusal_reason::kTurnConflict,
+       refusal_reason::kKeyReused, refusal_reason::kBranchNotFound,
+       refusal_reason::kWrongTenant, refusal_reason::kBranchEnded});
+  for (const auto& event : history.events) {
+    const auto is_wrong =
+        event.kind == outside_kind::kRefused &&
+        std::find(kWrong.begin(), kWrong.end(), event.reason) != kWrong.end();
+    if (is_wrong) {
+      found.push_back(
+          {promise_kind::kHistory, TextOf({event.branch, event.turn}) + ": " +
+                                       std::string{NameOf(event.reason)}});
+    }
+  }
+}
+
+auto CheckBudget(const case_history& history, violations& found) -> void {
+  auto tokens = std::int64_t{0};
+  auto calls = std::int64_t{0};
+  for (const auto& event : history.events) {
+    if (event.kind == outside_kind::kRunStarted) {
+      tokens += event.tokens;
+      ++calls;
+    }
+  }
+  if (tokens > history.limits.tokens || calls > history.limits.calls) {
+    found.push_back({promise_kind::kBudget,
+                     std::to_string(tokens) + " tokens and " +
+                         std::to_string(calls) + " calls were used"});
+  }
+}
+
+// The first run of a turn must come after the last turn's answer is out. A turn
+// whose caller was told "unknown" may still run late.
+auto CheckTurnOrder(const case_history& history, violations& found) -> void {
+  auto first_start = std::map<turn_name, instant>{};
+  auto first_finish = std::map<turn_name, instant>{};
+  auto given_up = std::set<turn_name>{};
+  for (const auto& event : history.events) {
+    const auto turn = turn_name{event.branch, event.turn};
+    if (event.kind == outside_kind::kRunStarted) {
+      first_start.emplace(turn, event.at);
+    }
+    if (event.kind == outside_kind::kRunFinished) {
+      first_finish.emplace(turn, event.at);
+    }
+    const auto is_given_up = event.kind == outside_kind::kRefused &&
+                             event.result != outcome::kNotRun;
+    if (is_given_up) {
+      given_up.insert(turn);
+    }
+  }
+  for (const auto& [turn, start] : first_start) {
+    const auto before = turn_name{turn.first, turn.second - 1};
+    const auto finish = first_finish.find(before);
+    const auto has_begun = first_start.count(before) != 0;
+    const auto is_excused = turn.second <= 1 || given_up.count(before) != 0;
+    const auto is_late =
+        !has_begun || finish == first_finish.end() || finish->second > start;
+    if (!is_excused && is_late) {
+      found.push_back({promise_kind::kTurnOrder,
+                       TextOf(turn) + " ran before " + TextOf(before)});
+    }
+  }
+}
+
+auto CheckEnd(const case_history& history, violations& found) -> void {
+  if (history.held_sessions != 0) {
+    found.push_back(
+        {promise_kind::kMemoryReleased,
+         std::to_string(history.held_sessions) + " sessions are still held"});
+  }
+  const auto has = [&history](outside_kind kind) {
+    return std::any_of(
+        history.events.begin(), history.events.end(),
+        [kind](const outside_event& event) { return event.kind == kind; });
+  };
+  const auto is_ended = has(outside_kind::kProgramEnded);
+  const auto is_refused = has(outside_kind::kProgramRefused);
+  if (!is_ended && (history.must_finish || !is_refused)) {
+    auto detail = std::string{"the program did not finish"};
+    for (const auto& event : history.events) {
+      if (event.kind == outside_kind::kProgramRefused) {
+        detail += ": " + std::string{NameOf(event.reason)};
+      }
+    }
+    found.push_back({promise_kind::kFinishes, detail});
+  }
+}
+
+// Counts the calls that ended in doubt, not the refusals on the way.
+auto CheckFewUnknown(const case_history& history, violations& found) -> void {
+  if (!history.must_finish) {
+    return;
+  }
+  auto unknown = std::set<turn_name>{};
+  for (const auto& event : history.events) {
+    const auto turn = turn_name{event.branch, event.turn};
+    const auto is_unknown = event.kind == outside_kind::kRefused &&
+                            event.result == outcome::kUnknown;
+    if (is_unknown) {
+      unknown.insert(turn);
+    }
+    if (event.kind == outside_kind::kAnswered) {
+      unknown.erase(turn);
+    }
+  }
+  if (unknown.size() > history.allowed_unknown) {
+    found.push_back({promise_kind::kFewUnknown, std::to_string(unknown.size()) +
+                                                    " calls ended as unknown"});
+  }
+}
+
+}  // namespace
+
+auto NameOf(promise_kind promise) -> std::string_view {
+  static constexpr auto kNames = std::to_array<std::string_view>(
+      {"at_most_once", "truthful_refusal", "whole_answer", "history", "budget",
+       "turn_order", "memory_released", "finishes", "few_unknown"});
+  return kNames.at(static_cast<std::size_t>(promise));
+}
+
+auto CheckHistory(const case_history& history) -> std::vector<violation> {
+  auto found = violations{};
+  CheckAtMostOnce(history, found);
+  CheckTruthfulRefusals(history, found);
+  CheckWholeAnswers(history, found);
+  CheckHistoryKept(history, found);
+  CheckBudget(history, found);
+  CheckTurnOrder(history, found);
+  CheckEnd(history, found);
+  CheckFewUnknown(history, found);
+  return found;
+}
+
+}  // namespace daisywind::fault_matrix
--- a/source/core/program/calls.cc
+++ b/source/core/program/calls.cc
@@ -156,8 +156,11 @@
   if (copy.live.count({branch.name, turn - 1}) != 0) {
     return false;
   }
+  // Until its caller knows that it is in doubt, its end may still be reported.
+  const auto is_told = copy.told_in_doubt.count({branch.name, turn - 1}) != 0 ||
+                       tables.now >= copy.activated + tables.options.gap_bound;
   const auto is_given_up =
-      before.phase == call_phase::kIntended && !before.is_idempotent;
+      before.phase == call_phase::kIntended && !before.is_idempotent && is_told;
   return before.phase == call_phase::kSettled || is_given_up;
 }
 
--- a/source/core/program/change.cc
+++ b/source/core/program/change.cc
@@ -15,10 +15,16 @@
   return vm == tables.self || FindMember(tables.members, vm) != nullptr;
 }
 
+auto IsLeaving(const system_tables& tables, const vm_ref& vm) -> bool {
+  const auto* found = FindMember(tables.members, vm);
+  return found != nullptr && found->is_leaving;
+}
+
 auto IsUsable(const system_tables& tables,
               const std::set<vm_ref>& suspects,
               const vm_ref& vm) -> bool {
-  return !vm.empty() && IsLive(tables, vm) && suspects.count(vm) == 0;
+  return !vm.empty() && IsLive(tables, vm) && !IsLeaving(tables, vm) &&
+         suspects.count(vm) == 0;
 }
 
 // Excludes suspects at first; a suspect that is live is better than no replica.
@@ -248,13 +254,17 @@
   if (copy.role == copy_role::kWitness) {
     return lost.count(copy.replicas.owner) != 0;
   }
-  if (!lost.empty()) {
+  const auto leaves = IsLeaving(tables, copy.replicas.witness) ||
+                      IsLeaving(tables, copy.replicas.arbiter);
+  if (!lost.empty() || leaves) {
     return true;
   }
   const auto present = MembersOf(copy.replicas).size();
-  const auto others = std::count_if(
-      tables.members.members.begin(), tables.members.members.end(),
-      [&](const member& item) { return item.vm != tables.self; });
+  const auto others =
+      std::count_if(tables.members.members.begin(),
+                    tables.members.members.end(), [&](const member& item) {
+                      return item.vm != tables.self && !item.is_leaving;
+                    });
   constexpr auto kFullSet = std::size_t{3};
   return present < kFullSet && static_cast<std::size_t>(others) >= present;
 }
--- a/source/core/program/entry.cc
+++ b/source/core/program/entry.cc
@@ -111,8 +111,8 @@
 
 // A repeated request to end a program that is over has had its effect.
 auto EndOnOverProgram(system_tables& tables, entry_request& item) -> void {
-  const auto wants_end = item.kind == entry_kind::kControl &&
-                         item.action == control_action::kEnd;
+  const auto wants_end =
+      item.kind == entry_kind::kControl && item.action == control_action::kEnd;
   if (!wants_end) {
     GiveUp(tables, item, refusal_reason::kProgramEnded);
     return;
--- a/source/core/program/epoch.cc
+++ b/source/core/program/epoch.cc
@@ -61,6 +61,7 @@
     copy.is_provisional = true;
     copy.sequence = 0;
     copy.outbox.clear();
+    copy.early.clear();
     ArmCopy(tables, copy, tables.now + tables.options.resend_after);
     return;
   }
@@ -69,6 +70,8 @@
 
 auto Activate(system_tables& tables, program_copy& copy) -> void {
   copy.is_active = true;
+  copy.activated = tables.now;
+  copy.told_in_doubt.clear();
   if (!copy.installer.empty()) {
     Send(tables, copy.installer,
          install_ack{copy.state.id, copy.replicas.epoch});
@@ -204,6 +207,7 @@
   copy.sequence = 0;
   copy.acknowledged = 0;
   copy.outbox.clear();
+  copy.early.clear();
   copy.inactive_since = tables.now;
   copy.last_activity = tables.now;
   for (auto& [key, call] : copy.live) {
--- a/source/core/program/events.h
+++ b/source/core/program/events.h
@@ -54,7 +54,8 @@
   message body;
 };
 
-// The live VMs, with the own one.
+// The live VMs, with the own one. A VM that is stopping gracefully stays in the
+// list as leaving until it is gone.
 struct members_changed {
   std::vector<member> members;
 };
@@ -116,6 +117,13 @@
   endpoint_id endpoint;
 };
 
+// The programs for which an engine holds memory. One VM lists each engine
+// from time to time; what nobody knows is released.
+struct sessions_listed {
+  endpoint_id endpoint;
+  std::vector<program_id> programs;
+};
+
 // Hand over all programs; see program_system::IsDrained.
 struct shutdown_requested {};
 
@@ -133,6 +141,7 @@
                            lookup_result,
                            release_confirmed,
                            endpoint_restarted,
+                           sessions_listed,
                            shutdown_requested>;
 
 }  // namespace daisywind::program
--- a/source/core/program/lifecycle.cc
+++ b/source/core/program/lifecycle.cc
@@ -171,6 +171,7 @@
   if (MayAct(copy) && !copy.state.is_ended && IsExpired(tables, copy)) {
     EndProgram(tables, copy);
   }
+  AdmitWaiting(tables, copy);
   CheckDeadlines(tables, copy);
   if (FindOwned(tables, program) != nullptr) {
     CheckEnding(tables, copy);
@@ -190,17 +191,16 @@
 }
 
 auto DueTime(const system_tables& tables, const program_copy& copy) -> instant {
-  const auto limit =
-      std::min(copy.last_activity + tables.options.idle_limit,
-               copy.opened + copy.state.limits.time);
+  const auto limit = std::min(copy.last_activity + tables.options.idle_limit,
+                              copy.opened + copy.state.limits.time);
   return copy.state.is_ended ? copy.last_activity : limit;
 }
 
 auto IsLost(const system_tables& tables, const program_copy& copy) -> bool {
   const auto can_act = copy.role == copy_role::kOwner && MayAct(copy);
-  return !can_act && tables.now >= DueTime(tables, copy) +
-                                       kLostAfterAudits *
-                                           tables.options.audit_period;
+  return !can_act &&
+         tables.now >= DueTime(tables, copy) +
+                           kLostAfterAudits * tables.options.audit_period;
 }
 
 // The members that have not answered for too long.
--- a/source/core/program/placement.cc
+++ b/source/core/program/placement.cc
@@ -33,7 +33,7 @@
   auto best = vm_ref{};
   auto best_penalty = 0;
   for (const auto& candidate : ranked) {
-    if (Contains(excluded, candidate.vm)) {
+    if (candidate.is_leaving || Contains(excluded, candidate.vm)) {
       continue;
     }
     const auto value = penalty(candidate);
--- a/source/core/program/program_options.h
+++ b/source/core/program/program_options.h
@@ -46,6 +46,8 @@
   // A peer that does not acknowledge for this time is taken for lost.
   duration witness_silence = 2s;
   duration release_period = 1s;
+  // A program that nobody has known for this time has lost all its copies.
+  duration orphan_bound = 60s;
   // A replaced owner reports the end of its attempts for this time.
   duration report_bound = 60s;
   // A witness asks the owner about a program that should have ended.
--- a/source/core/program/program_system.cc
+++ b/source/core/program/program_system.cc
@@ -9,6 +9,7 @@
 #include "program/entry.h"
 #include "program/epoch.h"
 #include "program/lifecycle.h"
+#include "program/orphans.h"
 #include "program/release.h"
 #include "program/replication.h"
 #include "program/replies.h"
@@ -48,6 +49,7 @@
   if (item.replicas.epoch == 0) {
     return;
   }
+  ForgetOrphan(tables, item.program);
   if (item.replicas.epoch == kOverEpoch) {
     DropProgram(tables, item.program, item.replicas);
     return;
@@ -207,6 +209,9 @@
   auto operator()(const endpoint_restarted& item) const -> void {
     OnEndpointRestarted(tables, item.endpoint);
   }
+  auto operator()(const sessions_listed& item) const -> void {
+    OnSessionsListed(tables, item);
+  }
   auto operator()(const shutdown_requested& /*item*/) const -> void {
     OnShutdown(tables);
   }
--- a/source/core/program/replication.cc
+++ b/source/core/program/replication.cc
@@ -10,6 +10,9 @@
 
 constexpr std::size_t kMaxResentUpdates = 64;
 
+// Updates that overtook others are kept within this distance.
+constexpr std::uint64_t kMaxEarlyUpdates = 64;
+
 // Answers of idempotent calls stay at the owner: they can be made again, and
 // the link to the witness may be narrow.
 auto ForWitness(const program_copy& copy, state_update update) -> state_update {
@@ -22,6 +25,17 @@
   return update;
 }
 
+// Applies what has arrived, as far as nothing before it is missing.
+auto ApplyEarly(system_tables& tables, program_copy& copy) -> void {
+  auto next = copy.early.begin();
+  while (next != copy.early.end() && next->first == copy.sequence + 1) {
+    Apply(next->second, tables.options.bounds, copy.state);
+    copy.sequence = next->first;
+    copy.last_activity = tables.now;
+    next = copy.early.erase(next);
+  }
+}
+
 }  // namespace
 
 auto MayAct(const program_copy& copy) -> bool {
@@ -67,6 +81,10 @@
 auto OnRecordUpdate(system_tables& tables,
                     const vm_ref& from,
                     const record_update& update) -> void {
+  if (tables.options.mutations.keep_epoch_open) {
+    Send(tables, from,
+         record_ack{update.program, update.epoch, update.sequence});
+  }
   const auto known = KnownSet(tables, update.program);
   if (known.epoch > update.epoch) {
     Send(tables, from,
@@ -79,11 +97,12 @@
   if (!fits) {
     return;
   }
-  if (update.sequence == copy->sequence + 1) {
-    Apply(update.update, tables.options.bounds, copy->state);
-    copy->sequence = update.sequence;
-    copy->last_activity = tables.now;
+  const auto is_early = update.sequence > copy->sequence &&
+                        update.sequence <= copy->sequence + kMaxEarlyUpdates;
+  if (is_early) {
+    copy->early.emplace(update.sequence, update.update);
   }
+  ApplyEarly(tables, *copy);
   Send(tables, from, record_ack{update.program, update.epoch, copy->sequence});
 }
 
--- a/source/core/program/replies.cc
+++ b/source/core/program/replies.cc
@@ -61,7 +61,9 @@
   end.answer = answer;
   if (is_stream) {
     const auto text = BytesOf(answer.body);
-    if (!AgreesWith(waiter, text) || waiter.offset > text.size()) {
+    const auto agrees =
+        AgreesWith(waiter, text) || tables.options.mutations.ignore_prefix;
+    if (!agrees || waiter.offset > text.size()) {
       SendLost(tables, copy, waiter);
       return;
     }
--- a/source/core/program/tables.h
+++ b/source/core/program/tables.h
@@ -101,6 +101,8 @@
   std::uint64_t sequence = 0;
   std::uint64_t acknowledged = 0;
   std::deque<record_update> outbox;
+  // Witness: updates that arrived before one with a lower sequence.
+  std::map<std::uint64_t, state_update> early;
   instant outbox_since{};
   instant next_resend{};
   instant inactive_since{};
@@ -111,6 +113,9 @@
   std::vector<pending_control> controls;
   std::optional<request_id> open_request;
   bool is_releasing = false;
+  // Owner: calls in doubt whose callers have been told so in this epoch.
+  std::set<live_key> told_in_doubt;
+  instant activated{};
 };
 
 // What a member has promised and accepted for an epoch of a program.
@@ -152,6 +157,12 @@
   instant touched{};
 };
 
+// A session at an engine whose program nobody here knows.
+struct orphan_record {
+  instant since{};
+  instant asked{};
+};
+
 // An attempt of an earlier epoch, running here or waiting to be reported.
 struct retired_attempt {
   attempt_ref attempt;
@@ -261,6 +272,7 @@
   std::map<attempt_ref, retired_attempt> retired;
   std::map<request_id, entry_request> requests;
   std::map<release_key, instant> releases;
+  std::map<release_key, orphan_record> orphans;
   std::priority_queue<timer, std::vector<timer>, std::greater<>> timers;
   std::deque<program_id> unchecked;
   instant next_sweep{};
--- a/source/core/program/types.h
+++ b/source/core/program/types.h
@@ -221,6 +221,8 @@
   vm_ref vm;
   failure_domain_id failure_domain;
   region_id region;
+  // It still serves, but takes no new role in a program.
+  bool is_leaving = false;
 
   auto operator<=>(const member&) const = default;
 };
--- /dev/null
+++ b/source/unit_tests/fault_matrix/checker_test.cc
@@ -0,0 +1,108 @@
+#include "fault_matrix/checker.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace daisywind::fault_matrix {
+namespace {
+
+auto Event(outside_kind kind, program::turn_number turn, int at)
+    -> outside_event {
+  auto event = outside_event{};
+  event.at = instant{duration{at}};
+  event.kind = kind;
+  event.branch = branch_id{"main"};
+  event.turn = turn;
+  event.key = "payout-" + std::to_string(turn);
+  event.request = static_cast<std::uint64_t>(at);
+  return event;
+}
+
+auto Ended(case_history history) -> case_history {
+  history.limits = program::budget{100, 10, duration{1s}};
+  history.events.push_back(Event(outside_kind::kProgramEnded, 0, 1000));
+  return history;
+}
+
+auto Breaks(const case_history& history, promise_kind promise) -> bool {
+  const auto found = CheckHistory(history);
+  return std::any_of(
+      found.begin(), found.end(),
+      [promise](const violation& item) { return item.promise == promise; });
+}
+
+}  // namespace
+
+TEST_CASE("a plain history breaks nothing") {
+  auto history = case_history{};
+  history.events = {Event(outside_kind::kRequestSent, 1, 1),
+                    Event(outside_kind::kRunStarted, 1, 2),
+                    Event(outside_kind::kRunFinished, 1, 3),
+                    Event(outside_kind::kAnswered, 1, 4)};
+  CHECK(CheckHistory(Ended(history)).empty());
+}
+
+TEST_CASE("two runs under one key are found") {
+  auto history = case_history{};
+  history.events = {Event(outside_kind::kRequestSent, 1, 1),
+                    Event(outside_kind::kRunStarted, 1, 2),
+                    Event(outside_kind::kRunStarted, 1, 3)};
+  CHECK(Breaks(Ended(history), promise_kind::kAtMostOnce));
+}
+
+TEST_CASE("a run whose only request was refused as not run is found") {
+  auto refusal = Event(outside_kind::kRefused, 1, 1);
+  refusal.result = program::outcome::kNotRun;
+  auto history = case_history{};
+  history.events = {Event(outside_kind::kRequestSent, 1, 1), refusal,
+                    Event(outside_kind::kRunStarted, 1, 9)};
+  CHECK(Breaks(Ended(history), promise_kind::kTruthfulRefusal));
+  history.events.insert(history.events.begin() + 2,
+                        Event(outside_kind::kRequestSent, 1, 5));
+  CHECK_FALSE(Breaks(Ended(history), promise_kind::kTruthfulRefusal));
+}
+
+TEST_CASE("an answer that no run gave is found") {
+  auto run = Event(outside_kind::kRunStarted, 1, 2);
+  run.text = "first second";
+  auto answer = Event(outside_kind::kAnswered, 1, 4);
+  answer.text = "first sekond";
+  auto history = case_history{};
+  history.events = {Event(outside_kind::kRequestSent, 1, 1), run, answer};
+  CHECK(Breaks(Ended(history), promise_kind::kWholeAnswer));
+}
+
+TEST_CASE("use beyond the budget is found") {
+  auto run = Event(outside_kind::kRunStarted, 1, 2);
+  run.tokens = 101;
+  auto history = case_history{};
+  history.events = {Event(outside_kind::kRequestSent, 1, 1), run};
+  CHECK(Breaks(Ended(history), promise_kind::kBudget));
+}
+
+TEST_CASE("a turn that runs before the last one has finished is found") {
+  auto history = case_history{};
+  history.events = {Event(outside_kind::kRequestSent, 1, 1),
+                    Event(outside_kind::kRequestSent, 2, 1),
+                    Event(outside_kind::kRunStarted, 2, 2),
+                    Event(outside_kind::kRunStarted, 1, 3),
+                    Event(outside_kind::kRunFinished, 1, 4)};
+  CHECK(Breaks(Ended(history), promise_kind::kTurnOrder));
+}
+
+TEST_CASE("held memory, a stuck program and too many unknowns are found") {
+  auto refusal = Event(outside_kind::kRefused, 1, 2);
+  refusal.result = program::outcome::kUnknown;
+  auto history = case_history{};
+  history.must_finish = true;
+  history.held_sessions = 1;
+  history.events = {Event(outside_kind::kRequestSent, 1, 1), refusal};
+  CHECK(Breaks(history, promise_kind::kFinishes));
+  CHECK(Breaks(history, promise_kind::kMemoryReleased));
+  CHECK(Breaks(history, promise_kind::kFewUnknown));
+}
+
+}  // namespace daisywind::fault_matrix
--- /dev/null
+++ b/source/unit_tests/fault_matrix/matrix_test.cc
@@ -0,0 +1,108 @@
+#include "fault_matrix/matrix.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace daisywind::fault_matrix {
+namespace {
+
+constexpr std::uint64_t kSeed = 1;
+constexpr std::size_t kSampledPairs = 1000;
+
+auto CheckCases(const std::vector<matrix_case>& cases) -> void {
+  for (const auto& item : cases) {
+    const auto result = RunCase(item, MatrixOptions());
+    for (const auto& broken : result.violations) {
+      FAIL_CHECK(ToString(item)
+                 << ": " << NameOf(broken.promise) << ": " << broken.detail);
+    }
+  }
+}
+
+// Runs single faults, then pairs, until the checker reports the promise.
+auto IsCaught(const program::protocol_mutations& mutations,
+              promise_kind promise) -> bool {
+  auto options = MatrixOptions();
+  options.mutations = mutations;
+  auto cases = SingleCases(kSeed);
+  const auto pairs = PairCases(kSeed, kSampledPairs);
+  cases.insert(cases.end(), pairs.begin(), pairs.end());
+  return std::any_of(cases.begin(), cases.end(), [&](const auto& item) {
+    const auto result = RunCase(item, options);
+    return std::any_of(
+        result.violations.begin(), result.violations.end(),
+        [promise](const auto& broken) { return broken.promise == promise; });
+  });
+}
+
+}  // namespace
+
+TEST_CASE("a program without faults finishes with every answer") {
+  for (const auto kind : {scenario::kWorkflow, scenario::kLoop}) {
+    const auto result = RunCase({kSeed, kind, {}}, MatrixOptions());
+    CHECK(result.violations.empty());
+    CHECK(result.is_finished);
+    CHECK(result.unknown == 0);
+  }
+}
+
+TEST_CASE("every single fault at every step keeps the promises") {
+  CheckCases(SingleCases(kSeed));
+}
+
+TEST_CASE("a sample of pairs of faults keeps the promises") {
+  CheckCases(PairCases(kSeed, kSampledPairs));
+}
+
+TEST_CASE("the same seed gives the same history") {
+  const auto item = PairCases(kSeed, 1).front();
+  CHECK(RunCase(item, MatrixOptions()).events ==
+        RunCase(item, MatrixOptions()).events);
+}
+
+TEST_CASE("the checker catches a send before the acknowledgement") {
+  auto mutations = program::protocol_mutations{};
+  mutations.send_before_ack = true;
+  CHECK(IsCaught(mutations, promise_kind::kAtMostOnce));
+}
+
+TEST_CASE("the checker catches a forgotten reservation") {
+  auto mutations = program::protocol_mutations{};
+  mutations.forget_reservation = true;
+  CHECK(IsCaught(mutations, promise_kind::kBudget));
+}
+
+TEST_CASE("the checker catches a repeated call that is not idempotent") {
+  auto mutations = program::protocol_mutations{};
+  mutations.retry_non_idempotent = true;
+  CHECK(IsCaught(mutations, promise_kind::kAtMostOnce));
+}
+
+TEST_CASE("the checker catches an epoch that is not closed") {
+  auto mutations = program::protocol_mutations{};
+  mutations.keep_epoch_open = true;
+  CHECK(IsCaught(mutations, promise_kind::kAtMostOnce));
+}
+
+TEST_CASE("the checker catches memory that is not released") {
+  auto mutations = program::protocol_mutations{};
+  mutations.skip_release = true;
+  CHECK(IsCaught(mutations, promise_kind::kMemoryReleased));
+}
+
+TEST_CASE("the checker catches turns out of order") {
+  auto mutations = program::protocol_mutations{};
+  mutations.skip_turn_order = true;
+  CHECK(IsCaught(mutations, promise_kind::kTurnOrder));
+}
+
+TEST_CASE("the checker catches a mixed answer") {
+  auto mutations = program::protocol_mutations{};
+  mutations.ignore_prefix = true;
+  CHECK(IsCaught(mutations, promise_kind::kWholeAnswer));
+}
+
+}  // namespace daisywind::fault_matrix
