--- /dev/null
+++ b/source/core/load/call_client.cc
@@ -0,0 +1,194 @@
+#include "load/call_client.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <cmath>
+#include <utility>
+
+#include "standin/clock.h"
+
+namespace daisywind::load {
+namespace {
+
+namespace asio = boost::asio;
+using standin::Now;
+
+constexpr auto kFirstBackoff = duration(30'000);
+constexpr auto kMaxBackoff = duration(1'000'000);
+constexpr auto kMaxBackoffDoublings = 6;
+constexpr auto kFirstSuccess = 200U;
+constexpr auto kPastSuccess = 300U;
+
+auto IsSuccess(unsigned status) -> bool {
+  return status >= kFirstSuccess && status < kPastSuccess;
+}
+
+auto BrokenConnection() -> refusal {
+  auto why = refusal{};
+  why.reason = "broken_connection";
+  return why;
+}
+
+}  // namespace
+
+auto program_session::Update(std::string_view handle) -> void {
+  if (!handle.empty() && EpochOf(handle) >= EpochOf(handle_)) {
+    handle_ = std::string(handle);
+  }
+}
+
+call_client::call_client(asio::io_context& context,
+                         gateway_pool& gateways,
+                         client_options options,
+                         random_source& random)
+    : context_(context),
+      client_(context),
+      gateways_(gateways),
+      options_(std::move(options)),
+      random_(random) {}
+
+auto call_client::Make(program_session& session,
+                       call item,
+                       chat_receiver* receiver)
+    -> asio::awaitable<call_result> {
+  auto result = call_result{};
+  auto last = std::optional<net::socket_address>{};
+  // An unknown outcome stays so until a later try is answered: another gateway
+  // may refuse without knowing of the earlier try.
+  auto may_have_run = false;
+  const auto deadline = Now() + options_.call_bound;
+  while (true) {
+    const auto gateway = gateways_.Pick(Now(), last);
+    last = gateway;
+    auto tried = co_await Try(session, item, receiver, gateway);
+    ++result.tries;
+    if (tried.is_answered) {
+      result.status = call_status::kDone;
+      result.body = std::move(tried.body);
+      co_return result;
+    }
+    result.reason = tried.why.reason;
+    may_have_run =
+        may_have_run || tried.why.outcome == refusal_outcome::kUnknown;
+    if (tried.why.is_final || Now() >= deadline) {
+      result.status =
+          may_have_run ? call_status::kInDoubt : call_status::kRefused;
+      co_return result;
+    }
+    ++counts_.retries;
+    co_await Backoff(result.tries, tried.why);
+  }
+}
+
+auto call_client::Try(program_session& session,
+                      const call& item,
+                      chat_receiver* receiver,
+                      const net::socket_address& gateway)
+    -> asio::awaitable<try_result> {
+  auto result = try_result{};
+  auto bounds = net::http_options{};
+  bounds.head_timeout = options_.head_timeout;
+  bounds.idle_timeout = options_.idle_timeout;
+  auto request = MakeRequest(session, item, receiver);
+  auto opened = co_await client_.Open(gateway, std::move(request), bounds);
+  if (opened.outcome == net::http_outcome::kNotSent) {
+    ++counts_.refused_connections;
+    gateways_.MarkDown(gateway, Now());
+    result.why.outcome = refusal_outcome::kNotRun;
+    result.why.reason = "refused_connection";
+    co_return result;
+  }
+  if (opened.outcome == net::http_outcome::kNoAnswer) {
+    ++counts_.broken_connections;
+    result.why = BrokenConnection();
+    co_return result;
+  }
+  session.Update(opened.head.Header("Daisywind-Program"));
+  const auto is_success = IsSuccess(opened.head.status);
+  if (is_success && item.is_stream) {
+    co_return co_await ReadStream(*opened.body, *receiver);
+  }
+  auto response = std::move(opened.head);
+  while (auto part = co_await opened.body->Next()) {
+    response.body += *part;
+  }
+  if (!opened.body->IsWhole()) {
+    ++counts_.broken_connections;
+    result.why = BrokenConnection();
+    co_return result;
+  }
+  result.is_answered = is_success;
+  if (!is_success) {
+    result.why = ReadRefusal(response);
+    Count(result.why);
+  }
+  result.body = std::move(response.body);
+  co_return result;
+}
+
+auto call_client::ReadStream(net::http_body_stream& body,
+                             chat_receiver& receiver)
+    -> asio::awaitable<try_result> {
+  auto result = try_result{};
+  receiver.StartConnection();
+  while (auto part = co_await body.Next()) {
+    receiver.FeedStream(*part);
+  }
+  result.is_answered = receiver.IsDone();
+  if (result.is_answered) {
+    co_return result;
+  }
+  if (receiver.error()) {
+    result.why = *receiver.error();
+    Count(result.why);
+  } else {
+    ++counts_.broken_connections;
+    result.why = BrokenConnection();
+  }
+  co_return result;
+}
+
+auto call_client::MakeRequest(const program_session& session,
+                              const call& item,
+                              const chat_receiver* receiver) const
+    -> net::http_request {
+  auto request = net::http_request{item.method, item.target, {}, item.body};
+  const auto add = [&](const char* name, std::string value) {
+    if (!value.empty()) {
+      request.headers.push_back({name, std::move(value)});
+    }
+  };
+  add("Authorization", "Bearer " + options_.key);
+  add("Content-Type", item.body.empty() ? "" : "application/json");
+  add("Daisywind-Program", session.handle());
+  add("Daisywind-Branch", item.branch);
+  add("Daisywind-Turn", item.turn == 0 ? "" : std::to_string(item.turn));
+  add("Idempotency-Key", item.key);
+  if (receiver != nullptr && !receiver->text().empty()) {
+    add("Daisywind-Offset", std::to_string(receiver->text().size()));
+  }
+  return request;
+}
+
+auto call_client::Count(const refusal& why) -> void {
+  ++counts_.refusals_by_outcome[std::string(NameOf(why.outcome))];
+  ++counts_.refusals_by_reason[why.reason];
+}
+
+auto call_client::Backoff(std::int64_t tries, const refusal& why)
+    -> asio::awaitable<void> {
+  const auto doublings =
+      static_cast<int>(std::min<std::int64_t>(tries - 1, kMaxBackoffDoublings));
+  const auto longest = std::min(kFirstBackoff * (1 << doublings), kMaxBackoff);
+  // Full jitter spreads the retries of calls that failed together.
+  const auto drawn = random_.Unit() * static_cast<double>(longest.count());
+  const auto asked = std::min(why.retry_after, kMaxBackoff);
+  const auto wait =
+      std::max(duration(static_cast<duration::rep>(drawn)), asked);
+  auto timer = asio::steady_timer(context_, wait);
+  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+}  // namespace daisywind::load
--- /dev/null
+++ b/source/core/load/load_report.h
@@ -0,0 +1,63 @@
+// What a load run has measured.
+#ifndef DAISYWIND_LOAD_LOAD_REPORT_H_
+#define DAISYWIND_LOAD_LOAD_REPORT_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "common/json.h"
+#include "common/time.h"
+#include "load/call_client.h"
+#include "load/program_runner.h"
+
+namespace daisywind::load {
+
+// The percentile of a set of times by the nearest rank, or zero of an empty
+// set. The fraction is in (0, 1].
+auto Percentile(std::vector<duration> times, double fraction) -> duration;
+
+class load_report {
+ public:
+  // The unfinished programs that are named one by one.
+  static constexpr std::size_t kMaxNamedPrograms = 50;
+
+  explicit load_report(std::string tenant) : tenant_(std::move(tenant)) {}
+
+  // Counts a program's start.
+  auto RecordStart() -> void { ++started_; }
+
+  // Counts a program's end. The latency is measured from its intended start;
+  // the time of its end from the start of the run.
+  auto RecordEnd(const program_plan& plan,
+                 const program_result& result,
+                 duration latency,
+                 duration ended_at) -> void;
+
+  [[nodiscard]] auto CountOf(program_status status) const -> std::int64_t;
+
+  // The whole report.
+  [[nodiscard]] auto ToJson(const client_counts& counts) const -> json::object;
+
+ private:
+  [[nodiscard]] auto Programs() const -> json::object;
+  [[nodiscard]] auto Latencies() const -> json::object;
+  [[nodiscard]] auto Tokens() const -> json::object;
+  [[nodiscard]] auto ServiceKeys() const -> json::object;
+
+  std::string tenant_;
+  std::int64_t started_ = 0;
+  std::map<program_status, std::int64_t> ended_;
+  std::map<std::string, std::vector<duration>> latencies_by_class_;
+  std::map<std::int64_t, std::int64_t> finished_by_second_;
+  std::map<call_status, std::vector<std::string>> service_keys_;
+  token_counts tokens_;
+  std::int64_t calls_ = 0;
+  json::array unfinished_;
+};
+
+}  // namespace daisywind::load
+
+#endif  // DAISYWIND_LOAD_LOAD_REPORT_H_
--- a/source/core/standin/engine_role.cc
+++ b/source/core/standin/engine_role.cc
@@ -189,7 +189,7 @@
   item.is_cut_by_bound =
       static_cast<std::int64_t>(item.answer.size()) == max_tokens;
   item.priority = IntegerOr(body, "priority", 0);
-  const auto id = item.id;
+  auto id = item.id;
   batch_.Submit(std::move(item), Now());
   WakeBatch();
   return id;
