Share crash evidence between gateways

Cause: a request that crashes an engine reaches other gateways when its caller sends it again, and each gateway knew only its own crashes. Evidence now goes to every live VM, with times as wall-clock microseconds, since monotonic clocks of VMs differ; bodies that were cut a moment before a poll found the engine gone count as having run there.

--- a/source/core/gateway/endpoint_poller.cc
+++ b/source/core/gateway/endpoint_poller.cc
@@ -84,6 +84,10 @@
       calls_(calls),
       interval_(interval) {}
 
+auto endpoint_poller::Expedite(const endpoint_id& endpoint) -> void {
+  states_[endpoint].due = instant{};
+}
+
 auto endpoint_poller::Tick(instant now) -> void {
   for (const auto& endpoint : scheduler_.WatchedEndpoints()) {
     const auto entry = endpoints_.Find(endpoint);
--- a/source/core/gateway/endpoint_poller.h
+++ b/source/core/gateway/endpoint_poller.h
@@ -32,6 +32,9 @@
   endpoint_poller(const endpoint_poller&) = delete;
   auto operator=(const endpoint_poller&) -> endpoint_poller& = delete;
 
+  // Has an endpoint read at the next tick.
+  auto Expedite(const endpoint_id& endpoint) -> void;
+
   // Starts the reads that are due.
   auto Tick(instant now) -> void;
 
--- a/source/core/gateway/node.cc
+++ b/source/core/gateway/node.cc
@@ -36,6 +36,7 @@
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "policy/scheduler.h"
+#include "policy_wire/codec.h"
 #include "program/program_system.h"
 #include "program_wire/codec.h"
 
@@ -99,6 +100,8 @@
   auto Halt() -> void;
 
   auto OnEnvelope(const wire::envelope& message) -> bool;
+  auto OnQuarantine(const std::string& payload) -> bool;
+  auto ShareQuarantine() -> void;
   auto OnMembers(const membership::member_list& members) -> void;
   auto OnPeerLost(const vm_id& vm) -> void;
   auto OnInstall(const configuration::install_version& version) -> void;
@@ -238,13 +241,17 @@
 }
 
 auto node::parts::ProgramParts() -> program_parts {
-  return {
-      context, programs,
-      calls,   runner,
-      client,  peers,
-      replies, endpoints,
-      series,  [this](const endpoint_id& endpoint) {
-            OnLeaving(endpoint); }};
+  return {context,
+          programs,
+          calls,
+          runner,
+          client,
+          peers,
+          replies,
+          endpoints,
+          series,
+          [this](const endpoint_id& endpoint) { OnLeaving(endpoint); },
+          [this](const endpoint_id& endpoint) { poller.Expedite(endpoint); }};
 }
 
 auto node::parts::MembershipHandlers() -> membership_handlers {
@@ -309,11 +316,39 @@
       }
       return false;
     case wire::protocol::kPolicy:
-      return false;
+      return OnQuarantine(message.payload);
   }
   return false;
 }
 
+auto node::parts::OnQuarantine(const std::string& payload) -> bool {
+  auto body = policy::DecodeMessage(payload);
+  if (!body) {
+    return false;
+  }
+  for (auto& crash : body->crashes) {
+    crash.window -= WallClockOffset();
+  }
+  scheduler.OnQuarantineMessage(*body, Now());
+  return true;
+}
+
+auto node::parts::ShareQuarantine() -> void {
+  auto message = scheduler.TakeQuarantineMessage();
+  if (message.crashes.empty() && message.cleared.empty()) {
+    return;
+  }
+  for (auto& crash : message.crashes) {
+    crash.window += WallClockOffset();
+  }
+  const auto payload = policy::EncodeMessage(message);
+  for (const auto& [vm, ref] : live) {
+    if (vm != self.vm) {
+      peers.Send(vm, wire::protocol::kPolicy, payload);
+    }
+  }
+}
+
 auto node::parts::OnMembers(const membership::member_list& members) -> void {
   live.clear();
   auto configured = configuration::members_changed{};
@@ -430,6 +465,7 @@
     membership_side.Tick();
     migration_side.Tick();
     poller.Tick(Now());
+    ShareQuarantine();
     timer.expires_after(kSlowTick);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
--- a/source/core/gateway/process_clock.h
+++ b/source/core/gateway/process_clock.h
@@ -28,6 +28,13 @@
       std::chrono::duration_cast<std::chrono::microseconds>(since).count());
 }
 
+// What must be added to a monotonic time to get microseconds since 1970. VMs
+// exchange times in that form, since their monotonic clocks differ.
+inline auto WallClockOffset() -> duration {
+  return duration(static_cast<std::int64_t>(UnixUs())) -
+         Now().time_since_epoch();
+}
+
 }  // namespace daisywind::gateway
 
 #endif  // DAISYWIND_GATEWAY_PROCESS_CLOCK_H_
--- a/source/core/gateway/program_adapter.cc
+++ b/source/core/gateway/program_adapter.cc
@@ -242,6 +242,9 @@
   if (result.is_leaving) {
     parts_.on_leaving(attempt.endpoint);
   }
+  if (result.outcome == attempt_outcome::kUnknown) {
+    parts_.on_cut(attempt.endpoint);
+  }
   parts_.scheduler.OnUsage(attempt.attempt.call, result.usage);
   parts_.series.Observe("daisywind_attempt_seconds", attempt.tenant,
                         attempt.service_class, Now() - attempt.started);
--- a/source/core/gateway/program_adapter.h
+++ b/source/core/gateway/program_adapter.h
@@ -34,6 +34,8 @@
   metrics& series;
   // Called when an endpoint says that it is leaving.
   std::function<void(const endpoint_id&)> on_leaving;
+  // Called when an attempt was cut at an endpoint.
+  std::function<void(const endpoint_id&)> on_cut;
 };
 
 // Time bounds of attempts.
--- a/source/core/gateway/scheduler_adapter.cc
+++ b/source/core/gateway/scheduler_adapter.cc
@@ -12,6 +12,8 @@
 // Engine time of one token, by which attained service is counted.
 constexpr duration kTokenTime = 1ms;
 constexpr duration kEndedKeep = 60s;
+// A crash is noticed by a poll somewhat later than by the calls that it cuts.
+constexpr duration kFailureKeep = 3s;
 
 auto ToBlockName(const digest& name) -> policy::block_name {
   auto block = policy::block_name{0};
@@ -51,6 +53,7 @@
   request.is_idempotent = wanted.is_idempotent;
   request.is_continuation = wanted.attained_service > 0;
   request.excluded.assign(wanted.excluded.begin(), wanted.excluded.end());
+  request.body = wanted.body_digest;
   request.attained_service = wanted.attained_service * kTokenTime;
   return request;
 }
@@ -121,6 +124,9 @@
   const auto how =
       found->is_hung ? policy::finish_kind::kTimedOut : ToFinish(slot.result);
   scheduler_.OnFinished(found->request.call, how, found->usage, now);
+  if (slot.result == program::attempt_result::kUnknown) {
+    failures_.push_back({slot.endpoint, found->request.body, now});
+  }
   ended_.erase(slot.call);
   if (how != policy::finish_kind::kCompleted) {
     ended_[slot.call] = {found->request, how, now};
@@ -179,6 +185,11 @@
       bodies.push_back(item.request.body);
     }
   }
+  for (const auto& failure : failures_) {
+    if (failure.endpoint == endpoint) {
+      bodies.push_back(failure.body);
+    }
+  }
   return bodies;
 }
 
@@ -264,6 +275,9 @@
   std::erase_if(ended_, [&](const auto& item) {
     return now - item.second.at > kEndedKeep;
   });
+  std::erase_if(failures_, [&](const failed_call& item) {
+    return now - item.at > kFailureKeep;
+  });
 }
 
 }  // namespace daisywind::gateway
--- a/source/core/gateway/scheduler_adapter.h
+++ b/source/core/gateway/scheduler_adapter.h
@@ -42,7 +42,8 @@
   [[nodiscard]] auto PriorityOf(const program::call_ref& call) const
       -> std::int32_t;
 
-  // Digests of the bodies that run at an endpoint from here.
+  // Digests of the bodies that run at an endpoint from here, or were cut there
+  // a moment ago.
   [[nodiscard]] auto RunningBodies(const endpoint_id& endpoint) const
       -> std::vector<digest>;
 
@@ -64,6 +65,11 @@
     policy::finish_kind how = policy::finish_kind::kCompleted;
     instant at;
   };
+  struct failed_call {
+    endpoint_id endpoint;
+    digest body;
+    instant at;
+  };
   struct delayed_call {
     instant due;
     policy::call_request request;
@@ -88,6 +94,8 @@
   // The last attempt of calls that may be tried again.
   std::map<program::call_ref, ended_call> ended_;
   std::vector<delayed_call> delayed_;
+  // Calls that were cut a moment ago.
+  std::vector<failed_call> failures_;
 };
 
 }  // namespace daisywind::gateway
--- /dev/null
+++ b/source/core/policy_wire/codec.cc
@@ -0,0 +1,58 @@
+#include "policy_wire/codec.h"
+
+#include <cstdint>
+
+#include "policy_wire/policy_generated.h"
+#include "wire/mapping.h"
+
+namespace daisywind::policy {
+
+using wire::domain_of;
+
+template <class Direction>
+auto Fields(Direction& copy,
+            domain_of<Direction, crash_evidence>& value,
+            fbs::CrashEvidenceT& object) -> void {
+  copy.Name(value.endpoint, object.endpoint);
+  copy.Moment(value.window, object.window_us);
+  copy.Digests(value.bodies, object.bodies);
+}
+
+template <class Direction>
+auto Fields(Direction& copy,
+            domain_of<Direction, quarantine_message>& value,
+            fbs::QuarantineMessageT& object) -> void {
+  copy.Objects(value.crashes, object.crashes);
+  copy.Digests(value.cleared, object.cleared);
+}
+
+auto EncodeMessage(const quarantine_message& content) -> std::string {
+  auto copy = wire::to_wire();
+  auto object = fbs::QuarantineMessageT();
+  Fields(copy, content, object);
+  auto builder = flatbuffers::FlatBufferBuilder();
+  fbs::FinishQuarantineMessageBuffer(
+      builder, fbs::QuarantineMessage::Pack(builder, &object));
+  return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
+          builder.GetSize()};
+}
+
+auto DecodeMessage(std::string_view bytes)
+    -> std::optional<quarantine_message> {
+  const auto* data = reinterpret_cast<const std::uint8_t*>(bytes.data());
+  auto verifier = flatbuffers::Verifier(data, bytes.size());
+  if (!fbs::VerifyQuarantineMessageBuffer(verifier)) {
+    return std::nullopt;
+  }
+  auto object = fbs::QuarantineMessageT();
+  fbs::GetQuarantineMessage(data)->UnPackTo(&object);
+  auto copy = wire::from_wire();
+  auto content = quarantine_message();
+  Fields(copy, content, object);
+  if (!copy.IsGood()) {
+    return std::nullopt;
+  }
+  return content;
+}
+
+}  // namespace daisywind::policy
--- a/source/core/program/attempts.cc
+++ b/source/core/program/attempts.cc
@@ -337,6 +337,7 @@
   ask.max_tokens = request.max_tokens;
   ask.attained_service = copy.state.used.tokens;
   ask.prefix_blocks = request.prefix_blocks;
+  ask.body_digest = request.body_digest;
   ask.last_endpoint = LastEndpoint(copy, key.first);
   ask.excluded = call.excluded;
   tables.out.emplace_back(std::move(ask));
--- a/source/core/program/commands.h
+++ b/source/core/program/commands.h
@@ -34,6 +34,7 @@
   // Tokens that the program has used so far.
   std::int64_t attained_service = 0;
   std::vector<digest> prefix_blocks;
+  digest body_digest;
   // Endpoint of the branch's last chat call; empty when there is none.
   endpoint_id last_endpoint;
   std::set<endpoint_id> excluded;
--- a/source/core/wire/mapping.h
+++ b/source/core/wire/mapping.h
@@ -42,6 +42,10 @@
     to = from.count();
   }
 
+  auto Moment(const instant& from, std::int64_t& to) -> void {
+    to = from.time_since_epoch().count();
+  }
+
   auto Text(const std::string& from, std::string& to) -> void { to = from; }
 
   template <class Tag>
@@ -132,6 +136,10 @@
 
   auto Time(duration& to, std::int64_t from) -> void { to = duration(from); }
 
+  auto Moment(instant& to, std::int64_t from) -> void {
+    to = instant(duration(from));
+  }
+
   auto Text(std::string& to, const std::string& from) -> void { to = from; }
 
   template <class Tag>
