--- a/source/daisywind_load/commands.h
+++ b/source/daisywind_load/commands.h
@@ -11,6 +11,10 @@
 // Prints the time of scheduling decisions.
 auto RunBenchmarkCommand(int argc, char** argv) -> int;
 
+// Drives gateways with programs and writes a report. The arguments begin with
+// the name of the subcommand. Returns 1 after a wrong answer.
+auto RunLoadCommand(int argc, char** argv) -> int;
+
 }  // namespace daisywind
 
 #endif  // DAISYWIND_LOAD_COMMANDS_H_
--- a/source/daisywind_load/run_command.cc
+++ b/source/daisywind_load/run_command.cc
@@ -5,13 +5,17 @@
 #include <string>
 #include <vector>
 
-#include "command.h"
 #include "common/logging.h"
+#include "daisywind_load/commands.h"
 #include "load/load_run.h"
 
-namespace daisywind::load {
+namespace daisywind {
+namespace load {
 namespace {
 
+constexpr auto kWrongAnswerStatus = 1;
+constexpr auto kUsageStatus = 2;
+
 auto Declare() -> cxxopts::Options {
   auto declared = cxxopts::Options(
       "daisywind-load run", "Drives gateways with programs of a deployment.");
@@ -105,9 +109,7 @@
   return outcome.has_wrong_answer ? kWrongAnswerStatus : 0;
 }
 
-}  // namespace
-
-auto RunCommand(int argc, char** argv) -> int {
+auto Run(int argc, char** argv) -> int {
   auto declared = Declare();
   try {
     const auto parsed = declared.parse(argc, argv);
@@ -127,4 +129,11 @@
   }
 }
 
-}  // namespace daisywind::load
+}  // namespace
+}  // namespace load
+
+auto RunLoadCommand(int argc, char** argv) -> int {
+  return load::Run(argc, argv);
+}
+
+}  // namespace daisywind
