--- a/source/core/program/attempts.cc
+++ b/source/core/program/attempts.cc
@@ -283,7 +283,7 @@
       SendAnswer(tables, copy, call, *call.answer);
       return;
     case live_phase::kAskingService:
-      copy.told_in_doubt.insert(key);
+      copy.told_in_doubt.emplace(key, tables.now);
       RefuseCall(tables, copy, key,
                  MakeProblem(outcome::kUnknown, refusal_reason::kInDoubt));
       return;
--- a/source/core/program/calls.cc
+++ b/source/core/program/calls.cc
@@ -138,7 +138,8 @@
 auto IsTurn(const system_tables& tables,
             const program_copy& copy,
             const branch_record& branch,
-            turn_number turn) -> bool {
+            turn_number turn,
+            instant arrived) -> bool {
   if (tables.options.mutations.skip_turn_order) {
     return true;
   }
@@ -157,8 +158,10 @@
     return false;
   }
   // Until its caller knows that it is in doubt, its end may still be reported.
-  const auto is_told = copy.told_in_doubt.count({branch.name, turn - 1}) != 0 ||
-                       tables.now >= copy.activated + tables.options.gap_bound;
+  const auto told = copy.told_in_doubt.find({branch.name, turn - 1});
+  const auto is_told =
+      (told != copy.told_in_doubt.end() && arrived > told->second) ||
+      arrived >= copy.activated + tables.options.gap_bound;
   const auto is_given_up =
       before.phase == call_phase::kIntended && !before.is_idempotent && is_told;
   return before.phase == call_phase::kSettled || is_given_up;
@@ -202,7 +205,7 @@
     return Refuse(tables, copy, call, outcome::kDone,
                   refusal_reason::kAnswerNotKept);
   }
-  if (!IsTurn(tables, copy, *branch, key.second)) {
+  if (!IsTurn(tables, copy, *branch, key.second, call.arrived)) {
     return admission::kWait;
   }
   if (!ExtendsHistory(*branch, request)) {
@@ -277,6 +280,7 @@
   const auto key = live_key{item.call.branch, item.call.turn};
   auto call = live_call{};
   call.request = item.call;
+  call.arrived = tables.now;
   call.deadline = tables.now + tables.options.gap_bound;
   call.waiters.push_back(WaiterOf(from, item));
   Send(tables, from, forward_accepted{item.request, copy.replicas});
--- a/source/core/program/epoch.cc
+++ b/source/core/program/epoch.cc
@@ -199,6 +199,8 @@
   }
   NoteReference(tables, copy.state.id, replicas);
   copy.replicas = replicas;
+  copy.state.last_attempt =
+      std::max(copy.state.last_attempt, AttemptBase(replicas.epoch));
   copy.role = copy_role::kOwner;
   copy.is_closed = false;
   copy.is_active = false;
--- a/source/core/program/retire.cc
+++ b/source/core/program/retire.cc
@@ -71,7 +71,9 @@
     attempt.history =
         call.request.history.empty() ? digest{} : call.request.history.back();
     attempt.is_stream = call.request.is_stream;
-    attempt.text = std::move(call.text);
+    if (attempt.is_stream) {
+      attempt.text = std::move(call.text);
+    }
     AddRetired(tables, std::move(attempt));
   }
   if (call.phase == live_phase::kRecordingIntent) {
--- a/source/core/program/tables.h
+++ b/source/core/program/tables.h
@@ -65,6 +65,7 @@
   bool makes_retry = false;
   std::string text;
   std::uint64_t sequence = 0;
+  instant arrived{};
   instant deadline{};
   std::optional<call_answer> answer;
   problem refusal;
@@ -113,8 +114,8 @@
   std::vector<pending_control> controls;
   std::optional<request_id> open_request;
   bool is_releasing = false;
-  // Owner: calls in doubt whose callers have been told so in this epoch.
-  std::set<live_key> told_in_doubt;
+  // Owner: when callers were told in this epoch that their call is in doubt.
+  std::map<live_key, instant> told_in_doubt;
   instant activated{};
 };
 
--- a/source/core/program/types.cc
+++ b/source/core/program/types.cc
@@ -157,6 +157,11 @@
                         replica_set{*epoch, *owner, *witness, *arbiter}};
 }
 
+auto AttemptBase(epoch_number epoch) -> attempt_number {
+  constexpr auto kAttemptBits = 32U;
+  return epoch << kAttemptBits;
+}
+
 auto StatusOf(refusal_reason reason) -> int {
   return RowOf(reason).status;
 }
--- a/source/core/program/types.h
+++ b/source/core/program/types.h
@@ -32,8 +32,12 @@
 // Position of a call in its branch, from 1.
 using turn_number = std::uint32_t;
 
-// Number of an attempt within its program, from 1. Never used twice.
-using attempt_number = std::uint32_t;
+// Number of an attempt within its program. Each epoch has a range of its own:
+// an owner does not know which numbers a replaced one has used.
+using attempt_number = std::uint64_t;
+
+// The number below the first attempt of an epoch.
+auto AttemptBase(epoch_number epoch) -> attempt_number;
 
 // Names a request of a local adapter. Unique within one run of the process.
 using request_id = std::uint64_t;
