--- a/source/core/common/log_events.cc
+++ b/source/core/common/log_events.cc
@@ -17,6 +17,14 @@
     kFrameRejected,
     kPeerConnected,
     kPeerDisconnected,
+    kVersionInstalled,
+    kRoutingChanged,
+    kMemberSuspected,
+    kMemberDead,
+    kSelfSuperseded,
+    kFaultApplied,
+    kModelLoaded,
+    kStaleOrderRefused,
 });
 
 }  // namespace
--- a/source/core/common/log_events.h
+++ b/source/core/common/log_events.h
@@ -59,6 +59,28 @@
     1104, log_subsystem::kNet, log_level::kInfo, "peer link connected"};
 inline constexpr auto kPeerDisconnected =
     log_event{1105, log_subsystem::kNet, log_level::kInfo, "peer link lost"};
+inline constexpr auto kFaultApplied =
+    log_event{1801, log_subsystem::kStandin, log_level::kInfo,
+              "fault applied to a request"};
+inline constexpr auto kModelLoaded = log_event{
+    1802, log_subsystem::kStandin, log_level::kInfo, "model or adapter loaded"};
+inline constexpr auto kStaleOrderRefused =
+    log_event{1803, log_subsystem::kStandin, log_level::kInfo,
+              "order with an old fencing number refused"};
+
+inline constexpr auto kVersionInstalled =
+    log_event{1201, log_subsystem::kGateway, log_level::kInfo,
+              "configuration version in force"};
+inline constexpr auto kRoutingChanged =
+    log_event{1202, log_subsystem::kGateway, log_level::kInfo,
+              "routing of an endpoint changed"};
+inline constexpr auto kMemberSuspected = log_event{
+    1301, log_subsystem::kMembership, log_level::kWarning, "member suspected"};
+inline constexpr auto kMemberDead = log_event{
+    1302, log_subsystem::kMembership, log_level::kWarning, "member dead"};
+inline constexpr auto kSelfSuperseded =
+    log_event{1303, log_subsystem::kMembership, log_level::kError,
+              "a newer run of this VM was heard, this process stops"};
 
 }  // namespace log_events
 
--- a/source/core/net/http_server.cc
+++ b/source/core/net/http_server.cc
@@ -160,6 +160,10 @@
     }
   }
 
+  [[nodiscard]] auto IsClosed() -> bool override {
+    return !stream_.socket().is_open() || IsPeerClosed();
+  }
+
   auto Run(server_state server) -> asio::awaitable<void> {
     while (keep_alive_ && !server->is_closing) {
       if (!co_await ReadRequest()) {
@@ -367,6 +371,13 @@
   }
 }
 
+auto http_server::CloseAll() -> void {
+  state_->is_closing = true;
+  for (auto* peer : state_->connections) {
+    peer->Abort();
+  }
+}
+
 auto http_server::ConnectionCount() const -> std::size_t {
   return state_->connections.size();
 }
