Read only the changed chunks of a version

Installing a version of 12,000 endpoints no longer parses the whole document, which also held up the entry VM's only thread.

--- a/source/core/configuration/patch_flow.cc
+++ b/source/core/configuration/patch_flow.cc
@@ -223,7 +223,7 @@
 
 auto patch_flow::Apply(entry& item, instant now) -> leaf::result<void> {
   const auto& base = *item.base.head;
-  BOOST_LEAF_AUTO(before, Join(base.buckets, state_->chunks));
+  BOOST_LEAF_AUTO(before, ReadBase(base));
   BOOST_LEAF_AUTO(patch, ParseJson(item.request.text));
   const auto from = ToJson(before);
   BOOST_LEAF_AUTO(to, ApplyPatch(from, item.request.kind, patch));
@@ -251,6 +251,16 @@
   return {};
 }
 
+auto patch_flow::ReadBase(const version_head& base) const
+    -> leaf::result<document> {
+  const auto& installed = state_->installed;
+  if (installed.content != nullptr &&
+      base.info.ref == installed.head.info.ref) {
+    return *installed.content;
+  }
+  return Join(base.buckets, state_->chunks);
+}
+
 auto patch_flow::TakeAccepted(entry& item) -> void {
   for (auto& [name, text] : item.chunks) {
     state_->chunks.emplace(name, std::move(text));
--- a/source/core/configuration/patch_flow.h
+++ b/source/core/configuration/patch_flow.h
@@ -73,6 +73,9 @@
   auto TakeHead(entry& item, const head_state& read, instant now) -> void;
   auto TryApply(entry& item, instant now) -> void;
   auto Apply(entry& item, instant now) -> leaf::result<void>;
+  // The document that a patch is for, whose chunks are all here.
+  [[nodiscard]] auto ReadBase(const version_head& base) const
+      -> leaf::result<document>;
   auto TakeAccepted(entry& item) -> void;
   auto Retry(entry& item, instant now) -> void;
   auto Reply(entry& item, patch_result result) -> void;
--- a/source/core/configuration/spread.cc
+++ b/source/core/configuration/spread.cc
@@ -117,7 +117,7 @@
   if (!target_ || loader_->StatusOf(target_->load) != load_status::kDone) {
     return;
   }
-  auto content = Join(target_->head.buckets, state_->chunks);
+  auto content = ReadTarget();
   const auto head = target_->head;
   loader_->Finish(target_->load);
   target_.reset();
@@ -126,6 +126,16 @@
   }
 }
 
+auto spread::ReadTarget() const -> leaf::result<document> {
+  const auto& installed = state_->installed;
+  const auto& buckets = target_->head.buckets;
+  if (installed.content == nullptr) {
+    return Join(buckets, state_->chunks);
+  }
+  return Rejoin(*installed.content, installed.head.buckets, buckets,
+                state_->chunks);
+}
+
 auto spread::Install(const version_head& head,
                      std::shared_ptr<const document> content,
                      instant now) -> void {
--- a/source/core/configuration/spread.h
+++ b/source/core/configuration/spread.h
@@ -43,6 +43,8 @@
   auto TakeLearned() -> void;
   auto Follow(const learned_version& item) -> void;
   auto TryInstall(instant now) -> void;
+  // The document of the target, whose chunks are all here.
+  [[nodiscard]] auto ReadTarget() const -> leaf::result<document>;
   auto Install(const version_head& head,
                std::shared_ptr<const document> content,
                instant now) -> void;
--- a/source/core/configuration/version.cc
+++ b/source/core/configuration/version.cc
@@ -76,6 +76,41 @@
   return {};
 }
 
+// The members that the chunks of some buckets hold, as a JSON document.
+auto Members(const manifest& buckets, const chunk_map& chunks)
+    -> leaf::result<json::object> {
+  auto root = json::object{};
+  for (const auto& [bucket, name] : buckets) {
+    const auto found = chunks.find(name);
+    if (found == chunks.end()) {
+      return leaf::new_error(
+          document_error{"", "chunk " + ToString(name) + " is missing"});
+    }
+    BOOST_LEAF_CHECK(AddChunk(root, found->second));
+  }
+  return root;
+}
+
+// Those of some buckets whose chunk is another in the other manifest.
+auto Differing(const manifest& from, const manifest& other) -> manifest {
+  auto buckets = manifest{};
+  for (const auto& [bucket, chunk] : from) {
+    const auto found = other.find(bucket);
+    if (found == other.end() || found->second != chunk) {
+      buckets.emplace(bucket, chunk);
+    }
+  }
+  return buckets;
+}
+
+template <class Entries>
+auto Exchange(Entries& target, const Entries& gone, Entries& added) -> void {
+  for (const auto& entry : gone) {
+    target.erase(entry.first);
+  }
+  target.merge(added);
+}
+
 auto ToText(bucket_index bucket, const digest& chunk) -> std::string {
   return std::to_string(bucket) + ":" + ToString(chunk) + "\n";
 }
@@ -105,18 +140,33 @@
 
 auto Join(const manifest& buckets, const chunk_map& chunks)
     -> leaf::result<document> {
-  auto root = json::object{};
-  for (const auto& [bucket, name] : buckets) {
-    const auto found = chunks.find(name);
-    if (found == chunks.end()) {
-      return leaf::new_error(
-          document_error{"", "chunk " + ToString(name) + " is missing"});
-    }
-    BOOST_LEAF_CHECK(AddChunk(root, found->second));
-  }
+  BOOST_LEAF_AUTO(root, Members(buckets, chunks));
   return ReadDocument(json::value(std::move(root)));
 }
 
+auto Rejoin(const document& from,
+            const manifest& from_buckets,
+            const manifest& buckets,
+            const chunk_map& chunks) -> leaf::result<document> {
+  BOOST_LEAF_AUTO(old_members,
+                  Members(Differing(from_buckets, buckets), chunks));
+  BOOST_LEAF_AUTO(new_members,
+                  Members(Differing(buckets, from_buckets), chunks));
+  const auto has_migration = new_members.contains("migration");
+  BOOST_LEAF_AUTO(gone, ReadDocument(json::value(std::move(old_members))));
+  BOOST_LEAF_AUTO(added, ReadDocument(json::value(std::move(new_members))));
+  auto to = from;
+  Exchange(to.failure_domains, gone.failure_domains, added.failure_domains);
+  Exchange(to.tenants, gone.tenants, added.tenants);
+  Exchange(to.models, gone.models, added.models);
+  Exchange(to.adapters, gone.adapters, added.adapters);
+  Exchange(to.services, gone.services, added.services);
+  Exchange(to.endpoints, gone.endpoints, added.endpoints);
+  Exchange(to.need, gone.need, added.need);
+  to.migration = has_migration ? added.migration : from.migration;
+  return to;
+}
+
 auto ChunkPatch(const std::string& from, const std::string& to) -> std::string {
   const auto before = ParseJson(from);
   const auto after = ParseJson(to);
--- a/source/core/configuration/version.h
+++ b/source/core/configuration/version.h
@@ -94,6 +94,14 @@
 auto Join(const manifest& buckets, const chunk_map& chunks)
     -> leaf::result<document>;
 
+// Puts a document together from that of another version, reading only the
+// chunks that differ. All of these must be among the chunks given. Fails with
+// document_error.
+auto Rejoin(const document& from,
+            const manifest& from_buckets,
+            const manifest& buckets,
+            const chunk_map& chunks) -> leaf::result<document>;
+
 // The patch that turns one chunk into another; empty when it is not shorter
 // than the chunk, or one of them can't be read.
 auto ChunkPatch(const std::string& from, const std::string& to) -> std::string;
--- a/source/unit_tests/configuration/storage_test.cc
+++ b/source/unit_tests/configuration/storage_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "sample_document.h"
 
@@ -45,6 +46,30 @@
   CHECK(WithChanges(Split(before).buckets, changes) == Split(after).buckets);
 }
 
+TEST_CASE("a document is put together from the one before") {
+  const auto before = LargeDocument(300);
+  auto after = before;
+  after.endpoints.at(endpoint_id("engine-7")).capacity = 9;
+  after.endpoints.erase(endpoint_id("engine-8"));
+  after.endpoints[endpoint_id("new")] =
+      before.endpoints.at(endpoint_id("engine-8"));
+  after.tenants.clear();
+  after.adapters[adapter_id("other")] =
+      before.adapters.at(adapter_id("combos"));
+  after.need["agent"] = 2;
+  after.migration.deadline_seconds = 60;
+  for (const auto& [from, to] :
+       {std::pair(before, after), std::pair(after, before),
+        std::pair(before, before)}) {
+    const auto old_content = Split(from);
+    const auto new_content = Split(to);
+    auto chunks = old_content.chunks;
+    chunks.insert(new_content.chunks.begin(), new_content.chunks.end());
+    CHECK(Rejoin(from, old_content.buckets, new_content.buckets, chunks)
+              .value() == to);
+  }
+}
+
 TEST_CASE("a chunk patch is short and gives the other chunk") {
   const auto before = LargeDocument(500);
   auto after = before;
