Test faults together and twice; use the gateway's names of status

The clients and the check of the history moved to patch_clients, unchanged but for the number of nodes as a parameter.

--- a/source/core/control/watch_command.cc
+++ b/source/core/control/watch_command.cc
@@ -38,7 +38,7 @@
     const auto& line = vm.get_object();
     const auto version = IntegerOr(line, "version", 0);
     result.reached += version >= static_cast<std::int64_t>(number) ? 1 : 0;
-    const auto* seconds = line.if_contains("spread_seconds");
+    const auto* seconds = line.if_contains("seconds_to_install");
     if (seconds != nullptr && seconds->is_double()) {
       result.slowest_seconds =
           std::max(result.slowest_seconds, seconds->get_double());
--- a/source/unit_tests/configuration/faults_test.cc
+++ b/source/unit_tests/configuration/faults_test.cc
@@ -1,13 +1,13 @@
 #include <doctest/doctest.h>
 
-#include <map>
+#include <iterator>
 #include <memory>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "configuration/storage.h"
 #include "fake_fleet.h"
+#include "patch_clients.h"
 #include "sample_document.h"
 
 namespace daisywind::configuration {
@@ -15,11 +15,6 @@
 
 constexpr auto kNodes = std::size_t{8};
 
-auto CapacityPatch(std::int64_t capacity) -> std::string {
-  return R"({"endpoints":{"agent-1":{"capacity":)" + std::to_string(capacity) +
-         "}}}";
-}
-
 auto MakeFleet(std::uint64_t seed = 1) -> std::unique_ptr<fake_fleet> {
   auto fleet = std::make_unique<fake_fleet>(kNodes, 3, seed);
   fleet->Initialize(SampleDocument());
@@ -29,75 +24,61 @@
   return fleet;
 }
 
-auto HistoryOf(fake_fleet& fleet) -> std::vector<history_entry> {
-  const auto response = fleet.service.Execute(HistoryRequest(1));
-  return ReadHistoryState(response).value().entries;
+using fault = void (*)(fake_fleet&, random_source&);
+
+auto StopService(fake_fleet& fleet, random_source& /*random*/) -> void {
+  fleet.faults.is_service_down = true;
 }
 
-// Operators that send a patch again under its id until its end is known.
-class patch_clients {
- public:
-  patch_clients(fake_fleet& fleet, random_source& random)
-      : fleet_(&fleet), random_(&random) {}
+auto SlowService(fake_fleet& fleet, random_source& /*random*/) -> void {
+  fleet.faults.service_delay = 900ms;
+}
 
-  auto Race(std::size_t racers) -> void {
-    const auto base = fleet_->At(random_->Below(kNodes)).system->Number();
-    for (auto i = std::size_t{0}; i < racers; ++i) {
-      last_patch_ += 1;
-      Send({"p" + std::to_string(last_patch_), base,
-            static_cast<std::int64_t>(last_patch_)});
-    }
-  }
+auto LoseAnswers(fake_fleet& fleet, random_source& /*random*/) -> void {
+  fleet.faults.lost_answers = 0.4;
+}
 
-  auto RunUntilAllAreKnown() -> void {
-    while (!open_.empty()) {
-      fleet_->Run(11s);
-      for (const auto& [id, item] : std::exchange(open_, {})) {
-        Settle(id, item);
-      }
-    }
-  }
+auto LoseMessages(fake_fleet& fleet, random_source& /*random*/) -> void {
+  fleet.faults.lost_messages = 0.3;
+}
 
-  auto accepted() const -> const std::map<std::string, version_number>& {
-    return accepted_;
-  }
-  auto repeats() const -> std::size_t { return repeats_; }
-
- private:
-  struct patch {
-    std::string name;
-    version_number base = 0;
-    std::int64_t capacity = 0;
-  };
-
-  auto Send(const patch& item) -> void {
-    const auto node = random_->Below(kNodes);
-    const auto id =
-        fleet_->Patch(node, item.base, item.name, CapacityPatch(item.capacity));
-    open_[id] = item;
-  }
+auto PauseNode(fake_fleet& fleet, random_source& random) -> void {
+  fleet.Pause(random.Below(kNodes));
+}
+
+auto PartNode(fake_fleet& fleet, random_source& random) -> void {
+  fleet.At(random.Below(kNodes)).group = 1;
+}
 
-  // A patch without a reply was sent to a VM that has died.
-  auto Settle(request_id id, const patch& item) -> void {
-    const auto found = fleet_->patch_replies.find(id);
-    const auto is_open =
-        found == fleet_->patch_replies.end() ||
-        std::holds_alternative<patch_unavailable>(found->second);
-    if (is_open) {
-      repeats_ += 1;
-      Send(item);
-    } else if (const auto* done = std::get_if<patch_accepted>(&found->second)) {
-      accepted_[item.name] = done->number;
+auto CutNodeFromService(fake_fleet& fleet, random_source& random) -> void {
+  fleet.At(random.Below(kNodes)).reaches_service = false;
+}
+
+auto RestartNode(fake_fleet& fleet, random_source& random) -> void {
+  const auto node = random.Below(kNodes);
+  fleet.Kill(node);
+  fleet.Run(200ms);
+  fleet.Start(node);
+}
+
+constexpr fault kFaults[] = {StopService,        SlowService, LoseAnswers,
+                             LoseMessages,       PauseNode,   PartNode,
+                             CutNodeFromService, RestartNode};
+
+auto InjectFault(fake_fleet& fleet, random_source& random) -> void {
+  kFaults[random.Below(std::size(kFaults))](fleet, random);
+}
+
+auto Heal(fake_fleet& fleet) -> void {
+  fleet.faults = {};
+  for (auto i = std::size_t{0}; i < kNodes; ++i) {
+    fleet.At(i).group = 0;
+    fleet.At(i).reaches_service = true;
+    if (fleet.At(i).is_paused) {
+      fleet.Resume(i);
     }
   }
-
-  fake_fleet* fleet_;
-  random_source* random_;
-  std::map<request_id, patch> open_;
-  std::map<std::string, version_number> accepted_;
-  std::size_t last_patch_ = 0;
-  std::size_t repeats_ = 0;
-};
+}
 
 }  // namespace
 
@@ -184,7 +165,7 @@
   fleet->faults.lost_answers = 0.15;
   fleet->faults.lost_messages = 0.1;
   auto random = random_source(9);
-  auto operators = patch_clients(*fleet, random);
+  auto operators = patch_clients(*fleet, random, kNodes);
   for (auto sent = std::size_t{0}; sent < kPatches; sent += kRacers) {
     operators.Race(kRacers);
     if (random.Below(5) == 0) {
@@ -197,20 +178,41 @@
   }
   fleet->faults = {};
   fleet->Run(20s);
-  auto stored = std::map<std::string, version_number>{};
-  auto number = version_number{0};
-  for (const auto& line : HistoryOf(*fleet)) {
-    number += 1;
-    CHECK(line.info.ref.number == number);
-    CHECK(stored.emplace(line.info.patch_id, number).second);
-  }
-  stored.erase("init");
+  const auto stored = CheckedHistory(*fleet);
   CHECK(operators.accepted() == stored);
   CHECK(stored.size() >= kPatches / kRacers / 2);
   CHECK(fleet->reversions == 0);
-  CHECK(fleet->AllHave(number));
+  CHECK(fleet->AllHave(stored.size() + 1));
   MESSAGE("accepted " << stored.size() << ", sent again "
                       << operators.repeats());
 }
 
+TEST_CASE("faults together and twice lose, double and revert nothing") {
+  constexpr auto kSteps = 30;
+  for (const auto seed : {1U, 2U, 3U, 4U, 5U, 6U, 7U, 8U}) {
+    auto fleet = MakeFleet(seed);
+    auto random = random_source(seed);
+    auto operators = patch_clients(*fleet, random, kNodes);
+    for (auto step = 0; step < kSteps; ++step) {
+      InjectFault(*fleet, random);
+      InjectFault(*fleet, random);
+      operators.Race(3);
+      fleet->Run(random.Below(20) * duration(1s));
+      operators.SettleAnswered();
+      if (step % 3 == 2) {
+        Heal(*fleet);
+      }
+    }
+    Heal(*fleet);
+    operators.RunUntilAllAreKnown();
+    fleet->Run(20s);
+    const auto stored = CheckedHistory(*fleet);
+    CHECK(operators.accepted() == stored);
+    CHECK(fleet->reversions == 0);
+    CHECK(fleet->AllHave(stored.size() + 1));
+    MESSAGE("seed " << seed << ": accepted " << stored.size() << ", sent again "
+                    << operators.repeats());
+  }
+}
+
 }  // namespace daisywind::configuration
--- /dev/null
+++ b/source/unit_tests/configuration/patch_clients.cc
@@ -0,0 +1,24 @@
+#include "patch_clients.h"
+
+#include <doctest/doctest.h>
+
+#include "configuration/storage.h"
+
+namespace daisywind::configuration {
+
+auto CheckedHistory(fake_fleet& fleet)
+    -> std::map<std::string, version_number> {
+  const auto response = fleet.service.Execute(HistoryRequest(1));
+  auto stored = std::map<std::string, version_number>{};
+  auto number = version_number{0};
+  const auto read = ReadHistoryState(response).value();
+  for (const auto& line : read.entries) {
+    number += 1;
+    CHECK(line.info.ref.number == number);
+    CHECK(stored.emplace(line.info.patch_id, number).second);
+  }
+  stored.erase("init");
+  return stored;
+}
+
+}  // namespace daisywind::configuration
--- /dev/null
+++ b/source/unit_tests/configuration/patch_clients.h
@@ -0,0 +1,106 @@
+// Operators for tests of faults.
+#ifndef DAISYWIND_UNIT_TESTS_CONFIGURATION_PATCH_CLIENTS_H_
+#define DAISYWIND_UNIT_TESTS_CONFIGURATION_PATCH_CLIENTS_H_
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "common/random.h"
+#include "fake_fleet.h"
+
+namespace daisywind::configuration {
+
+// A merge patch of the sample document.
+inline auto CapacityPatch(std::int64_t capacity) -> std::string {
+  return R"({"endpoints":{"agent-1":{"capacity":)" + std::to_string(capacity) +
+         "}}}";
+}
+
+// Operators that send a patch again under its id until its end is known.
+class patch_clients {
+ public:
+  patch_clients(fake_fleet& fleet, random_source& random, std::size_t nodes)
+      : fleet_(&fleet), random_(&random), nodes_(nodes) {}
+
+  auto Race(std::size_t racers) -> void {
+    const auto base = fleet_->At(random_->Below(nodes_)).system->Number();
+    for (auto i = std::size_t{0}; i < racers; ++i) {
+      last_patch_ += 1;
+      Send({"p" + std::to_string(last_patch_), base,
+            static_cast<std::int64_t>(last_patch_)});
+    }
+  }
+
+  // Takes the replies so far, and sends again what is not known.
+  auto SettleAnswered() -> void {
+    for (const auto& [id, item] : std::exchange(open_, {})) {
+      if (fleet_->patch_replies.contains(id)) {
+        Settle(id, item);
+      } else {
+        open_[id] = item;
+      }
+    }
+  }
+
+  auto RunUntilAllAreKnown() -> void {
+    while (!open_.empty()) {
+      fleet_->Run(11s);
+      for (const auto& [id, item] : std::exchange(open_, {})) {
+        Settle(id, item);
+      }
+    }
+  }
+
+  [[nodiscard]] auto accepted() const
+      -> const std::map<std::string, version_number>& {
+    return accepted_;
+  }
+  [[nodiscard]] auto repeats() const -> std::size_t { return repeats_; }
+
+ private:
+  struct patch {
+    std::string name;
+    version_number base = 0;
+    std::int64_t capacity = 0;
+  };
+
+  auto Send(const patch& item) -> void {
+    const auto node = random_->Below(nodes_);
+    const auto id =
+        fleet_->Patch(node, item.base, item.name, CapacityPatch(item.capacity));
+    open_[id] = item;
+  }
+
+  // A patch without a reply was sent to a VM that has died.
+  auto Settle(request_id id, const patch& item) -> void {
+    const auto found = fleet_->patch_replies.find(id);
+    const auto is_open =
+        found == fleet_->patch_replies.end() ||
+        std::holds_alternative<patch_unavailable>(found->second);
+    if (is_open) {
+      repeats_ += 1;
+      Send(item);
+    } else if (const auto* done = std::get_if<patch_accepted>(&found->second)) {
+      accepted_[item.name] = done->number;
+    }
+  }
+
+  fake_fleet* fleet_;
+  random_source* random_;
+  std::size_t nodes_;
+  std::map<request_id, patch> open_;
+  std::map<std::string, version_number> accepted_;
+  std::size_t last_patch_ = 0;
+  std::size_t repeats_ = 0;
+};
+
+// The number of each patch that the service has accepted, by its id. Checks
+// that the history has no gap and no patch twice.
+auto CheckedHistory(fake_fleet& fleet) -> std::map<std::string, version_number>;
+
+}  // namespace daisywind::configuration
+
+#endif  // DAISYWIND_UNIT_TESTS_CONFIGURATION_PATCH_CLIENTS_H_
--- a/source/unit_tests/control/commands_test.cc
+++ b/source/unit_tests/control/commands_test.cc
@@ -142,7 +142,9 @@
   auto vm = fake_vm();
   vm.answers = {
       {200, {{"ETag", "\"7\""}}, "{}"},
-      {200, {}, R"({"vms":[{"version":7,"spread_seconds":1.5}],"silent":[]})"}};
+      {200,
+       {},
+       R"({"vms":[{"version":7,"seconds_to_install":1.5}],"silent":[]})"}};
   auto given = arguments{};
   given.words = {"config", "watch"};
   given.until = 7;
