--- a/source/core/program_wire/program_generated.h
+++ b/source/core/program_wire/program_generated.h
@@ -1942,7 +1942,7 @@
 struct CallRecordT : public flatbuffers::NativeTable {
   typedef CallRecord TableType;
   uint32_t turn = 0;
-  uint32_t attempt = 0;
+  uint64_t attempt = 0;
   uint8_t kind = 0;
   uint8_t phase = 0;
   bool is_idempotent = false;
@@ -1985,8 +1985,8 @@
   uint32_t turn() const {
     return GetField<uint32_t>(VT_TURN, 0);
   }
-  uint32_t attempt() const {
-    return GetField<uint32_t>(VT_ATTEMPT, 0);
+  uint64_t attempt() const {
+    return GetField<uint64_t>(VT_ATTEMPT, 0);
   }
   uint8_t kind() const {
     return GetField<uint8_t>(VT_KIND, 0);
@@ -2030,7 +2030,7 @@
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_TURN, 4) &&
-           VerifyField<uint32_t>(verifier, VT_ATTEMPT, 4) &&
+           VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
            VerifyField<uint8_t>(verifier, VT_PHASE, 1) &&
            VerifyField<uint8_t>(verifier, VT_IS_IDEMPOTENT, 1) &&
@@ -2065,8 +2065,8 @@
   void add_turn(uint32_t turn) {
     fbb_.AddElement<uint32_t>(CallRecord::VT_TURN, turn, 0);
   }
-  void add_attempt(uint32_t attempt) {
-    fbb_.AddElement<uint32_t>(CallRecord::VT_ATTEMPT, attempt, 0);
+  void add_attempt(uint64_t attempt) {
+    fbb_.AddElement<uint64_t>(CallRecord::VT_ATTEMPT, attempt, 0);
   }
   void add_kind(uint8_t kind) {
     fbb_.AddElement<uint8_t>(CallRecord::VT_KIND, kind, 0);
@@ -2127,7 +2127,7 @@
 inline flatbuffers::Offset<CallRecord> CreateCallRecord(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint32_t turn = 0,
-    uint32_t attempt = 0,
+    uint64_t attempt = 0,
     uint8_t kind = 0,
     uint8_t phase = 0,
     bool is_idempotent = false,
@@ -2142,6 +2142,7 @@
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> history = 0,
     flatbuffers::Offset<daisywind::program::fbs::CallAnswer> answer = 0) {
   CallRecordBuilder builder_(_fbb);
+  builder_.add_attempt(attempt);
   builder_.add_answer(answer);
   builder_.add_history(history);
   builder_.add_message_count(message_count);
@@ -2150,7 +2151,6 @@
   builder_.add_target(target);
   builder_.add_body(body);
   builder_.add_key(key);
-  builder_.add_attempt(attempt);
   builder_.add_turn(turn);
   builder_.add_is_rerun(is_rerun);
   builder_.add_has_lookup(has_lookup);
@@ -2163,7 +2163,7 @@
 inline flatbuffers::Offset<CallRecord> CreateCallRecordDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint32_t turn = 0,
-    uint32_t attempt = 0,
+    uint64_t attempt = 0,
     uint8_t kind = 0,
     uint8_t phase = 0,
     bool is_idempotent = false,
@@ -2366,7 +2366,7 @@
   std::unique_ptr<daisywind::program::fbs::BudgetT> limits{};
   std::unique_ptr<daisywind::program::fbs::BudgetT> used{};
   int64_t age_us = 0;
-  uint32_t last_attempt = 0;
+  uint64_t last_attempt = 0;
   bool is_ended = false;
   std::vector<std::unique_ptr<daisywind::program::fbs::BranchRecordT>> branches{};
   std::vector<std::string> holders{};
@@ -2409,8 +2409,8 @@
   int64_t age_us() const {
     return GetField<int64_t>(VT_AGE_US, 0);
   }
-  uint32_t last_attempt() const {
-    return GetField<uint32_t>(VT_LAST_ATTEMPT, 0);
+  uint64_t last_attempt() const {
+    return GetField<uint64_t>(VT_LAST_ATTEMPT, 0);
   }
   bool is_ended() const {
     return GetField<uint8_t>(VT_IS_ENDED, 0) != 0;
@@ -2434,7 +2434,7 @@
            VerifyOffsetRequired(verifier, VT_USED) &&
            verifier.VerifyTable(used()) &&
            VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
-           VerifyField<uint32_t>(verifier, VT_LAST_ATTEMPT, 4) &&
+           VerifyField<uint64_t>(verifier, VT_LAST_ATTEMPT, 8) &&
            VerifyField<uint8_t>(verifier, VT_IS_ENDED, 1) &&
            VerifyOffsetRequired(verifier, VT_BRANCHES) &&
            verifier.VerifyVector(branches()) &&
@@ -2471,8 +2471,8 @@
   void add_age_us(int64_t age_us) {
     fbb_.AddElement<int64_t>(ProgramState::VT_AGE_US, age_us, 0);
   }
-  void add_last_attempt(uint32_t last_attempt) {
-    fbb_.AddElement<uint32_t>(ProgramState::VT_LAST_ATTEMPT, last_attempt, 0);
+  void add_last_attempt(uint64_t last_attempt) {
+    fbb_.AddElement<uint64_t>(ProgramState::VT_LAST_ATTEMPT, last_attempt, 0);
   }
   void add_is_ended(bool is_ended) {
     fbb_.AddElement<uint8_t>(ProgramState::VT_IS_ENDED, static_cast<uint8_t>(is_ended), 0);
@@ -2509,15 +2509,15 @@
     flatbuffers::Offset<daisywind::program::fbs::Budget> limits = 0,
     flatbuffers::Offset<daisywind::program::fbs::Budget> used = 0,
     int64_t age_us = 0,
-    uint32_t last_attempt = 0,
+    uint64_t last_attempt = 0,
     bool is_ended = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<daisywind::program::fbs::BranchRecord>>> branches = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> holders = 0) {
   ProgramStateBuilder builder_(_fbb);
+  builder_.add_last_attempt(last_attempt);
   builder_.add_age_us(age_us);
   builder_.add_holders(holders);
   builder_.add_branches(branches);
-  builder_.add_last_attempt(last_attempt);
   builder_.add_used(used);
   builder_.add_limits(limits);
   builder_.add_service_class(service_class);
@@ -2535,7 +2535,7 @@
     flatbuffers::Offset<daisywind::program::fbs::Budget> limits = 0,
     flatbuffers::Offset<daisywind::program::fbs::Budget> used = 0,
     int64_t age_us = 0,
-    uint32_t last_attempt = 0,
+    uint64_t last_attempt = 0,
     bool is_ended = false,
     const std::vector<flatbuffers::Offset<daisywind::program::fbs::BranchRecord>> *branches = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *holders = nullptr) {
@@ -2787,7 +2787,7 @@
   typedef Withdrawal TableType;
   std::string branch{};
   uint32_t turn = 0;
-  uint32_t attempt = 0;
+  uint64_t attempt = 0;
 };
 
 struct Withdrawal FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2804,15 +2804,15 @@
   uint32_t turn() const {
     return GetField<uint32_t>(VT_TURN, 0);
   }
-  uint32_t attempt() const {
-    return GetField<uint32_t>(VT_ATTEMPT, 0);
+  uint64_t attempt() const {
+    return GetField<uint64_t>(VT_ATTEMPT, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_BRANCH) &&
            verifier.VerifyString(branch()) &&
            VerifyField<uint32_t>(verifier, VT_TURN, 4) &&
-           VerifyField<uint32_t>(verifier, VT_ATTEMPT, 4) &&
+           VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
            verifier.EndTable();
   }
   WithdrawalT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2830,8 +2830,8 @@
   void add_turn(uint32_t turn) {
     fbb_.AddElement<uint32_t>(Withdrawal::VT_TURN, turn, 0);
   }
-  void add_attempt(uint32_t attempt) {
-    fbb_.AddElement<uint32_t>(Withdrawal::VT_ATTEMPT, attempt, 0);
+  void add_attempt(uint64_t attempt) {
+    fbb_.AddElement<uint64_t>(Withdrawal::VT_ATTEMPT, attempt, 0);
   }
   explicit WithdrawalBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -2849,7 +2849,7 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> branch = 0,
     uint32_t turn = 0,
-    uint32_t attempt = 0) {
+    uint64_t attempt = 0) {
   WithdrawalBuilder builder_(_fbb);
   builder_.add_attempt(attempt);
   builder_.add_turn(turn);
@@ -2861,7 +2861,7 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *branch = nullptr,
     uint32_t turn = 0,
-    uint32_t attempt = 0) {
+    uint64_t attempt = 0) {
   auto branch__ = branch ? _fbb.CreateString(branch) : 0;
   return daisywind::program::fbs::CreateWithdrawal(
       _fbb,
@@ -2876,7 +2876,7 @@
   typedef Settlement TableType;
   std::string branch{};
   uint32_t turn = 0;
-  uint32_t attempt = 0;
+  uint64_t attempt = 0;
   std::unique_ptr<daisywind::program::fbs::BudgetT> used{};
   uint32_t message_count = 0;
   std::vector<uint8_t> history{};
@@ -2905,8 +2905,8 @@
   uint32_t turn() const {
     return GetField<uint32_t>(VT_TURN, 0);
   }
-  uint32_t attempt() const {
-    return GetField<uint32_t>(VT_ATTEMPT, 0);
+  uint64_t attempt() const {
+    return GetField<uint64_t>(VT_ATTEMPT, 0);
   }
   const daisywind::program::fbs::Budget *used() const {
     return GetPointer<const daisywind::program::fbs::Budget *>(VT_USED);
@@ -2925,7 +2925,7 @@
            VerifyOffsetRequired(verifier, VT_BRANCH) &&
            verifier.VerifyString(branch()) &&
            VerifyField<uint32_t>(verifier, VT_TURN, 4) &&
-           VerifyField<uint32_t>(verifier, VT_ATTEMPT, 4) &&
+           VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
            VerifyOffsetRequired(verifier, VT_USED) &&
            verifier.VerifyTable(used()) &&
            VerifyField<uint32_t>(verifier, VT_MESSAGE_COUNT, 4) &&
@@ -2950,8 +2950,8 @@
   void add_turn(uint32_t turn) {
     fbb_.AddElement<uint32_t>(Settlement::VT_TURN, turn, 0);
   }
-  void add_attempt(uint32_t attempt) {
-    fbb_.AddElement<uint32_t>(Settlement::VT_ATTEMPT, attempt, 0);
+  void add_attempt(uint64_t attempt) {
+    fbb_.AddElement<uint64_t>(Settlement::VT_ATTEMPT, attempt, 0);
   }
   void add_used(flatbuffers::Offset<daisywind::program::fbs::Budget> used) {
     fbb_.AddOffset(Settlement::VT_USED, used);
@@ -2983,17 +2983,17 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> branch = 0,
     uint32_t turn = 0,
-    uint32_t attempt = 0,
+    uint64_t attempt = 0,
     flatbuffers::Offset<daisywind::program::fbs::Budget> used = 0,
     uint32_t message_count = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> history = 0,
     flatbuffers::Offset<daisywind::program::fbs::CallAnswer> answer = 0) {
   SettlementBuilder builder_(_fbb);
+  builder_.add_attempt(attempt);
   builder_.add_answer(answer);
   builder_.add_history(history);
   builder_.add_message_count(message_count);
   builder_.add_used(used);
-  builder_.add_attempt(attempt);
   builder_.add_turn(turn);
   builder_.add_branch(branch);
   return builder_.Finish();
@@ -3003,7 +3003,7 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *branch = nullptr,
     uint32_t turn = 0,
-    uint32_t attempt = 0,
+    uint64_t attempt = 0,
     flatbuffers::Offset<daisywind::program::fbs::Budget> used = 0,
     uint32_t message_count = 0,
     const std::vector<uint8_t> *history = nullptr,
@@ -5295,7 +5295,7 @@
 struct LateSettlementT : public flatbuffers::NativeTable {
   typedef LateSettlement TableType;
   std::unique_ptr<daisywind::program::fbs::ProgramIdT> program{};
-  uint32_t attempt = 0;
+  uint64_t attempt = 0;
   daisywind::program::fbs::UpdateUnion update{};
   std::string endpoint{};
   bool holds_memory = false;
@@ -5319,8 +5319,8 @@
   const daisywind::program::fbs::ProgramId *program() const {
     return GetPointer<const daisywind::program::fbs::ProgramId *>(VT_PROGRAM);
   }
-  uint32_t attempt() const {
-    return GetField<uint32_t>(VT_ATTEMPT, 0);
+  uint64_t attempt() const {
+    return GetField<uint64_t>(VT_ATTEMPT, 0);
   }
   daisywind::program::fbs::Update update_type() const {
     return static_cast<daisywind::program::fbs::Update>(GetField<uint8_t>(VT_UPDATE_TYPE, 0));
@@ -5360,7 +5360,7 @@
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_PROGRAM) &&
            verifier.VerifyTable(program()) &&
-           VerifyField<uint32_t>(verifier, VT_ATTEMPT, 4) &&
+           VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
            VerifyField<uint8_t>(verifier, VT_UPDATE_TYPE, 1) &&
            VerifyOffset(verifier, VT_UPDATE) &&
            VerifyUpdate(verifier, update(), update_type()) &&
@@ -5409,8 +5409,8 @@
   void add_program(flatbuffers::Offset<daisywind::program::fbs::ProgramId> program) {
     fbb_.AddOffset(LateSettlement::VT_PROGRAM, program);
   }
-  void add_attempt(uint32_t attempt) {
-    fbb_.AddElement<uint32_t>(LateSettlement::VT_ATTEMPT, attempt, 0);
+  void add_attempt(uint64_t attempt) {
+    fbb_.AddElement<uint64_t>(LateSettlement::VT_ATTEMPT, attempt, 0);
   }
   void add_update_type(daisywind::program::fbs::Update update_type) {
     fbb_.AddElement<uint8_t>(LateSettlement::VT_UPDATE_TYPE, static_cast<uint8_t>(update_type), 0);
@@ -5440,15 +5440,15 @@
 inline flatbuffers::Offset<LateSettlement> CreateLateSettlement(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<daisywind::program::fbs::ProgramId> program = 0,
-    uint32_t attempt = 0,
+    uint64_t attempt = 0,
     daisywind::program::fbs::Update update_type = daisywind::program::fbs::Update_NONE,
     flatbuffers::Offset<void> update = 0,
     flatbuffers::Offset<flatbuffers::String> endpoint = 0,
     bool holds_memory = false) {
   LateSettlementBuilder builder_(_fbb);
+  builder_.add_attempt(attempt);
   builder_.add_endpoint(endpoint);
   builder_.add_update(update);
-  builder_.add_attempt(attempt);
   builder_.add_program(program);
   builder_.add_holds_memory(holds_memory);
   builder_.add_update_type(update_type);
@@ -5458,7 +5458,7 @@
 inline flatbuffers::Offset<LateSettlement> CreateLateSettlementDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<daisywind::program::fbs::ProgramId> program = 0,
-    uint32_t attempt = 0,
+    uint64_t attempt = 0,
     daisywind::program::fbs::Update update_type = daisywind::program::fbs::Update_NONE,
     flatbuffers::Offset<void> update = 0,
     const char *endpoint = nullptr,
@@ -5479,7 +5479,7 @@
 struct LateSettlementAckT : public flatbuffers::NativeTable {
   typedef LateSettlementAck TableType;
   std::unique_ptr<daisywind::program::fbs::ProgramIdT> program{};
-  uint32_t attempt = 0;
+  uint64_t attempt = 0;
   bool is_gone = false;
   LateSettlementAckT() = default;
   LateSettlementAckT(const LateSettlementAckT &o);
@@ -5498,8 +5498,8 @@
   const daisywind::program::fbs::ProgramId *program() const {
     return GetPointer<const daisywind::program::fbs::ProgramId *>(VT_PROGRAM);
   }
-  uint32_t attempt() const {
-    return GetField<uint32_t>(VT_ATTEMPT, 0);
+  uint64_t attempt() const {
+    return GetField<uint64_t>(VT_ATTEMPT, 0);
   }
   bool is_gone() const {
     return GetField<uint8_t>(VT_IS_GONE, 0) != 0;
@@ -5508,7 +5508,7 @@
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_PROGRAM) &&
            verifier.VerifyTable(program()) &&
-           VerifyField<uint32_t>(verifier, VT_ATTEMPT, 4) &&
+           VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
            VerifyField<uint8_t>(verifier, VT_IS_GONE, 1) &&
            verifier.EndTable();
   }
@@ -5524,8 +5524,8 @@
   void add_program(flatbuffers::Offset<daisywind::program::fbs::ProgramId> program) {
     fbb_.AddOffset(LateSettlementAck::VT_PROGRAM, program);
   }
-  void add_attempt(uint32_t attempt) {
-    fbb_.AddElement<uint32_t>(LateSettlementAck::VT_ATTEMPT, attempt, 0);
+  void add_attempt(uint64_t attempt) {
+    fbb_.AddElement<uint64_t>(LateSettlementAck::VT_ATTEMPT, attempt, 0);
   }
   void add_is_gone(bool is_gone) {
     fbb_.AddElement<uint8_t>(LateSettlementAck::VT_IS_GONE, static_cast<uint8_t>(is_gone), 0);
@@ -5545,7 +5545,7 @@
 inline flatbuffers::Offset<LateSettlementAck> CreateLateSettlementAck(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<daisywind::program::fbs::ProgramId> program = 0,
-    uint32_t attempt = 0,
+    uint64_t attempt = 0,
     bool is_gone = false) {
   LateSettlementAckBuilder builder_(_fbb);
   builder_.add_attempt(attempt);
