--- a/source/core/experiment/measures.cc
+++ b/source/core/experiment/measures.cc
@@ -71,10 +71,13 @@
       }));
 }
 
-auto CountGood(const std::vector<program_record>& programs) -> std::size_t {
+auto CountGood(const std::vector<program_record>& programs,
+               instant from,
+               instant until) -> std::size_t {
   return static_cast<std::size_t>(
-      std::ranges::count_if(programs, [](const auto& record) {
-        return record.is_measured && record.is_within_deadline;
+      std::ranges::count_if(programs, [from, until](const auto& record) {
+        return record.is_within_deadline && record.end >= from &&
+               record.end < until;
       }));
 }
 
--- a/source/core/experiment/measures.h
+++ b/source/core/experiment/measures.h
@@ -25,6 +25,7 @@
 struct program_record {
   std::size_t class_index = 0;
   instant arrival;
+  instant end;
   duration latency{0};
   // What the latency would be without any waiting.
   duration unloaded{0};
@@ -86,8 +87,11 @@
 auto CountOutcome(const std::vector<program_record>& programs,
                   program_outcome outcome) -> std::size_t;
 
-// Measured programs that ended within their deadlines.
-auto CountGood(const std::vector<program_record>& programs) -> std::size_t;
+// Programs that ended within the time and within their deadlines, whenever they
+// arrived. What is finished after the last arrivals does not count.
+auto CountGood(const std::vector<program_record>& programs,
+               instant from,
+               instant until) -> std::size_t;
 
 }  // namespace daisywind::experiment
 
--- a/source/core/experiment/program_driver.cc
+++ b/source/core/experiment/program_driver.cc
@@ -242,6 +242,7 @@
   program.is_over = true;
   auto& record = program.record;
   record.outcome = outcome;
+  record.end = events_.now();
   record.latency = events_.now() - record.arrival - program.paused;
   const auto seconds = std::chrono::duration<double>{record.latency}.count();
   record.is_within_deadline = outcome == program_outcome::kDone &&
--- a/source/core/experiment/result_table.cc
+++ b/source/core/experiment/result_table.cc
@@ -59,7 +59,9 @@
   const auto total = static_cast<double>(row.all.programs + refused);
   const auto seconds =
       std::chrono::duration<double>{experiment.measured}.count();
-  row.good_programs_per_s = static_cast<double>(CountGood(programs)) / seconds;
+  const auto from = instant{experiment.warm_up};
+  const auto good = CountGood(programs, from, from + experiment.measured);
+  row.good_programs_per_s = static_cast<double>(good) / seconds;
   row.refused_share = Share(static_cast<double>(refused), total);
   row.failed_share = Share(static_cast<double>(failed), total);
   row.wasted_share = Share(measures.wasted_tokens, measures.prompt_tokens);
--- a/source/unit_tests/experiment/measures_test.cc
+++ b/source/unit_tests/experiment/measures_test.cc
@@ -37,4 +37,15 @@
   CHECK(CountOutcome(records, program_outcome::kRefused) == 1);
 }
 
+TEST_CASE("goodput counts what ends in time, not what ends later") {
+  auto good = MakeRecord(1s, program_outcome::kDone);
+  good.end = instant{10s};
+  good.is_within_deadline = true;
+  auto late = good;
+  late.end = instant{20s};
+  auto slow = good;
+  slow.is_within_deadline = false;
+  CHECK(CountGood({good, late, slow}, instant{5s}, instant{20s}) == 1);
+}
+
 }  // namespace daisywind::experiment
