--- a/source/core/policy/expected_finish_routing.cc
+++ b/source/core/policy/expected_finish_routing.cc
@@ -9,6 +9,20 @@
 constexpr auto kRandomOptions = std::size_t{4};
 constexpr auto kAnswerBytesPerToken = 4.0;
 
+// The first endpoint with room from a random start.
+auto FirstWithRoom(const route_context& context)
+    -> std::optional<endpoint_index> {
+  const auto count = context.candidates.size();
+  const auto start = context.random.Below(count);
+  for (auto step = std::size_t{0}; step < count; ++step) {
+    const auto index = context.candidates[(start + step) % count];
+    if (IsEligible(context, index)) {
+      return index;
+    }
+  }
+  return std::nullopt;
+}
+
 }  // namespace
 
 auto ExpectedFinish(const route_context& context,
@@ -60,28 +74,28 @@
   auto best = std::optional<endpoint_index>{};
   auto best_finish = seconds::max();
   for (const auto& option : options_) {
-    if (!IsEligible(context, option.endpoint)) {
+    if (!IsAllowed(context, option.endpoint)) {
       continue;
     }
-    const auto finish = ExpectedFinish(context, option.endpoint, option.tokens);
+    auto finish = ExpectedFinish(context, option.endpoint, option.tokens);
+    const auto is_full = !IsEligible(context, option.endpoint);
+    if (is_full && option.tokens == 0.0) {
+      continue;
+    }
+    if (is_full) {
+      // The longer a call has waited for its cached prefix, the less the
+      // estimate of the rest of the wait is worth.
+      finish += context.waited;
+    }
     if (finish < best_finish) {
       best = option.endpoint;
       best_finish = finish;
     }
   }
-  if (best) {
-    return best;
-  }
-  // None of the few had room: take the first that has, from a random start.
-  const auto count = context.candidates.size();
-  const auto start = context.random.Below(count);
-  for (auto step = std::size_t{0}; step < count; ++step) {
-    const auto index = context.candidates[(start + step) % count];
-    if (IsEligible(context, index)) {
-      return index;
-    }
+  if (!best) {
+    return FirstWithRoom(context);
   }
-  return std::nullopt;
+  return IsEligible(context, *best) ? best : std::nullopt;
 }
 
 }  // namespace daisywind::policy
--- a/source/core/policy/expected_finish_routing.h
+++ b/source/core/policy/expected_finish_routing.h
@@ -10,7 +10,9 @@
 namespace daisywind::policy {
 
 // Compares the endpoints that hold the longest prefixes with a few random ones,
-// so that gateways with equally old reports don't all choose the same.
+// so that gateways with equally old reports don't all choose the same. A call
+// waits for a full endpoint while that costs less than computing its prefix
+// elsewhere.
 class expected_finish_routing : public routing_strategy {
  public:
   auto Choose(const route_context& context)
--- a/source/core/policy/routing.cc
+++ b/source/core/policy/routing.cc
@@ -21,13 +21,10 @@
   return std::make_unique<expected_finish_routing>();
 }
 
-auto IsEligible(const route_context& context, endpoint_index index) -> bool {
+auto IsAllowed(const route_context& context, endpoint_index index) -> bool {
   if (!context.endpoints.IsUsable(index)) {
     return false;
   }
-  if (context.respects_limits && !context.endpoints.HasRoom(index)) {
-    return false;
-  }
   if (context.avoids_suspects && context.endpoints.At(index).suspects > 0) {
     return false;
   }
@@ -37,4 +34,9 @@
              excluded.end();
 }
 
+auto IsEligible(const route_context& context, endpoint_index index) -> bool {
+  return IsAllowed(context, index) &&
+         (!context.respects_limits || context.endpoints.HasRoom(index));
+}
+
 }  // namespace daisywind::policy
--- a/source/core/policy/routing.h
+++ b/source/core/policy/routing.h
@@ -27,6 +27,8 @@
   const link_budget& link;
   random_source& random;
   instant now;
+  // How long the call has been waiting.
+  duration waited{0};
   // Whether endpoints over their concurrency limit are left out.
   bool respects_limits = true;
   // Whether endpoints that run a suspect of a crash are left out.
@@ -50,8 +52,12 @@
 // Makes a strategy.
 auto MakeRouting(routing_kind kind) -> std::unique_ptr<routing_strategy>;
 
-// Whether a call may go to an endpoint: usable, not excluded for the call, and
-// under its limit when limits are respected.
+// Whether a call may go to an endpoint now or later: usable, and not excluded
+// for the call.
+auto IsAllowed(const route_context& context, endpoint_index index) -> bool;
+
+// Whether a call may go to an endpoint now: allowed, and under its limit when
+// limits are respected.
 auto IsEligible(const route_context& context, endpoint_index index) -> bool;
 
 }  // namespace daisywind::policy
--- a/source/core/policy/scheduler_tables.cc
+++ b/source/core/policy/scheduler_tables.cc
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr auto kBitsPerByte = 8.0;
-constexpr auto kScanPerTenant = std::size_t{8};
+constexpr auto kScanPerTenant = std::size_t{32};
 constexpr auto kMaxQueueTime = 120s;
 constexpr auto kSlowTickInterval = 500ms;
 constexpr auto kQuarantineRetryAfter = duration{60s};
@@ -76,8 +76,9 @@
 
 auto Route(scheduler_tables& tables,
            const target_entry& target,
-           const call_request& call,
+           const waiting_call& waiting,
            instant now) -> std::optional<endpoint_index> {
+  const auto& call = waiting.request;
   const auto context =
       route_context{call,
                     target.members,
@@ -87,6 +88,7 @@
                     tables.link,
                     tables.random,
                     now,
+                    now - waiting.arrived,
                     tables.options.admission == admission_kind::kAdaptive,
                     tables.crashes.IsSuspect(call.body)};
   return tables.routing->Choose(context);
@@ -100,7 +102,7 @@
   while (has_sent && !target.queue.empty()) {
     has_sent = false;
     for (const auto* call : target.queue.Next(kScanPerTenant)) {
-      const auto index = Route(tables, target, call->request, now);
+      const auto index = Route(tables, target, *call, now);
       if (!index) {
         continue;
       }
