--- a/source/core/policy/expected_finish_routing.cc
+++ b/source/core/policy/expected_finish_routing.cc
@@ -36,8 +36,9 @@
   const auto uncached =
       std::max(0.0, context.call.prompt_tokens - cached_tokens);
   const auto prefill = context.costs.PrefillTime(uncached);
-  const auto contention = 1.0 + load / capacity;
-  auto total = (wait + prefill * contention) * entry.health.slowdown();
+  // Computing a prompt stops the answers of all calls that run there.
+  const auto delayed = 1.0 + std::min(load, capacity);
+  auto total = (wait + prefill * delayed) * entry.health.slowdown();
   if (!entry.is_local) {
     const auto bytes = context.call.body_bytes +
                        kAnswerBytesPerToken * context.call.max_tokens;
--- a/source/core/policy/expected_finish_routing.h
+++ b/source/core/policy/expected_finish_routing.h
@@ -25,7 +25,8 @@
 };
 
 // Expected time until a call is finished at an endpoint that holds the first
-// `cached_tokens` of its prompt, without its own decoding.
+// `cached_tokens` of its prompt, without its own decoding but with the time by
+// which computing its prompt delays the calls that run there.
 auto ExpectedFinish(const route_context& context,
                     endpoint_index index,
                     double cached_tokens) -> seconds;
