--- a/source/core/policy/admission.cc
+++ b/source/core/policy/admission.cc
@@ -5,7 +5,7 @@
 namespace daisywind::policy {
 namespace {
 
-constexpr auto kMaxStartWait = seconds{4.0};
+constexpr auto kMaxStartWait = seconds{1.0};
 constexpr auto kMaxQueued = std::size_t{10'000};
 constexpr auto kMinRetryAfter = duration{1s};
 
