Hold a turn back until its caller knows that the one before is in doubt

The entry VM now reports that it has told the caller; the owner and the witness record it, and only then the next turn may run. A turn that waits too long for this is refused as not run (previous_in_doubt).

--- a/source/core/fault_matrix/checker.cc
+++ b/source/core/fault_matrix/checker.cc
@@ -146,6 +146,11 @@
     if (is_given_up) {
       given_up.insert(turn);
     }
+    const auto tells_of_last = event.kind == outside_kind::kRefused &&
+                               event.reason == refusal_reason::kPreviousInDoubt;
+    if (tells_of_last) {
+      given_up.insert({event.branch, event.turn - 1});
+    }
   }
   for (const auto& [turn, start] : first_start) {
     const auto before = turn_name{turn.first, turn.second - 1};
--- a/source/core/program/attempts.cc
+++ b/source/core/program/attempts.cc
@@ -261,6 +261,13 @@
                      });
 }
 
+auto IsPreviousInDoubt(const program_copy& copy, const live_key& key) -> bool {
+  const auto* before = FindCall(copy.state, key.first, key.second - 1);
+  return before != nullptr && !before->is_idempotent &&
+         before->phase == call_phase::kIntended &&
+         copy.live.count({key.first, key.second - 1}) == 0;
+}
+
 auto EndWait(system_tables& tables, program_copy& copy, const live_key& key)
     -> void {
   auto& call = copy.live.at(key);
@@ -269,8 +276,10 @@
       const auto result = HasKeyInUse(copy, key)
                               ? outcome::kUnknown
                               : OutcomeWithoutAttempt(copy, key);
-      const auto reason = MayAct(copy) ? refusal_reason::kTurnGapTimedOut
-                                       : refusal_reason::kWitnessUnreachable;
+      const auto reason = !MayAct(copy) ? refusal_reason::kWitnessUnreachable
+                          : IsPreviousInDoubt(copy, key)
+                              ? refusal_reason::kPreviousInDoubt
+                              : refusal_reason::kTurnGapTimedOut;
       RefuseCall(tables, copy, key, MakeProblem(result, reason));
       return;
     }
@@ -283,7 +292,6 @@
       SendAnswer(tables, copy, call, *call.answer);
       return;
     case live_phase::kAskingService:
-      copy.told_in_doubt.emplace(key, tables.now);
       RefuseCall(tables, copy, key,
                  MakeProblem(outcome::kUnknown, refusal_reason::kInDoubt));
       return;
--- a/source/core/program/calls.cc
+++ b/source/core/program/calls.cc
@@ -138,8 +138,7 @@
 auto IsTurn(const system_tables& tables,
             const program_copy& copy,
             const branch_record& branch,
-            turn_number turn,
-            instant arrived) -> bool {
+            turn_number turn) -> bool {
   if (tables.options.mutations.skip_turn_order) {
     return true;
   }
@@ -157,14 +156,7 @@
   if (copy.live.count({branch.name, turn - 1}) != 0) {
     return false;
   }
-  // Until its caller knows that it is in doubt, its end may still be reported.
-  const auto told = copy.told_in_doubt.find({branch.name, turn - 1});
-  const auto is_told =
-      (told != copy.told_in_doubt.end() && arrived > told->second) ||
-      arrived >= copy.activated + tables.options.gap_bound;
-  const auto is_given_up =
-      before.phase == call_phase::kIntended && !before.is_idempotent && is_told;
-  return before.phase == call_phase::kSettled || is_given_up;
+  return before.phase == call_phase::kSettled || before.is_doubt_told;
 }
 
 auto ExtendsHistory(const branch_record& branch, const call_request& request)
@@ -205,7 +197,7 @@
     return Refuse(tables, copy, call, outcome::kDone,
                   refusal_reason::kAnswerNotKept);
   }
-  if (!IsTurn(tables, copy, *branch, key.second, call.arrived)) {
+  if (!IsTurn(tables, copy, *branch, key.second)) {
     return admission::kWait;
   }
   if (!ExtendsHistory(*branch, request)) {
@@ -280,7 +272,6 @@
   const auto key = live_key{item.call.branch, item.call.turn};
   auto call = live_call{};
   call.request = item.call;
-  call.arrived = tables.now;
   call.deadline = tables.now + tables.options.gap_bound;
   call.waiters.push_back(WaiterOf(from, item));
   Send(tables, from, forward_accepted{item.request, copy.replicas});
@@ -399,6 +390,22 @@
   copy->live.erase(found);
 }
 
+auto OnDoubtDelivered(system_tables& tables, const doubt_delivered& item)
+    -> void {
+  auto* copy = FindOwned(tables, item.call.program);
+  if (copy == nullptr || !MayAct(*copy)) {
+    return;
+  }
+  const auto* record = FindCall(copy->state, item.call.branch, item.call.turn);
+  const auto is_in_doubt = record != nullptr && !record->is_idempotent &&
+                           record->phase == call_phase::kIntended &&
+                           !record->is_doubt_told;
+  if (is_in_doubt) {
+    Append(tables, *copy, doubt_told{item.call.branch, item.call.turn});
+    AdmitWaiting(tables, *copy);
+  }
+}
+
 auto AdmitWaiting(system_tables& tables, program_copy& copy) -> void {
   auto keys = std::vector<live_key>{};
   for (const auto& [key, call] : copy.live) {
--- a/source/core/program/calls.h
+++ b/source/core/program/calls.h
@@ -16,6 +16,9 @@
                      const vm_ref& from,
                      const forward_cancel& item) -> void;
 
+auto OnDoubtDelivered(system_tables& tables, const doubt_delivered& item)
+    -> void;
+
 // Admits the calls that wait for their turn, as far as they can go on.
 auto AdmitWaiting(system_tables& tables, program_copy& copy) -> void;
 
--- a/source/core/program/entry.cc
+++ b/source/core/program/entry.cc
@@ -189,6 +189,19 @@
   GoTo(tables, stored, replicas.witness);
 }
 
+// The next turn waits until the caller knows that this one is in doubt.
+auto TellDelivered(system_tables& tables,
+                   const entry_request& item,
+                   const problem& refusal) -> void {
+  auto call = CallName(item);
+  if (refusal.reason == refusal_reason::kPreviousInDoubt) {
+    --call.turn;
+  } else if (refusal.reason != refusal_reason::kInDoubt) {
+    return;
+  }
+  Send(tables, item.handle.replicas.owner, doubt_delivered{call});
+}
+
 auto HasRoom(const system_tables& tables) -> bool {
   return tables.requests.size() < tables.options.max_waiting_requests;
 }
@@ -418,6 +431,7 @@
     return;
   }
   Adopt(*request, item.replicas);
+  TellDelivered(tables, *request, item.refusal);
   Refuse(tables, *request, item.refusal);
 }
 
--- a/source/core/program/epoch.cc
+++ b/source/core/program/epoch.cc
@@ -70,8 +70,6 @@
 
 auto Activate(system_tables& tables, program_copy& copy) -> void {
   copy.is_active = true;
-  copy.activated = tables.now;
-  copy.told_in_doubt.clear();
   if (!copy.installer.empty()) {
     Send(tables, copy.installer,
          install_ack{copy.state.id, copy.replicas.epoch});
--- a/source/core/program/messages.h
+++ b/source/core/program/messages.h
@@ -101,6 +101,11 @@
   program_view view;
 };
 
+// Entry to owner: the caller has been told that a call is in doubt.
+struct doubt_delivered {
+  call_ref call;
+};
+
 // Owner to witness: updates in sequence, from 1 in each epoch.
 struct record_update {
   program_id program;
@@ -223,6 +228,7 @@
                              call_end,
                              call_problem,
                              control_reply,
+                             doubt_delivered,
                              record_update,
                              record_ack,
                              prepare,
--- a/source/core/program/program_state.cc
+++ b/source/core/program/program_state.cc
@@ -146,6 +146,14 @@
   }
 }
 
+auto ApplyTo(const doubt_told& update,
+             const state_bounds& /*bounds*/,
+             program_state& state) -> void {
+  if (auto* call = FindCall(state, update.branch, update.turn)) {
+    call->is_doubt_told = true;
+  }
+}
+
 auto ApplyTo(const program_ended& /*update*/,
              const state_bounds& /*bounds*/,
              program_state& state) -> void {
--- a/source/core/program/program_state.h
+++ b/source/core/program/program_state.h
@@ -36,6 +36,8 @@
   bool has_lookup = false;
   // A fresh attempt has replaced one whose text some caller may have.
   bool is_rerun = false;
+  // The caller knows that the call is in doubt, so the next turn may run.
+  bool is_doubt_told = false;
   digest key;
   digest body;
   std::string target;
@@ -109,6 +111,12 @@
   std::optional<call_answer> answer;
 };
 
+// States that the caller has been told that a call is in doubt.
+struct doubt_told {
+  branch_id branch;
+  turn_number turn = 0;
+};
+
 // Ends the program.
 struct program_ended {};
 
@@ -122,6 +130,7 @@
                                   intent,
                                   withdrawal,
                                   settlement,
+                                  doubt_told,
                                   program_ended,
                                   holder_released>;
 
--- a/source/core/program/program_system.cc
+++ b/source/core/program/program_system.cc
@@ -96,6 +96,9 @@
   auto operator()(const control_reply& item) const -> void {
     OnControlReply(tables, item);
   }
+  auto operator()(const doubt_delivered& item) const -> void {
+    OnDoubtDelivered(tables, item);
+  }
   auto operator()(const record_update& item) const -> void {
     OnRecordUpdate(tables, from, item);
   }
--- a/source/core/program/tables.h
+++ b/source/core/program/tables.h
@@ -65,7 +65,6 @@
   bool makes_retry = false;
   std::string text;
   std::uint64_t sequence = 0;
-  instant arrived{};
   instant deadline{};
   std::optional<call_answer> answer;
   problem refusal;
@@ -114,9 +113,6 @@
   std::vector<pending_control> controls;
   std::optional<request_id> open_request;
   bool is_releasing = false;
-  // Owner: when callers were told in this epoch that their call is in doubt.
-  std::map<live_key, instant> told_in_doubt;
-  instant activated{};
 };
 
 // What a member has promised and accepted for an epoch of a program.
--- a/source/core/program/types.cc
+++ b/source/core/program/types.cc
@@ -44,6 +44,7 @@
     {refusal_reason::kOwnerUnreachable, 503, "owner_unreachable"},
     {refusal_reason::kWitnessUnreachable, 503, "witness_unreachable"},
     {refusal_reason::kInDoubt, 409, "in_doubt"},
+    {refusal_reason::kPreviousInDoubt, 409, "previous_in_doubt"},
     {refusal_reason::kAnswerNotKept, 410, "answer_not_kept"},
     {refusal_reason::kStreamLost, 502, "stream_lost"},
     {refusal_reason::kShuttingDown, 503, "shutting_down"},
--- a/source/core/program/types.h
+++ b/source/core/program/types.h
@@ -116,6 +116,8 @@
   kOwnerUnreachable,
   kWitnessUnreachable,
   kInDoubt,
+  // The turn before is in doubt; the call may be sent again.
+  kPreviousInDoubt,
   kAnswerNotKept,
   kStreamLost,
   kShuttingDown,
