Tell callers how much of a prompt was cached

Cause: the load report had no figure for wasted cache, since the engine's count of cached tokens ended at the owner. It now travels with the answer. Also: the codec follows the program library's new record of told doubts.

--- a/source/core/gateway/program_adapter.cc
+++ b/source/core/gateway/program_adapter.cc
@@ -262,6 +262,7 @@
   ended.answer.prompt_tokens = static_cast<std::int64_t>(result.usage.prompt);
   ended.answer.answer_tokens =
       static_cast<std::int64_t>(result.usage.completion);
+  ended.answer.cached_tokens = static_cast<std::int64_t>(result.usage.cached);
   if (is_chat) {
     ended.answer_message = program::MessageText("assistant", attempt.text);
   }
--- a/source/core/gateway/reply_writer.cc
+++ b/source/core/gateway/reply_writer.cc
@@ -13,6 +13,9 @@
   auto usage = json::object{};
   usage["prompt_tokens"] = answer.prompt_tokens;
   usage["completion_tokens"] = answer.answer_tokens;
+  auto details = json::object{};
+  details["cached_tokens"] = answer.cached_tokens;
+  usage["prompt_tokens_details"] = std::move(details);
   usage["total_tokens"] = answer.prompt_tokens + answer.answer_tokens;
   return usage;
 }
--- a/source/core/program/types.h
+++ b/source/core/program/types.h
@@ -186,6 +186,8 @@
   payload body;
   std::int64_t prompt_tokens = 0;
   std::int64_t answer_tokens = 0;
+  // Prompt tokens that the engine had in its cache.
+  std::int64_t cached_tokens = 0;
 };
 
 // Names a call of a program.
--- a/source/core/program_wire/fields.h
+++ b/source/core/program_wire/fields.h
@@ -104,6 +104,7 @@
   copy.Bytes(value.body, object.body);
   copy.Number(value.prompt_tokens, object.prompt_tokens);
   copy.Number(value.answer_tokens, object.answer_tokens);
+  copy.Number(value.cached_tokens, object.cached_tokens);
 }
 
 template <class Direction>
@@ -127,6 +128,7 @@
   copy.Number(value.is_idempotent, object.is_idempotent);
   copy.Number(value.has_lookup, object.has_lookup);
   copy.Number(value.is_rerun, object.is_rerun);
+  copy.Number(value.is_doubt_told, object.is_doubt_told);
   copy.Digest(value.key, object.key);
   copy.Digest(value.body, object.body);
   copy.Text(value.target, object.target);
@@ -211,6 +213,14 @@
   copy.OptionalObject(value.answer, object.answer);
 }
 
+template <class Direction>
+auto Fields(Direction& copy,
+            domain_of<Direction, doubt_told>& value,
+            fbs::DoubtToldT& object) -> void {
+  copy.Name(value.branch, object.branch);
+  copy.Number(value.turn, object.turn);
+}
+
 template <class Direction>
 auto Fields(Direction& /*copy*/,
             domain_of<Direction, program_ended>& /*value*/,
@@ -247,6 +257,10 @@
   using type = fbs::SettlementT;
 };
 template <>
+struct update_object<doubt_told> {
+  using type = fbs::DoubtToldT;
+};
+template <>
 struct update_object<program_ended> {
   using type = fbs::ProgramEndedT;
 };
@@ -379,6 +393,13 @@
   copy.Object(value.call, object.call);
 }
 
+template <class Direction>
+auto Fields(Direction& copy,
+            domain_of<Direction, doubt_delivered>& value,
+            fbs::DoubtDeliveredT& object) -> void {
+  copy.Object(value.call, object.call);
+}
+
 template <class Direction>
 auto Fields(Direction& copy,
             domain_of<Direction, call_part>& value,
@@ -574,6 +595,10 @@
   using type = fbs::ForwardCancelT;
 };
 template <>
+struct body_object<doubt_delivered> {
+  using type = fbs::DoubtDeliveredT;
+};
+template <>
 struct body_object<call_part> {
   using type = fbs::CallPartT;
 };
--- a/source/core/program_wire/program_generated.h
+++ b/source/core/program_wire/program_generated.h
@@ -85,6 +85,10 @@
 struct SettlementBuilder;
 struct SettlementT;
 
+struct DoubtTold;
+struct DoubtToldBuilder;
+struct DoubtToldT;
+
 struct ProgramEnded;
 struct ProgramEndedBuilder;
 struct ProgramEndedT;
@@ -129,6 +133,10 @@
 struct ForwardCancelBuilder;
 struct ForwardCancelT;
 
+struct DoubtDelivered;
+struct DoubtDeliveredBuilder;
+struct DoubtDeliveredT;
+
 struct CallPart;
 struct CallPartBuilder;
 struct CallPartT;
@@ -212,13 +220,14 @@
   Update_Intent = 3,
   Update_Withdrawal = 4,
   Update_Settlement = 5,
-  Update_ProgramEnded = 6,
-  Update_HolderReleased = 7,
+  Update_DoubtTold = 6,
+  Update_ProgramEnded = 7,
+  Update_HolderReleased = 8,
   Update_MIN = Update_NONE,
   Update_MAX = Update_HolderReleased
 };
 
-inline const Update (&EnumValuesUpdate())[8] {
+inline const Update (&EnumValuesUpdate())[9] {
   static const Update values[] = {
     Update_NONE,
     Update_BranchStarted,
@@ -226,6 +235,7 @@
     Update_Intent,
     Update_Withdrawal,
     Update_Settlement,
+    Update_DoubtTold,
     Update_ProgramEnded,
     Update_HolderReleased
   };
@@ -233,13 +243,14 @@
 }
 
 inline const char * const *EnumNamesUpdate() {
-  static const char * const names[9] = {
+  static const char * const names[10] = {
     "NONE",
     "BranchStarted",
     "BranchJoined",
     "Intent",
     "Withdrawal",
     "Settlement",
+    "DoubtTold",
     "ProgramEnded",
     "HolderReleased",
     nullptr
@@ -277,6 +288,10 @@
   static const Update enum_value = Update_Settlement;
 };
 
+template<> struct UpdateTraits<daisywind::program::fbs::DoubtTold> {
+  static const Update enum_value = Update_DoubtTold;
+};
+
 template<> struct UpdateTraits<daisywind::program::fbs::ProgramEnded> {
   static const Update enum_value = Update_ProgramEnded;
 };
@@ -309,6 +324,10 @@
   static const Update enum_value = Update_Settlement;
 };
 
+template<> struct UpdateUnionTraits<daisywind::program::fbs::DoubtToldT> {
+  static const Update enum_value = Update_DoubtTold;
+};
+
 template<> struct UpdateUnionTraits<daisywind::program::fbs::ProgramEndedT> {
   static const Update enum_value = Update_ProgramEnded;
 };
@@ -387,6 +406,14 @@
     return type == Update_Settlement ?
       reinterpret_cast<const daisywind::program::fbs::SettlementT *>(value) : nullptr;
   }
+  daisywind::program::fbs::DoubtToldT *AsDoubtTold() {
+    return type == Update_DoubtTold ?
+      reinterpret_cast<daisywind::program::fbs::DoubtToldT *>(value) : nullptr;
+  }
+  const daisywind::program::fbs::DoubtToldT *AsDoubtTold() const {
+    return type == Update_DoubtTold ?
+      reinterpret_cast<const daisywind::program::fbs::DoubtToldT *>(value) : nullptr;
+  }
   daisywind::program::fbs::ProgramEndedT *AsProgramEnded() {
     return type == Update_ProgramEnded ?
       reinterpret_cast<daisywind::program::fbs::ProgramEndedT *>(value) : nullptr;
@@ -416,29 +443,30 @@
   Body_ForwardPoll = 4,
   Body_ForwardRedirect = 5,
   Body_ForwardCancel = 6,
-  Body_CallPart = 7,
-  Body_CallEnd = 8,
-  Body_CallProblem = 9,
-  Body_ControlReply = 10,
-  Body_RecordUpdate = 11,
-  Body_RecordAck = 12,
-  Body_Prepare = 13,
-  Body_Promise = 14,
-  Body_Accept = 15,
-  Body_Accepted = 16,
-  Body_BallotRefused = 17,
-  Body_Install = 18,
-  Body_InstallAck = 19,
-  Body_LateSettlement = 20,
-  Body_LateSettlementAck = 21,
-  Body_Locate = 22,
-  Body_LocateReply = 23,
-  Body_Discard = 24,
+  Body_DoubtDelivered = 7,
+  Body_CallPart = 8,
+  Body_CallEnd = 9,
+  Body_CallProblem = 10,
+  Body_ControlReply = 11,
+  Body_RecordUpdate = 12,
+  Body_RecordAck = 13,
+  Body_Prepare = 14,
+  Body_Promise = 15,
+  Body_Accept = 16,
+  Body_Accepted = 17,
+  Body_BallotRefused = 18,
+  Body_Install = 19,
+  Body_InstallAck = 20,
+  Body_LateSettlement = 21,
+  Body_LateSettlementAck = 22,
+  Body_Locate = 23,
+  Body_LocateReply = 24,
+  Body_Discard = 25,
   Body_MIN = Body_NONE,
   Body_MAX = Body_Discard
 };
 
-inline const Body (&EnumValuesBody())[25] {
+inline const Body (&EnumValuesBody())[26] {
   static const Body values[] = {
     Body_NONE,
     Body_ForwardCall,
@@ -447,6 +475,7 @@
     Body_ForwardPoll,
     Body_ForwardRedirect,
     Body_ForwardCancel,
+    Body_DoubtDelivered,
     Body_CallPart,
     Body_CallEnd,
     Body_CallProblem,
@@ -470,7 +499,7 @@
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[26] = {
+  static const char * const names[27] = {
     "NONE",
     "ForwardCall",
     "ForwardControl",
@@ -478,6 +507,7 @@
     "ForwardPoll",
     "ForwardRedirect",
     "ForwardCancel",
+    "DoubtDelivered",
     "CallPart",
     "CallEnd",
     "CallProblem",
@@ -535,6 +565,10 @@
   static const Body enum_value = Body_ForwardCancel;
 };
 
+template<> struct BodyTraits<daisywind::program::fbs::DoubtDelivered> {
+  static const Body enum_value = Body_DoubtDelivered;
+};
+
 template<> struct BodyTraits<daisywind::program::fbs::CallPart> {
   static const Body enum_value = Body_CallPart;
 };
@@ -635,6 +669,10 @@
   static const Body enum_value = Body_ForwardCancel;
 };
 
+template<> struct BodyUnionTraits<daisywind::program::fbs::DoubtDeliveredT> {
+  static const Body enum_value = Body_DoubtDelivered;
+};
+
 template<> struct BodyUnionTraits<daisywind::program::fbs::CallPartT> {
   static const Body enum_value = Body_CallPart;
 };
@@ -785,6 +823,14 @@
     return type == Body_ForwardCancel ?
       reinterpret_cast<const daisywind::program::fbs::ForwardCancelT *>(value) : nullptr;
   }
+  daisywind::program::fbs::DoubtDeliveredT *AsDoubtDelivered() {
+    return type == Body_DoubtDelivered ?
+      reinterpret_cast<daisywind::program::fbs::DoubtDeliveredT *>(value) : nullptr;
+  }
+  const daisywind::program::fbs::DoubtDeliveredT *AsDoubtDelivered() const {
+    return type == Body_DoubtDelivered ?
+      reinterpret_cast<const daisywind::program::fbs::DoubtDeliveredT *>(value) : nullptr;
+  }
   daisywind::program::fbs::CallPartT *AsCallPart() {
     return type == Body_CallPart ?
       reinterpret_cast<daisywind::program::fbs::CallPartT *>(value) : nullptr;
@@ -1726,6 +1772,7 @@
   std::vector<uint8_t> body{};
   int64_t prompt_tokens = 0;
   int64_t answer_tokens = 0;
+  int64_t cached_tokens = 0;
 };
 
 struct CallAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1736,7 +1783,8 @@
     VT_CONTENT_TYPE = 6,
     VT_BODY = 8,
     VT_PROMPT_TOKENS = 10,
-    VT_ANSWER_TOKENS = 12
+    VT_ANSWER_TOKENS = 12,
+    VT_CACHED_TOKENS = 14
   };
   int32_t status() const {
     return GetField<int32_t>(VT_STATUS, 0);
@@ -1753,6 +1801,9 @@
   int64_t answer_tokens() const {
     return GetField<int64_t>(VT_ANSWER_TOKENS, 0);
   }
+  int64_t cached_tokens() const {
+    return GetField<int64_t>(VT_CACHED_TOKENS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int32_t>(verifier, VT_STATUS, 4) &&
@@ -1762,6 +1813,7 @@
            verifier.VerifyVector(body()) &&
            VerifyField<int64_t>(verifier, VT_PROMPT_TOKENS, 8) &&
            VerifyField<int64_t>(verifier, VT_ANSWER_TOKENS, 8) &&
+           VerifyField<int64_t>(verifier, VT_CACHED_TOKENS, 8) &&
            verifier.EndTable();
   }
   CallAnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1788,6 +1840,9 @@
   void add_answer_tokens(int64_t answer_tokens) {
     fbb_.AddElement<int64_t>(CallAnswer::VT_ANSWER_TOKENS, answer_tokens, 0);
   }
+  void add_cached_tokens(int64_t cached_tokens) {
+    fbb_.AddElement<int64_t>(CallAnswer::VT_CACHED_TOKENS, cached_tokens, 0);
+  }
   explicit CallAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1807,8 +1862,10 @@
     flatbuffers::Offset<flatbuffers::String> content_type = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0,
     int64_t prompt_tokens = 0,
-    int64_t answer_tokens = 0) {
+    int64_t answer_tokens = 0,
+    int64_t cached_tokens = 0) {
   CallAnswerBuilder builder_(_fbb);
+  builder_.add_cached_tokens(cached_tokens);
   builder_.add_answer_tokens(answer_tokens);
   builder_.add_prompt_tokens(prompt_tokens);
   builder_.add_body(body);
@@ -1823,7 +1880,8 @@
     const char *content_type = nullptr,
     const std::vector<uint8_t> *body = nullptr,
     int64_t prompt_tokens = 0,
-    int64_t answer_tokens = 0) {
+    int64_t answer_tokens = 0,
+    int64_t cached_tokens = 0) {
   auto content_type__ = content_type ? _fbb.CreateString(content_type) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
   return daisywind::program::fbs::CreateCallAnswer(
@@ -1832,7 +1890,8 @@
       content_type__,
       body__,
       prompt_tokens,
-      answer_tokens);
+      answer_tokens,
+      cached_tokens);
 }
 
 flatbuffers::Offset<CallAnswer> CreateCallAnswer(flatbuffers::FlatBufferBuilder &_fbb, const CallAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1948,6 +2007,7 @@
   bool is_idempotent = false;
   bool has_lookup = false;
   bool is_rerun = false;
+  bool is_doubt_told = false;
   std::vector<uint8_t> key{};
   std::vector<uint8_t> body{};
   std::string target{};
@@ -1973,14 +2033,15 @@
     VT_IS_IDEMPOTENT = 12,
     VT_HAS_LOOKUP = 14,
     VT_IS_RERUN = 16,
-    VT_KEY = 18,
-    VT_BODY = 20,
-    VT_TARGET = 22,
-    VT_ENDPOINT = 24,
-    VT_RESERVED = 26,
-    VT_MESSAGE_COUNT = 28,
-    VT_HISTORY = 30,
-    VT_ANSWER = 32
+    VT_IS_DOUBT_TOLD = 18,
+    VT_KEY = 20,
+    VT_BODY = 22,
+    VT_TARGET = 24,
+    VT_ENDPOINT = 26,
+    VT_RESERVED = 28,
+    VT_MESSAGE_COUNT = 30,
+    VT_HISTORY = 32,
+    VT_ANSWER = 34
   };
   uint32_t turn() const {
     return GetField<uint32_t>(VT_TURN, 0);
@@ -2003,6 +2064,9 @@
   bool is_rerun() const {
     return GetField<uint8_t>(VT_IS_RERUN, 0) != 0;
   }
+  bool is_doubt_told() const {
+    return GetField<uint8_t>(VT_IS_DOUBT_TOLD, 0) != 0;
+  }
   const flatbuffers::Vector<uint8_t> *key() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_KEY);
   }
@@ -2036,6 +2100,7 @@
            VerifyField<uint8_t>(verifier, VT_IS_IDEMPOTENT, 1) &&
            VerifyField<uint8_t>(verifier, VT_HAS_LOOKUP, 1) &&
            VerifyField<uint8_t>(verifier, VT_IS_RERUN, 1) &&
+           VerifyField<uint8_t>(verifier, VT_IS_DOUBT_TOLD, 1) &&
            VerifyOffsetRequired(verifier, VT_KEY) &&
            verifier.VerifyVector(key()) &&
            VerifyOffsetRequired(verifier, VT_BODY) &&
@@ -2083,6 +2148,9 @@
   void add_is_rerun(bool is_rerun) {
     fbb_.AddElement<uint8_t>(CallRecord::VT_IS_RERUN, static_cast<uint8_t>(is_rerun), 0);
   }
+  void add_is_doubt_told(bool is_doubt_told) {
+    fbb_.AddElement<uint8_t>(CallRecord::VT_IS_DOUBT_TOLD, static_cast<uint8_t>(is_doubt_told), 0);
+  }
   void add_key(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> key) {
     fbb_.AddOffset(CallRecord::VT_KEY, key);
   }
@@ -2133,6 +2201,7 @@
     bool is_idempotent = false,
     bool has_lookup = false,
     bool is_rerun = false,
+    bool is_doubt_told = false,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> key = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0,
     flatbuffers::Offset<flatbuffers::String> target = 0,
@@ -2152,6 +2221,7 @@
   builder_.add_body(body);
   builder_.add_key(key);
   builder_.add_turn(turn);
+  builder_.add_is_doubt_told(is_doubt_told);
   builder_.add_is_rerun(is_rerun);
   builder_.add_has_lookup(has_lookup);
   builder_.add_is_idempotent(is_idempotent);
@@ -2169,6 +2239,7 @@
     bool is_idempotent = false,
     bool has_lookup = false,
     bool is_rerun = false,
+    bool is_doubt_told = false,
     const std::vector<uint8_t> *key = nullptr,
     const std::vector<uint8_t> *body = nullptr,
     const char *target = nullptr,
@@ -2191,6 +2262,7 @@
       is_idempotent,
       has_lookup,
       is_rerun,
+      is_doubt_told,
       key__,
       body__,
       target__,
@@ -3023,6 +3095,82 @@
 
 flatbuffers::Offset<Settlement> CreateSettlement(flatbuffers::FlatBufferBuilder &_fbb, const SettlementT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct DoubtToldT : public flatbuffers::NativeTable {
+  typedef DoubtTold TableType;
+  std::string branch{};
+  uint32_t turn = 0;
+};
+
+struct DoubtTold FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef DoubtToldT NativeTableType;
+  typedef DoubtToldBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_BRANCH = 4,
+    VT_TURN = 6
+  };
+  const flatbuffers::String *branch() const {
+    return GetPointer<const flatbuffers::String *>(VT_BRANCH);
+  }
+  uint32_t turn() const {
+    return GetField<uint32_t>(VT_TURN, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_BRANCH) &&
+           verifier.VerifyString(branch()) &&
+           VerifyField<uint32_t>(verifier, VT_TURN, 4) &&
+           verifier.EndTable();
+  }
+  DoubtToldT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(DoubtToldT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<DoubtTold> Pack(flatbuffers::FlatBufferBuilder &_fbb, const DoubtToldT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct DoubtToldBuilder {
+  typedef DoubtTold Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_branch(flatbuffers::Offset<flatbuffers::String> branch) {
+    fbb_.AddOffset(DoubtTold::VT_BRANCH, branch);
+  }
+  void add_turn(uint32_t turn) {
+    fbb_.AddElement<uint32_t>(DoubtTold::VT_TURN, turn, 0);
+  }
+  explicit DoubtToldBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<DoubtTold> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<DoubtTold>(end);
+    fbb_.Required(o, DoubtTold::VT_BRANCH);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<DoubtTold> CreateDoubtTold(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> branch = 0,
+    uint32_t turn = 0) {
+  DoubtToldBuilder builder_(_fbb);
+  builder_.add_turn(turn);
+  builder_.add_branch(branch);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<DoubtTold> CreateDoubtToldDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *branch = nullptr,
+    uint32_t turn = 0) {
+  auto branch__ = branch ? _fbb.CreateString(branch) : 0;
+  return daisywind::program::fbs::CreateDoubtTold(
+      _fbb,
+      branch__,
+      turn);
+}
+
+flatbuffers::Offset<DoubtTold> CreateDoubtTold(flatbuffers::FlatBufferBuilder &_fbb, const DoubtToldT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct ProgramEndedT : public flatbuffers::NativeTable {
   typedef ProgramEnded TableType;
   bool unused = false;
@@ -4090,6 +4238,64 @@
 
 flatbuffers::Offset<ForwardCancel> CreateForwardCancel(flatbuffers::FlatBufferBuilder &_fbb, const ForwardCancelT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct DoubtDeliveredT : public flatbuffers::NativeTable {
+  typedef DoubtDelivered TableType;
+  std::unique_ptr<daisywind::program::fbs::CallRefT> call{};
+  DoubtDeliveredT() = default;
+  DoubtDeliveredT(const DoubtDeliveredT &o);
+  DoubtDeliveredT(DoubtDeliveredT&&) FLATBUFFERS_NOEXCEPT = default;
+  DoubtDeliveredT &operator=(DoubtDeliveredT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct DoubtDelivered FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef DoubtDeliveredT NativeTableType;
+  typedef DoubtDeliveredBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CALL = 4
+  };
+  const daisywind::program::fbs::CallRef *call() const {
+    return GetPointer<const daisywind::program::fbs::CallRef *>(VT_CALL);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_CALL) &&
+           verifier.VerifyTable(call()) &&
+           verifier.EndTable();
+  }
+  DoubtDeliveredT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(DoubtDeliveredT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<DoubtDelivered> Pack(flatbuffers::FlatBufferBuilder &_fbb, const DoubtDeliveredT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct DoubtDeliveredBuilder {
+  typedef DoubtDelivered Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_call(flatbuffers::Offset<daisywind::program::fbs::CallRef> call) {
+    fbb_.AddOffset(DoubtDelivered::VT_CALL, call);
+  }
+  explicit DoubtDeliveredBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<DoubtDelivered> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<DoubtDelivered>(end);
+    fbb_.Required(o, DoubtDelivered::VT_CALL);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<DoubtDelivered> CreateDoubtDelivered(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<daisywind::program::fbs::CallRef> call = 0) {
+  DoubtDeliveredBuilder builder_(_fbb);
+  builder_.add_call(call);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<DoubtDelivered> CreateDoubtDelivered(flatbuffers::FlatBufferBuilder &_fbb, const DoubtDeliveredT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct CallPartT : public flatbuffers::NativeTable {
   typedef CallPart TableType;
   uint64_t request = 0;
@@ -4506,6 +4712,9 @@
   const daisywind::program::fbs::Settlement *update_as_Settlement() const {
     return update_type() == daisywind::program::fbs::Update_Settlement ? static_cast<const daisywind::program::fbs::Settlement *>(update()) : nullptr;
   }
+  const daisywind::program::fbs::DoubtTold *update_as_DoubtTold() const {
+    return update_type() == daisywind::program::fbs::Update_DoubtTold ? static_cast<const daisywind::program::fbs::DoubtTold *>(update()) : nullptr;
+  }
   const daisywind::program::fbs::ProgramEnded *update_as_ProgramEnded() const {
     return update_type() == daisywind::program::fbs::Update_ProgramEnded ? static_cast<const daisywind::program::fbs::ProgramEnded *>(update()) : nullptr;
   }
@@ -4548,6 +4757,10 @@
   return update_as_Settlement();
 }
 
+template<> inline const daisywind::program::fbs::DoubtTold *RecordUpdate::update_as<daisywind::program::fbs::DoubtTold>() const {
+  return update_as_DoubtTold();
+}
+
 template<> inline const daisywind::program::fbs::ProgramEnded *RecordUpdate::update_as<daisywind::program::fbs::ProgramEnded>() const {
   return update_as_ProgramEnded();
 }
@@ -5344,6 +5557,9 @@
   const daisywind::program::fbs::Settlement *update_as_Settlement() const {
     return update_type() == daisywind::program::fbs::Update_Settlement ? static_cast<const daisywind::program::fbs::Settlement *>(update()) : nullptr;
   }
+  const daisywind::program::fbs::DoubtTold *update_as_DoubtTold() const {
+    return update_type() == daisywind::program::fbs::Update_DoubtTold ? static_cast<const daisywind::program::fbs::DoubtTold *>(update()) : nullptr;
+  }
   const daisywind::program::fbs::ProgramEnded *update_as_ProgramEnded() const {
     return update_type() == daisywind::program::fbs::Update_ProgramEnded ? static_cast<const daisywind::program::fbs::ProgramEnded *>(update()) : nullptr;
   }
@@ -5394,6 +5610,10 @@
   return update_as_Settlement();
 }
 
+template<> inline const daisywind::program::fbs::DoubtTold *LateSettlement::update_as<daisywind::program::fbs::DoubtTold>() const {
+  return update_as_DoubtTold();
+}
+
 template<> inline const daisywind::program::fbs::ProgramEnded *LateSettlement::update_as<daisywind::program::fbs::ProgramEnded>() const {
   return update_as_ProgramEnded();
 }
@@ -5813,6 +6033,9 @@
   const daisywind::program::fbs::ForwardCancel *body_as_ForwardCancel() const {
     return body_type() == daisywind::program::fbs::Body_ForwardCancel ? static_cast<const daisywind::program::fbs::ForwardCancel *>(body()) : nullptr;
   }
+  const daisywind::program::fbs::DoubtDelivered *body_as_DoubtDelivered() const {
+    return body_type() == daisywind::program::fbs::Body_DoubtDelivered ? static_cast<const daisywind::program::fbs::DoubtDelivered *>(body()) : nullptr;
+  }
   const daisywind::program::fbs::CallPart *body_as_CallPart() const {
     return body_type() == daisywind::program::fbs::Body_CallPart ? static_cast<const daisywind::program::fbs::CallPart *>(body()) : nullptr;
   }
@@ -5903,6 +6126,10 @@
   return body_as_ForwardCancel();
 }
 
+template<> inline const daisywind::program::fbs::DoubtDelivered *Message::body_as<daisywind::program::fbs::DoubtDelivered>() const {
+  return body_as_DoubtDelivered();
+}
+
 template<> inline const daisywind::program::fbs::CallPart *Message::body_as<daisywind::program::fbs::CallPart>() const {
   return body_as_CallPart();
 }
@@ -6325,6 +6552,7 @@
   { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
   { auto _e = prompt_tokens(); _o->prompt_tokens = _e; }
   { auto _e = answer_tokens(); _o->answer_tokens = _e; }
+  { auto _e = cached_tokens(); _o->cached_tokens = _e; }
 }
 
 inline flatbuffers::Offset<CallAnswer> CallAnswer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CallAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6340,13 +6568,15 @@
   auto _body = _fbb.CreateVector(_o->body);
   auto _prompt_tokens = _o->prompt_tokens;
   auto _answer_tokens = _o->answer_tokens;
+  auto _cached_tokens = _o->cached_tokens;
   return daisywind::program::fbs::CreateCallAnswer(
       _fbb,
       _status,
       _content_type,
       _body,
       _prompt_tokens,
-      _answer_tokens);
+      _answer_tokens,
+      _cached_tokens);
 }
 
 inline ProblemT *Problem::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -6392,6 +6622,7 @@
         is_idempotent(o.is_idempotent),
         has_lookup(o.has_lookup),
         is_rerun(o.is_rerun),
+        is_doubt_told(o.is_doubt_told),
         key(o.key),
         body(o.body),
         target(o.target),
@@ -6410,6 +6641,7 @@
   std::swap(is_idempotent, o.is_idempotent);
   std::swap(has_lookup, o.has_lookup);
   std::swap(is_rerun, o.is_rerun);
+  std::swap(is_doubt_told, o.is_doubt_told);
   std::swap(key, o.key);
   std::swap(body, o.body);
   std::swap(target, o.target);
@@ -6437,6 +6669,7 @@
   { auto _e = is_idempotent(); _o->is_idempotent = _e; }
   { auto _e = has_lookup(); _o->has_lookup = _e; }
   { auto _e = is_rerun(); _o->is_rerun = _e; }
+  { auto _e = is_doubt_told(); _o->is_doubt_told = _e; }
   { auto _e = key(); if (_e) { _o->key.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->key.begin()); } }
   { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
   { auto _e = target(); if (_e) _o->target = _e->str(); }
@@ -6462,6 +6695,7 @@
   auto _is_idempotent = _o->is_idempotent;
   auto _has_lookup = _o->has_lookup;
   auto _is_rerun = _o->is_rerun;
+  auto _is_doubt_told = _o->is_doubt_told;
   auto _key = _fbb.CreateVector(_o->key);
   auto _body = _fbb.CreateVector(_o->body);
   auto _target = _fbb.CreateString(_o->target);
@@ -6479,6 +6713,7 @@
       _is_idempotent,
       _has_lookup,
       _is_rerun,
+      _is_doubt_told,
       _key,
       _body,
       _target,
@@ -6828,6 +7063,35 @@
       _answer);
 }
 
+inline DoubtToldT *DoubtTold::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<DoubtToldT>(new DoubtToldT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void DoubtTold::UnPackTo(DoubtToldT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = branch(); if (_e) _o->branch = _e->str(); }
+  { auto _e = turn(); _o->turn = _e; }
+}
+
+inline flatbuffers::Offset<DoubtTold> DoubtTold::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DoubtToldT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateDoubtTold(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<DoubtTold> CreateDoubtTold(flatbuffers::FlatBufferBuilder &_fbb, const DoubtToldT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const DoubtToldT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _branch = _fbb.CreateString(_o->branch);
+  auto _turn = _o->turn;
+  return daisywind::program::fbs::CreateDoubtTold(
+      _fbb,
+      _branch,
+      _turn);
+}
+
 inline ProgramEndedT *ProgramEnded::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<ProgramEndedT>(new ProgramEndedT());
   UnPackTo(_o.get(), _resolver);
@@ -7324,6 +7588,41 @@
       _call);
 }
 
+inline DoubtDeliveredT::DoubtDeliveredT(const DoubtDeliveredT &o)
+      : call((o.call) ? new daisywind::program::fbs::CallRefT(*o.call) : nullptr) {
+}
+
+inline DoubtDeliveredT &DoubtDeliveredT::operator=(DoubtDeliveredT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(call, o.call);
+  return *this;
+}
+
+inline DoubtDeliveredT *DoubtDelivered::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<DoubtDeliveredT>(new DoubtDeliveredT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void DoubtDelivered::UnPackTo(DoubtDeliveredT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = call(); if (_e) _o->call = std::unique_ptr<daisywind::program::fbs::CallRefT>(_e->UnPack(_resolver)); }
+}
+
+inline flatbuffers::Offset<DoubtDelivered> DoubtDelivered::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DoubtDeliveredT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateDoubtDelivered(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<DoubtDelivered> CreateDoubtDelivered(flatbuffers::FlatBufferBuilder &_fbb, const DoubtDeliveredT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const DoubtDeliveredT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _call = _o->call ? CreateCallRef(_fbb, _o->call.get(), _rehasher) : 0;
+  return daisywind::program::fbs::CreateDoubtDelivered(
+      _fbb,
+      _call);
+}
+
 inline CallPartT::CallPartT(const CallPartT &o)
       : request(o.request),
         replicas((o.replicas) ? new daisywind::program::fbs::ReplicasT(*o.replicas) : nullptr),
@@ -8219,6 +8518,10 @@
       auto ptr = reinterpret_cast<const daisywind::program::fbs::Settlement *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Update_DoubtTold: {
+      auto ptr = reinterpret_cast<const daisywind::program::fbs::DoubtTold *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     case Update_ProgramEnded: {
       auto ptr = reinterpret_cast<const daisywind::program::fbs::ProgramEnded *>(obj);
       return verifier.VerifyTable(ptr);
@@ -8266,6 +8569,10 @@
       auto ptr = reinterpret_cast<const daisywind::program::fbs::Settlement *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Update_DoubtTold: {
+      auto ptr = reinterpret_cast<const daisywind::program::fbs::DoubtTold *>(obj);
+      return ptr->UnPack(resolver);
+    }
     case Update_ProgramEnded: {
       auto ptr = reinterpret_cast<const daisywind::program::fbs::ProgramEnded *>(obj);
       return ptr->UnPack(resolver);
@@ -8301,6 +8608,10 @@
       auto ptr = reinterpret_cast<const daisywind::program::fbs::SettlementT *>(value);
       return CreateSettlement(_fbb, ptr, _rehasher).Union();
     }
+    case Update_DoubtTold: {
+      auto ptr = reinterpret_cast<const daisywind::program::fbs::DoubtToldT *>(value);
+      return CreateDoubtTold(_fbb, ptr, _rehasher).Union();
+    }
     case Update_ProgramEnded: {
       auto ptr = reinterpret_cast<const daisywind::program::fbs::ProgramEndedT *>(value);
       return CreateProgramEnded(_fbb, ptr, _rehasher).Union();
@@ -8335,6 +8646,10 @@
       value = new daisywind::program::fbs::SettlementT(*reinterpret_cast<daisywind::program::fbs::SettlementT *>(u.value));
       break;
     }
+    case Update_DoubtTold: {
+      value = new daisywind::program::fbs::DoubtToldT(*reinterpret_cast<daisywind::program::fbs::DoubtToldT *>(u.value));
+      break;
+    }
     case Update_ProgramEnded: {
       value = new daisywind::program::fbs::ProgramEndedT(*reinterpret_cast<daisywind::program::fbs::ProgramEndedT *>(u.value));
       break;
@@ -8375,6 +8690,11 @@
       delete ptr;
       break;
     }
+    case Update_DoubtTold: {
+      auto ptr = reinterpret_cast<daisywind::program::fbs::DoubtToldT *>(value);
+      delete ptr;
+      break;
+    }
     case Update_ProgramEnded: {
       auto ptr = reinterpret_cast<daisywind::program::fbs::ProgramEndedT *>(value);
       delete ptr;
@@ -8420,6 +8740,10 @@
       auto ptr = reinterpret_cast<const daisywind::program::fbs::ForwardCancel *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body_DoubtDelivered: {
+      auto ptr = reinterpret_cast<const daisywind::program::fbs::DoubtDelivered *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     case Body_CallPart: {
       auto ptr = reinterpret_cast<const daisywind::program::fbs::CallPart *>(obj);
       return verifier.VerifyTable(ptr);
@@ -8535,6 +8859,10 @@
       auto ptr = reinterpret_cast<const daisywind::program::fbs::ForwardCancel *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body_DoubtDelivered: {
+      auto ptr = reinterpret_cast<const daisywind::program::fbs::DoubtDelivered *>(obj);
+      return ptr->UnPack(resolver);
+    }
     case Body_CallPart: {
       auto ptr = reinterpret_cast<const daisywind::program::fbs::CallPart *>(obj);
       return ptr->UnPack(resolver);
@@ -8638,6 +8966,10 @@
       auto ptr = reinterpret_cast<const daisywind::program::fbs::ForwardCancelT *>(value);
       return CreateForwardCancel(_fbb, ptr, _rehasher).Union();
     }
+    case Body_DoubtDelivered: {
+      auto ptr = reinterpret_cast<const daisywind::program::fbs::DoubtDeliveredT *>(value);
+      return CreateDoubtDelivered(_fbb, ptr, _rehasher).Union();
+    }
     case Body_CallPart: {
       auto ptr = reinterpret_cast<const daisywind::program::fbs::CallPartT *>(value);
       return CreateCallPart(_fbb, ptr, _rehasher).Union();
@@ -8740,6 +9072,10 @@
       value = new daisywind::program::fbs::ForwardCancelT(*reinterpret_cast<daisywind::program::fbs::ForwardCancelT *>(u.value));
       break;
     }
+    case Body_DoubtDelivered: {
+      value = new daisywind::program::fbs::DoubtDeliveredT(*reinterpret_cast<daisywind::program::fbs::DoubtDeliveredT *>(u.value));
+      break;
+    }
     case Body_CallPart: {
       value = new daisywind::program::fbs::CallPartT(*reinterpret_cast<daisywind::program::fbs::CallPartT *>(u.value));
       break;
@@ -8849,6 +9185,11 @@
       delete ptr;
       break;
     }
+    case Body_DoubtDelivered: {
+      auto ptr = reinterpret_cast<daisywind::program::fbs::DoubtDeliveredT *>(value);
+      delete ptr;
+      break;
+    }
     case Body_CallPart: {
       auto ptr = reinterpret_cast<daisywind::program::fbs::CallPartT *>(value);
       delete ptr;
