Count the prompt tokens that stand-in engines run

The gateways do not pass on cached tokens, so wasted prompt tokens are measured at the engines: GET /standin/tokens gives all and cached prompt tokens. The case of a repeated prompt checks 64 and 32.

--- a/source/core/standin/engine_batch.cc
+++ b/source/core/standin/engine_batch.cc
@@ -114,6 +114,8 @@
   const auto blocks = BlockNames(run.request.prompt);
   run.cached_tokens =
       std::min(run.prompt_tokens, cache_.Match(blocks) * kBlockTokens);
+  totals_.prompt += run.prompt_tokens;
+  totals_.cached += run.cached_tokens;
   const auto uncached = run.prompt_tokens - run.cached_tokens;
   run.state = run_state::kPrefilling;
   run.next_step_at = now + options_.prefill_per_token * uncached;
--- a/source/core/standin/engine_batch.h
+++ b/source/core/standin/engine_batch.h
@@ -67,6 +67,14 @@
   duration grace{};
 };
 
+// Prompt tokens of all requests that have started.
+struct token_totals {
+  std::size_t prompt = 0;
+  std::size_t cached = 0;
+
+  auto operator<=>(const token_totals&) const = default;
+};
+
 // Runs requests side by side, the lowest priority value first.
 class engine_batch {
  public:
@@ -97,6 +105,8 @@
   [[nodiscard]] auto RunningCount() const -> std::size_t;
   [[nodiscard]] auto WaitingCount() const -> std::size_t;
 
+  [[nodiscard]] auto totals() const -> const token_totals& { return totals_; }
+
  private:
   auto CancelAbandoned(instant now, std::vector<std::string>& changed) -> void;
   auto Admit(instant now) -> void;
@@ -111,6 +121,7 @@
   prefix_cache& cache_;
   std::map<std::string, engine_run> runs_;
   std::uint64_t last_sequence_ = 0;
+  token_totals totals_;
 };
 
 }  // namespace daisywind::standin
--- a/source/core/standin/engine_role.cc
+++ b/source/core/standin/engine_role.cc
@@ -119,6 +119,7 @@
       {"POST", "/v1/cache/import", false, &self::Import},
       {"GET", "/v1/state", false, &self::State},
       {"POST", "/v1/orders", false, &self::Order},
+      {"GET", "/standin/tokens", false, &self::Tokens},
   });
   return kRoutes;
 }
@@ -473,6 +474,14 @@
   co_await exchange.Respond(std::move(accepted));
 }
 
+auto engine_role::Tokens(net::http_exchange& exchange)
+    -> asio::awaitable<void> {
+  const auto& totals = batch_.totals();
+  const auto body =
+      json::object{{"prompt", totals.prompt}, {"cached", totals.cached}};
+  co_await exchange.Respond(Ok(body));
+}
+
 auto engine_role::Apply(engine_order order) -> void {
   wanted_ = std::move(order);
   DropUnwanted();
--- a/source/core/standin/engine_role.h
+++ b/source/core/standin/engine_role.h
@@ -83,6 +83,7 @@
   auto Import(net::http_exchange& exchange) -> boost::asio::awaitable<void>;
   auto State(net::http_exchange& exchange) -> boost::asio::awaitable<void>;
   auto Order(net::http_exchange& exchange) -> boost::asio::awaitable<void>;
+  auto Tokens(net::http_exchange& exchange) -> boost::asio::awaitable<void>;
 
   // Why a chat request is refused, or a response of status 200.
   [[nodiscard]] auto CheckChat(const json::object& body) const
--- a/source/unit_tests/standin/engine_batch_test.cc
+++ b/source/unit_tests/standin/engine_batch_test.cc
@@ -52,6 +52,7 @@
   engine.RunUntil(instant(20ms));
   CHECK(engine.batch.Find("first")->cached_tokens == 0);
   CHECK(engine.batch.Find("second")->cached_tokens == 32);
+  CHECK(engine.batch.totals() == token_totals{64, 32});
 }
 
 TEST_CASE("a request without reader is cancelled after the grace") {
