Cut answers after their head in the load test

The HTTP client repeats by itself what breaks on a pooled connection before the head, so whether a break showed hung on the pool.

--- a/source/unit_tests/load/load_run_test.cc
+++ b/source/unit_tests/load/load_run_test.cc
@@ -60,6 +60,10 @@
       co_return;
     }
     if (IsHit(number, faults_.cut_every)) {
+      // The HTTP client repeats by itself what breaks before the head.
+      auto head = net::http_response{200, {}, ""};
+      co_await exchange.StartStream(std::move(head));
+      co_await exchange.WriteChunk("cut");
       exchange.Abort();
       co_return;
     }
