--- a/source/core/fault_matrix/caller.cc
+++ b/source/core/fault_matrix/caller.cc
@@ -8,9 +8,17 @@
 using program::outcome;
 using program::refusal_reason;
 
-const auto kMain = branch_id{"main"};
-const auto kSub = branch_id{"sub"};
-const auto kTenant = tenant_id{"choclo"};
+auto MainBranch() -> branch_id {
+  return branch_id{"main"};
+}
+
+auto SubBranch() -> branch_id {
+  return branch_id{"sub"};
+}
+
+auto Tenant() -> tenant_id {
+  return tenant_id{"choclo"};
+}
 
 constexpr auto kRetryDelay = duration{700ms};
 constexpr auto kRequestBound = duration{15s};
@@ -47,10 +55,10 @@
 }
 
 auto caller::PlanBranches() -> void {
-  auto& main = branches_[kMain];
-  auto& sub = branches_[kSub];
-  main.name = kMain;
-  sub.name = kSub;
+  auto& main = branches_[MainBranch()];
+  auto& sub = branches_[SubBranch()];
+  main.name = MainBranch();
+  sub.name = SubBranch();
   if (kind_ == scenario::kLoop) {
     return;
   }
@@ -86,16 +94,16 @@
     }
   });
   if (step == control_step::kOpen) {
-    world_.Deliver(entry, program::open_program{request, kTenant,
+    world_.Deliver(entry, program::open_program{request, Tenant(),
                                                 class_id{"vendor"}, limits_});
     return;
   }
   auto control = program::control_arrived{};
   control.request = request;
   control.handle = handle_;
-  control.tenant = kTenant;
-  control.branch = kSub;
-  control.parent = kMain;
+  control.tenant = Tenant();
+  control.branch = SubBranch();
+  control.parent = MainBranch();
   control.action =
       step == control_step::kStart  ? program::control_action::kStart
       : step == control_step::kJoin ? program::control_action::kJoin
@@ -111,18 +119,18 @@
   control_tries_ = 0;
   switch (step) {
     case control_step::kOpen:
-      StartGroup(branches_.at(kMain));
+      StartGroup(branches_.at(MainBranch()));
       return;
     case control_step::kStart:
-      StartGroup(branches_.at(kMain));
-      StartGroup(branches_.at(kSub));
+      StartGroup(branches_.at(MainBranch()));
+      StartGroup(branches_.at(SubBranch()));
       return;
     case control_step::kJoin:
       SendControl(control_step::kEnd);
       return;
     case control_step::kEnd:
       is_over_ = true;
-      world_.Note(NoteCall(outside_kind::kProgramEnded, kMain, 0, 0));
+      world_.Note(NoteCall(outside_kind::kProgramEnded, MainBranch(), 0, 0));
       return;
   }
 }
@@ -200,7 +208,7 @@
   auto arrival = program::call_arrived{};
   arrival.request = request;
   arrival.handle = handle_;
-  arrival.tenant = kTenant;
+  arrival.tenant = Tenant();
   arrival.call = MakeRequest(branch, call);
   world_.Deliver(call.entry, arrival);
 }
@@ -380,7 +388,7 @@
       return;
     }
   }
-  const auto is_first = branch.name == kMain && !has_started_sub_;
+  const auto is_first = branch.name == MainBranch() && !has_started_sub_;
   if (is_first) {
     has_started_sub_ = true;
     SendControl(control_step::kStart);
@@ -395,8 +403,9 @@
 
 auto caller::EndBranch(caller_branch& branch) -> void {
   branch.is_over = true;
-  const auto is_all_over = branches_.at(kMain).is_over &&
-                           (branches_.at(kSub).is_over || !has_started_sub_);
+  const auto is_all_over =
+      branches_.at(MainBranch()).is_over &&
+      (branches_.at(SubBranch()).is_over || !has_started_sub_);
   if (is_all_over && !has_joined_sub_) {
     has_joined_sub_ = true;
     SendControl(has_started_sub_ ? control_step::kJoin : control_step::kEnd);
@@ -408,7 +417,7 @@
     return;
   }
   is_over_ = true;
-  auto event = NoteCall(outside_kind::kProgramRefused, kMain, 0, 0);
+  auto event = NoteCall(outside_kind::kProgramRefused, MainBranch(), 0, 0);
   event.reason = reason;
   world_.Note(event);
 }
--- a/source/core/program/lifecycle.cc
+++ b/source/core/program/lifecycle.cc
@@ -15,7 +15,7 @@
 namespace daisywind::program {
 namespace {
 
-const auto kMainBranch = branch_id{"main"};
+constexpr std::string_view kMainBranch = "main";
 
 // A copy that cannot act is given up this many audit periods after the program
 // should have ended.
@@ -299,8 +299,8 @@
       std::min(item.limits.time, tables.options.time_limit);
   copy.opened = tables.now;
   copy.open_request = item.request;
-  Apply(branch_started{kMainBranch, branch_id{}}, tables.options.bounds,
-        copy.state);
+  Apply(branch_started{branch_id{std::string{kMainBranch}}, branch_id{}},
+        tables.options.bounds, copy.state);
   const auto program = copy.state.id;
   auto& stored = tables.copies[program] = std::move(copy);
   BecomeOwner(tables, stored, FirstSet(tables, program));
--- a/source/core/program/program_options.h
+++ b/source/core/program/program_options.h
@@ -67,7 +67,7 @@
   std::size_t max_references = 2000000;
   // A call that fails this often is refused: it may be what crashes endpoints.
   std::size_t max_attempts_per_call = 3;
-  std::size_t max_stream_bytes = 4U * 1024U * 1024U;
+  std::size_t max_stream_bytes = std::size_t{4} * 1024 * 1024;
   protocol_mutations mutations;
 };
 
--- a/source/core/program/program_state.h
+++ b/source/core/program/program_state.h
@@ -136,8 +136,8 @@
 
 // Bounds of a program's state.
 struct state_bounds {
-  std::size_t answer_bytes = 64U * 1024U;
-  std::size_t answers_bytes = 256U * 1024U;
+  std::size_t answer_bytes = std::size_t{64} * 1024;
+  std::size_t answers_bytes = std::size_t{256} * 1024;
 };
 
 // Applies one update. Updates that no longer fit the state change nothing.
--- a/source/core/program/retire.cc
+++ b/source/core/program/retire.cc
@@ -75,6 +75,7 @@
       attempt.text = std::move(call.text);
     }
     AddRetired(tables, std::move(attempt));
+    return;
   }
   if (call.phase == live_phase::kRecordingIntent) {
     // This owner has not sent the attempt and now never will.
--- a/source/unit_tests/program_wire/program_wire_test.cc
+++ b/source/unit_tests/program_wire/program_wire_test.cc
@@ -14,7 +14,7 @@
 
 using namespace program;
 
-const auto kProgram = program_id{7, 9};
+constexpr auto kProgram = program_id{7, 9};
 
 auto Vm(const std::string& name) -> vm_ref {
   return vm_ref{vm_id{name}, 3};
