--- /dev/null
+++ b/source/core/fault_matrix/measure.cc
@@ -0,0 +1,255 @@
+#include "fault_matrix/measure.h"
+
+#include <malloc.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include "fault_matrix/matrix.h"
+#include "program/program_system.h"
+
+namespace daisywind::fault_matrix {
+namespace {
+
+using program::command;
+using program::event;
+
+constexpr std::size_t kSystems = 4;
+constexpr std::size_t kOwner = 0;
+constexpr std::int64_t kPlentyTokens = 1'000'000'000;
+constexpr std::int64_t kPlentyCalls = 4000;
+constexpr auto kStepNames = std::to_array<std::string_view>(
+    {"open", "call arrives", "control", "caller gone", "message", "members",
+     "peer lost", "endpoint granted", "endpoint refused", "output",
+     "attempt ended", "lookup", "release", "endpoint restarted", "sessions",
+     "shutdown"});
+static_assert(kStepNames.size() == std::variant_size_v<event>);
+
+auto HeapBytes() -> double {
+  return static_cast<double>(mallinfo2().uordblks);
+}
+
+// Four systems on perfect links with one engine that answers at once.
+class bench {
+ public:
+  bench() {
+    auto change = program::members_changed{};
+    static constexpr auto kDomains =
+        std::to_array<std::string_view>({"a", "b", "c", "d"});
+    for (auto i = std::size_t{0}; i < kSystems; ++i) {
+      auto item = program::member{};
+      item.vm = vm_ref{vm_id{"vm-" + std::to_string(i)}, 1};
+      item.failure_domain = failure_domain_id{std::string{kDomains.at(i)}};
+      change.members.push_back(item);
+      systems_.push_back(std::make_unique<program::program_system>(
+          program::program_options{}, item.vm, i));
+    }
+    members_ = change.members;
+    for (auto i = std::size_t{0}; i < kSystems; ++i) {
+      Feed(i, change);
+    }
+  }
+
+  auto Open() -> program::program_handle {
+    Feed(kOwner,
+         program::open_program{
+             ++request_, tenant_id{"choclo"}, class_id{"vendor"},
+             program::budget{kPlentyTokens, kPlentyCalls, duration{3600s}}});
+    return last_view_->handle;
+  }
+
+  auto Chat(std::size_t entry,
+            const program::program_handle& handle,
+            program::turn_number turn,
+            std::vector<digest>& history) -> void {
+    auto call = program::call_arrived{};
+    call.request = ++request_;
+    call.handle = handle;
+    call.tenant = tenant_id{"choclo"};
+    call.call.turn = turn;
+    call.call.is_idempotent = true;
+    call.call.target = "agent";
+    call.call.body = program::MakePayload(std::string(200, 'q'));
+    call.call.body_digest = DigestOf(*call.call.body);
+    const auto before = history.empty() ? digest{} : history.back();
+    history.push_back(Extend(before, "user"));
+    call.call.history = history;
+    call.call.prompt_tokens = 100;
+    call.call.max_tokens = 100;
+    Feed(entry, call);
+    history.push_back(Extend(history.back(), "answer"));
+  }
+
+  [[nodiscard]] auto systems() const
+      -> const std::vector<std::unique_ptr<program::program_system>>& {
+    return systems_;
+  }
+  [[nodiscard]] auto Costs(std::size_t calls) const -> std::vector<step_cost> {
+    auto costs = std::vector<step_cost>{};
+    for (const auto& [name, entry] : costs_) {
+      costs.push_back(step_cost{name, entry.first,
+                                entry.second / static_cast<double>(calls)});
+    }
+    return costs;
+  }
+  auto ClearCosts() -> void { costs_.clear(); }
+
+ private:
+  auto Feed(std::size_t system, const event& input) -> void {
+    queue_.emplace_back(system, input);
+    while (!queue_.empty()) {
+      const auto item = std::move(queue_.front());
+      queue_.pop_front();
+      Step(item.first, item.second);
+    }
+  }
+
+  auto NameStep(std::size_t system, const event& input) const -> std::string {
+    auto name =
+        system == kOwner ? std::string{"owner: "} : std::string{"others: "};
+    name += kStepNames.at(input.index());
+    if (const auto* peer = std::get_if<program::peer_message>(&input)) {
+      static constexpr auto kNames = std::to_array<std::string_view>(
+          {"forward", "control", "accepted", "poll", "redirect", "cancel",
+           "part", "end", "problem", "control reply", "doubt", "record",
+           "record ack"});
+      const auto index = peer->body.index();
+      name += " ";
+      name += index < kNames.size() ? kNames.at(index) : "other";
+    }
+    return name;
+  }
+
+  auto Step(std::size_t system, const event& input) -> void {
+    now_ += duration{10us};
+    const auto begin = std::chrono::steady_clock::now();
+    auto commands = systems_[system]->Handle(input, now_);
+    const auto end = std::chrono::steady_clock::now();
+    auto& cost = costs_[NameStep(system, input)];
+    ++cost.first;
+    cost.second +=
+        std::chrono::duration<double, std::micro>(end - begin).count();
+    for (const auto& item : commands) {
+      Follow(system, item);
+    }
+  }
+
+  auto Follow(std::size_t system, const command& item) -> void {
+    if (const auto* send = std::get_if<program::send_message>(&item)) {
+      for (auto i = std::size_t{0}; i < kSystems; ++i) {
+        if (members_[i].vm == send->to) {
+          queue_.emplace_back(
+              i, program::peer_message{members_[system].vm, send->body});
+        }
+      }
+    } else if (const auto* ask =
+                   std::get_if<program::acquire_endpoint>(&item)) {
+      queue_.emplace_back(
+          system, program::endpoint_granted{ask->call, endpoint_id{"agent-1"}});
+    } else if (const auto* start = std::get_if<program::start_attempt>(&item)) {
+      auto ended = program::attempt_ended{};
+      ended.attempt = start->attempt;
+      ended.result = program::attempt_result::kAnswered;
+      ended.answer.status = 200;
+      ended.answer.body = program::MakePayload(std::string(400, 'a'));
+      ended.answer_message = "answer";
+      ended.answer.prompt_tokens = 100;
+      ended.answer.answer_tokens = 100;
+      queue_.emplace_back(system, ended);
+    } else if (const auto* done = std::get_if<program::control_done>(&item)) {
+      last_view_ = done->view;
+    }
+  }
+
+  std::vector<std::unique_ptr<program::program_system>> systems_;
+  std::vector<program::member> members_;
+  std::deque<std::pair<std::size_t, event>> queue_;
+  std::map<std::string, std::pair<std::size_t, double>> costs_;
+  std::optional<program::program_view> last_view_;
+  instant now_{duration{1s}};
+  program::request_id request_ = 0;
+};
+
+auto EndOf(const case_result& result) -> std::optional<instant> {
+  for (const auto& item : result.events) {
+    if (item.kind == outside_kind::kProgramEnded) {
+      return item.at;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+auto MeasureMemory(std::size_t programs, std::size_t calls) -> program_memory {
+  auto place = std::make_unique<bench>();
+  const auto before = HeapBytes();
+  for (auto i = std::size_t{0}; i < programs; ++i) {
+    const auto handle = place->Open();
+    auto history = std::vector<digest>{};
+    for (auto turn = std::size_t{1}; turn <= calls; ++turn) {
+      place->Chat(1, handle, static_cast<program::turn_number>(turn), history);
+    }
+  }
+  const auto both = HeapBytes() - before;
+  const auto count = static_cast<double>(programs);
+  auto memory = program_memory{};
+  auto estimate = std::size_t{0};
+  for (const auto& system : place->systems()) {
+    estimate += system->MemoryEstimate();
+  }
+  memory.owner_estimate =
+      static_cast<double>(place->systems()[kOwner]->MemoryEstimate()) / count;
+  memory.witness_estimate =
+      static_cast<double>(estimate) / count - memory.owner_estimate;
+  const auto share =
+      memory.owner_estimate / (memory.owner_estimate + memory.witness_estimate);
+  memory.owner_bytes = both * share / count;
+  memory.witness_bytes = both * (1 - share) / count;
+  return memory;
+}
+
+auto MeasureRecovery(fault_kind fault, std::uint64_t seed) -> recovery_time {
+  constexpr std::uint32_t kSends = 9;
+  const auto plain =
+      EndOf(RunCase({seed, scenario::kWorkflow, {}}, MatrixOptions()));
+  auto delays = std::vector<duration>{};
+  for (auto i = std::uint32_t{0}; i < kSends; ++i) {
+    const auto planned = planned_fault{call_step::kSend, fault, i};
+    const auto end =
+        EndOf(RunCase({seed, scenario::kWorkflow, {planned}}, MatrixOptions()));
+    if (plain && end) {
+      delays.push_back(std::max(duration{}, *end - *plain));
+    }
+  }
+  std::sort(delays.begin(), delays.end());
+  auto result = recovery_time{};
+  result.fault = fault;
+  result.cases = delays.size();
+  if (!delays.empty()) {
+    result.median = delays[delays.size() / 2];
+    result.longest = delays.back();
+  }
+  return result;
+}
+
+auto MeasureSteps(std::size_t calls) -> std::vector<step_cost> {
+  constexpr std::size_t kTurns = 20;
+  auto place = bench{};
+  place.ClearCosts();
+  for (auto made = std::size_t{0}; made < calls; made += kTurns) {
+    const auto handle = place.Open();
+    auto history = std::vector<digest>{};
+    for (auto turn = std::size_t{1}; turn <= kTurns; ++turn) {
+      place.Chat(3, handle, static_cast<program::turn_number>(turn), history);
+    }
+  }
+  return place.Costs(calls);
+}
+
+}  // namespace daisywind::fault_matrix
--- a/source/daisywind_fault_matrix/main.cc
+++ b/source/daisywind_fault_matrix/main.cc
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "fault_matrix/matrix.h"
+#include "fault_matrix/measure.h"
 
 namespace {
 
@@ -101,6 +102,36 @@
   }
 }
 
+auto PrintMeasures(std::uint64_t seed) -> void {
+  constexpr std::size_t kPrograms = 2000;
+  constexpr std::size_t kCalls = 40000;
+  std::cout << std::fixed << std::setprecision(2);
+  for (const auto calls : {std::size_t{1}, std::size_t{20}}) {
+    const auto memory = MeasureMemory(kPrograms, calls);
+    std::cout << "bytes per program after " << calls << " chat calls: owner "
+              << memory.owner_bytes << ", witness " << memory.witness_bytes
+              << " (estimates " << memory.owner_estimate << ", "
+              << memory.witness_estimate << ")\n";
+  }
+  for (const auto fault :
+       {fault_kind::kOwnerDies, fault_kind::kOwnerPauses,
+        fault_kind::kOwnerIsolated, fault_kind::kWitnessDies,
+        fault_kind::kArbiterDies, fault_kind::kDomainGone,
+        fault_kind::kEndpointCrashes, fault_kind::kGracefulStop,
+        fault_kind::kKeyValueDown}) {
+    const auto result = MeasureRecovery(fault, seed);
+    std::cout << "recovery from " << NameOf(fault) << ": median "
+              << result.median.count() / 1000 << " ms, longest "
+              << result.longest.count() / 1000 << " ms of " << result.cases
+              << "\n";
+  }
+  for (const auto& cost : MeasureSteps(kCalls)) {
+    std::cout << "processor time per call, " << cost.step << ": "
+              << cost.microseconds_per_call << " us (" << cost.events
+              << " events)\n";
+  }
+}
+
 auto RunAll(const std::vector<matrix_case>& cases, totals& sums) -> void {
   const auto options = MatrixOptions();
   for (const auto& item : cases) {
@@ -144,6 +175,7 @@
       cxxopts::value<std::uint64_t>()->default_value("1"));
   add("pairs", "Number of pairs to draw; 0 takes all pairs",
       cxxopts::value<std::size_t>()->default_value("500"));
+  add("measure", "Measure memory, recovery and processor time");
   add("no-singles", "Skip the single faults");
   add("faults", "Run one case: step:fault:occurrence, separated by commas",
       cxxopts::value<std::string>());
@@ -159,6 +191,10 @@
     return RunOne(arguments);
   }
   const auto seed = arguments["seed"].as<std::uint64_t>();
+  if (arguments.count("measure") != 0) {
+    PrintMeasures(seed);
+    return 0;
+  }
   const auto begin = std::chrono::steady_clock::now();
   auto sums = totals{};
   if (arguments.count("no-singles") == 0) {
