--- a/source/core/policy/admission.cc
+++ b/source/core/policy/admission.cc
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr auto kMaxStartWait = seconds{1.0};
+constexpr auto kMaxStartOccupancy = 1.0;
 constexpr auto kMaxQueued = std::size_t{10'000};
 constexpr auto kMinRetryAfter = duration{1s};
 
@@ -20,6 +21,18 @@
   return capacity;
 }
 
+// Part of the serving capacity that is taken, over all gateways.
+auto Occupancy(const target_entry& target, const endpoint_table& endpoints)
+    -> double {
+  auto load = 0.0;
+  for (const auto index : target.members) {
+    if (endpoints.IsUsable(index)) {
+      load += endpoints.EstimatedLoad(index);
+    }
+  }
+  return load / std::max(1.0, ServingCapacity(target, endpoints));
+}
+
 auto HasServing(const target_entry& target, const endpoint_table& endpoints)
     -> bool {
   return std::ranges::any_of(target.members, [&endpoints](auto index) {
@@ -55,7 +68,10 @@
   const auto wait = ExpectedWait(target, endpoints, rank, gateways);
   const auto is_full = target.queue.size() >= kMaxQueued;
   const auto bound = kMaxStartWait / (1.0 + std::max(0, rank));
-  if (is_full || (!call.is_continuation && wait > bound)) {
+  const auto is_late =
+      !call.is_continuation &&
+      (wait > bound || Occupancy(target, endpoints) >= kMaxStartOccupancy);
+  if (is_full || is_late) {
     const auto retry_after = std::max(kMinRetryAfter, ToDuration(wait));
     return refusal{call.call, refusal_reason::kOverloaded, retry_after};
   }
--- a/source/core/policy/admission.h
+++ b/source/core/policy/admission.h
@@ -19,7 +19,8 @@
                   std::uint32_t gateways) -> seconds;
 
 // Refuses a call when no endpoint offers its target, or when it starts a
-// program and would wait too long. Lower ranks are refused later.
+// program and would wait too long or the endpoints have no free slot. Lower
+// ranks are refused later.
 auto Admit(const call_request& call,
            const target_entry& target,
            const endpoint_table& endpoints,
