--- a/source/core/experiment/program_driver.cc
+++ b/source/core/experiment/program_driver.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <string>
-#include <utility>
 
 #include "common/digest.h"
 #include "experiment/capacity.h"
@@ -113,7 +112,7 @@
         {call.work.blocks[i],
          static_cast<std::uint32_t>(i + 1) * kBlockTokens});
   }
-  Submit(branch, std::move(call));
+  Submit(branch, call);
 }
 
 auto program_driver::SubmitTool(branch_run& branch) -> void {
@@ -125,10 +124,11 @@
   request.target = kServiceName;
   request.is_idempotent = step.is_idempotent;
   request.body_bytes = kToolBytes;
-  Submit(branch, std::move(call));
+  Submit(branch, call);
 }
 
-auto program_driver::Submit(branch_run& branch, gateway_call call) -> void {
+auto program_driver::Submit(branch_run& branch, const gateway_call& call)
+    -> void {
   auto given = call;
   given.done = [this, &branch, call](const call_outcome& outcome) {
     events_.After(deployment_.client_delay, [this, &branch, call, outcome] {
--- a/source/core/experiment/program_driver.h
+++ b/source/core/experiment/program_driver.h
@@ -60,7 +60,7 @@
   auto Fork(branch_run& branch) -> void;
   auto SubmitChat(branch_run& branch) -> void;
   auto SubmitTool(branch_run& branch) -> void;
-  auto Submit(branch_run& branch, gateway_call call) -> void;
+  auto Submit(branch_run& branch, const gateway_call& call) -> void;
   auto OnOutcome(branch_run& branch,
                  const gateway_call& call,
                  const call_outcome& outcome) -> void;
