Bound the reports that a VM asks for during a move

Cause: each VM read every endpoint on its way once a second. With 128 endpoints to move that is 256 reads/s a VM, far over the 5 KB/s that control may cost.

Endpoints that wait or stand in for others are told from those that load, warm, drain or unload; each class is read at most 5 times a second in all, by intervals that grow with its size.

--- a/source/core/migration/migration_options.h
+++ b/source/core/migration/migration_options.h
@@ -20,8 +20,10 @@
   duration lease_retry_interval = 5s;
   // So many live VMs, by a hash of their ids, try to acquire the lease.
   std::uint32_t lease_candidates = 3;
-  // Interval of reports from endpoints on their way, and from settled ones.
+  // Interval of reports from endpoints on their way, from those that wait or
+  // stand in for others, and from settled ones.
   duration active_read_interval = 1s;
+  duration waiting_read_interval = 1s;
   duration settled_read_interval = 30s;
   // A request for a report is repeated when it is not answered in this time.
   duration read_timeout = 2s;
@@ -54,8 +56,11 @@
   duration forget_after = std::chrono::minutes{30};
   // Interval of decisions while nothing changes.
   duration decision_interval = 500ms;
+  // Reports asked for on average from the endpoints of each interval. The
+  // intervals grow with the number of endpoints to keep to it.
+  std::uint32_t reads_per_second = 5;
   // Bounds of the commands of one tick.
-  std::uint32_t max_reads_per_tick = 50;
+  std::uint32_t max_reads_per_tick = 20;
   std::uint32_t max_orders_per_tick = 20;
 
   auto operator<=>(const migration_options&) const = default;
--- a/source/core/migration/migration_system.cc
+++ b/source/core/migration/migration_system.cc
@@ -175,6 +175,10 @@
     }
   }
   names_on_the_move_ = std::move(names);
+  attention_counts_.clear();
+  for (const auto& [id, row] : endpoints_) {
+    ++attention_counts_[AttentionFor(row, now)];
+  }
 }
 
 auto migration_system::ReadStates(instant now) -> void {
@@ -210,17 +214,44 @@
   return true;
 }
 
+auto migration_system::AttentionFor(const endpoint_row& row, instant now) const
+    -> attention {
+  const auto has_new_order =
+      row.last_order &&
+      (!row.observed || row.observed->asked_at <= row.last_order->sent_at);
+  if (has_new_order) {
+    return attention::kActive;
+  }
+  const auto phase = PhaseOf(row, wanted_, now, options_);
+  if (phase == endpoint_phase::kWaitingToLoad ||
+      phase == endpoint_phase::kHeldForNeed) {
+    return attention::kWaiting;
+  }
+  if (!IsDone(row, wanted_, now, options_)) {
+    return attention::kActive;
+  }
+  return ServesAny(row, names_on_the_move_) ? attention::kWaiting
+                                            : attention::kSettled;
+}
+
 auto migration_system::ReadInterval(const endpoint_row& row, instant now) const
     -> duration {
-  const auto is_active = !IsDone(row, wanted_, now, options_) ||
-                         ServesAny(row, names_on_the_move_);
-  const auto interval = is_active ? options_.active_read_interval
-                                  : options_.settled_read_interval;
+  const auto level = AttentionFor(row, now);
+  const auto interval =
+      level == attention::kActive    ? options_.active_read_interval
+      : level == attention::kWaiting ? options_.waiting_read_interval
+                                     : options_.settled_read_interval;
+  const auto counted = attention_counts_.find(level);
+  const auto count = counted == attention_counts_.end() ? 0 : counted->second;
+  const auto least =
+      duration{duration{1s}.count() *
+               static_cast<duration::rep>(count / options_.reads_per_second)};
   if (lease_.fence() != 0) {
-    return interval;
+    return std::max(interval, least);
   }
-  const auto pace = live_vms_ / std::max(1U, options_.readers_at_full_rate);
-  return interval * std::max<std::size_t>(1, pace);
+  const auto pace = static_cast<duration::rep>(
+      live_vms_ / std::max(1U, options_.readers_at_full_rate));
+  return std::max<duration>(interval * std::max<duration::rep>(1, pace), least);
 }
 
 auto migration_system::ReleaseSessions(instant now) -> void {
--- a/source/core/migration/migration_system.h
+++ b/source/core/migration/migration_system.h
@@ -4,6 +4,8 @@
 #define DAISYWIND_MIGRATION_MIGRATION_SYSTEM_H_
 
 #include <cstddef>
+#include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -34,6 +36,10 @@
   [[nodiscard]] auto Progress(instant now) const -> move_progress;
 
  private:
+  // How closely an endpoint is watched: on its way, waiting or standing in for
+  // others, or settled.
+  enum class attention : std::uint8_t { kActive, kWaiting, kSettled };
+
   auto On(const wanted_changed& input, instant now) -> void;
   auto On(const engine_state& input, instant now) -> void;
   auto On(const endpoint_unreachable& input, instant now) -> void;
@@ -55,6 +61,9 @@
   auto SendOrders(instant now) -> void;
   auto ForgetEndpoints(instant now) -> void;
   auto FindEndpoint(const endpoint_id& id) -> endpoint_row*;
+  // How closely an endpoint is watched.
+  [[nodiscard]] auto AttentionFor(const endpoint_row& row, instant now) const
+      -> attention;
   // Interval of reports from an endpoint. VMs without the lease read so much
   // less often as there are more of them.
   [[nodiscard]] auto ReadInterval(const endpoint_row& row, instant now) const
@@ -69,6 +78,7 @@
   std::size_t live_vms_ = 1;
   // Names that some endpoint on its way out still serves.
   std::set<std::string> names_on_the_move_;
+  std::map<attention, std::size_t> attention_counts_;
   bool has_changed_ = false;
   instant next_decision_{};
   // Where the last tick stopped asking for reports.
--- a/source/core/migration/progress.cc
+++ b/source/core/migration/progress.cc
@@ -79,21 +79,6 @@
   return is_empty ? endpoint_phase::kEmpty : endpoint_phase::kUnloading;
 }
 
-auto PhaseOf(const endpoint_row& row,
-             const wanted_state& wanted,
-             instant now,
-             const migration_options& options) -> endpoint_phase {
-  // A report from before the role was wanted may be about to be overtaken by
-  // work or orders of the earlier version.
-  const auto is_current =
-      IsFresh(row, now) && row.observed->asked_at >= row.wanted_since;
-  if (!is_current) {
-    return endpoint_phase::kUnknown;
-  }
-  return IsToServe(row) ? ServingPhase(row, wanted, now, options)
-                        : LeavingPhase(row, options);
-}
-
 auto IsFinal(endpoint_phase phase) -> bool {
   return phase == endpoint_phase::kServing ||
          phase == endpoint_phase::kDrained || phase == endpoint_phase::kEmpty;
@@ -219,6 +204,21 @@
 
 }  // namespace
 
+auto PhaseOf(const endpoint_row& row,
+             const wanted_state& wanted,
+             instant now,
+             const migration_options& options) -> endpoint_phase {
+  // A report from before the role was wanted may be about to be overtaken by
+  // work or orders of the earlier version.
+  const auto is_current =
+      IsFresh(row, now) && row.observed->asked_at >= row.wanted_since;
+  if (!is_current) {
+    return endpoint_phase::kUnknown;
+  }
+  return IsToServe(row) ? ServingPhase(row, wanted, now, options)
+                        : LeavingPhase(row, options);
+}
+
 auto BuildProgress(const endpoint_table& table,
                    const wanted_state& wanted,
                    instant accepted_at,
--- a/source/core/migration/progress.h
+++ b/source/core/migration/progress.h
@@ -86,6 +86,12 @@
                    instant now,
                    const migration_options& options) -> move_progress;
 
+// How far an endpoint is.
+auto PhaseOf(const endpoint_row& row,
+             const wanted_state& wanted,
+             instant now,
+             const migration_options& options) -> endpoint_phase;
+
 // Whether a fresh report proves that an endpoint has reached its wanted state.
 auto IsDone(const endpoint_row& row,
             const wanted_state& wanted,
--- a/source/testing/fake_move.cc
+++ b/source/testing/fake_move.cc
@@ -13,9 +13,11 @@
 constexpr auto kNetworkDelay = duration{20ms};
 constexpr auto kReadTimeout = duration{1s};
 constexpr auto kConfigurationDelay = duration{300ms};
-// Warm-up, one interval of reports and one of decisions: after this every VM
+// Warm-up, an interval of reports and one of decisions: after this every VM
 // knows that a loaded endpoint is ready.
 constexpr auto kReadyToAll = duration{4500ms};
+// Waiting endpoints are looked at so often in all.
+constexpr auto kReadsPerSecond = 5;
 constexpr auto kClaimInterval = duration{500ms};
 constexpr auto kWorkInterval = 3;
 
@@ -406,7 +408,10 @@
   if (ready < shape_.need) {
     replaced_since_.reset();
   } else if (!replaced_since_) {
-    replaced_since_ = now_ + kReadyToAll;
+    const auto interval =
+        static_cast<duration::rep>(engines_.size()) / kReadsPerSecond;
+    replaced_since_ = now_ + kReadyToAll +
+                      duration{1s} * std::max<duration::rep>(0, interval - 1);
   }
   if (replaced_since_ && now_ >= *replaced_since_) {
     // The faults have been made good.
