Take a call that its caller sends again as new work

After a cut attempt the adapter kept the call for 60 s and charged each further attempt to the retry budget, also those that the caller sent again; with the budget spent they were refused as overloaded until the record lapsed. Ruled out: admission (queues were empty), the engines (idle), ejection.

Change: only an attempt that excludes an endpoint is a retry of ours. A call that is abandoned after its grant gives its slot back.

--- a/source/core/gateway/program_adapter.cc
+++ b/source/core/gateway/program_adapter.cc
@@ -103,7 +103,7 @@
 
 auto program_adapter::Execute(const program::abandon_endpoint& command)
     -> void {
-  parts_.scheduler.Abandon(command.call);
+  parts_.scheduler.Abandon(command.call, Now());
 }
 
 auto program_adapter::Execute(const program::release_endpoint_slot& command)
--- a/source/core/gateway/scheduler_adapter.cc
+++ b/source/core/gateway/scheduler_adapter.cc
@@ -73,9 +73,18 @@
 }
 
 auto ToReason(policy::refusal_reason reason) -> program::refusal_reason {
-  return reason == policy::refusal_reason::kNoEndpoint
-             ? program::refusal_reason::kNoEndpoint
-             : program::refusal_reason::kOverloaded;
+  switch (reason) {
+    case policy::refusal_reason::kNoEndpoint:
+      return program::refusal_reason::kNoEndpoint;
+    case policy::refusal_reason::kRateLimited:
+      return program::refusal_reason::kRateLimited;
+    case policy::refusal_reason::kQuarantined:
+      return program::refusal_reason::kQuarantined;
+    case policy::refusal_reason::kOverloaded:
+    case policy::refusal_reason::kRetryBudgetSpent:
+      break;
+  }
+  return program::refusal_reason::kOverloaded;
 }
 
 }  // namespace
@@ -88,7 +97,9 @@
                                 instant now) -> void {
   auto request = ToRequest(wanted);
   const auto earlier = ended_.find(wanted.call);
-  if (earlier == ended_.end()) {
+  // A call that its caller sends again excludes no endpoint: it is new work,
+  // not a retry of ours, and is for admission to judge.
+  if (earlier == ended_.end() || wanted.excluded.empty()) {
     Enqueue(std::move(request), wanted.call, now);
     return;
   }
@@ -102,7 +113,8 @@
   delayed_.push_back({now + *wait, std::move(request), wanted.call});
 }
 
-auto scheduler_adapter::Abandon(const program::call_ref& call) -> void {
+auto scheduler_adapter::Abandon(const program::call_ref& call, instant now)
+    -> void {
   std::erase_if(delayed_, [&](const delayed_call& waiting) {
     return waiting.call == call;
   });
@@ -110,7 +122,11 @@
   if (found == by_call_.end()) {
     return;
   }
-  scheduler_.Cancel(found->second);
+  if (!scheduler_.Cancel(found->second)) {
+    // Granted a moment ago, and the program system no longer wants it.
+    scheduler_.OnFinished(found->second, policy::finish_kind::kCancelled, {},
+                          now);
+  }
   entries_.erase(found->second);
   by_call_.erase(found);
 }
--- a/source/core/gateway/scheduler_adapter.h
+++ b/source/core/gateway/scheduler_adapter.h
@@ -27,7 +27,7 @@
   auto Acquire(const program::acquire_endpoint& wanted, instant now) -> void;
 
   // The call no longer waits.
-  auto Abandon(const program::call_ref& call) -> void;
+  auto Abandon(const program::call_ref& call, instant now) -> void;
 
   // The call's slot is free again.
   auto Release(const program::release_endpoint_slot& slot, instant now) -> void;
--- a/source/core/program/types.cc
+++ b/source/core/program/types.cc
@@ -49,6 +49,8 @@
     {refusal_reason::kStreamLost, 502, "stream_lost"},
     {refusal_reason::kShuttingDown, 503, "shutting_down"},
     {refusal_reason::kOverloaded, 429, "overloaded"},
+    {refusal_reason::kRateLimited, 429, "rate_limited"},
+    {refusal_reason::kQuarantined, 422, "quarantined"},
 });
 
 auto RowOf(refusal_reason reason) -> const reason_row& {
--- a/source/core/program/types.h
+++ b/source/core/program/types.h
@@ -122,6 +122,8 @@
   kStreamLost,
   kShuttingDown,
   kOverloaded,
+  kRateLimited,
+  kQuarantined,
 };
 
 // The HTTP status that fits a reason.
--- a/source/core/program_wire/fields.h
+++ b/source/core/program_wire/fields.h
@@ -112,7 +112,7 @@
             domain_of<Direction, problem>& value,
             fbs::ProblemT& object) -> void {
   copy.Enumerator(value.result, object.result, outcome::kDone);
-  copy.Enumerator(value.reason, object.reason, refusal_reason::kOverloaded);
+  copy.Enumerator(value.reason, object.reason, refusal_reason::kQuarantined);
   copy.Text(value.detail, object.detail);
   copy.Time(value.retry_after, object.retry_after_us);
 }
