Look at a stand-in's run again after each write of its stream

The stand-in engine waited for the next change of a run after each write; when the run ended during the write, none came. The new case, a caller who takes each part slowly, fails without the change. Latencies of streams that were measured with the stand-ins before this commit are not to be relied on.

--- a/source/core/standin/engine_role.cc
+++ b/source/core/standin/engine_role.cc
@@ -228,15 +228,18 @@
     }
     is_ended = run->state == run_state::kFinished;
     const auto events = StreamEvents(*run, next, includes_usage);
+    if (events.empty() && !is_ended) {
+      co_await WaitForRun(id);
+      continue;
+    }
     next += events.size();
     auto bytes = std::string{};
     for (const auto& event : events) {
       bytes += net::FormatSseEvent(event);
     }
+    // The run may change during the write, so it is looked at again before the
+    // next wait.
     is_open = bytes.empty() || co_await exchange.WriteChunk(bytes);
-    if (is_open && !is_ended) {
-      co_await WaitForRun(id);
-    }
   }
   if (is_open && is_ended) {
     co_await exchange.EndStream();
--- a/source/unit_tests/standin/roles_test.cc
+++ b/source/unit_tests/standin/roles_test.cc
@@ -111,8 +111,64 @@
   return text;
 }
 
+// An exchange whose caller takes each part slowly.
+class slow_exchange : public net::http_exchange {
+ public:
+  slow_exchange(asio::io_context& context, net::http_request request)
+      : context_(context), request_(std::move(request)) {}
+
+  [[nodiscard]] auto request() const -> const net::http_request& override {
+    return request_;
+  }
+
+  auto Respond(net::http_response response) -> asio::awaitable<bool> override {
+    co_return co_await WriteChunk(response.body);
+  }
+
+  auto StartStream(net::http_response /*head*/)
+      -> asio::awaitable<bool> override {
+    co_return true;
+  }
+
+  auto WriteChunk(std::string_view bytes) -> asio::awaitable<bool> override {
+    body_ += bytes;
+    auto timer = asio::steady_timer(context_, 50ms);
+    co_await timer.async_wait(asio::use_awaitable);
+    co_return true;
+  }
+
+  auto EndStream() -> asio::awaitable<bool> override { co_return true; }
+  auto Abort() -> void override {}
+  auto WaitForClose() -> asio::awaitable<void> override { co_return; }
+  auto IsClosed() -> bool override { return false; }
+
+  [[nodiscard]] auto body() const -> const std::string& { return body_; }
+
+ private:
+  asio::io_context& context_;
+  net::http_request request_;
+  std::string body_;
+};
+
 }  // namespace
 
+TEST_CASE("a stream ends although its run has ended during a write") {
+  auto context = asio::io_context();
+  const auto engine = MakeRole("engine", context, FastOptions());
+  auto exchange = slow_exchange(
+      context, {"POST", "/v1/chat/completions", {}, ChatBody(true)});
+  auto is_ended = false;
+  asio::co_spawn(context, engine->Handle(exchange),
+                 [&](const std::exception_ptr&) {
+                   is_ended = true;
+                   context.stop();
+                 });
+  // Bounds the test where the stream never ends.
+  context.run_for(10s);
+  CHECK(is_ended);
+  CHECK(StreamText(exchange.body()) == ExpectedAnswer("agent", Messages(), 12));
+}
+
 TEST_CASE("a whole chat answer follows from the request") {
   auto engine = fixture("engine");
   const auto result = engine.Post("/v1/chat/completions", ChatBody(false));
