--- a/source/core/load/load_report.cc
+++ b/source/core/load/load_report.cc
@@ -59,6 +59,7 @@
   }
   if (result.status == program_status::kFinished) {
     latencies_by_class_[plan.class_name].push_back(latency);
+    KeepIfSlow({plan.index, plan.class_name, latency, result.slowest});
     const auto second =
         std::chrono::duration_cast<std::chrono::seconds>(ended_at);
     ++finished_by_second_[second.count()];
@@ -71,6 +72,16 @@
   }
 }
 
+auto load_report::KeepIfSlow(slow_program item) -> void {
+  const auto place = std::find_if(
+      slow_programs_.begin(), slow_programs_.end(),
+      [&](const auto& other) { return other.latency < item.latency; });
+  slow_programs_.insert(place, std::move(item));
+  if (slow_programs_.size() > kMaxSlowPrograms) {
+    slow_programs_.pop_back();
+  }
+}
+
 auto load_report::CountOf(program_status status) const -> std::int64_t {
   const auto found = ended_.find(status);
   return found == ended_.end() ? 0 : found->second;
@@ -97,6 +108,7 @@
           {"prompt_tokens", Tokens()},
           {"finished_per_second", std::move(finished)},
           {"unfinished", unfinished_},
+          {"slowest", Slowest()},
           {"service_keys", ServiceKeys()}};
 }
 
@@ -135,6 +147,22 @@
   return out;
 }
 
+auto load_report::Slowest() const -> json::array {
+  auto out = json::array{};
+  for (const auto& item : slow_programs_) {
+    const auto call = json::object{{"call", item.slowest.what},
+                                   {"ms", ToMilliseconds(item.slowest.time)},
+                                   {"tries", item.slowest.tries},
+                                   {"reason", item.slowest.reason},
+                                   {"handle", item.slowest.handle}};
+    out.emplace_back(json::object{{"program", item.index},
+                                  {"class", item.class_name},
+                                  {"ms", ToMilliseconds(item.latency)},
+                                  {"slowest_call", call}});
+  }
+  return out;
+}
+
 auto load_report::ServiceKeys() const -> json::object {
   static constexpr auto kNames =
       std::to_array<std::string_view>({"answered", "not_run", "in_doubt"});
--- a/source/core/load/load_report.h
+++ b/source/core/load/load_report.h
@@ -24,6 +24,9 @@
   // The unfinished programs that are named one by one.
   static constexpr std::size_t kMaxNamedPrograms = 50;
 
+  // The slowest programs that are named one by one.
+  static constexpr std::size_t kMaxSlowPrograms = 10;
+
   explicit load_report(std::string tenant) : tenant_(std::move(tenant)) {}
 
   // Counts a program's start.
@@ -46,6 +49,16 @@
   [[nodiscard]] auto Latencies() const -> json::object;
   [[nodiscard]] auto Tokens() const -> json::object;
   [[nodiscard]] auto ServiceKeys() const -> json::object;
+  [[nodiscard]] auto Slowest() const -> json::array;
+
+  struct slow_program {
+    std::size_t index = 0;
+    std::string class_name;
+    duration latency{};
+    slow_call slowest;
+  };
+
+  auto KeepIfSlow(slow_program item) -> void;
 
   std::string tenant_;
   std::int64_t started_ = 0;
@@ -56,6 +69,8 @@
   token_counts tokens_;
   std::int64_t calls_ = 0;
   json::array unfinished_;
+  // Slowest first.
+  std::vector<slow_program> slow_programs_;
 };
 
 }  // namespace daisywind::load
--- a/source/core/load/program_runner.cc
+++ b/source/core/load/program_runner.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "standin/answer.h"
+#include "standin/clock.h"
 
 namespace daisywind::load {
 namespace {
@@ -43,11 +44,24 @@
   }
 }
 
+auto program_runner::Make(call item, chat_receiver* receiver)
+    -> asio::awaitable<call_result> {
+  const auto what = item.method + " " + item.target;
+  const auto started_at = standin::Now();
+  auto ended = co_await client_.Make(session_, std::move(item), receiver);
+  const auto time = standin::Now() - started_at;
+  if (time > result_.slowest.time) {
+    result_.slowest = {what, time, ended.tries, ended.reason,
+                       session_.handle()};
+  }
+  co_return ended;
+}
+
 auto program_runner::Open() -> asio::awaitable<bool> {
   auto item = call{};
   item.target = "/v1/programs";
   item.body = json::serialize(json::object{{"class", plan_.class_name}});
-  const auto opened = co_await client_.Make(session_, std::move(item), nullptr);
+  const auto opened = co_await Make(std::move(item), nullptr);
   if (opened.status != call_status::kDone) {
     FailOn(opened, "open");
     co_return false;
@@ -64,7 +78,7 @@
   auto item = call{};
   item.method = "DELETE";
   item.target = "/v1/programs/self";
-  co_await client_.Make(session_, std::move(item), nullptr);
+  co_await Make(std::move(item), nullptr);
 }
 
 auto program_runner::RunBranch(std::size_t index) -> asio::awaitable<void> {
@@ -115,8 +129,7 @@
                                            {"max_tokens", step.max_tokens},
                                            {"stream", step.is_stream}});
   auto receiver = chat_receiver{};
-  const auto ended =
-      co_await client_.Make(session_, std::move(item), &receiver);
+  const auto ended = co_await Make(std::move(item), &receiver);
   ++result_.calls;
   if (ended.status != call_status::kDone) {
     FailOn(ended, "chat");
@@ -170,7 +183,7 @@
   item.key = key_prefix_ + "-" + std::to_string(plan_.index) + "-" +
              branch.name + "-" + std::to_string(branch.turn);
   const auto key = item.key;
-  const auto ended = co_await client_.Make(session_, std::move(item), nullptr);
+  const auto ended = co_await Make(std::move(item), nullptr);
   ++result_.calls;
   result_.service_calls.push_back({key, ended.status});
   if (ended.status != call_status::kDone) {
@@ -228,7 +241,7 @@
   item.target = std::move(target);
   item.body = json::serialize(json::object{{"name", name}});
   const auto what = item.target;
-  const auto ended = co_await client_.Make(session_, std::move(item), nullptr);
+  const auto ended = co_await Make(std::move(item), nullptr);
   // A repeat finds what an earlier try has done.
   const auto is_done =
       ended.status == call_status::kDone || ended.reason == repeated;
--- a/source/core/load/program_runner.h
+++ b/source/core/load/program_runner.h
@@ -46,6 +46,17 @@
   call_status status = call_status::kDone;
 };
 
+// The call that a program has waited for the longest.
+struct slow_call {
+  std::string what;
+  duration time{};
+  std::int64_t tries = 0;
+  // The reason of its last refusal; empty when every try was answered.
+  std::string reason;
+  // The program's handle after the call.
+  std::string handle;
+};
+
 // The end of a program.
 struct program_result {
   program_status status = program_status::kFinished;
@@ -55,6 +66,7 @@
   std::int64_t calls = 0;
   token_counts tokens;
   std::vector<service_call_record> service_calls;
+  slow_call slowest;
 };
 
 class program_runner {
@@ -83,6 +95,9 @@
     std::size_t known_bytes = 0;
   };
 
+  // Makes a call and keeps it when it is the slowest so far.
+  auto Make(call item, chat_receiver* receiver)
+      -> boost::asio::awaitable<call_result>;
   auto Open() -> boost::asio::awaitable<bool>;
   auto RunBranch(std::size_t index) -> boost::asio::awaitable<void>;
   auto RunStep(branch_state& branch, const plan_step& step)
--- a/source/unit_tests/load/load_report_test.cc
+++ b/source/unit_tests/load/load_report_test.cc
@@ -44,4 +44,18 @@
   CHECK(out.at("unfinished").as_array().size() == 1);
 }
 
+TEST_CASE("the slowest programs are named, slowest first") {
+  auto report = load_report("choclo");
+  for (auto i = std::size_t{0}; i < 12; ++i) {
+    auto plan = program_plan{};
+    plan.index = i;
+    report.RecordEnd(plan, {}, duration(i), {});
+  }
+  const auto out = report.ToJson({});
+  const auto& slowest = out.at("slowest").as_array();
+  REQUIRE(slowest.size() == load_report::kMaxSlowPrograms);
+  CHECK(slowest.front().at("program") == 11);
+  CHECK(slowest.back().at("program") == 2);
+}
+
 }  // namespace daisywind::load
