--- a/source/core/experiment/result_table.cc
+++ b/source/core/experiment/result_table.cc
@@ -23,8 +23,6 @@
     return;
   }
   const auto at = instant{experiment.faults.front().at};
-  row.before_fault =
-      SummariseLatency(measures.programs, {-1, instant::min(), at});
   row.after_fault =
       SummariseLatency(measures.programs, {-1, at + kRecovery, instant::max()});
   row.peak_ratio = Share(measures.peak_after_fault, measures.peak_before_fault);
@@ -61,7 +59,9 @@
   const auto total = static_cast<double>(row.all.programs + refused);
   const auto seconds =
       std::chrono::duration<double>{experiment.measured}.count();
-  row.good_programs_per_s = static_cast<double>(CountGood(programs)) / seconds;
+  const auto from = instant{experiment.warm_up};
+  const auto good = CountGood(programs, from, from + experiment.measured);
+  row.good_programs_per_s = static_cast<double>(good) / seconds;
   row.refused_share = Share(static_cast<double>(refused), total);
   row.failed_share = Share(static_cast<double>(failed), total);
   row.wasted_share = Share(measures.wasted_tokens, measures.prompt_tokens);
@@ -78,11 +78,17 @@
   const auto choices = ListChoices(experiment);
   const auto capacity = CapacityOf(experiment.deployment);
   auto rows = std::vector<trial_row>(choices.size());
+  auto without_faults = experiment;
+  without_faults.faults.clear();
   auto next = std::atomic<std::size_t>{0};
   const auto work = [&] {
     for (auto i = next++; i < choices.size(); i = next++) {
       const auto measures = RunTrial(experiment, choices[i], capacity);
       rows[i] = Summarise(experiment, choices[i], measures);
+      if (!experiment.faults.empty()) {
+        const auto healthy = RunTrial(without_faults, choices[i], capacity);
+        rows[i].without_fault = SummariseLatency(healthy.programs, {});
+      }
     }
   };
   auto threads = std::vector<std::thread>{};
--- a/source/core/gateway/program_adapter.cc
+++ b/source/core/gateway/program_adapter.cc
@@ -242,6 +242,9 @@
   if (result.is_leaving) {
     parts_.on_leaving(attempt.endpoint);
   }
+  if (result.outcome == attempt_outcome::kUnknown) {
+    parts_.on_cut(attempt.endpoint);
+  }
   parts_.scheduler.OnUsage(attempt.attempt.call, result.usage);
   parts_.series.Observe("daisywind_attempt_seconds", attempt.tenant,
                         attempt.service_class, Now() - attempt.started);
@@ -259,6 +262,7 @@
   ended.answer.prompt_tokens = static_cast<std::int64_t>(result.usage.prompt);
   ended.answer.answer_tokens =
       static_cast<std::int64_t>(result.usage.completion);
+  ended.answer.cached_tokens = static_cast<std::int64_t>(result.usage.cached);
   if (is_chat) {
     ended.answer_message = program::MessageText("assistant", attempt.text);
   }
--- a/source/core/policy/expected_finish_routing.cc
+++ b/source/core/policy/expected_finish_routing.cc
@@ -9,6 +9,20 @@
 constexpr auto kRandomOptions = std::size_t{4};
 constexpr auto kAnswerBytesPerToken = 4.0;
 
+// The first endpoint with room from a random start.
+auto FirstWithRoom(const route_context& context)
+    -> std::optional<endpoint_index> {
+  const auto count = context.candidates.size();
+  const auto start = context.random.Below(count);
+  for (auto step = std::size_t{0}; step < count; ++step) {
+    const auto index = context.candidates[(start + step) % count];
+    if (IsEligible(context, index)) {
+      return index;
+    }
+  }
+  return std::nullopt;
+}
+
 }  // namespace
 
 auto ExpectedFinish(const route_context& context,
@@ -22,8 +36,9 @@
   const auto uncached =
       std::max(0.0, context.call.prompt_tokens - cached_tokens);
   const auto prefill = context.costs.PrefillTime(uncached);
-  const auto contention = 1.0 + load / capacity;
-  auto total = (wait + prefill * contention) * entry.health.slowdown();
+  // Computing a prompt stops the answers of all calls that run there.
+  const auto delayed = 1.0 + std::min(load, capacity);
+  auto total = (wait + prefill * delayed) * entry.health.slowdown();
   if (!entry.is_local) {
     const auto bytes = context.call.body_bytes +
                        kAnswerBytesPerToken * context.call.max_tokens;
@@ -60,28 +75,28 @@
   auto best = std::optional<endpoint_index>{};
   auto best_finish = seconds::max();
   for (const auto& option : options_) {
-    if (!IsEligible(context, option.endpoint)) {
+    if (!IsAllowed(context, option.endpoint)) {
       continue;
     }
-    const auto finish = ExpectedFinish(context, option.endpoint, option.tokens);
+    auto finish = ExpectedFinish(context, option.endpoint, option.tokens);
+    const auto is_full = !IsEligible(context, option.endpoint);
+    if (is_full && option.tokens == 0.0) {
+      continue;
+    }
+    if (is_full) {
+      // The longer a call has waited for its cached prefix, the less the
+      // estimate of the rest of the wait is worth.
+      finish += context.waited;
+    }
     if (finish < best_finish) {
       best = option.endpoint;
       best_finish = finish;
     }
   }
-  if (best) {
-    return best;
-  }
-  // None of the few had room: take the first that has, from a random start.
-  const auto count = context.candidates.size();
-  const auto start = context.random.Below(count);
-  for (auto step = std::size_t{0}; step < count; ++step) {
-    const auto index = context.candidates[(start + step) % count];
-    if (IsEligible(context, index)) {
-      return index;
-    }
+  if (!best) {
+    return FirstWithRoom(context);
   }
-  return std::nullopt;
+  return IsEligible(context, *best) ? best : std::nullopt;
 }
 
 }  // namespace daisywind::policy
--- a/source/core/policy/expected_finish_routing.h
+++ b/source/core/policy/expected_finish_routing.h
@@ -10,7 +10,9 @@
 namespace daisywind::policy {
 
 // Compares the endpoints that hold the longest prefixes with a few random ones,
-// so that gateways with equally old reports don't all choose the same.
+// so that gateways with equally old reports don't all choose the same. A call
+// waits for a full endpoint while that costs less than computing its prefix
+// elsewhere.
 class expected_finish_routing : public routing_strategy {
  public:
   auto Choose(const route_context& context)
@@ -23,7 +25,8 @@
 };
 
 // Expected time until a call is finished at an endpoint that holds the first
-// `cached_tokens` of its prompt, without its own decoding.
+// `cached_tokens` of its prompt, without its own decoding but with the time by
+// which computing its prompt delays the calls that run there.
 auto ExpectedFinish(const route_context& context,
                     endpoint_index index,
                     double cached_tokens) -> seconds;
--- a/source/core/program/calls.cc
+++ b/source/core/program/calls.cc
@@ -156,12 +156,7 @@
   if (copy.live.count({branch.name, turn - 1}) != 0) {
     return false;
   }
-  // Until its caller knows that it is in doubt, its end may still be reported.
-  const auto is_told = copy.told_in_doubt.count({branch.name, turn - 1}) != 0 ||
-                       tables.now >= copy.activated + tables.options.gap_bound;
-  const auto is_given_up =
-      before.phase == call_phase::kIntended && !before.is_idempotent && is_told;
-  return before.phase == call_phase::kSettled || is_given_up;
+  return before.phase == call_phase::kSettled || before.is_doubt_told;
 }
 
 auto ExtendsHistory(const branch_record& branch, const call_request& request)
@@ -395,6 +390,22 @@
   copy->live.erase(found);
 }
 
+auto OnDoubtDelivered(system_tables& tables, const doubt_delivered& item)
+    -> void {
+  auto* copy = FindOwned(tables, item.call.program);
+  if (copy == nullptr || !MayAct(*copy)) {
+    return;
+  }
+  const auto* record = FindCall(copy->state, item.call.branch, item.call.turn);
+  const auto is_in_doubt = record != nullptr && !record->is_idempotent &&
+                           record->phase == call_phase::kIntended &&
+                           !record->is_doubt_told;
+  if (is_in_doubt) {
+    Append(tables, *copy, doubt_told{item.call.branch, item.call.turn});
+    AdmitWaiting(tables, *copy);
+  }
+}
+
 auto AdmitWaiting(system_tables& tables, program_copy& copy) -> void {
   auto keys = std::vector<live_key>{};
   for (const auto& [key, call] : copy.live) {
--- a/source/core/program/epoch.cc
+++ b/source/core/program/epoch.cc
@@ -70,8 +70,6 @@
 
 auto Activate(system_tables& tables, program_copy& copy) -> void {
   copy.is_active = true;
-  copy.activated = tables.now;
-  copy.told_in_doubt.clear();
   if (!copy.installer.empty()) {
     Send(tables, copy.installer,
          install_ack{copy.state.id, copy.replicas.epoch});
@@ -199,6 +197,8 @@
   }
   NoteReference(tables, copy.state.id, replicas);
   copy.replicas = replicas;
+  copy.state.last_attempt =
+      std::max(copy.state.last_attempt, AttemptBase(replicas.epoch));
   copy.role = copy_role::kOwner;
   copy.is_closed = false;
   copy.is_active = false;
--- a/source/core/program/tables.h
+++ b/source/core/program/tables.h
@@ -113,9 +113,6 @@
   std::vector<pending_control> controls;
   std::optional<request_id> open_request;
   bool is_releasing = false;
-  // Owner: calls in doubt whose callers have been told so in this epoch.
-  std::set<live_key> told_in_doubt;
-  instant activated{};
 };
 
 // What a member has promised and accepted for an epoch of a program.
--- a/source/core/program/types.cc
+++ b/source/core/program/types.cc
@@ -44,6 +44,7 @@
     {refusal_reason::kOwnerUnreachable, 503, "owner_unreachable"},
     {refusal_reason::kWitnessUnreachable, 503, "witness_unreachable"},
     {refusal_reason::kInDoubt, 409, "in_doubt"},
+    {refusal_reason::kPreviousInDoubt, 409, "previous_in_doubt"},
     {refusal_reason::kAnswerNotKept, 410, "answer_not_kept"},
     {refusal_reason::kStreamLost, 502, "stream_lost"},
     {refusal_reason::kShuttingDown, 503, "shutting_down"},
@@ -157,6 +158,11 @@
                         replica_set{*epoch, *owner, *witness, *arbiter}};
 }
 
+auto AttemptBase(epoch_number epoch) -> attempt_number {
+  constexpr auto kAttemptBits = 32U;
+  return epoch << kAttemptBits;
+}
+
 auto StatusOf(refusal_reason reason) -> int {
   return RowOf(reason).status;
 }
--- a/source/core/program/types.h
+++ b/source/core/program/types.h
@@ -32,8 +32,12 @@
 // Position of a call in its branch, from 1.
 using turn_number = std::uint32_t;
 
-// Number of an attempt within its program, from 1. Never used twice.
-using attempt_number = std::uint32_t;
+// Number of an attempt within its program. Each epoch has a range of its own:
+// an owner does not know which numbers a replaced one has used.
+using attempt_number = std::uint64_t;
+
+// The number below the first attempt of an epoch.
+auto AttemptBase(epoch_number epoch) -> attempt_number;
 
 // Names a request of a local adapter. Unique within one run of the process.
 using request_id = std::uint64_t;
@@ -112,6 +116,8 @@
   kOwnerUnreachable,
   kWitnessUnreachable,
   kInDoubt,
+  // The turn before is in doubt; the call may be sent again.
+  kPreviousInDoubt,
   kAnswerNotKept,
   kStreamLost,
   kShuttingDown,
@@ -180,6 +186,8 @@
   payload body;
   std::int64_t prompt_tokens = 0;
   std::int64_t answer_tokens = 0;
+  // Prompt tokens that the engine had in its cache.
+  std::int64_t cached_tokens = 0;
 };
 
 // Names a call of a program.
