Bound the attempts of a call over all its retries and owners

Cause: a call that crashes each endpoint would be tried again on every retry of its caller. The attempts made are now recorded with the call. Members are looked up by binary search and waiting requests by program, as a takeover of many programs asks for both each time.

--- a/source/core/program/attempts.cc
+++ b/source/core/program/attempts.cc
@@ -101,6 +101,7 @@
   update.branch = key.first;
   update.call.turn = key.second;
   update.call.attempt = call.attempt;
+  update.call.attempts = static_cast<std::uint32_t>(call.attempts);
   update.call.kind = request.kind;
   update.call.is_idempotent = request.is_idempotent;
   update.call.has_lookup = request.has_lookup;
@@ -357,6 +358,7 @@
                    const call_record& record) -> void {
   call.endpoint = record.endpoint;
   call.attempt = record.attempt;
+  call.attempts = record.attempts;
   call.is_rerun = record.is_rerun;
   if (record.kind != call_kind::kChat) {
     MakeFreshAttempt(tables, copy, key, call);
--- a/source/core/program/change.cc
+++ b/source/core/program/change.cc
@@ -260,13 +260,16 @@
     return true;
   }
   const auto present = MembersOf(copy.replicas).size();
+  constexpr auto kFullSet = std::size_t{3};
+  if (present == kFullSet) {
+    return false;
+  }
   const auto others =
       std::count_if(tables.members.members.begin(),
                     tables.members.members.end(), [&](const member& item) {
                       return item.vm != tables.self && !item.is_leaving;
                     });
-  constexpr auto kFullSet = std::size_t{3};
-  return present < kFullSet && static_cast<std::size_t>(others) >= present;
+  return static_cast<std::size_t>(others) >= present;
 }
 
 auto ProposeRepair(system_tables& tables,
--- a/source/core/program/entry.cc
+++ b/source/core/program/entry.cc
@@ -80,6 +80,7 @@
   const auto found = tables.requests.find(request);
   const auto item = std::move(found->second);
   tables.requests.erase(found);
+  tables.requests_by_program.erase({item.handle.program, request});
   if (!item.is_single_call || item.handle.program == program_id{}) {
     return;
   }
@@ -176,6 +177,7 @@
   item.arrived = tables.now;
   item.silent_since = tables.now;
   auto& stored = tables.requests[request] = std::move(item);
+  tables.requests_by_program.insert({stored.handle.program, request});
   const auto& replicas = stored.handle.replicas;
   const auto is_owner_live =
       replicas.owner == tables.self ||
@@ -450,16 +452,16 @@
                const program_id& program,
                const replica_set& replicas) -> void {
   auto stale = std::vector<request_id>{};
-  for (const auto& [request, item] : tables.requests) {
-    const auto follows = item.handle.program == program &&
-                         item.handle.replicas.epoch < replicas.epoch;
-    if (follows) {
-      stale.push_back(request);
-    }
+  auto next = tables.requests_by_program.lower_bound({program, 0});
+  while (next != tables.requests_by_program.end() && next->first == program) {
+    stale.push_back(next->second);
+    ++next;
   }
   for (const auto request : stale) {
     auto* item = FindRequest(tables, request);
-    if (item != nullptr && replicas.epoch != kOverEpoch) {
+    const auto follows = item != nullptr && replicas.epoch != kOverEpoch &&
+                         item->handle.replicas.epoch < replicas.epoch;
+    if (follows) {
       Adopt(*item, replicas);
       GoToOwner(tables, *item);
     }
--- a/source/core/program/epoch.cc
+++ b/source/core/program/epoch.cc
@@ -156,11 +156,18 @@
                   const program_id& program,
                   attempt_number number,
                   bool releases) -> void {
-  const auto found = std::find_if(
-      tables.retired.begin(), tables.retired.end(), [&](const auto& entry) {
-        return entry.first.call.program == program &&
+  const auto first = tables.retired.lower_bound(
+      attempt_ref{call_ref{program, branch_id{}, 0}, 0});
+  const auto found =
+      std::find_if(first, tables.retired.end(), [&](const auto& entry) {
+        return entry.first.call.program != program ||
                entry.first.number == number;
       });
+  const auto is_other =
+      found != tables.retired.end() && found->first.call.program != program;
+  if (is_other) {
+    return;
+  }
   if (found == tables.retired.end() || !found->second.is_reported) {
     return;
   }
--- a/source/core/program/placement.cc
+++ b/source/core/program/placement.cc
@@ -47,11 +47,17 @@
 
 }  // namespace
 
+auto MakeMemberTable(std::vector<member> members) -> member_table {
+  std::sort(members.begin(), members.end());
+  return member_table{std::move(members)};
+}
+
 auto FindMember(const member_table& table, const vm_ref& vm) -> const member* {
-  const auto found =
-      std::find_if(table.members.begin(), table.members.end(),
-                   [&vm](const member& item) { return item.vm == vm; });
-  return found == table.members.end() ? nullptr : &*found;
+  const auto found = std::lower_bound(
+      table.members.begin(), table.members.end(), vm,
+      [](const member& item, const vm_ref& key) { return item.vm < key; });
+  const auto is_found = found != table.members.end() && found->vm == vm;
+  return is_found ? &*found : nullptr;
 }
 
 auto RankMembers(const program_id& program, const member_table& table)
--- a/source/core/program/placement.h
+++ b/source/core/program/placement.h
@@ -9,13 +9,16 @@
 
 namespace daisywind::program {
 
-// The live VMs as one VM knows them.
+// The live VMs as one VM knows them, ordered by their references.
 struct member_table {
   std::vector<member> members;
 
   auto operator<=>(const member_table&) const = default;
 };
 
+// Orders members for the table.
+auto MakeMemberTable(std::vector<member> members) -> member_table;
+
 // The member, or null when it is not live.
 auto FindMember(const member_table& table, const vm_ref& vm) -> const member*;
 
--- a/source/core/program/program_options.h
+++ b/source/core/program/program_options.h
@@ -65,8 +65,9 @@
   std::size_t max_waiting_requests = 65536;
   // Votes and references together.
   std::size_t max_references = 2000000;
-  // A call that fails this often is refused: it may be what crashes endpoints.
-  std::size_t max_attempts_per_call = 3;
+  // A call that fails this often is refused for good, whoever sends it again:
+  // it may be what crashes endpoints.
+  std::size_t max_attempts_per_call = 4;
   std::size_t max_stream_bytes = std::size_t{4} * 1024 * 1024;
   protocol_mutations mutations;
 };
--- a/source/core/program/program_state.h
+++ b/source/core/program/program_state.h
@@ -30,6 +30,8 @@
 struct call_record {
   turn_number turn = 0;
   attempt_number attempt = 0;
+  // Attempts made so far, over all owners.
+  std::uint32_t attempts = 0;
   call_kind kind = call_kind::kChat;
   call_phase phase = call_phase::kIntended;
   bool is_idempotent = false;
--- a/source/core/program/program_system.cc
+++ b/source/core/program/program_system.cc
@@ -185,7 +185,7 @@
     std::visit(message_handler{tables, item.from}, item.body);
   }
   auto operator()(const members_changed& item) const -> void {
-    tables.members.members = item.members;
+    tables.members = MakeMemberTable(item.members);
     NoteUnchecked(tables);
   }
   auto operator()(const peer_lost& item) const -> void {
--- a/source/core/program/tables.h
+++ b/source/core/program/tables.h
@@ -268,6 +268,7 @@
   std::unordered_map<program_id, reference_record> references;
   std::map<attempt_ref, retired_attempt> retired;
   std::map<request_id, entry_request> requests;
+  std::set<std::pair<program_id, request_id>> requests_by_program;
   std::map<release_key, instant> releases;
   std::map<release_key, orphan_record> orphans;
   std::priority_queue<timer, std::vector<timer>, std::greater<>> timers;
--- a/source/core/program_wire/field_lists.h
+++ b/source/core/program_wire/field_lists.h
@@ -79,6 +79,7 @@
 auto Walk(Walker& walk, program::call_record& item, CallRecordT& wire) -> void {
   walk(item.turn, wire.turn);
   walk(item.attempt, wire.attempt);
+  walk(item.attempts, wire.attempts);
   walk(item.kind, wire.kind);
   walk(item.phase, wire.phase);
   walk(item.is_idempotent, wire.is_idempotent);
--- a/source/core/program_wire/program_generated.h
+++ b/source/core/program_wire/program_generated.h
@@ -1904,6 +1904,7 @@
   typedef CallRecord TableType;
   uint32_t turn = 0;
   uint64_t attempt = 0;
+  uint32_t attempts = 0;
   uint8_t kind = 0;
   uint8_t phase = 0;
   bool is_idempotent = false;
@@ -1930,20 +1931,21 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_TURN = 4,
     VT_ATTEMPT = 6,
-    VT_KIND = 8,
-    VT_PHASE = 10,
-    VT_IS_IDEMPOTENT = 12,
-    VT_HAS_LOOKUP = 14,
-    VT_IS_RERUN = 16,
-    VT_IS_DOUBT_TOLD = 18,
-    VT_KEY = 20,
-    VT_BODY = 22,
-    VT_TARGET = 24,
-    VT_ENDPOINT = 26,
-    VT_RESERVED = 28,
-    VT_MESSAGE_COUNT = 30,
-    VT_HISTORY = 32,
-    VT_ANSWER = 34
+    VT_ATTEMPTS = 8,
+    VT_KIND = 10,
+    VT_PHASE = 12,
+    VT_IS_IDEMPOTENT = 14,
+    VT_HAS_LOOKUP = 16,
+    VT_IS_RERUN = 18,
+    VT_IS_DOUBT_TOLD = 20,
+    VT_KEY = 22,
+    VT_BODY = 24,
+    VT_TARGET = 26,
+    VT_ENDPOINT = 28,
+    VT_RESERVED = 30,
+    VT_MESSAGE_COUNT = 32,
+    VT_HISTORY = 34,
+    VT_ANSWER = 36
   };
   uint32_t turn() const {
     return GetField<uint32_t>(VT_TURN, 0);
@@ -1951,6 +1953,9 @@
   uint64_t attempt() const {
     return GetField<uint64_t>(VT_ATTEMPT, 0);
   }
+  uint32_t attempts() const {
+    return GetField<uint32_t>(VT_ATTEMPTS, 0);
+  }
   uint8_t kind() const {
     return GetField<uint8_t>(VT_KIND, 0);
   }
@@ -1997,6 +2002,7 @@
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_TURN, 4) &&
            VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
+           VerifyField<uint32_t>(verifier, VT_ATTEMPTS, 4) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
            VerifyField<uint8_t>(verifier, VT_PHASE, 1) &&
            VerifyField<uint8_t>(verifier, VT_IS_IDEMPOTENT, 1) &&
@@ -2031,6 +2037,9 @@
   void add_attempt(uint64_t attempt) {
     fbb_.AddElement<uint64_t>(CallRecord::VT_ATTEMPT, attempt, 0);
   }
+  void add_attempts(uint32_t attempts) {
+    fbb_.AddElement<uint32_t>(CallRecord::VT_ATTEMPTS, attempts, 0);
+  }
   void add_kind(uint8_t kind) {
     fbb_.AddElement<uint8_t>(CallRecord::VT_KIND, kind, 0);
   }
@@ -2088,6 +2097,7 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint32_t turn = 0,
     uint64_t attempt = 0,
+    uint32_t attempts = 0,
     uint8_t kind = 0,
     uint8_t phase = 0,
     bool is_idempotent = false,
@@ -2112,6 +2122,7 @@
   builder_.add_target(target);
   builder_.add_body(body);
   builder_.add_key(key);
+  builder_.add_attempts(attempts);
   builder_.add_turn(turn);
   builder_.add_is_doubt_told(is_doubt_told);
   builder_.add_is_rerun(is_rerun);
@@ -2126,6 +2137,7 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint32_t turn = 0,
     uint64_t attempt = 0,
+    uint32_t attempts = 0,
     uint8_t kind = 0,
     uint8_t phase = 0,
     bool is_idempotent = false,
@@ -2146,6 +2158,7 @@
       _fbb,
       turn,
       attempt,
+      attempts,
       kind,
       phase,
       is_idempotent,
@@ -6364,6 +6377,7 @@
 inline CallRecordT::CallRecordT(const CallRecordT &o)
       : turn(o.turn),
         attempt(o.attempt),
+        attempts(o.attempts),
         kind(o.kind),
         phase(o.phase),
         is_idempotent(o.is_idempotent),
@@ -6383,6 +6397,7 @@
 inline CallRecordT &CallRecordT::operator=(CallRecordT o) FLATBUFFERS_NOEXCEPT {
   std::swap(turn, o.turn);
   std::swap(attempt, o.attempt);
+  std::swap(attempts, o.attempts);
   std::swap(kind, o.kind);
   std::swap(phase, o.phase);
   std::swap(is_idempotent, o.is_idempotent);
@@ -6411,6 +6426,7 @@
   (void)_resolver;
   { auto _e = turn(); _o->turn = _e; }
   { auto _e = attempt(); _o->attempt = _e; }
+  { auto _e = attempts(); _o->attempts = _e; }
   { auto _e = kind(); _o->kind = _e; }
   { auto _e = phase(); _o->phase = _e; }
   { auto _e = is_idempotent(); _o->is_idempotent = _e; }
@@ -6437,6 +6453,7 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CallRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _turn = _o->turn;
   auto _attempt = _o->attempt;
+  auto _attempts = _o->attempts;
   auto _kind = _o->kind;
   auto _phase = _o->phase;
   auto _is_idempotent = _o->is_idempotent;
@@ -6455,6 +6472,7 @@
       _fbb,
       _turn,
       _attempt,
+      _attempts,
       _kind,
       _phase,
       _is_idempotent,
--- a/source/unit_tests/program/test_cluster.cc
+++ b/source/unit_tests/program/test_cluster.cc
@@ -69,6 +69,7 @@
 
 auto test_cluster::Grant() -> start_attempt {
   const auto ask = *Last<acquire_endpoint>();
+  ++grants;
   Feed(0, endpoint_granted{ask.call, endpoint_id{"agent-1"}});
   return *Last<start_attempt>();
 }
--- a/source/unit_tests/program/test_cluster.h
+++ b/source/unit_tests/program/test_cluster.h
@@ -37,6 +37,9 @@
   // All outputs besides messages, oldest first, with their system.
   std::vector<std::pair<std::size_t, command>> outputs;
 
+  // Endpoints granted so far.
+  std::size_t grants = 0;
+
   // The last output of a kind, or nothing.
   template <class T>
   auto Last() const -> std::optional<T> {
--- a/source/unit_tests/program_wire/program_wire_test.cc
+++ b/source/unit_tests/program_wire/program_wire_test.cc
@@ -54,6 +54,7 @@
   auto record = call_record{};
   record.turn = 5;
   record.attempt = AttemptBase(4) + 1;
+  record.attempts = 2;
   record.phase = call_phase::kSettled;
   record.is_rerun = true;
   record.is_doubt_told = true;
