--- a/source/core/fault_matrix/world.h
+++ b/source/core/fault_matrix/world.h
@@ -28,6 +28,9 @@
 using vm_index = std::size_t;
 inline constexpr std::size_t kVmCount = 6;
 
+// How long a paused process stands still.
+inline constexpr auto kPauseTime = duration{6s};
+
 // One VM's process.
 struct fake_vm {
   program::member place;
--- a/source/core/program/attempts.cc
+++ b/source/core/program/attempts.cc
@@ -6,6 +6,7 @@
 #include "program/calls.h"
 #include "program/epoch.h"
 #include "program/lifecycle.h"
+#include "program/live_calls.h"
 #include "program/release.h"
 #include "program/replication.h"
 #include "program/replies.h"
@@ -14,68 +15,6 @@
 namespace daisywind::program {
 namespace {
 
-struct live_entry {
-  program_copy* copy = nullptr;
-  live_key key;
-  live_call* call = nullptr;
-};
-
-auto FindLive(system_tables& tables, const call_ref& name) -> live_entry {
-  auto entry = live_entry{};
-  entry.copy = FindOwned(tables, name.program);
-  entry.key = {name.branch, name.turn};
-  if (entry.copy == nullptr) {
-    return entry;
-  }
-  const auto found = entry.copy->live.find(entry.key);
-  if (found != entry.copy->live.end()) {
-    entry.call = &found->second;
-  }
-  return entry;
-}
-
-auto CallName(const program_copy& copy, const live_key& key) -> call_ref {
-  return call_ref{copy.state.id, key.first, key.second};
-}
-
-auto ReleaseSlot(system_tables& tables,
-                 const program_copy& copy,
-                 const live_key& key,
-                 live_call& call,
-                 attempt_result result) -> void {
-  if (call.has_slot) {
-    tables.out.emplace_back(
-        release_endpoint_slot{CallName(copy, key), call.endpoint, result});
-    call.has_slot = false;
-  }
-}
-
-auto EraseCall(system_tables& tables, program_copy& copy, const live_key& key)
-    -> void {
-  copy.live.erase(key);
-  AdmitWaiting(tables, copy);
-  CheckEnding(tables, copy);
-}
-
-auto RefuseCall(system_tables& tables,
-                program_copy& copy,
-                const live_key& key,
-                const problem& refusal) -> void {
-  auto& call = copy.live.at(key);
-  ReleaseSlot(tables, copy, key, call, attempt_result::kNotSent);
-  SendProblem(tables, copy, call, refusal);
-  EraseCall(tables, copy, key);
-}
-
-// What is known of a call that no attempt can be made for.
-auto OutcomeWithoutAttempt(const program_copy& copy, const live_key& key)
-    -> outcome {
-  const auto* record = FindCall(copy.state, key.first, key.second);
-  const auto has_run =
-      record != nullptr && record->phase != call_phase::kWithdrawn;
-  return has_run || !MayAct(copy) ? outcome::kUnknown : outcome::kNotRun;
-}
-
 auto StartAttempt(system_tables& tables,
                   program_copy& copy,
                   const live_key& key,
@@ -253,79 +192,6 @@
          call.phase == live_phase::kRecordingSettlement;
 }
 
-auto HasKeyInUse(const program_copy& copy, const live_key& key) -> bool {
-  const auto& request = copy.live.at(key).request;
-  return std::any_of(copy.live.begin(), copy.live.end(),
-                     [&](const auto& entry) {
-                       return entry.first != key && !request.key.empty() &&
-                              entry.second.request.key == request.key;
-                     });
-}
-
-auto IsPreviousInDoubt(const program_copy& copy, const live_key& key) -> bool {
-  const auto* before = FindCall(copy.state, key.first, key.second - 1);
-  return before != nullptr && !before->is_idempotent &&
-         before->phase == call_phase::kIntended &&
-         copy.live.count({key.first, key.second - 1}) == 0;
-}
-
-auto EndWait(system_tables& tables, program_copy& copy, const live_key& key)
-    -> void {
-  auto& call = copy.live.at(key);
-  switch (call.phase) {
-    case live_phase::kWaitingForTurn: {
-      const auto result = HasKeyInUse(copy, key)
-                              ? outcome::kUnknown
-                              : OutcomeWithoutAttempt(copy, key);
-      const auto reason = !MayAct(copy) ? refusal_reason::kWitnessUnreachable
-                          : IsPreviousInDoubt(copy, key)
-                              ? refusal_reason::kPreviousInDoubt
-                              : refusal_reason::kTurnGapTimedOut;
-      RefuseCall(tables, copy, key, MakeProblem(result, reason));
-      return;
-    }
-    case live_phase::kRecordingIntent:
-      SendProblem(
-          tables, copy, call,
-          MakeProblem(outcome::kUnknown, refusal_reason::kWitnessUnreachable));
-      return;
-    case live_phase::kRecordingSettlement:
-      SendAnswer(tables, copy, call, *call.answer);
-      return;
-    case live_phase::kAskingService:
-      RefuseCall(tables, copy, key,
-                 MakeProblem(outcome::kUnknown, refusal_reason::kInDoubt));
-      return;
-    case live_phase::kWaitingForEndpoint:
-    case live_phase::kRunning:
-    case live_phase::kRecordingWithdrawal:
-      return;
-  }
-}
-
-auto LiveKeys(const program_copy& copy) -> std::vector<live_key> {
-  auto keys = std::vector<live_key>{};
-  keys.reserve(copy.live.size());
-  for (const auto& [key, call] : copy.live) {
-    keys.push_back(key);
-  }
-  return keys;
-}
-
-auto LastEndpoint(const program_copy& copy, const branch_id& name)
-    -> endpoint_id {
-  const auto* branch = FindBranch(copy.state, name);
-  if (branch == nullptr) {
-    return endpoint_id{};
-  }
-  for (auto it = branch->calls.rbegin(); it != branch->calls.rend(); ++it) {
-    if (it->second.kind == call_kind::kChat) {
-      return it->second.endpoint;
-    }
-  }
-  return endpoint_id{};
-}
-
 }  // namespace
 
 auto AcquireEndpoint(system_tables& tables,
@@ -346,7 +212,7 @@
   ask.max_tokens = request.max_tokens;
   ask.attained_service = copy.state.used.tokens;
   ask.prefix_blocks = request.prefix_blocks;
-  ask.last_endpoint = LastEndpoint(copy, key.first);
+  ask.last_endpoint = LastEndpointOf(copy.state, key.first);
   ask.excluded = call.excluded;
   tables.out.emplace_back(std::move(ask));
 }
@@ -400,22 +266,6 @@
   CheckEnding(tables, copy);
 }
 
-auto CheckDeadlines(system_tables& tables, program_copy& copy) -> void {
-  const auto program = copy.state.id;
-  for (const auto& key : LiveKeys(copy)) {
-    const auto found = copy.live.find(key);
-    if (found == copy.live.end()) {
-      continue;
-    }
-    if (tables.now >= found->second.deadline) {
-      EndWait(tables, copy, key);
-    }
-    if (FindOwned(tables, program) == nullptr) {
-      return;
-    }
-  }
-}
-
 auto TakeLateUpdate(system_tables& tables,
                     program_copy& copy,
                     const state_update& update) -> void {
--- a/source/core/program/attempts.h
+++ b/source/core/program/attempts.h
@@ -30,9 +30,6 @@
 // Goes on with all that waited for updates to be recorded.
 auto OnRecorded(system_tables& tables, program_copy& copy) -> void;
 
-// Ends waits that have reached their deadline.
-auto CheckDeadlines(system_tables& tables, program_copy& copy) -> void;
-
 // Takes in the end of an attempt of an earlier epoch.
 auto TakeLateUpdate(system_tables& tables,
                     program_copy& copy,
--- a/source/core/program/lifecycle.cc
+++ b/source/core/program/lifecycle.cc
@@ -6,6 +6,7 @@
 #include "program/attempts.h"
 #include "program/calls.h"
 #include "program/change.h"
+#include "program/deadlines.h"
 #include "program/entry.h"
 #include "program/epoch.h"
 #include "program/release.h"
--- a/source/core/program/program_state.cc
+++ b/source/core/program/program_state.cc
@@ -232,6 +232,20 @@
   return std::nullopt;
 }
 
+auto LastEndpointOf(const program_state& state, const branch_id& name)
+    -> endpoint_id {
+  const auto* branch = FindBranch(state, name);
+  if (branch == nullptr) {
+    return endpoint_id{};
+  }
+  for (auto it = branch->calls.rbegin(); it != branch->calls.rend(); ++it) {
+    if (it->second.kind == call_kind::kChat) {
+      return it->second.endpoint;
+    }
+  }
+  return endpoint_id{};
+}
+
 auto MemoryOf(const program_state& state) -> std::size_t {
   auto bytes = sizeof(program_state);
   for (const auto& [name, branch] : state.branches) {
--- a/source/core/program/program_state.h
+++ b/source/core/program/program_state.h
@@ -172,6 +172,10 @@
 auto FindByKey(const program_state& state, const digest& key)
     -> std::optional<keyed_call>;
 
+// Endpoint of the branch's last chat call; empty when there is none.
+auto LastEndpointOf(const program_state& state, const branch_id& name)
+    -> endpoint_id;
+
 // An estimate of the memory that a state takes.
 auto MemoryOf(const program_state& state) -> std::size_t;
 
