--- a/source/core/program/program_state.h
+++ b/source/core/program/program_state.h
@@ -30,6 +30,8 @@
 struct call_record {
   turn_number turn = 0;
   attempt_number attempt = 0;
+  // Attempts made so far, over all owners.
+  std::uint32_t attempts = 0;
   call_kind kind = call_kind::kChat;
   call_phase phase = call_phase::kIntended;
   bool is_idempotent = false;
@@ -170,6 +172,10 @@
 auto FindByKey(const program_state& state, const digest& key)
     -> std::optional<keyed_call>;
 
+// Endpoint of the branch's last chat call; empty when there is none.
+auto LastEndpointOf(const program_state& state, const branch_id& name)
+    -> endpoint_id;
+
 // An estimate of the memory that a state takes.
 auto MemoryOf(const program_state& state) -> std::size_t;
 
--- a/source/core/program_wire/fields.h
+++ b/source/core/program_wire/fields.h
@@ -123,6 +123,7 @@
             fbs::CallRecordT& object) -> void {
   copy.Number(value.turn, object.turn);
   copy.Number(value.attempt, object.attempt);
+  copy.Number(value.attempts, object.attempts);
   copy.Enumerator(value.kind, object.kind, call_kind::kService);
   copy.Enumerator(value.phase, object.phase, call_phase::kWithdrawn);
   copy.Number(value.is_idempotent, object.is_idempotent);
