--- a/source/core/configuration/document.cc
+++ b/source/core/configuration/document.cc
@@ -231,6 +231,30 @@
   return array;
 }
 
+template <class Entries>
+auto CollectChanges(std::string_view section,
+                    const Entries& from,
+                    const Entries& to,
+                    std::vector<entry_change>& changes) -> void {
+  const auto path = AppendPointer("", section);
+  for (const auto& [name, entry] : from) {
+    const auto found = to.find(name);
+    if (found == to.end()) {
+      changes.push_back(
+          {AppendPointer(path, ToText(name)), ToJson(entry), nullptr});
+    } else if (found->second != entry) {
+      changes.push_back({AppendPointer(path, ToText(name)), ToJson(entry),
+                         ToJson(found->second)});
+    }
+  }
+  for (const auto& [name, entry] : to) {
+    if (!from.contains(name)) {
+      changes.push_back(
+          {AppendPointer(path, ToText(name)), nullptr, ToJson(entry)});
+    }
+  }
+}
+
 auto ToJson(const tenant& from) -> json::value {
   auto object = json::object{};
   if (from.budget) {
@@ -296,6 +320,25 @@
   return ReadDocument(value);
 }
 
+auto ChangedEntries(const document& from, const document& to)
+    -> std::vector<entry_change> {
+  auto changes = std::vector<entry_change>{};
+  CollectChanges("adapters", from.adapters, to.adapters, changes);
+  CollectChanges("endpoints", from.endpoints, to.endpoints, changes);
+  CollectChanges("failure_domains", from.failure_domains, to.failure_domains,
+                 changes);
+  CollectChanges("models", from.models, to.models, changes);
+  CollectChanges("need", from.need, to.need, changes);
+  CollectChanges("services", from.services, to.services, changes);
+  CollectChanges("tenants", from.tenants, to.tenants, changes);
+  const auto before = from.migration.deadline_seconds;
+  const auto after = to.migration.deadline_seconds;
+  if (before != after) {
+    changes.push_back({"/migration/deadline_seconds", before, after});
+  }
+  return changes;
+}
+
 auto ToJson(const document& value) -> json::value {
   auto object = json::object{};
   object["adapters"] = EntriesToJson(value.adapters);
--- a/source/core/configuration/document.h
+++ b/source/core/configuration/document.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "common/ids.h"
 #include "common/json.h"
@@ -143,6 +144,18 @@
 // Parses and reads a document. Fails with document_error.
 auto ParseDocument(std::string_view text) -> leaf::result<document>;
 
+// One entry of a section in which two documents differ, by its JSON pointer.
+// A value is null where the entry is absent.
+struct entry_change {
+  std::string pointer;
+  json::value before;
+  json::value after;
+};
+
+// The entries in which two documents differ.
+auto ChangedEntries(const document& from, const document& to)
+    -> std::vector<entry_change>;
+
 // The document as JSON, with members in the order of their names.
 auto ToJson(const document& value) -> json::value;
 
--- a/source/core/configuration/patch_flow.cc
+++ b/source/core/configuration/patch_flow.cc
@@ -225,25 +225,18 @@
   const auto& base = *item.base.head;
   BOOST_LEAF_AUTO(before, ReadBase(base));
   BOOST_LEAF_AUTO(patch, ParseJson(item.request.text));
-  const auto from = ToJson(before);
-  BOOST_LEAF_AUTO(to, ApplyPatch(from, item.request.kind, patch));
+  BOOST_LEAF_AUTO(to, ApplyPatch(ToJson(before), item.request.kind, patch));
   BOOST_LEAF_AUTO(after, ReadDocument(to));
   BOOST_LEAF_CHECK(CheckDocument(after));
-  auto content = Split(after);
+  const auto changes = ChangedEntries(before, after);
+  BOOST_LEAF_AUTO(content, Resplit(base.buckets, state_->chunks, changes));
   item.head.info = {{base.info.ref.number + 1, RootOf(content.buckets)},
                     item.request.patch_id,
                     item.request.author,
                     state_->UnixMs(now)};
-  item.line = {item.head.info, DifferingPaths(from, ToJson(after), kMaxPaths),
+  item.line = {item.head.info, PathsOf(changes),
                ChangesBetween(content.buckets, base.buckets)};
   item.head.buckets = std::move(content.buckets);
-  std::erase_if(content.chunks, [&](const auto& chunk) {
-    return state_->chunks.contains(chunk.first) &&
-           std::any_of(base.buckets.begin(), base.buckets.end(),
-                       [&](const auto& bucket) {
-                         return bucket.second == chunk.first;
-                       });
-  });
   item.writes = ChunkWriteRequests(content.chunks);
   item.chunks = std::move(content.chunks);
   item.written = 0;
--- a/source/core/configuration/version.cc
+++ b/source/core/configuration/version.cc
@@ -1,6 +1,6 @@
 #include "configuration/version.h"
 
-#include <array>
+#include <algorithm>
 #include <string_view>
 #include <utility>
 
@@ -41,6 +41,44 @@
   return json::serialize(object);
 }
 
+// Adds the chunk of a bucket, or removes the bucket when it is empty.
+auto AddBucket(bucket_index bucket,
+               const bucket_entries& entries,
+               chunked_document& to) -> void {
+  to.buckets.erase(bucket);
+  if (entries.empty()) {
+    return;
+  }
+  auto text = Render(entries);
+  const auto name = DigestOf(text);
+  to.buckets.emplace(bucket, name);
+  to.chunks.emplace(name, std::move(text));
+}
+
+// The entries of a bucket; none when it is empty.
+auto EntriesOf(bucket_index bucket,
+               const manifest& buckets,
+               const chunk_map& chunks) -> leaf::result<bucket_entries> {
+  auto entries = bucket_entries{};
+  const auto name = buckets.find(bucket);
+  if (name == buckets.end()) {
+    return entries;
+  }
+  const auto found = chunks.find(name->second);
+  if (found == chunks.end()) {
+    return leaf::new_error(
+        document_error{"", "chunk " + ToString(name->second) + " is missing"});
+  }
+  BOOST_LEAF_AUTO(value, ParseJson(found->second));
+  if (!value.is_object()) {
+    return leaf::new_error(document_error{"", "a chunk is not an object"});
+  }
+  for (auto& entry : value.get_object()) {
+    entries.emplace(entry.key(), std::move(entry.value()));
+  }
+  return entries;
+}
+
 // A pointer of a chunk names a section and an entry of it, both escaped.
 auto SplitPointer(std::string_view pointer)
     -> std::pair<std::string, std::string> {
@@ -130,14 +168,49 @@
   }
   auto result = chunked_document{};
   for (const auto& [bucket, entries] : buckets) {
-    auto text = Render(entries);
-    const auto name = DigestOf(text);
-    result.buckets.emplace(bucket, name);
-    result.chunks.emplace(name, std::move(text));
+    AddBucket(bucket, entries, result);
   }
   return result;
 }
 
+auto Resplit(const manifest& from,
+             const chunk_map& chunks,
+             const std::vector<entry_change>& changes)
+    -> leaf::result<chunked_document> {
+  auto result = chunked_document{from, {}};
+  auto buckets = std::map<bucket_index, bucket_entries>{};
+  for (const auto& change : changes) {
+    const auto bucket = BucketOf(change.pointer);
+    if (!buckets.contains(bucket)) {
+      BOOST_LEAF_AUTO(entries, EntriesOf(bucket, from, chunks));
+      buckets.emplace(bucket, std::move(entries));
+    }
+    auto& entries = buckets.at(bucket);
+    entries.erase(change.pointer);
+    if (!change.after.is_null()) {
+      entries.emplace(change.pointer, change.after);
+    }
+  }
+  for (const auto& [bucket, entries] : buckets) {
+    AddBucket(bucket, entries, result);
+  }
+  return result;
+}
+
+auto PathsOf(const std::vector<entry_change>& changes)
+    -> std::vector<std::string> {
+  auto paths = std::vector<std::string>{};
+  for (const auto& change : changes) {
+    for (const auto& path :
+         DifferingPaths(change.before, change.after, kMaxPaths)) {
+      paths.push_back(change.pointer + path);
+    }
+  }
+  std::sort(paths.begin(), paths.end());
+  paths.resize(std::min(paths.size(), kMaxPaths));
+  return paths;
+}
+
 auto Join(const manifest& buckets, const chunk_map& chunks)
     -> leaf::result<document> {
   BOOST_LEAF_AUTO(root, Members(buckets, chunks));
--- a/source/core/configuration/version.h
+++ b/source/core/configuration/version.h
@@ -89,6 +89,18 @@
 // Cuts a document into chunks.
 auto Split(const document& value) -> chunked_document;
 
+// Cuts a document that differs from another version in the given entries. Only
+// the chunks that differ are made; those of the other version must be given.
+// Fails with document_error when one of them is missing or broken.
+auto Resplit(const manifest& from,
+             const chunk_map& chunks,
+             const std::vector<entry_change>& changes)
+    -> leaf::result<chunked_document>;
+
+// JSON pointers of all that changed, in order, at most kMaxPaths.
+auto PathsOf(const std::vector<entry_change>& changes)
+    -> std::vector<std::string>;
+
 // Puts a document together. Fails with document_error when a chunk is missing
 // or broken.
 auto Join(const manifest& buckets, const chunk_map& chunks)
--- a/source/unit_tests/configuration/storage_test.cc
+++ b/source/unit_tests/configuration/storage_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "configuration/patch.h"
 #include "sample_document.h"
 
 namespace daisywind::configuration {
@@ -46,7 +47,7 @@
   CHECK(WithChanges(Split(before).buckets, changes) == Split(after).buckets);
 }
 
-TEST_CASE("a document is put together from the one before") {
+TEST_CASE("a document is cut and put together from the one before") {
   const auto before = LargeDocument(300);
   auto after = before;
   after.endpoints.at(endpoint_id("engine-7")).capacity = 9;
@@ -65,6 +66,11 @@
     const auto new_content = Split(to);
     auto chunks = old_content.chunks;
     chunks.insert(new_content.chunks.begin(), new_content.chunks.end());
+    const auto again = Resplit(old_content.buckets, old_content.chunks,
+                               ChangedEntries(from, to));
+    CHECK(again.value().buckets == new_content.buckets);
+    CHECK(PathsOf(ChangedEntries(from, to)) ==
+          DifferingPaths(ToJson(from), ToJson(to), kMaxPaths));
     CHECK(Rejoin(from, old_content.buckets, new_content.buckets, chunks)
               .value() == to);
   }
