Let a VM catch up faster and look for lost groups at constant cost

Cause: a node looked up each seed and lease address among all members every 5 s, and a fleet that starts at once was completed by one page in 10 s.

One random address is looked up in each interval. A page that brought new members makes the next offer follow after 2 s.

--- a/source/core/membership/membership_messages.cc
+++ b/source/core/membership/membership_messages.cc
@@ -1,4 +1,5 @@
 // Messages from and to peers, and what is learnt from them.
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -78,9 +79,13 @@
 
 auto membership_system::On(const message& input, const page& body, instant now)
     -> void {
+  const auto live = members_.CountLive();
   for (const auto& record : body.members) {
     Learn(record, now);
   }
+  if (members_.CountLive() != live) {
+    next_sync_ = std::min(next_sync_, now + options_.catch_up_interval);
+  }
   if (body.wants_answer) {
     SendPage(input.sender, false);
   }
--- a/source/core/membership/membership_options.h
+++ b/source/core/membership/membership_options.h
@@ -25,6 +25,8 @@
   double retransmit_factor = 3.0;
   // Interval between offers of the view's digest to a random member.
   duration sync_interval = 10s;
+  // Interval of these offers after a page that brought something new.
+  duration catch_up_interval = 2s;
   // Interval between pings to a random dead member, which let the two sides of
   // a healed partition find each other.
   duration reconnect_interval = 5s;
--- a/source/core/membership/membership_system.cc
+++ b/source/core/membership/membership_system.cc
@@ -201,13 +201,13 @@
     SendPing(*dead, now, false);
   }
   // Groups that started apart know of each other only by these addresses.
-  auto addresses = BootstrapAddresses();
-  std::erase_if(addresses, [&](const std::string& address) {
-    return members_.HoldsAddress(address);
-  });
-  if (!addresses.empty() && members_.CountLive() > 0) {
-    auto target = member{};
-    target.address = addresses[random_.Below(addresses.size())];
+  const auto addresses = BootstrapAddresses();
+  if (addresses.empty() || members_.CountLive() == 0) {
+    return;
+  }
+  auto target = member{};
+  target.address = addresses[random_.Below(addresses.size())];
+  if (!members_.HoldsAddress(target.address)) {
     SendPing(target, now, false);
   }
 }
--- a/source/testing/fake_fleet.cc
+++ b/source/testing/fake_fleet.cc
@@ -19,13 +19,18 @@
 
 fake_fleet::fake_fleet(membership::membership_options options,
                        std::uint64_t seed)
-    : options_(options), random_(seed), now_(duration{1s}) {}
+    : options_(options),
+      random_(seed),
+      now_(duration{1s}),
+      phases_(static_cast<std::size_t>(kTick / kStep)) {}
 
 auto fake_fleet::Start(const std::string& vm,
                        const std::string& domain,
                        const std::vector<std::string>& seeds,
                        const std::string& address) -> void {
-  vms_.erase(vm);
+  if (vms_.erase(vm) == 0) {
+    phases_[vms_.size() % phases_.size()].push_back(vm);
+  }
   auto system = membership::membership_system{options_, random_.Next()};
   auto& item = vms_.emplace(vm, fake_vm{std::move(system)}).first->second;
   item.self.ref = vm_ref{vm_id{vm}, ++last_run_};
@@ -72,11 +77,10 @@
 
 auto fake_fleet::TickAll() -> void {
   // Ticks of the VMs are spread over the interval.
-  const auto phase = now_.time_since_epoch() % kTick;
-  auto offset = duration{0};
-  for (auto& [name, vm] : vms_) {
-    offset = (offset + kStep) % kTick;
-    if (offset == phase && vm.is_running && !vm.is_paused) {
+  const auto phase = now_.time_since_epoch() % kTick / kStep;
+  for (const auto& name : phases_[static_cast<std::size_t>(phase)]) {
+    auto& vm = vms_.at(name);
+    if (vm.is_running && !vm.is_paused) {
       Execute(vm, vm.system.Tick(now_));
     }
   }
--- a/source/testing/fake_fleet.h
+++ b/source/testing/fake_fleet.h
@@ -120,6 +120,8 @@
   random_source random_;
   instant now_{};
   std::map<std::string, fake_vm> vms_;
+  // Names of the VMs that tick at each step of the tick interval.
+  std::vector<std::vector<std::string>> phases_;
   // The VM that answers at an address.
   std::map<std::string, std::string> by_address_;
   std::multimap<instant, std::pair<std::string, membership::message>> network_;
