Let suspected members contradict in a large fleet

Cause: in a fleet of 860 that had just started, two of four VMs that paused for 2 s were taken as dead after they had woken: the suspicion and the refutation waited behind the news of 860 starts, and the suspected VM heard of it by chance.

The VM that suspects pings the member each second with the suspicion, and verdicts and refutations are sent before news of starts.

--- a/source/core/membership/member_table.cc
+++ b/source/core/membership/member_table.cc
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "common/digest.h"
 
@@ -22,6 +23,14 @@
   return PlacementHash(ref.vm.value, ref.run);
 }
 
+// Verdicts and refutations go before news of members that have started, of
+// which there may be many.
+auto UrgencyOf(const member_row& row) -> std::pair<bool, std::uint32_t> {
+  const auto is_verdict =
+      row.record.state != member_state::kAlive || row.record.refutation > 0;
+  return {is_verdict, row.transmissions_left};
+}
+
 }  // namespace
 
 auto member_table::Find(const vm_id& vm) const -> const member_row* {
@@ -138,7 +147,7 @@
   std::partial_sort(rows.begin(),
                     rows.begin() + static_cast<std::ptrdiff_t>(taken),
                     rows.end(), [](const member_row* a, const member_row* b) {
-                      return a->transmissions_left > b->transmissions_left;
+                      return UrgencyOf(*a) > UrgencyOf(*b);
                     });
   rows.resize(taken);
   auto updates = std::vector<member>{};
--- a/source/core/membership/membership_messages.cc
+++ b/source/core/membership/membership_messages.cc
@@ -160,6 +160,8 @@
   auto record = row->record;
   record.state = member_state::kSuspect;
   Learn(record, now);
+  own_suspicions_.push_back(ref);
+  SendPing(record, now, false);
 }
 
 auto membership_system::Store(const member& record, instant now) -> void {
--- a/source/core/membership/membership_system.cc
+++ b/source/core/membership/membership_system.cc
@@ -143,11 +143,23 @@
   }
   next_probe_ = now + options_.probe_interval;
   members_.Forget(now, options_.forget_after);
+  PingOwnSuspicions(now);
   if (const auto target = members_.NextToProbe(random_)) {
     SendPing(*target, now, true);
   }
 }
 
+auto membership_system::PingOwnSuspicions(instant now) -> void {
+  std::erase_if(own_suspicions_, [&](const vm_ref& ref) {
+    const auto* row = members_.Find(ref.vm);
+    return row == nullptr || row->record.ref != ref ||
+           row->record.state != member_state::kSuspect;
+  });
+  for (const auto& ref : own_suspicions_) {
+    SendPing(members_.Find(ref.vm)->record, now, false);
+  }
+}
+
 auto membership_system::CheckProbes(instant now) -> void {
   for (const auto& item : probes_.TakeUnrelayed(now - options_.ack_timeout)) {
     for (const auto& relay : members_.SampleAlive(random_, options_.relay_count,
--- a/source/core/membership/membership_system.h
+++ b/source/core/membership/membership_system.h
@@ -58,6 +58,8 @@
 
   auto CompensatePause(instant now) -> void;
   auto StartProbe(instant now) -> void;
+  // Tells the members suspected by this VM, so that they can contradict.
+  auto PingOwnSuspicions(instant now) -> void;
   auto CheckProbes(instant now) -> void;
   auto CheckSuspicions(instant now) -> void;
   auto JoinWhileAlone(instant now) -> void;
@@ -90,6 +92,7 @@
   std::vector<std::string> service_addresses_;
   member_table members_;
   probe_table probes_;
+  std::vector<vm_ref> own_suspicions_;
   std::size_t page_cursor_ = 0;
   instant last_tick_{};
   instant next_probe_{};
