--- a/source/daisywind_measure/measure_membership.cc
+++ b/source/daisywind_measure/measure_membership.cc
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-#include "membership_wire/message_codec.h"
+#include "membership_wire/codec.h"
 #include "testing/fake_fleet.h"
 
 namespace daisywind {
