Get ready only once the needed endpoints have been seen

Cause: the gateway's test program failed once in a loaded CTest run with 503 for the first call: a fresh VM was ready before the first report of any engine, and refused what came then. Found in the log: no_endpoint at the start. Ruled out: the stand-ins (they answered), the configuration (in force).

--- a/source/core/gateway/conversions.cc
+++ b/source/core/gateway/conversions.cc
@@ -1,6 +1,9 @@
 #include "gateway/conversions.h"
 
+#include <algorithm>
 #include <chrono>
+#include <set>
+#include <string>
 #include <utility>
 
 namespace daisywind::gateway {
@@ -85,6 +88,21 @@
   return endpoints;
 }
 
+auto HasOpenEndpoints(const configuration::document& document,
+                      const routing_table& routing) -> bool {
+  auto open = std::set<std::string>{};
+  for (const auto& [id, endpoint] : document.endpoints) {
+    const auto found = routing.find(id);
+    if (found != routing.end() && found->second.accepts_new_work) {
+      open.merge(migration::ServedNames(ToWantedEndpoint(id, endpoint)));
+    }
+  }
+  return std::all_of(document.need.begin(), document.need.end(),
+                     [&](const auto& item) {
+                       return item.second == 0 || open.contains(item.first);
+                     });
+}
+
 auto ToPolicyTenants(const configuration::document& document)
     -> std::vector<policy::tenant_policy> {
   auto tenants = std::vector<policy::tenant_policy>{};
--- a/source/core/gateway/conversions.h
+++ b/source/core/gateway/conversions.h
@@ -22,6 +22,11 @@
                        const routing_table& routing)
     -> std::vector<policy::endpoint_info>;
 
+// Whether each model and service that the configuration needs has an endpoint
+// that takes new work.
+auto HasOpenEndpoints(const configuration::document& document,
+                      const routing_table& routing) -> bool;
+
 // Shares, ranks and rates of all tenants.
 auto ToPolicyTenants(const configuration::document& document)
     -> std::vector<policy::tenant_policy>;
--- a/source/core/gateway/node.cc
+++ b/source/core/gateway/node.cc
@@ -1,11 +1,13 @@
 #include "gateway/node.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -49,6 +51,8 @@
 constexpr duration kSlowTick = 50ms;
 constexpr duration kServiceBound = 2s;
 constexpr duration kDrainCheck = 20ms;
+// Longest time for which a fresh VM waits for its endpoints' first reports.
+constexpr duration kEndpointWait = 5s;
 // The balancer reads /readyz before it stops sending calls here.
 constexpr duration kUnreadyLead = 300ms;
 
@@ -110,6 +114,7 @@
   auto UpdateEndpoints() -> void;
   auto UpdateGauges() -> void;
   auto IsReady() const -> bool;
+  auto HasSeenEndpoints() const -> bool;
 
   auto CallerHooks() -> caller_api_hooks;
   auto AdminHooks() -> admin_api_hooks;
@@ -150,6 +155,7 @@
   net::http_server admin_server;
   routing_table routing;
   std::map<vm_id, vm_ref> live;
+  std::optional<instant> first_install;
   bool is_stopping = false;
   bool is_stopped = false;
 };
@@ -387,6 +393,9 @@
       std::chrono::milliseconds(std::max<std::int64_t>(0, version.spread_ms));
   migration_side.Submit(migration::wanted_changed{
       ToWantedState(version.number, *version.content), Now() - age});
+  if (!first_install) {
+    first_install = Now();
+  }
   UpdateEndpoints();
 }
 
@@ -443,7 +452,20 @@
 }
 
 auto node::parts::IsReady() const -> bool {
-  return !is_stopping && configuration_side.system().IsReady();
+  return !is_stopping && configuration_side.system().IsReady() &&
+         HasSeenEndpoints();
+}
+
+// Right after the start no endpoint has been seen yet, and every call would be
+// refused. What can't be seen within a bound does not keep the VM from getting
+// ready, so that it serves the rest.
+auto node::parts::HasSeenEndpoints() const -> bool {
+  const auto document = configuration_side.system().Document();
+  if (document == nullptr || !first_install) {
+    return false;
+  }
+  return Now() - *first_install > kEndpointWait ||
+         HasOpenEndpoints(*document, routing);
 }
 
 auto node::parts::RunSchedulerTicks() -> asio::awaitable<void> {
