Report what a gateway said over a refused connection

A program that a gateway had refused for 60 s was reported as refused_connection, since its last try met the killed gateway.

--- a/source/core/load/call_client.cc
+++ b/source/core/load/call_client.cc
@@ -21,6 +21,8 @@
 constexpr auto kFirstSuccess = 200U;
 constexpr auto kPastSuccess = 300U;
 
+constexpr std::string_view kRefusedConnection = "refused_connection";
+
 auto IsSuccess(unsigned status) -> bool {
   return status >= kFirstSuccess && status < kPastSuccess;
 }
@@ -69,7 +71,10 @@
       result.body = std::move(tried.body);
       co_return result;
     }
-    result.reason = tried.why.reason;
+    // What a gateway said tells more than one that can't be reached.
+    if (result.reason.empty() || tried.why.reason != kRefusedConnection) {
+      result.reason = tried.why.reason;
+    }
     may_have_run =
         may_have_run || tried.why.outcome == refusal_outcome::kUnknown;
     if (tried.why.is_final || Now() >= deadline) {
@@ -97,7 +102,7 @@
     ++counts_.refused_connections;
     gateways_.MarkDown(gateway, Now());
     result.why.outcome = refusal_outcome::kNotRun;
-    result.why.reason = "refused_connection";
+    result.why.reason = kRefusedConnection;
     co_return result;
   }
   if (opened.outcome == net::http_outcome::kNoAnswer) {
