--- a/source/core/experiment/benchmark.cc
+++ b/source/core/experiment/benchmark.cc
@@ -53,7 +53,8 @@
   return call;
 }
 
-auto Summarise(std::vector<double>& times) -> decision_times {
+auto Summarise(std::vector<double>& times, std::size_t decisions)
+    -> decision_times {
   constexpr auto kP99 = 0.99;
   std::ranges::sort(times);
   auto sum = 0.0;
@@ -61,13 +62,17 @@
     sum += value;
   }
   const auto count = static_cast<double>(times.size());
-  return {times.size(), sum / count, times[times.size() / 2],
+  return {times.size(),
+          decisions,
+          sum / static_cast<double>(decisions),
+          sum / count,
+          times[times.size() / 2],
           times[static_cast<std::size_t>(count * kP99)]};
 }
 
 }  // namespace
 
-auto MeasureDecisions(std::size_t endpoints, std::size_t decisions)
+auto MeasureDecisions(std::size_t endpoints, std::size_t steps)
     -> decision_times {
   using clock = std::chrono::steady_clock;
   using microseconds = std::chrono::duration<double, std::micro>;
@@ -81,7 +86,8 @@
   const auto target = static_cast<std::size_t>(kLoadedPart * kCapacity *
                                                static_cast<double>(endpoints));
   auto times = std::vector<double>{};
-  for (auto ref = policy::call_ref{1}; times.size() < decisions; ++ref) {
+  auto routed_before = std::uint64_t{0};
+  for (auto ref = policy::call_ref{1}; times.size() < steps; ++ref) {
     now += 1ms;
     const auto call = MakeCall(ref, random);
     const auto start = clock::now();
@@ -94,12 +100,15 @@
     if (in_flight.size() < target) {
       continue;
     }
+    if (times.empty()) {
+      routed_before = subject.Summary().routed;
+    }
     times.push_back(spent);
     subject.OnFinished(in_flight.front(), policy::finish_kind::kCompleted,
                        {call.prompt_tokens, 0, 1}, now);
     in_flight.pop_front();
   }
-  return Summarise(times);
+  return Summarise(times, subject.Summary().routed - routed_before + 1);
 }
 
 }  // namespace daisywind::experiment
--- a/source/core/policy/call_queue.cc
+++ b/source/core/policy/call_queue.cc
@@ -26,6 +26,7 @@
   tenant.calls.emplace(order, call);
   places_.emplace(call.request.call, place{call.request.tenant, order});
   ++counts_[call.rank];
+  fresh_.push_back(call.request.call);
 }
 
 auto call_queue::Remove(call_ref call) -> std::optional<waiting_call> {
@@ -64,6 +65,19 @@
   return out;
 }
 
+auto call_queue::TakeFresh() -> std::vector<const waiting_call*> {
+  auto out = std::vector<const waiting_call*>{};
+  for (const auto call : fresh_) {
+    const auto found = places_.find(call);
+    if (found != places_.end()) {
+      out.push_back(
+          &tenants_[found->second.tenant].calls.at(found->second.order));
+    }
+  }
+  fresh_.clear();
+  return out;
+}
+
 auto call_queue::Charge(const tenant_id& tenant, seconds service, double share)
     -> void {
   tenants_[tenant].served += service.count() / share;
--- a/source/core/policy/call_queue.h
+++ b/source/core/policy/call_queue.h
@@ -42,6 +42,9 @@
   [[nodiscard]] auto Next(std::size_t limit) const
       -> std::vector<const waiting_call*>;
 
+  // The waiting calls that have been added since the last time, in that order.
+  auto TakeFresh() -> std::vector<const waiting_call*>;
+
   // Charges engine time to a tenant, divided by its share.
   auto Charge(const tenant_id& tenant, seconds service, double share) -> void;
 
@@ -70,6 +73,7 @@
   std::map<tenant_id, tenant_queue> tenants_;
   std::map<call_ref, place> places_;
   std::map<std::int32_t, std::size_t> counts_;
+  std::vector<call_ref> fresh_;
   std::uint64_t next_sequence_ = 0;
 };
 
--- a/source/core/policy/expected_finish_routing.cc
+++ b/source/core/policy/expected_finish_routing.cc
@@ -53,7 +53,7 @@
   std::erase_if(options_, [&context](const auto& item) {
     return !std::ranges::binary_search(context.candidates, item.endpoint);
   });
-  const auto holders = options_.size();
+  const auto holders = std::ssize(options_);
   for (auto i = std::size_t{0}; i < kRandomOptions; ++i) {
     const auto pick = context.random.Below(context.candidates.size());
     const auto index = context.candidates[pick];
--- a/source/core/policy/scheduler_tables.cc
+++ b/source/core/policy/scheduler_tables.cc
@@ -10,6 +10,7 @@
 
 constexpr auto kBitsPerByte = 8.0;
 constexpr auto kScanPerTenant = std::size_t{32};
+constexpr auto kScanInterval = 5ms;
 constexpr auto kMaxQueueTime = 120s;
 constexpr auto kSlowTickInterval = 500ms;
 constexpr auto kQuarantineRetryAfter = duration{60s};
@@ -91,26 +92,43 @@
                     now - waiting.arrived,
                     tables.options.admission == admission_kind::kAdaptive,
                     tables.crashes.IsSuspect(call.body)};
+  ++tables.routed;
   return tables.routing->Choose(context);
 }
 
+// Sends the calls that have an endpoint. Returns whether any had.
+auto DispatchCalls(scheduler_tables& tables,
+                   target_entry& target,
+                   const std::vector<const waiting_call*>& calls,
+                   instant now,
+                   decisions& out) -> bool {
+  auto has_sent = false;
+  for (const auto* call : calls) {
+    const auto index = Route(tables, target, *call, now);
+    if (!index) {
+      continue;
+    }
+    out.dispatches.push_back(Send(tables, *call, *index, now));
+    target.queue.Remove(out.dispatches.back().call);
+    has_sent = true;
+  }
+  return has_sent;
+}
+
+// Decides on the calls that have come since the last time and, at intervals, on
+// all that wait.
 auto DispatchTarget(scheduler_tables& tables,
                     target_entry& target,
                     instant now,
                     decisions& out) -> void {
-  auto has_sent = true;
-  while (has_sent && !target.queue.empty()) {
-    has_sent = false;
-    for (const auto* call : target.queue.Next(kScanPerTenant)) {
-      const auto index = Route(tables, target, *call, now);
-      if (!index) {
-        continue;
-      }
-      out.dispatches.push_back(Send(tables, *call, *index, now));
-      target.queue.Remove(call->request.call);
-      has_sent = true;
-      break;
-    }
+  const auto fresh = target.queue.TakeFresh();
+  if (now - target.last_scan < kScanInterval) {
+    DispatchCalls(tables, target, fresh, now, out);
+    return;
+  }
+  target.last_scan = now;
+  while (DispatchCalls(tables, target, target.queue.Next(kScanPerTenant), now,
+                       out)) {
   }
 }
 
@@ -238,6 +256,7 @@
   }
   out.in_flight = tables.sent.size();
   out.quarantined_bodies = tables.crashes.size();
+  out.routed = tables.routed;
   out.dispatched = tables.dispatched;
   out.refused = tables.refused;
   out.retried = tables.retried;
--- a/source/core/policy/scheduler_tables.h
+++ b/source/core/policy/scheduler_tables.h
@@ -50,6 +50,7 @@
   std::unique_ptr<routing_strategy> routing;
   std::unordered_map<call_ref, sent_call> sent;
   instant last_slow_tick;
+  std::uint64_t routed = 0;
   std::uint64_t dispatched = 0;
   std::uint64_t refused = 0;
   std::uint64_t retried = 0;
--- a/source/core/policy/target_table.h
+++ b/source/core/policy/target_table.h
@@ -33,6 +33,8 @@
   std::vector<endpoint_index> members;
   cost_model costs;
   call_queue queue;
+  // When all waiting calls were last considered.
+  instant last_scan = instant{duration{-1s}};
 };
 
 class target_table {
--- a/source/core/policy/types.h
+++ b/source/core/policy/types.h
@@ -218,6 +218,8 @@
   std::size_t queued = 0;
   std::size_t in_flight = 0;
   std::size_t quarantined_bodies = 0;
+  // Choices of an endpoint, also those that let the call wait.
+  std::uint64_t routed = 0;
   std::uint64_t dispatched = 0;
   std::uint64_t refused = 0;
   std::uint64_t retried = 0;
--- a/source/daisywind_load/benchmark_command.cc
+++ b/source/daisywind_load/benchmark_command.cc
@@ -11,15 +11,16 @@
                                   "Measures the time of decisions"};
   options.add_options()("endpoints", "candidate endpoints",
                         cxxopts::value<std::size_t>()->default_value("1000"))(
-      "decisions", "decisions to measure",
+      "steps", "steps to measure",
       cxxopts::value<std::size_t>()->default_value("20000"));
   const auto parsed = options.parse(argc, argv);
   const auto endpoints = parsed["endpoints"].as<std::size_t>();
   const auto times = experiment::MeasureDecisions(
-      endpoints, parsed["decisions"].as<std::size_t>());
+      endpoints, parsed["steps"].as<std::size_t>());
   std::cout << "endpoints " << endpoints << ", decisions " << times.decisions
-            << ": mean " << times.mean << " us, p50 " << times.p50
-            << " us, p99 " << times.p99 << " us\n";
+            << ": " << times.mean_per_decision << " us per decision; steps "
+            << times.steps << ": mean " << times.mean << " us, p50 "
+            << times.p50 << " us, p99 " << times.p99 << " us\n";
   return 0;
 }
 
