--- a/source/core/experiment/benchmark.cc
+++ b/source/core/experiment/benchmark.cc
@@ -83,8 +83,9 @@
   subject.SetEndpoints(MakeEndpoints(endpoints), now);
   auto random = random_source{kSeed};
   auto in_flight = std::deque<policy::call_ref>{};
+  const auto watched = subject.WatchedEndpoints().size();
   const auto target = static_cast<std::size_t>(kLoadedPart * kCapacity *
-                                               static_cast<double>(endpoints));
+                                               static_cast<double>(watched));
   auto times = std::vector<double>{};
   auto routed_before = std::uint64_t{0};
   for (auto ref = policy::call_ref{1}; times.size() < steps; ++ref) {
