--- a/source/core/control/arguments.cc
+++ b/source/core/control/arguments.cc
@@ -68,6 +68,12 @@
   return leaf::new_error(usage_error{std::move(reason)});
 }
 
+auto BadAddress(const std::string& name, const std::string& text)
+    -> leaf::error_id {
+  return Fail("--" + name + ": '" + text +
+              "' is not of the form http://IP:PORT");
+}
+
 auto ParseAddresses(const cxxopts::ParseResult& from, const std::string& name)
     -> leaf::result<std::vector<net::socket_address>> {
   auto addresses = std::vector<net::socket_address>{};
@@ -81,8 +87,7 @@
     }
     const auto address = net::ParseSocketAddress(rest);
     if (!address) {
-      return Fail("--" + name + ": '" + text +
-                  "' is not of the form http://IP:PORT");
+      return BadAddress(name, text);
     }
     addresses.push_back(*address);
   }
