--- a/source/core/gateway/program_adapter.cc
+++ b/source/core/gateway/program_adapter.cc
@@ -103,7 +103,7 @@
 
 auto program_adapter::Execute(const program::abandon_endpoint& command)
     -> void {
-  parts_.scheduler.Abandon(command.call);
+  parts_.scheduler.Abandon(command.call, Now());
 }
 
 auto program_adapter::Execute(const program::release_endpoint_slot& command)
@@ -262,6 +262,7 @@
   ended.answer.prompt_tokens = static_cast<std::int64_t>(result.usage.prompt);
   ended.answer.answer_tokens =
       static_cast<std::int64_t>(result.usage.completion);
+  ended.answer.cached_tokens = static_cast<std::int64_t>(result.usage.cached);
   if (is_chat) {
     ended.answer_message = program::MessageText("assistant", attempt.text);
   }
--- a/source/core/membership/membership_messages.cc
+++ b/source/core/membership/membership_messages.cc
@@ -1,4 +1,5 @@
 // Messages from and to peers, and what is learnt from them.
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -78,9 +79,13 @@
 
 auto membership_system::On(const message& input, const page& body, instant now)
     -> void {
+  const auto live = members_.CountLive();
   for (const auto& record : body.members) {
     Learn(record, now);
   }
+  if (members_.CountLive() != live) {
+    next_sync_ = std::min(next_sync_, now + options_.catch_up_interval);
+  }
   if (body.wants_answer) {
     SendPage(input.sender, false);
   }
@@ -155,6 +160,8 @@
   auto record = row->record;
   record.state = member_state::kSuspect;
   Learn(record, now);
+  own_suspicions_.push_back(ref);
+  SendPing(record, now, false);
 }
 
 auto membership_system::Store(const member& record, instant now) -> void {
--- a/source/core/program/program_state.h
+++ b/source/core/program/program_state.h
@@ -30,12 +30,16 @@
 struct call_record {
   turn_number turn = 0;
   attempt_number attempt = 0;
+  // Attempts made so far, over all owners.
+  std::uint32_t attempts = 0;
   call_kind kind = call_kind::kChat;
   call_phase phase = call_phase::kIntended;
   bool is_idempotent = false;
   bool has_lookup = false;
   // A fresh attempt has replaced one whose text some caller may have.
   bool is_rerun = false;
+  // The caller knows that the call is in doubt, so the next turn may run.
+  bool is_doubt_told = false;
   digest key;
   digest body;
   std::string target;
@@ -109,6 +113,12 @@
   std::optional<call_answer> answer;
 };
 
+// States that the caller has been told that a call is in doubt.
+struct doubt_told {
+  branch_id branch;
+  turn_number turn = 0;
+};
+
 // Ends the program.
 struct program_ended {};
 
@@ -122,13 +132,14 @@
                                   intent,
                                   withdrawal,
                                   settlement,
+                                  doubt_told,
                                   program_ended,
                                   holder_released>;
 
 // Bounds of a program's state.
 struct state_bounds {
-  std::size_t answer_bytes = 64U * 1024U;
-  std::size_t answers_bytes = 256U * 1024U;
+  std::size_t answer_bytes = std::size_t{64} * 1024;
+  std::size_t answers_bytes = std::size_t{256} * 1024;
 };
 
 // Applies one update. Updates that no longer fit the state change nothing.
@@ -161,6 +172,10 @@
 auto FindByKey(const program_state& state, const digest& key)
     -> std::optional<keyed_call>;
 
+// Endpoint of the branch's last chat call; empty when there is none.
+auto LastEndpointOf(const program_state& state, const branch_id& name)
+    -> endpoint_id;
+
 // An estimate of the memory that a state takes.
 auto MemoryOf(const program_state& state) -> std::size_t;
 
--- a/source/core/program/program_system.cc
+++ b/source/core/program/program_system.cc
@@ -96,6 +96,9 @@
   auto operator()(const control_reply& item) const -> void {
     OnControlReply(tables, item);
   }
+  auto operator()(const doubt_delivered& item) const -> void {
+    OnDoubtDelivered(tables, item);
+  }
   auto operator()(const record_update& item) const -> void {
     OnRecordUpdate(tables, from, item);
   }
@@ -182,7 +185,7 @@
     std::visit(message_handler{tables, item.from}, item.body);
   }
   auto operator()(const members_changed& item) const -> void {
-    tables.members.members = item.members;
+    tables.members = MakeMemberTable(item.members);
     NoteUnchecked(tables);
   }
   auto operator()(const peer_lost& item) const -> void {
--- a/source/core/program/types.cc
+++ b/source/core/program/types.cc
@@ -44,10 +44,13 @@
     {refusal_reason::kOwnerUnreachable, 503, "owner_unreachable"},
     {refusal_reason::kWitnessUnreachable, 503, "witness_unreachable"},
     {refusal_reason::kInDoubt, 409, "in_doubt"},
+    {refusal_reason::kPreviousInDoubt, 409, "previous_in_doubt"},
     {refusal_reason::kAnswerNotKept, 410, "answer_not_kept"},
     {refusal_reason::kStreamLost, 502, "stream_lost"},
     {refusal_reason::kShuttingDown, 503, "shutting_down"},
     {refusal_reason::kOverloaded, 429, "overloaded"},
+    {refusal_reason::kRateLimited, 429, "rate_limited"},
+    {refusal_reason::kQuarantined, 422, "quarantined"},
 });
 
 auto RowOf(refusal_reason reason) -> const reason_row& {
--- a/source/core/program/types.h
+++ b/source/core/program/types.h
@@ -116,10 +116,14 @@
   kOwnerUnreachable,
   kWitnessUnreachable,
   kInDoubt,
+  // The turn before is in doubt; the call may be sent again.
+  kPreviousInDoubt,
   kAnswerNotKept,
   kStreamLost,
   kShuttingDown,
   kOverloaded,
+  kRateLimited,
+  kQuarantined,
 };
 
 // The HTTP status that fits a reason.
@@ -184,6 +188,8 @@
   payload body;
   std::int64_t prompt_tokens = 0;
   std::int64_t answer_tokens = 0;
+  // Prompt tokens that the engine had in its cache.
+  std::int64_t cached_tokens = 0;
 };
 
 // Names a call of a program.
--- a/source/core/standin/engine_role.cc
+++ b/source/core/standin/engine_role.cc
@@ -119,6 +119,7 @@
       {"POST", "/v1/cache/import", false, &self::Import},
       {"GET", "/v1/state", false, &self::State},
       {"POST", "/v1/orders", false, &self::Order},
+      {"GET", "/standin/tokens", false, &self::Tokens},
   });
   return kRoutes;
 }
@@ -227,15 +228,18 @@
     }
     is_ended = run->state == run_state::kFinished;
     const auto events = StreamEvents(*run, next, includes_usage);
+    if (events.empty() && !is_ended) {
+      co_await WaitForRun(id);
+      continue;
+    }
     next += events.size();
     auto bytes = std::string{};
     for (const auto& event : events) {
       bytes += net::FormatSseEvent(event);
     }
+    // The run may change during the write, so it is looked at again before the
+    // next wait.
     is_open = bytes.empty() || co_await exchange.WriteChunk(bytes);
-    if (is_open && !is_ended) {
-      co_await WaitForRun(id);
-    }
   }
   if (is_open && is_ended) {
     co_await exchange.EndStream();
@@ -473,6 +477,14 @@
   co_await exchange.Respond(std::move(accepted));
 }
 
+auto engine_role::Tokens(net::http_exchange& exchange)
+    -> asio::awaitable<void> {
+  const auto& totals = batch_.totals();
+  const auto body =
+      json::object{{"prompt", totals.prompt}, {"cached", totals.cached}};
+  co_await exchange.Respond(Ok(body));
+}
+
 auto engine_role::Apply(engine_order order) -> void {
   wanted_ = std::move(order);
   DropUnwanted();
