Keep what the program library asks of its adapters

Cause: the library counts on three things that the gateway did not do: a message reaches only the run of a VM that it is for (a restarted process could take what its former run was asked), one VM lists each engine's sessions from time to time (so that memory of programs whose copies are all lost is released), and the scheduler divides rates and links among the gateways that live now.

--- a/source/core/gateway/admin_api.cc
+++ b/source/core/gateway/admin_api.cc
@@ -127,7 +127,7 @@
     : context_(context), hooks_(std::move(hooks)), answers_(answers) {}
 
 auto admin_api::Routes() -> const std::vector<route>& {
-  static const auto kRoutes = std::vector<route>{
+  static const auto routes = std::vector<route>{
       {"GET", "/admin/v1/config", &admin_api::GetConfig},
       {"PATCH", "/admin/v1/config", &admin_api::PatchConfig},
       {"GET", "/admin/v1/config/history", &admin_api::GetHistory},
@@ -138,7 +138,7 @@
       {"POST", "/admin/v1/drain", &admin_api::PostDrain},
       {"GET", "/metrics", &admin_api::GetMetrics},
   };
-  return kRoutes;
+  return routes;
 }
 
 auto admin_api::Handle(net::http_exchange& exchange) -> asio::awaitable<void> {
--- a/source/core/gateway/caller_api.cc
+++ b/source/core/gateway/caller_api.cc
@@ -36,7 +36,7 @@
       series_(series) {}
 
 auto caller_api::Routes() -> const std::vector<route>& {
-  static const auto kRoutes = std::vector<route>{
+  static const auto routes = std::vector<route>{
       {"POST", "/v1/programs", false, &caller_api::Open},
       {"GET", "/v1/programs/self", false, &caller_api::Query},
       {"DELETE", "/v1/programs/self", false, &caller_api::End},
@@ -45,7 +45,7 @@
       {"POST", "/v1/chat/completions", false, &caller_api::Chat},
       {"POST", "/v1/services/", true, &caller_api::Service},
   };
-  return kRoutes;
+  return routes;
 }
 
 auto caller_api::FindRoute(const net::http_request& request) -> const route* {
--- a/source/core/gateway/configuration_adapter.cc
+++ b/source/core/gateway/configuration_adapter.cc
@@ -65,7 +65,7 @@
 
 auto configuration_adapter::Execute(const configuration::send_message& command)
     -> void {
-  peers_.Send(command.to.vm, wire::protocol::kConfiguration,
+  peers_.Send(command.to, wire::protocol::kConfiguration,
               configuration::EncodeMessage(command.content));
 }
 
--- a/source/core/gateway/endpoint_calls.cc
+++ b/source/core/gateway/endpoint_calls.cc
@@ -100,4 +100,21 @@
       : 0U;
 }
 
+auto ReadSessions(net::http_client& client, net::socket_address address)
+    -> boost::asio::awaitable<std::optional<std::vector<program_id>>> {
+  const auto body =
+      co_await GetObject(client, std::move(address), "/v1/cache/sessions");
+  const auto* sessions = body ? ObjectOrNull(*body, "sessions") : nullptr;
+  if (sessions == nullptr) {
+    co_return std::nullopt;
+  }
+  auto programs = std::vector<program_id>{};
+  for (const auto& [name, tokens] : *sessions) {
+    if (const auto program = ParseProgramId(name)) {
+      programs.push_back(*program);
+    }
+  }
+  co_return programs;
+}
+
 }  // namespace daisywind::gateway
--- a/source/core/gateway/endpoint_calls.h
+++ b/source/core/gateway/endpoint_calls.h
@@ -4,7 +4,9 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "gateway/attempt_runner.h"
 #include "net/http_client.h"
@@ -35,6 +37,11 @@
                     net::socket_address address,
                     program_id program) -> boost::asio::awaitable<unsigned>;
 
+// The programs for which an engine holds memory, or nothing when it does not
+// answer.
+auto ReadSessions(net::http_client& client, net::socket_address address)
+    -> boost::asio::awaitable<std::optional<std::vector<program_id>>>;
+
 }  // namespace daisywind::gateway
 
 #endif  // DAISYWIND_GATEWAY_ENDPOINT_CALLS_H_
--- a/source/core/gateway/gateway_settings.h
+++ b/source/core/gateway/gateway_settings.h
@@ -42,9 +42,9 @@
                    true};
 inline constexpr auto kMaxConnections = integer_setting{
     "limits.connections", 4096, "open connections of callers", 1, 100'000};
-inline constexpr auto kMaxBodyBytes =
-    integer_setting{"limits.body_bytes", 8 * 1024 * 1024,
-                    "size of a request body", 1024, 64 * 1024 * 1024};
+inline constexpr auto kMaxBodyBytes = integer_setting{
+    "limits.body_bytes", std::int64_t{8} * 1024 * 1024,
+    "size of a request body", 1024, std::int64_t{64} * 1024 * 1024};
 inline constexpr auto kReadTimeoutMs =
     integer_setting{"limits.read_timeout_ms", 15'000,
                     "time to read one request", 10, kMaxDurationMs};
--- a/source/core/gateway/lease_keeper.cc
+++ b/source/core/gateway/lease_keeper.cc
@@ -28,7 +28,7 @@
 
 }  // namespace
 
-lease_keeper::lease_keeper(kv::client& client, vm_ref self)
+lease_keeper::lease_keeper(kv::client& client, const vm_ref& self)
     : client_(client),
       holder_(self.vm.value + "@" + std::to_string(self.run)) {}
 
--- a/source/core/gateway/lease_keeper.h
+++ b/source/core/gateway/lease_keeper.h
@@ -17,7 +17,7 @@
 // revision at which the key was created, so that it grows with each holder.
 class lease_keeper {
  public:
-  lease_keeper(kv::client& client, vm_ref self);
+  lease_keeper(kv::client& client, const vm_ref& self);
 
   // Creates the key under a new lease, unless another VM holds it.
   auto Acquire(duration time_to_live)
--- a/source/core/gateway/metrics.cc
+++ b/source/core/gateway/metrics.cc
@@ -33,7 +33,11 @@
 auto RenderLabels(const metric_labels& labels) -> std::string {
   auto text = std::string{};
   for (const auto& [name, value] : labels) {
-    text += (text.empty() ? "" : ",") + name + "=\"" + value + "\"";
+    text += text.empty() ? "" : ",";
+    text += name;
+    text += "=\"";
+    text += value;
+    text += '"';
   }
   return text.empty() ? text : "{" + text + "}";
 }
--- a/source/core/gateway/migration_adapter.cc
+++ b/source/core/gateway/migration_adapter.cc
@@ -228,25 +228,20 @@
   if (!where) {
     co_return;
   }
-  const auto body = co_await GetObject(client_, *where, "/v1/cache/sessions");
-  const auto* sessions = body ? ObjectOrNull(*body, "sessions") : nullptr;
-  if (sessions == nullptr) {
+  const auto held = co_await ReadSessions(client_, *where);
+  if (!held) {
     co_return;
   }
-  for (const auto& [name, tokens] : *sessions) {
-    const auto program = ParseProgramId(name);
-    if (program) {
-      co_await ReleaseSession(client_, *where, *program);
-    }
+  for (const auto& program : *held) {
+    co_await ReleaseSession(client_, *where, program);
   }
 }
 
 auto migration_adapter::SubmitLater(asio::awaitable<migration::event> work)
     -> void {
   asio::co_spawn(context_, std::move(work),
-                 [this](const std::exception_ptr&, migration::event event) {
-                   Submit(event);
-                 });
+                 [this](const std::exception_ptr&,
+                        const migration::event& event) { Submit(event); });
 }
 
 }  // namespace daisywind::gateway
--- a/source/core/gateway/node.cc
+++ b/source/core/gateway/node.cc
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "common/digest.h"
 #include "common/logging.h"
 #include "common/random.h"
 #include "configuration_wire/codec.h"
@@ -21,6 +22,7 @@
 #include "gateway/caller_api.h"
 #include "gateway/configuration_adapter.h"
 #include "gateway/conversions.h"
+#include "gateway/endpoint_calls.h"
 #include "gateway/endpoint_directory.h"
 #include "gateway/endpoint_poller.h"
 #include "gateway/gateway_settings.h"
@@ -51,6 +53,8 @@
 constexpr duration kSlowTick = 50ms;
 constexpr duration kServiceBound = 2s;
 constexpr duration kDrainCheck = 20ms;
+// Interval at which an engine is asked for whom it holds memory.
+constexpr duration kSessionInterval = 10s;
 // Longest time for which a fresh VM waits for its endpoints' first reports.
 constexpr duration kEndpointWait = 5s;
 // The balancer reads /readyz before it stops sending calls here.
@@ -124,6 +128,8 @@
   auto RunSchedulerTicks() -> asio::awaitable<void>;
   auto RunSlowTicks() -> asio::awaitable<void>;
   auto RunVmListReads() -> asio::awaitable<void>;
+  auto RunSessionReads() -> asio::awaitable<void>;
+  auto IsReaderOf(const endpoint_id& endpoint) const -> bool;
   auto Drain(std::function<void()> on_stopped) -> asio::awaitable<void>;
   auto IsDrained() const -> bool;
 
@@ -291,6 +297,7 @@
   OnMembers({me});
   asio::co_spawn(context, RunSchedulerTicks(), asio::detached);
   asio::co_spawn(context, RunSlowTicks(), asio::detached);
+  asio::co_spawn(context, RunSessionReads(), asio::detached);
   if (!values.Get(kVmListAddress).empty()) {
     asio::co_spawn(context, RunVmListReads(), asio::detached);
   }
@@ -350,7 +357,7 @@
   const auto payload = policy::EncodeMessage(message);
   for (const auto& [vm, ref] : live) {
     if (vm != self.vm) {
-      peers.Send(vm, wire::protocol::kPolicy, payload);
+      peers.Send(ref, wire::protocol::kPolicy, payload);
     }
   }
 }
@@ -364,6 +371,7 @@
     configured.members.push_back({member.ref, member.failure_domain});
     moved.live.push_back(member.ref.vm);
   }
+  scheduler.SetGateways(static_cast<std::uint32_t>(members.size()));
   program_side.Submit(program::members_changed{ToProgramMembers(members)});
   configuration_side.Submit(configured);
   migration_side.Submit(moved);
@@ -508,6 +516,39 @@
   }
 }
 
+// One VM reads each endpoint's sessions: the first in the endpoint's rendezvous
+// order.
+auto node::parts::IsReaderOf(const endpoint_id& endpoint) const -> bool {
+  const auto order = PlacementHash(endpoint.value);
+  const auto own = PlacementHash(self.vm.value, order);
+  return std::none_of(live.begin(), live.end(), [&](const auto& item) {
+    return PlacementHash(item.first.value, order) > own;
+  });
+}
+
+auto node::parts::RunSessionReads() -> asio::awaitable<void> {
+  auto timer = asio::steady_timer(context);
+  while (!is_stopped) {
+    timer.expires_after(kSessionInterval);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    const auto document = configuration_side.system().Document();
+    if (document == nullptr) {
+      continue;
+    }
+    for (const auto& [id, endpoint] : document->endpoints) {
+      const auto entry = endpoints.Find(id);
+      if (!entry || entry->kind == configuration::endpoint_kind::kService ||
+          !IsReaderOf(id)) {
+        continue;
+      }
+      auto held = co_await ReadSessions(client, entry->address);
+      if (held) {
+        program_side.Submit(program::sessions_listed{id, std::move(*held)});
+      }
+    }
+  }
+}
+
 auto node::parts::Stop(std::function<void()> on_stopped) -> void {
   if (is_stopping) {
     on_stopped();
--- a/source/core/gateway/peer_network.cc
+++ b/source/core/gateway/peer_network.cc
@@ -48,23 +48,24 @@
   known = address;
 }
 
-auto peer_network::Send(const vm_id& vm,
+auto peer_network::Send(const vm_ref& to,
                         wire::protocol kind,
                         std::string payload) -> bool {
-  const auto found = addresses_.find(vm);
+  const auto found = addresses_.find(to.vm);
   return found != addresses_.end() &&
-         SendToAddress(found->second, kind, std::move(payload));
+         SendToAddress(found->second, kind, std::move(payload), to.run);
 }
 
 auto peer_network::SendToAddress(const std::string& address,
                                  wire::protocol kind,
-                                 std::string payload) -> bool {
+                                 std::string payload,
+                                 incarnation to_run) -> bool {
   auto* link = is_closed_ ? nullptr : LinkTo(address);
   if (link == nullptr) {
     return false;
   }
-  auto frame =
-      wire::EncodeEnvelope({self_, own_address_, kind, std::move(payload)});
+  auto frame = wire::EncodeEnvelope(
+      {self_, to_run, own_address_, kind, std::move(payload)});
   auto& count = traffic_[kind];
   ++count.sent_messages;
   count.sent_bytes += frame.size();
@@ -85,6 +86,10 @@
   auto& count = traffic_[message->kind];
   ++count.received_messages;
   count.received_bytes += frame.size();
+  // A restarted process must not take what its former run was asked.
+  if (message->to_run != 0 && message->to_run != self_.run) {
+    return true;
+  }
   if (!addresses_.contains(message->from.vm)) {
     SetAddress(message->from.vm, message->address);
   }
--- a/source/core/gateway/peer_network.h
+++ b/source/core/gateway/peer_network.h
@@ -50,14 +50,15 @@
   // Records where a VM takes frames. A changed address drops the old link.
   auto SetAddress(const vm_id& vm, const std::string& address) -> void;
 
-  // Queues a message to a VM. Returns false when its address is not known or
-  // its queue is full.
-  auto Send(const vm_id& vm, wire::protocol kind, std::string payload) -> bool;
+  // Queues a message to one run of a VM, or to whichever runs when the run is
+  // zero. Returns false when its address is not known or its queue is full.
+  auto Send(const vm_ref& to, wire::protocol kind, std::string payload) -> bool;
 
   // Queues a message to an address whose VM is not known yet.
   auto SendToAddress(const std::string& address,
                      wire::protocol kind,
-                     std::string payload) -> bool;
+                     std::string payload,
+                     incarnation to_run = 0) -> bool;
 
   // Where this VM takes frames, as "ip:port".
   [[nodiscard]] auto own_address() const -> const std::string& {
--- a/source/core/gateway/program_adapter.cc
+++ b/source/core/gateway/program_adapter.cc
@@ -89,7 +89,7 @@
 
 auto program_adapter::Execute(const program::send_message& command) -> void {
   const auto is_queued =
-      parts_.peers.Send(command.to.vm, wire::protocol::kProgram,
+      parts_.peers.Send(command.to, wire::protocol::kProgram,
                         program::EncodeMessage(command.body));
   if (!is_queued) {
     queue_.emplace_back(program::peer_lost{command.to});
--- a/source/core/policy/link_budget.h
+++ b/source/core/policy/link_budget.h
@@ -14,6 +14,11 @@
   link_budget(double bytes_per_second, duration delay)
       : bytes_per_second_(bytes_per_second), delay_(delay) {}
 
+  // Changes the rate from now on.
+  auto SetRate(double bytes_per_second) -> void {
+    bytes_per_second_ = bytes_per_second;
+  }
+
   // Expected time that a call spends on the link, there and back.
   [[nodiscard]] auto CrossingTime(double bytes, instant now) const -> seconds {
     const auto backlog = std::max(duration{0}, busy_until_ - now);
--- a/source/core/policy/scheduler.cc
+++ b/source/core/policy/scheduler.cc
@@ -34,6 +34,10 @@
   implementation_->tables.targets.SetNeeds(needs);
 }
 
+auto scheduler::SetGateways(std::uint32_t gateways) -> void {
+  policy::SetGateways(implementation_->tables, gateways);
+}
+
 auto scheduler::OnLoadReport(const load_report& report, instant /*now*/)
     -> void {
   implementation_->tables.endpoints.Report(report);
--- a/source/core/policy/scheduler.h
+++ b/source/core/policy/scheduler.h
@@ -34,6 +34,10 @@
   auto SetTenants(const std::vector<tenant_policy>& tenants,
                   const std::vector<target_need>& needs) -> void;
 
+  // Sets the number of live gateways, this one included, among which tenants'
+  // rates and links are divided.
+  auto SetGateways(std::uint32_t gateways) -> void;
+
   // Takes a load report. An older one than the last is ignored.
   auto OnLoadReport(const load_report& report, instant now) -> void;
 
--- a/source/core/policy/scheduler_tables.cc
+++ b/source/core/policy/scheduler_tables.cc
@@ -149,6 +149,12 @@
   return found == sent.end() ? nullptr : &found->second;
 }
 
+auto SetGateways(scheduler_tables& tables, std::uint32_t gateways) -> void {
+  tables.options.gateways = std::max(1U, gateways);
+  tables.tenants.SetGateways(tables.options.gateways);
+  tables.link.SetRate(LinkShare(tables.options));
+}
+
 auto CheckEnqueue(scheduler_tables& tables,
                   const call_request& request,
                   instant now) -> std::optional<refusal> {
--- a/source/core/policy/scheduler_tables.h
+++ b/source/core/policy/scheduler_tables.h
@@ -58,6 +58,9 @@
 
 // Refuses a call that must not wait: quarantined, over its tenant's rates,
 // without an endpoint, or too late to be served in time.
+// Takes note of the number of gateways that share endpoints and links.
+auto SetGateways(scheduler_tables& tables, std::uint32_t gateways) -> void;
+
 auto CheckEnqueue(scheduler_tables& tables,
                   const call_request& request,
                   instant now) -> std::optional<refusal>;
--- a/source/core/policy/tenant_table.cc
+++ b/source/core/policy/tenant_table.cc
@@ -13,6 +13,12 @@
          a.calls_per_second == b.calls_per_second;
 }
 
+auto SetShare(token_bucket& bucket, double rate, std::uint32_t gateways)
+    -> void {
+  const auto own = rate / gateways;
+  bucket.SetRate(own, std::max(1.0, own * kBurstSeconds));
+}
+
 auto MakeBucket(double rate, std::uint32_t gateways) -> token_bucket {
   const auto own = rate / gateways;
   return {own, std::max(1.0, own * kBurstSeconds)};
@@ -35,6 +41,14 @@
   tenants_ = std::move(next);
 }
 
+auto tenant_table::SetGateways(std::uint32_t gateways) -> void {
+  gateways_ = std::max(1U, gateways);
+  for (auto& [id, item] : tenants_) {
+    SetShare(item.tokens, item.policy.tokens_per_second, gateways_);
+    SetShare(item.calls, item.policy.calls_per_second, gateways_);
+  }
+}
+
 auto tenant_table::Charge(const call_request& call, instant now)
     -> std::optional<duration> {
   const auto found = tenants_.find(call.tenant);
--- a/source/core/policy/tenant_table.h
+++ b/source/core/policy/tenant_table.h
@@ -20,6 +20,9 @@
   // Replaces the tenants. Those whose rates are unchanged keep their buckets.
   auto Set(const std::vector<tenant_policy>& tenants) -> void;
 
+  // Divides the rates anew among the gateways.
+  auto SetGateways(std::uint32_t gateways) -> void;
+
   // Charges a call to its tenant's rates, or returns the time after which it
   // fits.
   auto Charge(const call_request& call, instant now) -> std::optional<duration>;
--- a/source/core/policy/token_bucket.h
+++ b/source/core/policy/token_bucket.h
@@ -16,6 +16,13 @@
   token_bucket(double rate, double burst)
       : rate_(rate), burst_(burst), level_(burst) {}
 
+  // Changes rate and burst; what is over the new burst is lost.
+  auto SetRate(double rate, double burst) -> void {
+    rate_ = rate;
+    burst_ = burst;
+    level_ = std::min(level_, burst);
+  }
+
   // Whether `amount` could be taken. An amount over the burst may be taken from
   // a full bucket, which then goes into debt.
   auto CanTake(double amount, instant now) -> bool {
--- a/source/core/wire/envelope.cc
+++ b/source/core/wire/envelope.cc
@@ -11,9 +11,9 @@
   const auto payload = builder.CreateVector(
       reinterpret_cast<const std::uint8_t*>(message.payload.data()),
       message.payload.size());
-  const auto root =
-      fbs::CreateEnvelope(builder, vm, message.from.run, address,
-                          static_cast<fbs::Protocol>(message.kind), payload);
+  const auto root = fbs::CreateEnvelope(
+      builder, vm, message.from.run, message.to_run, address,
+      static_cast<fbs::Protocol>(message.kind), payload);
   fbs::FinishEnvelopeBuffer(builder, root);
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
           builder.GetSize()};
@@ -31,6 +31,7 @@
   }
   return envelope{
       {vm_id(root->vm()->str()), root->run()},
+      root->to_run(),
       root->address()->str(),
       static_cast<protocol>(root->protocol()),
       {reinterpret_cast<const char*>(root->payload()->data()),
--- a/source/core/wire/envelope.h
+++ b/source/core/wire/envelope.h
@@ -24,6 +24,8 @@
 // One frame: its sender, where the sender takes frames, and a message.
 struct envelope {
   vm_ref from;
+  // Run of the receiver that the message is for; zero for any.
+  incarnation to_run = 0;
   std::string address;
   protocol kind = protocol::kHello;
   std::string payload;
--- a/source/core/wire/envelope_generated.h
+++ b/source/core/wire/envelope_generated.h
@@ -64,9 +64,10 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_VM = 4,
     VT_RUN = 6,
-    VT_ADDRESS = 8,
-    VT_PROTOCOL = 10,
-    VT_PAYLOAD = 12
+    VT_TO_RUN = 8,
+    VT_ADDRESS = 10,
+    VT_PROTOCOL = 12,
+    VT_PAYLOAD = 14
   };
   const flatbuffers::String *vm() const {
     return GetPointer<const flatbuffers::String *>(VT_VM);
@@ -74,6 +75,9 @@
   uint64_t run() const {
     return GetField<uint64_t>(VT_RUN, 0);
   }
+  uint64_t to_run() const {
+    return GetField<uint64_t>(VT_TO_RUN, 0);
+  }
   const flatbuffers::String *address() const {
     return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
   }
@@ -88,6 +92,7 @@
            VerifyOffsetRequired(verifier, VT_VM) &&
            verifier.VerifyString(vm()) &&
            VerifyField<uint64_t>(verifier, VT_RUN, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TO_RUN, 8) &&
            VerifyOffsetRequired(verifier, VT_ADDRESS) &&
            verifier.VerifyString(address()) &&
            VerifyField<uint8_t>(verifier, VT_PROTOCOL, 1) &&
@@ -107,6 +112,9 @@
   void add_run(uint64_t run) {
     fbb_.AddElement<uint64_t>(Envelope::VT_RUN, run, 0);
   }
+  void add_to_run(uint64_t to_run) {
+    fbb_.AddElement<uint64_t>(Envelope::VT_TO_RUN, to_run, 0);
+  }
   void add_address(flatbuffers::Offset<flatbuffers::String> address) {
     fbb_.AddOffset(Envelope::VT_ADDRESS, address);
   }
@@ -134,10 +142,12 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> vm = 0,
     uint64_t run = 0,
+    uint64_t to_run = 0,
     flatbuffers::Offset<flatbuffers::String> address = 0,
     daisywind::wire::fbs::Protocol protocol = daisywind::wire::fbs::Protocol_kHello,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> payload = 0) {
   EnvelopeBuilder builder_(_fbb);
+  builder_.add_to_run(to_run);
   builder_.add_run(run);
   builder_.add_payload(payload);
   builder_.add_address(address);
@@ -150,6 +160,7 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *vm = nullptr,
     uint64_t run = 0,
+    uint64_t to_run = 0,
     const char *address = nullptr,
     daisywind::wire::fbs::Protocol protocol = daisywind::wire::fbs::Protocol_kHello,
     const std::vector<uint8_t> *payload = nullptr) {
@@ -160,6 +171,7 @@
       _fbb,
       vm__,
       run,
+      to_run,
       address__,
       protocol,
       payload__);
--- a/source/unit_tests/wire/envelope_test.cc
+++ b/source/unit_tests/wire/envelope_test.cc
@@ -9,6 +9,7 @@
 
 auto Sample() -> envelope {
   return {{vm_id("vm-1"), 7},
+          9,
           "127.0.0.1:7001",
           protocol::kMembership,
           std::string("a\0b", 3)};
