--- a/source/core/fault_matrix/measure.cc
+++ b/source/core/fault_matrix/measure.cc
@@ -99,9 +99,46 @@
   }
   auto ClearCosts() -> void { costs_.clear(); }
 
+  // Takes the owner away and tells the others.
+  auto LoseOwner() -> void {
+    is_owner_lost_ = true;
+    const auto lost = members_.at(kOwner).vm;
+    auto change = program::members_changed{members_};
+    change.members.erase(change.members.begin());
+    for (auto i = kOwner + 1; i < kSystems; ++i) {
+      Feed(i, change);
+      Feed(i, program::peer_lost{lost});
+    }
+  }
+
+  // Lets time pass at the others.
+  auto Tick() -> void {
+    now_ += duration{100ms};
+    for (auto i = kOwner + 1; i < kSystems; ++i) {
+      for (const auto& item : systems_[i]->Tick(now_)) {
+        Follow(i, item);
+      }
+      Work();
+    }
+  }
+
+  // Programs owned by the others.
+  [[nodiscard]] auto OwnedByOthers() const -> std::size_t {
+    auto owned = std::size_t{0};
+    for (auto i = kOwner + 1; i < kSystems; ++i) {
+      owned += systems_[i]->Stats().owned;
+    }
+    return owned;
+  }
+  [[nodiscard]] auto messages() const -> std::size_t { return messages_; }
+
  private:
   auto Feed(std::size_t system, const event& input) -> void {
     queue_.emplace_back(system, input);
+    Work();
+  }
+
+  auto Work() -> void {
     while (!queue_.empty()) {
       const auto item = std::move(queue_.front());
       queue_.pop_front();
@@ -142,7 +179,8 @@
   auto Follow(std::size_t system, const command& item) -> void {
     if (const auto* send = std::get_if<program::send_message>(&item)) {
       for (auto i = std::size_t{0}; i < kSystems; ++i) {
-        if (members_[i].vm == send->to) {
+        if (members_[i].vm == send->to && !(is_owner_lost_ && i == kOwner)) {
+          ++messages_;
           queue_.emplace_back(
               i, program::peer_message{members_[system].vm, send->body});
         }
@@ -173,6 +211,8 @@
   std::optional<program::program_view> last_view_;
   instant now_{duration{1s}};
   program::request_id request_ = 0;
+  bool is_owner_lost_ = false;
+  std::size_t messages_ = 0;
 };
 
 auto EndOf(const case_result& result) -> std::optional<instant> {
@@ -252,4 +292,23 @@
   return place.Costs(calls);
 }
 
+auto MeasureTakeover(std::size_t programs) -> takeover_cost {
+  constexpr auto kMaxTicks = 600;
+  auto place = bench{};
+  for (auto i = std::size_t{0}; i < programs; ++i) {
+    const auto handle = place.Open();
+    auto history = std::vector<digest>{};
+    place.Chat(1, handle, 1, history);
+  }
+  const auto messages = place.messages();
+  const auto begin = std::chrono::steady_clock::now();
+  place.LoseOwner();
+  for (auto i = 0; i < kMaxTicks && place.OwnedByOthers() < programs; ++i) {
+    place.Tick();
+  }
+  const auto end = std::chrono::steady_clock::now();
+  return {programs, place.OwnedByOthers(), place.messages() - messages,
+          std::chrono::duration<double, std::milli>(end - begin).count()};
+}
+
 }  // namespace daisywind::fault_matrix
--- a/source/core/fault_matrix/measure.h
+++ b/source/core/fault_matrix/measure.h
@@ -46,6 +46,18 @@
 // Makes chat calls one after the other through entry, owner and witness.
 auto MeasureSteps(std::size_t calls) -> std::vector<step_cost>;
 
+// What it takes to take over all programs of an owner that is lost.
+struct takeover_cost {
+  std::size_t programs = 0;
+  std::size_t taken_over = 0;
+  // Messages between the others, and processor time of all of them.
+  std::size_t messages = 0;
+  double milliseconds = 0;
+};
+
+// Opens programs at one system, takes it away, and lets the others take over.
+auto MeasureTakeover(std::size_t programs) -> takeover_cost;
+
 }  // namespace daisywind::fault_matrix
 
 #endif  // DAISYWIND_FAULT_MATRIX_MEASURE_H_
--- a/source/core/membership_wire/codec.cc
+++ b/source/core/membership_wire/codec.cc
@@ -1,8 +1,8 @@
 #include "membership_wire/codec.h"
 
+#include <membership_generated.h>
 #include <cstdint>
 
-#include "membership_wire/membership_generated.h"
 #include "wire/mapping.h"
 #include "wire/union_codec.h"
 
@@ -20,7 +20,6 @@
 
 namespace daisywind::membership {
 
-using daisywind::Fields;
 using wire::domain_of;
 
 template <class Direction>
--- a/source/core/policy_wire/codec.cc
+++ b/source/core/policy_wire/codec.cc
@@ -1,8 +1,8 @@
 #include "policy_wire/codec.h"
 
+#include <policy_generated.h>
 #include <cstdint>
 
-#include "policy_wire/policy_generated.h"
 #include "wire/mapping.h"
 
 namespace daisywind::policy {
--- a/source/core/program_wire/fields.h
+++ b/source/core/program_wire/fields.h
@@ -3,10 +3,11 @@
 #ifndef DAISYWIND_PROGRAM_WIRE_FIELDS_H_
 #define DAISYWIND_PROGRAM_WIRE_FIELDS_H_
 
+#include <program_generated.h>
+
 #include "program/messages.h"
 #include "program/program_state.h"
 #include "program/types.h"
-#include "program_wire/program_generated.h"
 #include "wire/mapping.h"
 #include "wire/union_codec.h"
 
--- a/source/core/wire/envelope.cc
+++ b/source/core/wire/envelope.cc
@@ -1,6 +1,6 @@
 #include "wire/envelope.h"
 
-#include "wire/envelope_generated.h"
+#include <envelope_generated.h>
 
 namespace daisywind::wire {
 
