--- a/source/unit_tests/gateway/scheduler_adapter_test.cc
+++ b/source/unit_tests/gateway/scheduler_adapter_test.cc
@@ -63,7 +63,7 @@
   auto Fail(const program::acquire_endpoint& wanted) -> endpoint_id {
     adapter.Acquire(wanted, now);
     Settle();
-    const auto endpoint = TakeGrant();
+    auto endpoint = TakeGrant();
     adapter.OnSent(wanted.call, now);
     adapter.Release({wanted.call, endpoint, program::attempt_result::kUnknown},
                     now);
--- a/source/unit_tests/gateway/site_fixture.cc
+++ b/source/unit_tests/gateway/site_fixture.cc
@@ -200,8 +200,9 @@
   return json::serialize(document);
 }
 
-auto Post(std::string target, json::value body, net::http_headers headers)
-    -> net::http_request {
+auto Post(std::string target,
+          const json::value& body,
+          net::http_headers headers) -> net::http_request {
   headers.push_back({"Content-Type", "application/json"});
   return {"POST", std::move(target), std::move(headers), json::serialize(body)};
 }
--- a/source/unit_tests/gateway/site_fixture.h
+++ b/source/unit_tests/gateway/site_fixture.h
@@ -82,8 +82,9 @@
 };
 
 // A request with a JSON body.
-auto Post(std::string target, json::value body, net::http_headers headers = {})
-    -> net::http_request;
+auto Post(std::string target,
+          const json::value& body,
+          net::http_headers headers = {}) -> net::http_request;
 
 }  // namespace daisywind::gateway
 
