Bound what reading endpoints costs a VM

Cause: an idle VM took 1.4, 3.4, 11.5 and 76 % of a core at 32, 128, 512 and 2,048 endpoints: a slope of 0.038 % an endpoint, 453 % at the 12,000 of two years from now. Samples of the stack showed the load reads of up to 1,000 watched endpoints a target, four a second each; and each change of routing handed all endpoints to the scheduler anew. Ruled out: the nodes (the same at 3 to 24), the configuration's spread.

Change: a target's subset is 128 endpoints, a VM reads at most 128 loads a second and reads each less often when it watches more; changes of routing are handed over once a tick, and the slow tick is 100 ms, as the libraries ask.

--- a/source/core/gateway/endpoint_poller.cc
+++ b/source/core/gateway/endpoint_poller.cc
@@ -1,5 +1,6 @@
 #include "gateway/endpoint_poller.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <charconv>
@@ -18,6 +19,8 @@
 constexpr auto kBlockNameDigits = std::size_t{16};
 constexpr auto kHexBase = 16;
 constexpr duration kReadBound = 1s;
+// Bounds what the reads of one VM cost, however many endpoints it watches.
+constexpr auto kMaxReadsPerSecond = std::int64_t{128};
 constexpr std::string_view kRunningGauge = "vllm:num_requests_running";
 constexpr std::string_view kWaitingGauge = "vllm:num_requests_waiting";
 
@@ -89,14 +92,18 @@
 }
 
 auto endpoint_poller::Tick(instant now) -> void {
-  for (const auto& endpoint : scheduler_.WatchedEndpoints()) {
+  const auto watched = scheduler_.WatchedEndpoints();
+  const auto count = static_cast<std::int64_t>(watched.size());
+  const auto interval =
+      std::max<duration>(interval_, count * duration(1s) / kMaxReadsPerSecond);
+  for (const auto& endpoint : watched) {
     const auto entry = endpoints_.Find(endpoint);
     auto& state = states_[endpoint];
     if (!entry || state.is_reading || now < state.due) {
       continue;
     }
     state.is_reading = true;
-    state.due = now + interval_;
+    state.due = now + interval;
     asio::co_spawn(context_, Poll(endpoint, *entry), asio::detached);
   }
 }
--- a/source/core/gateway/node_inputs.cc
+++ b/source/core/gateway/node_inputs.cc
@@ -131,7 +131,9 @@
       {{"endpoint", std::string_view(state.endpoint.value)},
        {"accepts", state.accepts_new_work},
        {"reason", reason}});
-  UpdateEndpoints();
+  // Thousands of endpoints change at the start; the scheduler takes them all at
+  // the next tick.
+  has_routing_changed = true;
 }
 
 auto node::parts::OnLeaving(const endpoint_id& endpoint) -> void {
@@ -140,6 +142,7 @@
 }
 
 auto node::parts::UpdateEndpoints() -> void {
+  has_routing_changed = false;
   const auto document = configuration_side.system().Document();
   if (document != nullptr) {
     scheduler.SetEndpoints(ToPolicyEndpoints(*document, routing), Now());
--- a/source/core/gateway/node_loops.cc
+++ b/source/core/gateway/node_loops.cc
@@ -20,7 +20,7 @@
 namespace asio = boost::asio;
 
 constexpr duration kSchedulerTick = 5ms;
-constexpr duration kSlowTick = 50ms;
+constexpr duration kSlowTick = 100ms;
 constexpr duration kDrainCheck = 20ms;
 // Interval at which an engine is asked for whom it holds memory.
 constexpr duration kSessionInterval = 10s;
@@ -47,6 +47,9 @@
     configuration_side.Tick();
     membership_side.Tick();
     migration_side.Tick();
+    if (has_routing_changed) {
+      UpdateEndpoints();
+    }
     poller.Tick(Now());
     ShareQuarantine();
     timer.expires_after(kSlowTick);
--- a/source/core/gateway/node_parts.h
+++ b/source/core/gateway/node_parts.h
@@ -102,6 +102,7 @@
   routing_table routing;
   std::map<vm_id, vm_ref> live;
   std::optional<instant> first_install;
+  bool has_routing_changed = false;
   bool is_stopping = false;
   bool is_stopped = false;
 };
--- a/source/core/policy/target_table.cc
+++ b/source/core/policy/target_table.cc
@@ -7,7 +7,9 @@
 namespace daisywind::policy {
 namespace {
 
-constexpr auto kMaxMembers = std::size_t{1000};
+// Each member's load is read again and again, so that their number is a cost
+// at every gateway.
+constexpr auto kMaxMembers = std::size_t{128};
 constexpr auto kMaxEjectedPart = 0.5;
 
 auto Offers(const endpoint_info& info, const target_key& key) -> bool {
