--- /dev/null
+++ b/source/core/net/acceptor.cc
@@ -0,0 +1,37 @@
+#include "net/acceptor.h"
+
+#include <boost/asio.hpp>
+#include <string_view>
+
+#include "common/logging.h"
+
+namespace daisywind::net {
+
+namespace asio = boost::asio;
+
+auto OpenAcceptor(asio::ip::tcp::acceptor& acceptor,
+                  const socket_address& address) -> std::uint16_t {
+  auto error = boost::system::error_code{};
+  const auto ip = asio::ip::make_address(address.host, error);
+  const auto where = asio::ip::tcp::endpoint(ip, address.port);
+  if (!error) {
+    acceptor.open(where.protocol(), error);
+  }
+  if (!error) {
+    acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    acceptor.bind(where, error);
+  }
+  if (!error) {
+    acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    const auto text = ToString(address);
+    const auto reason = error.message();
+    Log(log_events::kListenFailed, {{"address", std::string_view(text)},
+                                    {"reason", std::string_view(reason)}});
+    return 0;
+  }
+  return acceptor.local_endpoint().port();
+}
+
+}  // namespace daisywind::net
--- /dev/null
+++ b/source/core/net/acceptor.h
@@ -0,0 +1,19 @@
+// Binding of listening sockets.
+#ifndef DAISYWIND_NET_ACCEPTOR_H_
+#define DAISYWIND_NET_ACCEPTOR_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+
+#include "net/http_types.h"
+
+namespace daisywind::net {
+
+// Opens, binds and listens; port 0 takes a free one. Returns the bound port, or
+// 0 when the address can't be had, which is logged.
+auto OpenAcceptor(boost::asio::ip::tcp::acceptor& acceptor,
+                  const socket_address& address) -> std::uint16_t;
+
+}  // namespace daisywind::net
+
+#endif  // DAISYWIND_NET_ACCEPTOR_H_
--- a/source/core/net/frame_link.cc
+++ b/source/core/net/frame_link.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "common/logging.h"
+#include "net/acceptor.h"
 
 namespace daisywind::net {
 namespace {
@@ -241,27 +242,11 @@
 }
 
 auto frame_server::Listen(const socket_address& address) -> std::uint16_t {
-  auto error = beast::error_code{};
-  const auto ip = asio::ip::make_address(address.host, error);
-  const auto where = tcp::endpoint(ip, address.port);
-  auto& acceptor = state_->acceptor;
-  if (!error) {
-    acceptor.open(where.protocol(), error);
-  }
-  if (!error) {
-    acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    acceptor.bind(where, error);
-  }
-  if (!error) {
-    acceptor.listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    const auto text = ToString(address);
-    Log(log_events::kListenFailed, {{"address", std::string_view(text)}});
-    return 0;
+  const auto port = OpenAcceptor(state_->acceptor, address);
+  if (port != 0) {
+    asio::co_spawn(state_->context, AcceptFrames(state_), asio::detached);
   }
-  asio::co_spawn(state_->context, AcceptFrames(state_), asio::detached);
-  return acceptor.local_endpoint().port();
+  return port;
 }
 
 auto frame_server::Close() -> void {
--- a/source/core/net/http_server.cc
+++ b/source/core/net/http_server.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "common/logging.h"
+#include "net/acceptor.h"
 
 namespace daisywind::net {
 namespace {
@@ -334,29 +335,11 @@
 }
 
 auto http_server::Listen(const socket_address& address) -> std::uint16_t {
-  auto error = beast::error_code{};
-  const auto ip = asio::ip::make_address(address.host, error);
-  const auto where = tcp::endpoint(ip, address.port);
-  auto& acceptor = state_->acceptor;
-  if (!error) {
-    acceptor.open(where.protocol(), error);
+  const auto port = OpenAcceptor(state_->acceptor, address);
+  if (port != 0) {
+    asio::co_spawn(state_->context, Accept(state_), asio::detached);
   }
-  if (!error) {
-    acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    acceptor.bind(where, error);
-  }
-  if (!error) {
-    acceptor.listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    const auto text = ToString(address);
-    const auto reason = error.message();
-    Log(log_events::kListenFailed, {{"address", std::string_view(text)},
-                                    {"reason", std::string_view(reason)}});
-    return 0;
-  }
-  asio::co_spawn(state_->context, Accept(state_), asio::detached);
-  return acceptor.local_endpoint().port();
+  return port;
 }
 
 auto http_server::StopAccepting() -> void {
--- a/source/daisywind_fault_matrix/main.cc
+++ b/source/daisywind_fault_matrix/main.cc
@@ -168,7 +168,7 @@
 }  // namespace
 
 auto main(int argc, char** argv) -> int {
-  auto parser = cxxopts::Options("daisywind_fault_matrix",
+  auto parser = cxxopts::Options("daisywind-fault-matrix",
                                  "Every fault at every step of a call");
   auto add = parser.add_options();
   add("seed", "Seed of all cases",
