--- a/source/core/gateway/caller_api.h
+++ b/source/core/gateway/caller_api.h
@@ -25,8 +25,6 @@
   std::function<std::shared_ptr<const configuration::document>()> document;
   // Whether the balancer should send calls here.
   std::function<bool()> is_ready;
-  // The reply for an operators' path that callers may use too, as /readyz.
-  std::function<net::http_response()> metrics_page;
 };
 
 // Takes callers' requests to the program system and its replies back.
--- a/source/core/gateway/gateway_settings.cc
+++ b/source/core/gateway/gateway_settings.cc
@@ -83,7 +83,6 @@
       Declare(kCallTimeoutMs),
       Declare(kTokenIdleTimeoutMs),
       Declare(kLoadPollMs),
-      Declare(kStatePollMs),
       Declare(kVmListPollMs),
       Declare(kDrainBoundMs),
       Declare(kLogFormat),
--- a/source/core/gateway/gateway_settings.h
+++ b/source/core/gateway/gateway_settings.h
@@ -57,9 +57,6 @@
 inline constexpr auto kLoadPollMs = integer_setting{
     "poll.load_ms", 250, "time between two reads of an endpoint's load", 10,
     kMaxDurationMs};
-inline constexpr auto kStatePollMs = integer_setting{
-    "poll.state_ms", 500, "time between two reads of an engine's state", 10,
-    kMaxDurationMs};
 inline constexpr auto kVmListPollMs = integer_setting{
     "poll.vm_list_ms", 1000, "time between two reads of the list of VMs", 10,
     kMaxDurationMs};
--- a/source/core/program/change.cc
+++ b/source/core/program/change.cc
@@ -211,6 +211,26 @@
                       is_later ? known : replica_set{}});
 }
 
+// Takes the ballot of a prepare or an accept for the highest seen here. Refuses
+// it, and returns null, when this VM has no vote or has seen a higher one.
+template <class Proposal>
+auto PromiseBallot(system_tables& tables,
+                   const vm_ref& from,
+                   const Proposal& item) -> vote_record* {
+  const auto epoch = item.current.epoch;
+  if (!MayVote(tables, item.program, item.current)) {
+    RefuseBallot(tables, from, item.program, epoch, ballot{});
+    return nullptr;
+  }
+  auto& vote = VoteOf(tables, item.program, epoch);
+  if (item.number < vote.promised) {
+    RefuseBallot(tables, from, item.program, epoch, vote.promised);
+    return nullptr;
+  }
+  vote.promised = item.number;
+  return &vote;
+}
+
 auto FindChange(system_tables& tables,
                 const program_id& program,
                 epoch_number epoch) -> change_record* {
@@ -316,21 +336,15 @@
 
 auto OnPrepare(system_tables& tables, const vm_ref& from, const prepare& item)
     -> void {
-  const auto epoch = item.current.epoch;
-  if (!MayVote(tables, item.program, item.current)) {
-    RefuseBallot(tables, from, item.program, epoch, ballot{});
+  auto* vote = PromiseBallot(tables, from, item);
+  if (vote == nullptr) {
     return;
   }
-  auto& vote = VoteOf(tables, item.program, epoch);
-  if (item.number < vote.promised) {
-    RefuseBallot(tables, from, item.program, epoch, vote.promised);
-    return;
-  }
-  vote.promised = item.number;
+  const auto epoch = item.current.epoch;
   CloseEpoch(tables, item.program, epoch);
   Send(tables, from,
-       promise{item.program, epoch, item.number, vote.accepted_number,
-               vote.accepted});
+       promise{item.program, epoch, item.number, vote->accepted_number,
+               vote->accepted});
 }
 
 auto OnPromise(system_tables& tables, const vm_ref& from, const promise& item)
@@ -357,19 +371,13 @@
 
 auto OnAccept(system_tables& tables, const vm_ref& from, const accept& item)
     -> void {
-  const auto epoch = item.current.epoch;
-  if (!MayVote(tables, item.program, item.current)) {
-    RefuseBallot(tables, from, item.program, epoch, ballot{});
+  auto* vote = PromiseBallot(tables, from, item);
+  if (vote == nullptr) {
     return;
   }
-  auto& vote = VoteOf(tables, item.program, epoch);
-  if (item.number < vote.promised) {
-    RefuseBallot(tables, from, item.program, epoch, vote.promised);
-    return;
-  }
-  vote.promised = item.number;
-  vote.accepted_number = item.number;
-  vote.accepted = item.next;
+  const auto epoch = item.current.epoch;
+  vote->accepted_number = item.number;
+  vote->accepted = item.next;
   CloseEpoch(tables, item.program, epoch);
   Send(tables, from, accepted{item.program, epoch, item.number});
 }
