--- a/source/core/common/log_events.cc
+++ b/source/core/common/log_events.cc
@@ -12,6 +12,7 @@
     kProcessStopping,
     kProcessStopped,
     kInvariantBroken,
+    kLogLinesDropped,
     kListenFailed,
     kRequestRejected,
     kFrameRejected,
@@ -25,6 +26,31 @@
     kFaultApplied,
     kModelLoaded,
     kStaleOrderRefused,
+    kStoreLost,
+    kStoreRegained,
+    kStoreAnswerUnusable,
+    kEntryIgnored,
+    kSettingsReloaded,
+    kSettingsRefused,
+    kConfigurationInForce,
+    kEndpointChanged,
+    kEndpointSetAside,
+    kReadinessChanged,
+    kViewInForce,
+    kRequestRefused,
+    kAttemptEnded,
+    kRequestEnded,
+    kTurnDecided,
+    kTurnNotRecorded,
+    kAnswerNotForUs,
+    kDiskLoaded,
+    kDiskRefused,
+    kSeatTaken,
+    kCopyComplete,
+    kPullFailed,
+    kRetireProgress,
+    kFactsForgotten,
+    kViewAdopted,
 });
 
 }  // namespace
@@ -55,6 +81,12 @@
       return "standin";
     case log_subsystem::kControl:
       return "control";
+    case log_subsystem::kFront:
+      return "front";
+    case log_subsystem::kJournal:
+      return "journal";
+    case log_subsystem::kPlatform:
+      return "platform";
   }
   return "unknown";
 }
--- a/source/core/common/log_events.h
+++ b/source/core/common/log_events.h
@@ -21,6 +21,9 @@
   kMigration,
   kStandin,
   kControl,
+  kFront,
+  kJournal,
+  kPlatform,
 };
 
 // Severity, in the sense of log4cxx.
@@ -47,6 +50,9 @@
 inline constexpr auto kInvariantBroken =
     log_event{1004, log_subsystem::kCommon, log_level::kError,
               "invariant broken, the process ends"};
+inline constexpr auto kLogLinesDropped =
+    log_event{1005, log_subsystem::kCommon, log_level::kWarning,
+              "log lines dropped, their reader is too slow"};
 inline constexpr auto kListenFailed = log_event{
     1101, log_subsystem::kNet, log_level::kError, "cannot listen on address"};
 inline constexpr auto kRequestRejected =
@@ -82,6 +88,75 @@
     log_event{1303, log_subsystem::kMembership, log_level::kError,
               "a newer run of this VM was heard, this process stops"};
 
+inline constexpr auto kStoreLost =
+    log_event{1901, log_subsystem::kFront, log_level::kWarning,
+              "platform's store out of reach, what is in force stays"};
+inline constexpr auto kStoreRegained =
+    log_event{1902, log_subsystem::kFront, log_level::kInfo,
+              "platform's store within reach again"};
+inline constexpr auto kStoreAnswerUnusable =
+    log_event{1903, log_subsystem::kFront, log_level::kWarning,
+              "answer of the platform's store could not be used"};
+inline constexpr auto kEntryIgnored =
+    log_event{1904, log_subsystem::kFront, log_level::kWarning,
+              "entry of the platform's store ignored"};
+inline constexpr auto kSettingsReloaded = log_event{
+    1905, log_subsystem::kFront, log_level::kInfo, "settings read again"};
+inline constexpr auto kSettingsRefused =
+    log_event{1906, log_subsystem::kFront, log_level::kError,
+              "settings not valid, those in force stay"};
+inline constexpr auto kConfigurationInForce = log_event{
+    2001, log_subsystem::kFront, log_level::kInfo, "configuration in force"};
+inline constexpr auto kEndpointChanged = log_event{
+    2002, log_subsystem::kFront, log_level::kInfo, "endpoint changed"};
+inline constexpr auto kEndpointSetAside =
+    log_event{2003, log_subsystem::kFront, log_level::kWarning,
+              "endpoint set aside after failures"};
+inline constexpr auto kReadinessChanged = log_event{
+    2004, log_subsystem::kFront, log_level::kInfo, "readiness changed"};
+inline constexpr auto kViewInForce =
+    log_event{2005, log_subsystem::kFront, log_level::kInfo,
+              "view of the journals in force"};
+inline constexpr auto kRequestRefused =
+    log_event{2101, log_subsystem::kFront, log_level::kInfo,
+              "request refused, it has not run"};
+inline constexpr auto kAttemptEnded =
+    log_event{2102, log_subsystem::kFront, log_level::kInfo,
+              "attempt at an endpoint ended without an answer"};
+inline constexpr auto kRequestEnded =
+    log_event{2103, log_subsystem::kFront, log_level::kInfo, "request ended"};
+inline constexpr auto kTurnDecided =
+    log_event{2104, log_subsystem::kFront, log_level::kInfo,
+              "turn decided by the journals"};
+inline constexpr auto kTurnNotRecorded =
+    log_event{2105, log_subsystem::kFront, log_level::kWarning,
+              "turn not on enough disks, its answer was broken off"};
+inline constexpr auto kAnswerNotForUs =
+    log_event{2106, log_subsystem::kFront, log_level::kWarning,
+              "answer of another request skipped"};
+inline constexpr auto kDiskLoaded =
+    log_event{2201, log_subsystem::kJournal, log_level::kInfo,
+              "records read from the disk"};
+inline constexpr auto kDiskRefused = log_event{
+    2202, log_subsystem::kJournal, log_level::kError, "disk refused a write"};
+inline constexpr auto kSeatTaken =
+    log_event{2203, log_subsystem::kJournal, log_level::kInfo,
+              "seat in the view of journals changed"};
+inline constexpr auto kCopyComplete =
+    log_event{2204, log_subsystem::kJournal, log_level::kInfo,
+              "copy holds everything that its view had"};
+inline constexpr auto kPullFailed =
+    log_event{2205, log_subsystem::kJournal, log_level::kWarning,
+              "facts could not be read from a member"};
+inline constexpr auto kRetireProgress = log_event{
+    2206, log_subsystem::kJournal, log_level::kInfo, "emptying of this VM"};
+inline constexpr auto kFactsForgotten =
+    log_event{2207, log_subsystem::kJournal, log_level::kInfo,
+              "facts past their retention forgotten"};
+inline constexpr auto kViewAdopted =
+    log_event{2208, log_subsystem::kJournal, log_level::kInfo,
+              "view of the journals adopted"};
+
 }  // namespace log_events
 
 // Every event that the system can log, by ascending number.
--- a/source/core/common/logging.cc
+++ b/source/core/common/logging.cc
@@ -10,6 +10,8 @@
 #include <cstdlib>
 #include <memory>
 
+#include "common/bounded_log.h"
+
 namespace daisywind {
 namespace {
 
@@ -84,6 +86,10 @@
 
 auto Log(const log_event& event, std::initializer_list<log_field> fields)
     -> void {
+  if (auto& bounded = bounded_log::Instance(); bounded.IsActive()) {
+    bounded.Add(event, fields);
+    return;
+  }
   auto logger =
       log4cxx::Logger::getLogger(std::string(LoggerName(event.subsystem)));
   const auto level = ToLog4cxx(event.level);
@@ -96,11 +102,24 @@
   logger->forcedLog(level, line);
 }
 
+auto StartBoundedLogging(log_level threshold) -> void {
+  bounded_log::Instance().Start(threshold);
+}
+
+auto FlushLogs() -> void {
+  bounded_log::Instance().Flush();
+}
+
+auto DroppedLogLines() -> std::uint64_t {
+  return bounded_log::Instance().dropped();
+}
+
 auto EndOnBrokenInvariant(std::string_view condition,
                           std::string_view file,
                           int line) -> void {
   Log(log_events::kInvariantBroken,
       {{"condition", condition}, {"file", file}, {"line", std::int64_t{line}}});
+  FlushLogs();
   std::abort();
 }
 
--- a/source/core/common/logging.h
+++ b/source/core/common/logging.h
@@ -24,6 +24,17 @@
 // Sends logs to standard error. Call once, before the first event.
 auto StartLogging(log_format format, log_level threshold) -> void;
 
+// Sends JSON logs to standard output without ever waiting for its reader: lines
+// are kept up to a bound until FlushLogs, and what exceeds it is counted and
+// dropped. Call once, before the first event.
+auto StartBoundedLogging(log_level threshold) -> void;
+
+// Writes as many kept lines as the reader of standard output takes at once.
+auto FlushLogs() -> void;
+
+// Lines dropped so far since the reader was too slow.
+auto DroppedLogLines() -> std::uint64_t;
+
 // Writes one event.
 auto Log(const log_event& event, std::initializer_list<log_field> fields = {})
     -> void;
--- a/source/core/gateway/metrics.cc
+++ b/source/core/common/metrics.cc
@@ -1,4 +1,4 @@
-#include "gateway/metrics.h"
+#include "common/metrics.h"
 
 #include <boost/histogram.hpp>
 #include <chrono>
@@ -6,7 +6,7 @@
 #include <sstream>
 #include <utility>
 
-namespace daisywind::gateway {
+namespace daisywind {
 namespace {
 
 namespace bh = boost::histogram;
@@ -143,4 +143,4 @@
   return out.str();
 }
 
-}  // namespace daisywind::gateway
+}  // namespace daisywind
--- a/source/core/gateway/metrics.h
+++ b/source/core/common/metrics.h
@@ -1,7 +1,7 @@
 // Metrics: histograms by tenant and class, counters, and their exposition as
 // Prometheus text.
-#ifndef DAISYWIND_GATEWAY_METRICS_H_
-#define DAISYWIND_GATEWAY_METRICS_H_
+#ifndef DAISYWIND_COMMON_METRICS_H_
+#define DAISYWIND_COMMON_METRICS_H_
 
 #include <cstdint>
 #include <map>
@@ -12,7 +12,7 @@
 #include "common/ids.h"
 #include "common/time.h"
 
-namespace daisywind::gateway {
+namespace daisywind {
 
 // Label names and values of one series, in order.
 using metric_labels = std::vector<std::pair<std::string, std::string>>;
@@ -54,6 +54,6 @@
   std::unique_ptr<state> state_;
 };
 
-}  // namespace daisywind::gateway
+}  // namespace daisywind
 
-#endif  // DAISYWIND_GATEWAY_METRICS_H_
+#endif  // DAISYWIND_COMMON_METRICS_H_
--- a/source/core/gateway/process_clock.h
+++ b/source/core/common/process_clock.h
@@ -1,13 +1,13 @@
-// The one place where the gateway reads clocks.
-#ifndef DAISYWIND_GATEWAY_PROCESS_CLOCK_H_
-#define DAISYWIND_GATEWAY_PROCESS_CLOCK_H_
+// The one place where processes read clocks.
+#ifndef DAISYWIND_COMMON_PROCESS_CLOCK_H_
+#define DAISYWIND_COMMON_PROCESS_CLOCK_H_
 
 #include <chrono>
 #include <cstdint>
 
 #include "common/time.h"
 
-namespace daisywind::gateway {
+namespace daisywind {
 
 // Monotonic time, handed to the decision libraries.
 inline auto Now() -> instant {
@@ -35,6 +35,6 @@
          Now().time_since_epoch();
 }
 
-}  // namespace daisywind::gateway
+}  // namespace daisywind
 
-#endif  // DAISYWIND_GATEWAY_PROCESS_CLOCK_H_
+#endif  // DAISYWIND_COMMON_PROCESS_CLOCK_H_
--- /dev/null
+++ b/source/core/dispatch/endpoint_table.cc
@@ -0,0 +1,195 @@
+#include "dispatch/endpoint_table.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace daisywind::dispatch {
+
+auto part_memory::Add(const prompt_part_id& part) -> void {
+  if (const auto found = places_.find(part); found != places_.end()) {
+    order_.splice(order_.begin(), order_, found->second);
+    return;
+  }
+  order_.push_front(part);
+  places_.emplace(part, order_.begin());
+  if (order_.size() > capacity_) {
+    places_.erase(order_.back());
+    order_.pop_back();
+  }
+}
+
+auto part_memory::Has(const prompt_part_id& part) const -> bool {
+  return places_.contains(part);
+}
+
+auto endpoint_table::Put(const endpoint& entry, instant now) -> void {
+  const auto found = states_.find(entry.id);
+  const auto is_same_run =
+      found != states_.end() &&
+      found->second.state.entry.started_ms == entry.started_ms &&
+      found->second.state.entry.service == entry.service &&
+      found->second.state.entry.address == entry.address;
+  if (is_same_run) {
+    found->second.state.entry = entry;
+    found->second.state.gone_at.reset();
+    return;
+  }
+  if (found != states_.end()) {
+    Erase(entry.id);
+  }
+  auto state = endpoint_state{};
+  state.entry = entry;
+  state.registered_at = now;
+  states_.emplace(entry.id, slot{std::move(state),
+                                 part_memory(options_.parts_per_endpoint)});
+  by_service_[entry.service].push_back(entry.id);
+}
+
+auto endpoint_table::Remove(const endpoint_id& id,
+                            bool is_in_doubt,
+                            instant now) -> void {
+  const auto found = states_.find(id);
+  if (found == states_.end()) {
+    return;
+  }
+  if (!is_in_doubt) {
+    Erase(id);
+    return;
+  }
+  auto& gone_at = found->second.state.gone_at;
+  if (!gone_at) {
+    gone_at = now + options_.doubt;
+  }
+}
+
+auto endpoint_table::Tick(instant now) -> std::vector<endpoint_id> {
+  auto gone = std::vector<endpoint_id>{};
+  for (const auto& [id, item] : states_) {
+    if (item.state.gone_at && *item.state.gone_at <= now) {
+      gone.push_back(id);
+    }
+  }
+  for (const auto& id : gone) {
+    Erase(id);
+  }
+  return gone;
+}
+
+auto endpoint_table::Erase(const endpoint_id& id) -> void {
+  const auto found = states_.find(id);
+  const auto service = found->second.state.entry.service;
+  std::erase(by_service_[service], id);
+  if (by_service_[service].empty()) {
+    by_service_.erase(service);
+  }
+  states_.erase(found);
+}
+
+auto endpoint_table::Find(const endpoint_id& id) const
+    -> const endpoint_state* {
+  const auto found = states_.find(id);
+  return found == states_.end() ? nullptr : &found->second.state;
+}
+
+auto endpoint_table::OfService(const service_id& id) const
+    -> const std::vector<endpoint_id>& {
+  const auto found = by_service_.find(id);
+  return found == by_service_.end() ? none_ : found->second;
+}
+
+auto endpoint_table::Ids() const -> std::vector<endpoint_id> {
+  auto ids = std::vector<endpoint_id>{};
+  ids.reserve(states_.size());
+  for (const auto& [id, item] : states_) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
+auto endpoint_table::OnSent(const endpoint_id& id) -> void {
+  if (const auto found = states_.find(id); found != states_.end()) {
+    ++found->second.state.in_flight;
+  }
+}
+
+auto endpoint_table::OnEnded(const endpoint_id& id) -> void {
+  const auto found = states_.find(id);
+  // The entry may be that of a later run, which never saw the request.
+  if (found != states_.end() && found->second.state.in_flight > 0) {
+    --found->second.state.in_flight;
+  }
+}
+
+auto endpoint_table::OnReport(const endpoint_id& id,
+                              const load_report& report,
+                              instant now) -> void {
+  const auto found = states_.find(id);
+  if (found == states_.end()) {
+    return;
+  }
+  auto& state = found->second.state;
+  state.report = report;
+  state.reported_at = now;
+  const auto total = double(report.running) + double(report.waiting);
+  state.others = std::max(0.0, total - double(state.in_flight));
+}
+
+auto endpoint_table::OnSign(const endpoint_id& id,
+                            attempt_sign sign,
+                            instant now) -> void {
+  const auto found = states_.find(id);
+  if (found == states_.end()) {
+    return;
+  }
+  auto& state = found->second.state;
+  if (sign == attempt_sign::kAnswered) {
+    state.failures = 0;
+    return;
+  }
+  if (sign == attempt_sign::kFull) {
+    state.paused_until =
+        std::max(state.paused_until, now + options_.full_pause);
+    return;
+  }
+  constexpr auto kMaxDoublings = 6U;
+  const auto doublings = std::min(state.failures, kMaxDoublings);
+  const auto pause = std::min(options_.first_pause * (1U << doublings),
+                              options_.longest_pause);
+  ++state.failures;
+  state.paused_until = std::max(state.paused_until, now + pause);
+}
+
+auto endpoint_table::OnPromptRead(const endpoint_id& id,
+                                  const std::vector<prompt_part>& parts)
+    -> void {
+  if (const auto found = states_.find(id); found != states_.end()) {
+    for (const auto& part : parts) {
+      found->second.parts.Add(part.id);
+    }
+  }
+}
+
+auto endpoint_table::MissingTokens(const endpoint_id& id,
+                                   const std::vector<prompt_part>& parts) const
+    -> std::uint64_t {
+  const auto found = states_.find(id);
+  auto is_cached = found != states_.end();
+  auto missing = std::uint64_t{0};
+  for (const auto& part : parts) {
+    is_cached = is_cached && found->second.parts.Has(part.id);
+    missing += is_cached ? 0 : part.tokens;
+  }
+  return missing;
+}
+
+auto endpoint_table::ExpectedLoad(const endpoint_state& state,
+                                  instant now) const -> double {
+  const auto age = std::chrono::duration<double>(now - state.reported_at);
+  const auto half = std::chrono::duration<double>(options_.report_half_life);
+  const auto others =
+      state.report ? state.others * std::exp2(-(age / half)) : 0.0;
+  return others + double(state.in_flight);
+}
+
+}  // namespace daisywind::dispatch
--- /dev/null
+++ b/source/core/dispatch/types.h
@@ -0,0 +1,165 @@
+// What the front decides over: routes, services, endpoints and requests.
+#ifndef DAISYWIND_DISPATCH_TYPES_H_
+#define DAISYWIND_DISPATCH_TYPES_H_
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/ids.h"
+#include "common/time.h"
+
+namespace daisywind::dispatch {
+
+using service_id = strong_name<struct service_tag>;
+using route_id = strong_name<struct route_tag>;
+
+// Names a part of a prompt whose cache an engine keeps.
+using prompt_part_id = strong_name<struct prompt_part_tag>;
+
+// How often a request may run.
+enum class route_kind : std::uint8_t {
+  // Any number of times.
+  kIdempotent,
+  // Once.
+  kOnce,
+  // Once, and its answer is a stream of events.
+  kStream,
+};
+
+// A share of a route's requests.
+struct weighted_service {
+  service_id service;
+  std::uint32_t weight = 1;
+
+  auto operator<=>(const weighted_service&) const = default;
+};
+
+// Which service takes the requests under a host and a path prefix.
+struct route {
+  route_id id;
+  std::string host;
+  std::string prefix;
+  route_kind kind = route_kind::kOnce;
+  // The longest that a request is kept.
+  duration timeout = 30s;
+  // Time to the answer, or to the first event, that earns full credit.
+  duration objective = 1s;
+  // Rank among requests; zero is first.
+  std::uint32_t rank = 0;
+  std::vector<weighted_service> services;
+  // Endpoints on which one request may run.
+  std::uint32_t max_attempts = 1;
+  // Whether the system keeps the turns, and for how long.
+  bool keeps_turns = false;
+  duration retention = 0s;
+  // Whether endpoints that have seen a request's object work faster on it.
+  bool is_sticky = false;
+
+  auto operator<=>(const route&) const = default;
+};
+
+// The engine behind a service of model replicas.
+struct engine_profile {
+  std::uint32_t slots = 1;
+  std::uint64_t memory_tokens = 0;
+  // Tokens in each event of a stream.
+  std::uint32_t event_tokens = 1;
+
+  auto operator<=>(const engine_profile&) const = default;
+};
+
+// One service and what holds for all of its endpoints.
+struct service {
+  service_id id;
+  std::uint32_t max_connections = 0;
+  std::optional<engine_profile> engine;
+
+  auto operator<=>(const service&) const = default;
+};
+
+// Bounds on what a caller may send.
+struct request_limits {
+  std::size_t max_head_bytes = std::size_t{16} * 1024;
+  std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
+  duration head_timeout = 3s;
+  duration idle_timeout = 15s;
+
+  auto operator<=>(const request_limits&) const = default;
+};
+
+// One version of what the operators want.
+struct configuration {
+  version_number version = 0;
+  std::vector<route> routes;
+  std::vector<service> services;
+  request_limits limits;
+
+  auto operator<=>(const configuration&) const = default;
+};
+
+// One registered endpoint.
+struct endpoint {
+  endpoint_id id;
+  service_id service;
+  // As "ip:port".
+  std::string address;
+  failure_domain_id failure_domain;
+  std::uint32_t slots = 1;
+  // It finishes what it has and takes no more.
+  bool is_draining = false;
+  // How long it stays slow after its start, from its registration on.
+  duration cold_left = 0s;
+  // Unix time of its start in milliseconds. A later start under the same id
+  // knows nothing of what came before.
+  std::int64_t started_ms = 0;
+
+  auto operator<=>(const endpoint&) const = default;
+};
+
+// What an endpoint says about its load.
+struct load_report {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t slots = 1;
+
+  auto operator<=>(const load_report&) const = default;
+};
+
+// A part of a prompt and its length.
+struct prompt_part {
+  prompt_part_id id;
+  std::uint32_t tokens = 0;
+
+  auto operator<=>(const prompt_part&) const = default;
+};
+
+// What a request says about itself.
+struct call {
+  std::string request_id;
+  std::string host;
+  std::string path;
+  // How long its caller waits, from now on.
+  std::optional<duration> deadline;
+  std::string program;
+  std::string session;
+  // Time until its program should be over.
+  std::optional<duration> program_deadline;
+  // Tokens that all turns of its program may generate.
+  std::optional<std::uint64_t> token_budget;
+  // The turn that it continues from.
+  std::string previous_turn;
+  std::uint32_t prompt_tokens = 0;
+  std::uint32_t max_output_tokens = 0;
+  // Its prompt in order; the last part is its own or its session's.
+  std::vector<prompt_part> prompt;
+  std::string affinity_key;
+
+  auto operator<=>(const call&) const = default;
+};
+
+}  // namespace daisywind::dispatch
+
+#endif  // DAISYWIND_DISPATCH_TYPES_H_
--- /dev/null
+++ b/source/core/front/dialect.cc
@@ -0,0 +1,33 @@
+#include "front/dialect.h"
+
+namespace daisywind::front {
+
+auto ReasonName(refusal_reason reason) -> std::string_view {
+  switch (reason) {
+    case refusal_reason::kNotReady:
+      return "no_configuration";
+    case refusal_reason::kNoRoute:
+      return "no_route";
+    case refusal_reason::kBadRequest:
+      return "bad_request";
+    case refusal_reason::kNoEndpoint:
+      return "no_endpoint";
+    case refusal_reason::kOverloaded:
+      return "overloaded";
+    case refusal_reason::kBudgetSpent:
+      return "budget_spent";
+    case refusal_reason::kUnknownTurn:
+      return "unknown_turn";
+    case refusal_reason::kHistoryUnavailable:
+      return "history_unavailable";
+    case refusal_reason::kNoAnswer:
+      return "no_answer";
+    case refusal_reason::kTimeout:
+      return "timeout";
+    case refusal_reason::kStopping:
+      return "stopping";
+  }
+  return "unknown";
+}
+
+}  // namespace daisywind::front
--- /dev/null
+++ b/source/core/front/directory.cc
@@ -0,0 +1,178 @@
+#include "front/directory.h"
+
+#include <algorithm>
+#include <set>
+#include <string_view>
+#include <utility>
+
+#include "common/logging.h"
+#include "common/process_clock.h"
+#include "history_wire/view_json.h"
+
+namespace daisywind::front {
+namespace {
+
+// Key under which the journals keep their view.
+constexpr auto kViewKey = std::string_view("daisywind/view");
+
+}  // namespace
+
+directory::directory(boost::asio::io_context& context,
+                     kv::store& store,
+                     const directory_codec& codec,
+                     directory_options options,
+                     directory_handlers handlers)
+    : codec_(codec),
+      options_(options),
+      handlers_(std::move(handlers)),
+      endpoints_(dispatch::endpoint_options{}),
+      watch_(context,
+             store,
+             "",
+             {},
+             {[this](const std::vector<kv::key_value>& items) {
+                OnSnapshot(items);
+              },
+              [this](const std::vector<kv::key_change>& changes) {
+                OnChanges(changes);
+              },
+              [this](bool is_reachable) {
+                if (is_reachable) {
+                  doubt_until_ = Now() + options_.doubt_after_contact;
+                }
+              }}) {}
+
+auto directory::Start() -> void {
+  watch_.Start();
+}
+
+auto directory::Stop() -> void {
+  watch_.Stop();
+}
+
+auto directory::Tick(instant now) -> void {
+  for (const auto& id : endpoints_.Tick(now)) {
+    Log(log_events::kEndpointChanged,
+        {{"endpoint", std::string_view(id.value)}, {"state", "gone"}});
+  }
+}
+
+auto directory::IsInDoubt(instant now) const -> bool {
+  return now < doubt_until_;
+}
+
+auto directory::OnSnapshot(const std::vector<kv::key_value>& items) -> void {
+  const auto now = Now();
+  heard_at_ = now;
+  auto present = std::set<endpoint_id>{};
+  for (const auto& item : items) {
+    OnItem(item, now);
+    if (item.key.starts_with(codec_.endpoint_prefix())) {
+      present.insert(
+          endpoint_id(item.key.substr(codec_.endpoint_prefix().size())));
+    }
+  }
+  for (const auto& id : endpoints_.Ids()) {
+    if (!present.contains(id)) {
+      RemoveEndpoint(id, IsInDoubt(now), now);
+    }
+  }
+}
+
+auto directory::OnChanges(const std::vector<kv::key_change>& changes) -> void {
+  const auto now = Now();
+  heard_at_ = now;
+  const auto is_in_doubt = IsInDoubt(now) || IsBulkRemoval(changes);
+  for (const auto& change : changes) {
+    if (!change.is_removed) {
+      OnItem(change.item, now);
+    } else if (change.item.key.starts_with(codec_.endpoint_prefix())) {
+      RemoveEndpoint(
+          endpoint_id(change.item.key.substr(codec_.endpoint_prefix().size())),
+          is_in_doubt, now);
+    }
+  }
+}
+
+auto directory::IsBulkRemoval(const std::vector<kv::key_change>& changes) const
+    -> bool {
+  const auto removed = static_cast<std::size_t>(std::count_if(
+      changes.begin(), changes.end(), [&](const kv::key_change& change) {
+        return change.is_removed &&
+               change.item.key.starts_with(codec_.endpoint_prefix());
+      }));
+  constexpr auto kPercent = std::size_t{100};
+  return removed >= options_.doubtful_count &&
+         removed * kPercent >= options_.doubtful_share * endpoints_.size();
+}
+
+auto directory::OnItem(const kv::key_value& item, instant now) -> void {
+  if (item.key == codec_.configuration_key()) {
+    OnConfiguration(item);
+  } else if (item.key.starts_with(codec_.endpoint_prefix())) {
+    OnEndpoint(item, now);
+  } else if (item.key == kViewKey) {
+    if (const auto newest = history::ParseView(item.value)) {
+      handlers_.on_view(*newest);
+    } else {
+      Log(log_events::kEntryIgnored,
+          {{"key", std::string_view(item.key)}, {"reason", "no view"}});
+    }
+  }
+}
+
+auto directory::OnConfiguration(const kv::key_value& item) -> void {
+  const auto newest = codec_.ReadConfiguration(item.value);
+  if (!newest) {
+    Log(log_events::kEntryIgnored,
+        {{"key", std::string_view(item.key)}, {"reason", "not readable"}});
+    return;
+  }
+  const auto before = routes_.version();
+  const auto is_newer = routes_.Install(*newest);
+  Log(log_events::kConfigurationInForce,
+      {{"version", static_cast<std::int64_t>(newest->version)},
+       {"before", static_cast<std::int64_t>(before)},
+       {"revision", item.mod_revision},
+       {"routes", static_cast<std::int64_t>(newest->routes.size())},
+       {"installed", is_newer}});
+  if (is_newer) {
+    handlers_.on_configuration();
+  }
+}
+
+auto directory::OnEndpoint(const kv::key_value& item, instant now) -> void {
+  const auto id = endpoint_id(item.key.substr(codec_.endpoint_prefix().size()));
+  const auto entry = codec_.ReadEndpoint(id, item.value);
+  if (!entry) {
+    Log(log_events::kEntryIgnored,
+        {{"key", std::string_view(item.key)}, {"reason", "not readable"}});
+    RemoveEndpoint(id, false, now);
+    return;
+  }
+  const auto* known = endpoints_.Find(id);
+  const auto is_change = known == nullptr || known->entry != *entry;
+  endpoints_.Put(*entry, now);
+  if (is_change) {
+    Log(log_events::kEndpointChanged,
+        {{"endpoint", std::string_view(id.value)},
+         {"service", std::string_view(entry->service.value)},
+         {"address", std::string_view(entry->address)},
+         {"state", entry->is_draining ? "draining" : "ready"},
+         {"revision", item.mod_revision}});
+  }
+}
+
+auto directory::RemoveEndpoint(const endpoint_id& id,
+                               bool is_in_doubt,
+                               instant now) -> void {
+  if (endpoints_.Find(id) == nullptr) {
+    return;
+  }
+  endpoints_.Remove(id, is_in_doubt, now);
+  Log(log_events::kEndpointChanged,
+      {{"endpoint", std::string_view(id.value)},
+       {"state", is_in_doubt ? "missing, used on for a while" : "gone"}});
+}
+
+}  // namespace daisywind::front
--- /dev/null
+++ b/source/core/front/directory.h
@@ -0,0 +1,90 @@
+// What the platform's store says: configuration, endpoints and journals.
+#ifndef DAISYWIND_FRONT_DIRECTORY_H_
+#define DAISYWIND_FRONT_DIRECTORY_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "common/time.h"
+#include "dispatch/endpoint_table.h"
+#include "dispatch/route_table.h"
+#include "front/dialect.h"
+#include "history/view.h"
+#include "kv/store.h"
+#include "kv/store_watch.h"
+
+namespace daisywind::front {
+
+// What the owner of a directory hears.
+struct directory_handlers {
+  std::function<void(const history::view& newest)> on_view;
+  std::function<void()> on_configuration;
+};
+
+// Bounds of the trust in what the store says.
+struct directory_options {
+  // After the store was out of reach, entries may be missing that come back.
+  duration doubt_after_contact = 2s;
+  // So many entries of a service gone at once hint at leases that ran out in an
+  // outage, in hundredths.
+  std::size_t doubtful_share = 34;
+  std::size_t doubtful_count = 3;
+};
+
+// Keeps tables up to date from one watch over the whole store.
+class directory {
+ public:
+  directory(boost::asio::io_context& context,
+            kv::store& store,
+            const directory_codec& codec,
+            directory_options options,
+            directory_handlers handlers);
+
+  auto Start() -> void;
+  auto Stop() -> void;
+
+  // Ends doubts whose time has passed.
+  auto Tick(instant now) -> void;
+
+  [[nodiscard]] auto routes() const -> const dispatch::route_table& {
+    return routes_;
+  }
+  [[nodiscard]] auto endpoints() -> dispatch::endpoint_table& {
+    return endpoints_;
+  }
+
+  // Whether a configuration is in force.
+  [[nodiscard]] auto IsConfigured() const -> bool {
+    return routes_.version() != 0;
+  }
+
+  // When the store last answered.
+  [[nodiscard]] auto heard_at() const -> instant { return heard_at_; }
+
+ private:
+  auto OnSnapshot(const std::vector<kv::key_value>& items) -> void;
+  auto OnChanges(const std::vector<kv::key_change>& changes) -> void;
+  auto OnItem(const kv::key_value& item, instant now) -> void;
+  auto OnConfiguration(const kv::key_value& item) -> void;
+  auto OnEndpoint(const kv::key_value& item, instant now) -> void;
+  auto RemoveEndpoint(const endpoint_id& id, bool is_in_doubt, instant now)
+      -> void;
+  [[nodiscard]] auto IsBulkRemoval(
+      const std::vector<kv::key_change>& changes) const -> bool;
+  [[nodiscard]] auto IsInDoubt(instant now) const -> bool;
+
+  const directory_codec& codec_;
+  directory_options options_;
+  directory_handlers handlers_;
+  dispatch::route_table routes_;
+  dispatch::endpoint_table endpoints_;
+  kv::store_watch watch_;
+  instant heard_at_{};
+  instant doubt_until_{};
+};
+
+}  // namespace daisywind::front
+
+#endif  // DAISYWIND_FRONT_DIRECTORY_H_
--- /dev/null
+++ b/source/core/front/front_node.cc
@@ -0,0 +1,209 @@
+#include "front/front_node.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <chrono>
+#include <utility>
+
+#include "common/logging.h"
+#include "common/process_clock.h"
+#include "front/front_settings.h"
+#include "front/request_flow.h"
+
+namespace daisywind::front {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr auto kTick = std::chrono::milliseconds(100);
+// Time between the last response and the end of the grace.
+constexpr auto kGraceReserve = std::chrono::milliseconds(700);
+constexpr auto kLeaveStep = std::chrono::milliseconds(50);
+constexpr auto kReadyConnections = std::size_t{32};
+
+auto HereFrom(const settings& values) -> dispatch::location {
+  auto here = dispatch::location{failure_domain_id(values.Get(kFailureDomain)),
+                                 region_id(values.Get(kRegion)),
+                                 {}};
+  for (const auto& item : values.GetList(kFailureDomains)) {
+    const auto position = item.find('=');
+    if (position != std::string::npos) {
+      here.regions.emplace(failure_domain_id(item.substr(0, position)),
+                           region_id(item.substr(position + 1)));
+    }
+  }
+  return here;
+}
+
+auto KeeperOptions(const settings& values) -> history::keeper_options {
+  auto options = history::keeper_options{};
+  options.failure_domain = failure_domain_id(values.Get(kFailureDomain));
+  options.region = region_id(values.Get(kRegion));
+  options.tolerated = static_cast<std::size_t>(values.Get(kToleratedLosses));
+  return options;
+}
+
+auto Listen(net::http_server& server, const std::string& address) -> bool {
+  const auto parsed = net::ParseSocketAddress(address);
+  return parsed && server.Listen(*parsed) != 0;
+}
+
+}  // namespace
+
+front_node::front_node(asio::io_context& context,
+                       const settings& values,
+                       const adapters& platform)
+    : context_(context),
+      platform_(platform),
+      here_(HereFrom(values)),
+      random_(SystemSeed()),
+      endpoint_client_(context),
+      turns_(context, KeeperOptions(values)),
+      directory_(context,
+                 platform.store,
+                 platform.directory,
+                 {},
+                 {[this](const history::view& newest) { turns_.Adopt(newest); },
+                  [this] { ApplyLimits(); }}),
+      callers_(context,
+               {},
+               [this](net::http_exchange& exchange) -> asio::awaitable<void> {
+                 co_await ServeRequest(*this, exchange);
+               }),
+      ready_(context,
+             {},
+             [this](net::http_exchange& exchange) {
+               return ServeReady(exchange);
+             }),
+      metrics_server_(context,
+                      {},
+                      [this](net::http_exchange& exchange) {
+                        return ServeMetrics(exchange);
+                      }),
+      timer_(context),
+      caller_address_(values.Get(kCallerAddress)),
+      ready_address_(values.Get(kReadyAddress)),
+      metrics_address_(values.Get(kMetricsAddress)),
+      max_connections_(static_cast<std::size_t>(values.Get(kMaxConnections))),
+      grace_(std::chrono::milliseconds(values.Get(kGraceMs))),
+      leave_(std::chrono::milliseconds(values.Get(kLeaveMs))) {}
+
+front_node::~front_node() = default;
+
+auto front_node::Start() -> bool {
+  ApplyLimits();
+  auto small = net::http_limits{};
+  small.max_connections = kReadyConnections;
+  ready_.UpdateLimits(small);
+  metrics_server_.UpdateLimits(small);
+  if (!Listen(callers_, caller_address_) || !Listen(ready_, ready_address_)) {
+    return false;
+  }
+  if (!metrics_address_.empty() && !Listen(metrics_server_, metrics_address_)) {
+    return false;
+  }
+  directory_.Start();
+  asio::co_spawn(context_, Tick(), asio::detached);
+  return true;
+}
+
+auto front_node::ApplyLimits() -> void {
+  const auto& wanted = directory_.routes().limits();
+  auto limits = net::http_limits{};
+  limits.max_connections = max_connections_;
+  limits.max_head_bytes = wanted.max_head_bytes;
+  limits.max_body_bytes = wanted.max_body_bytes;
+  // The bound is on the head; a long body may take as long again.
+  limits.read_timeout = 2 * wanted.head_timeout;
+  limits.idle_timeout = wanted.idle_timeout;
+  callers_.UpdateLimits(limits);
+}
+
+auto front_node::ServeReady(net::http_exchange& exchange)
+    -> asio::awaitable<void> {
+  const auto status = platform_.requests.IsReadinessQuestion(exchange.request())
+                          ? (is_ready_ ? 200U : 503U)
+                          : 404U;
+  co_await exchange.Respond({status, {}, ""});
+}
+
+auto front_node::ServeMetrics(net::http_exchange& exchange)
+    -> asio::awaitable<void> {
+  metrics_.SetGauge("daisywind_front_requests_under_way", {},
+                    static_cast<double>(callers_.ActiveRequestCount()));
+  metrics_.SetGauge("daisywind_front_connections", {},
+                    static_cast<double>(callers_.ConnectionCount()));
+  metrics_.SetGauge("daisywind_front_configuration_version", {},
+                    static_cast<double>(directory_.routes().version()));
+  metrics_.SetGauge("daisywind_front_endpoint_connections_opened", {},
+                    static_cast<double>(endpoint_client_.OpenedConnections()));
+  metrics_.SetGauge("daisywind_front_log_lines_dropped", {},
+                    static_cast<double>(DroppedLogLines()));
+  co_await exchange.Respond(
+      {200, {{"Content-Type", "text/plain"}}, metrics_.Render()});
+}
+
+auto front_node::Tick() -> asio::awaitable<void> {
+  while (!is_stopping_) {
+    directory_.Tick(Now());
+    UpdateReadiness();
+    FlushLogs();
+    timer_.expires_after(kTick);
+    co_await timer_.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+}
+
+auto front_node::UpdateReadiness() -> void {
+  // The journals are not asked for: requests without turns need none of them.
+  const auto is_ready = directory_.IsConfigured() && !is_stopping_;
+  if (is_ready == is_ready_) {
+    return;
+  }
+  is_ready_ = is_ready;
+  Log(log_events::kReadinessChanged,
+      {{"ready", is_ready},
+       {"version", static_cast<std::int64_t>(directory_.routes().version())},
+       {"endpoints", static_cast<std::int64_t>(directory_.endpoints().size())},
+       {"view", static_cast<std::int64_t>(turns_.current().number)}});
+}
+
+auto front_node::Place(const dispatch::placement_request& request)
+    -> std::optional<dispatch::placement_choice> {
+  return dispatch::Place(directory_.endpoints(), request, here_, placement_,
+                         Now(), random_);
+}
+
+auto front_node::Stop(std::function<void()> on_stopped) -> void {
+  if (is_stopping_) {
+    return;
+  }
+  is_stopping_ = true;
+  UpdateReadiness();
+  callers_.CloseAfterResponses();
+  asio::co_spawn(context_, Leave(std::move(on_stopped)), asio::detached);
+}
+
+auto front_node::Leave(std::function<void()> on_stopped)
+    -> asio::awaitable<void> {
+  const auto began = Now();
+  auto timer = asio::steady_timer(context_);
+  const auto wait = [&](duration length) {
+    timer.expires_after(length);
+    return timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  };
+  while (Now() - began < leave_) {
+    co_await wait(kLeaveStep);
+    FlushLogs();
+  }
+  callers_.StopAccepting();
+  callers_.CloseIdle();
+  while (callers_.ActiveRequestCount() > 0 &&
+         Now() - began < grace_ - kGraceReserve) {
+    co_await wait(kLeaveStep);
+    FlushLogs();
+  }
+  directory_.Stop();
+  on_stopped();
+}
+
+}  // namespace daisywind::front
--- /dev/null
+++ b/source/core/front/front_node.h
@@ -0,0 +1,106 @@
+// One entry VM: what its requests share.
+#ifndef DAISYWIND_FRONT_FRONT_NODE_H_
+#define DAISYWIND_FRONT_FRONT_NODE_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "common/metrics.h"
+#include "common/random.h"
+#include "common/settings.h"
+#include "dispatch/placement.h"
+#include "dispatch/retry_rules.h"
+#include "front/dialect.h"
+#include "front/directory.h"
+#include "history_client/turn_keeper.h"
+#include "kv/store.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+
+namespace daisywind::front {
+
+// What the adapter of a platform gives the front. All of it outlives the node.
+struct adapters {
+  const dialect& requests;
+  const directory_codec& directory;
+  kv::store& store;
+};
+
+// Serves callers on one VM. Everything runs on the context's thread.
+class front_node {
+ public:
+  front_node(boost::asio::io_context& context,
+             const settings& values,
+             const adapters& platform);
+  front_node(const front_node&) = delete;
+  auto operator=(const front_node&) -> front_node& = delete;
+  ~front_node();
+
+  // Starts serving. Returns false when an address can't be had.
+  auto Start() -> bool;
+
+  // Stops without breaking off requests, as far as the grace allows, and calls
+  // the handler when over.
+  auto Stop(std::function<void()> on_stopped) -> void;
+
+  // What requests use.
+  [[nodiscard]] auto context() -> boost::asio::io_context& { return context_; }
+  [[nodiscard]] auto requests() const -> const dialect& {
+    return platform_.requests;
+  }
+  [[nodiscard]] auto known() -> directory& { return directory_; }
+  [[nodiscard]] auto turns() -> history::turn_keeper& { return turns_; }
+  [[nodiscard]] auto endpoint_client() -> net::http_client& {
+    return endpoint_client_;
+  }
+  [[nodiscard]] auto measures() -> metrics& { return metrics_; }
+  [[nodiscard]] auto retries() const -> const dispatch::retry_options& {
+    return retries_;
+  }
+  [[nodiscard]] auto IsStopping() const -> bool { return is_stopping_; }
+
+  // Chooses an endpoint as the tables stand.
+  auto Place(const dispatch::placement_request& request)
+      -> std::optional<dispatch::placement_choice>;
+
+ private:
+  auto ServeReady(net::http_exchange& exchange) -> boost::asio::awaitable<void>;
+  auto ServeMetrics(net::http_exchange& exchange)
+      -> boost::asio::awaitable<void>;
+  auto Tick() -> boost::asio::awaitable<void>;
+  auto Leave(std::function<void()> on_stopped) -> boost::asio::awaitable<void>;
+  auto ApplyLimits() -> void;
+  auto UpdateReadiness() -> void;
+
+  boost::asio::io_context& context_;
+  adapters platform_;
+  dispatch::location here_;
+  dispatch::placement_options placement_;
+  dispatch::retry_options retries_;
+  random_source random_;
+  metrics metrics_;
+  net::http_client endpoint_client_;
+  history::turn_keeper turns_;
+  directory directory_;
+  net::http_server callers_;
+  net::http_server ready_;
+  net::http_server metrics_server_;
+  boost::asio::steady_timer timer_;
+  std::string caller_address_;
+  std::string ready_address_;
+  std::string metrics_address_;
+  std::size_t max_connections_;
+  duration grace_;
+  duration leave_;
+  bool is_ready_ = false;
+  bool is_stopping_ = false;
+};
+
+}  // namespace daisywind::front
+
+#endif  // DAISYWIND_FRONT_FRONT_NODE_H_
--- /dev/null
+++ b/source/core/front/front_settings.cc
@@ -0,0 +1,21 @@
+#include "front/front_settings.h"
+
+namespace daisywind::front {
+
+auto FrontSchema() -> settings_schema {
+  return {Declare(kVm),
+          Declare(kFailureDomain),
+          Declare(kRegion),
+          DeclareList(kFailureDomains),
+          Declare(kCallerAddress),
+          Declare(kReadyAddress),
+          Declare(kMetricsAddress),
+          Declare(kStoreAddress),
+          Declare(kToleratedLosses),
+          Declare(kMaxConnections),
+          Declare(kGraceMs),
+          Declare(kLeaveMs),
+          Declare(kLogLevel)};
+}
+
+}  // namespace daisywind::front
--- /dev/null
+++ b/source/core/front/request_flow.cc
@@ -0,0 +1,415 @@
+#include "front/request_flow.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio.hpp>
+#include <chrono>
+#include <utility>
+
+#include "common/logging.h"
+#include "common/process_clock.h"
+#include "net/sse.h"
+
+namespace daisywind::front {
+namespace {
+
+namespace asio = boost::asio;
+using dispatch::attempt_end;
+using dispatch::attempt_sign;
+using dispatch::route_kind;
+
+// A connection that takes longer is tried elsewhere. The farthest endpoint is
+// 40 ms away and back.
+constexpr auto kConnectTimeout = duration(400ms);
+// Answers of plain services that are passed on whole.
+constexpr auto kMaxWholeBytes = std::size_t{8} * 1024 * 1024;
+constexpr auto kFirstErrorStatus = 300U;
+// Statuses by which an answer promises that its request has not run.
+constexpr auto kPromises = std::to_array<unsigned>({408, 421, 429, 503});
+
+auto IsPromise(unsigned status) -> bool {
+  return std::find(kPromises.begin(), kPromises.end(), status) !=
+         kPromises.end();
+}
+
+auto Milliseconds(duration value) -> double {
+  return std::chrono::duration<double, std::milli>(value).count();
+}
+
+auto EndName(attempt_end end) -> std::string_view {
+  return end == attempt_end::kNotRun ? "not_run" : "may_have_run";
+}
+
+auto LogRefusal(const dispatch::call& call,
+                refusal_reason reason,
+                version_number version) -> void {
+  Log(log_events::kRequestRefused,
+      {{"request", std::string_view(call.request_id)},
+       {"program", std::string_view(call.program)},
+       {"reason", ReasonName(reason)},
+       {"version", static_cast<std::int64_t>(version)}});
+}
+
+}  // namespace
+
+auto ServeRequest(front_node& node, net::http_exchange& exchange)
+    -> asio::awaitable<void> {
+  auto call = node.requests().ReadCall(exchange.request());
+  auto& known = node.known();
+  auto reason = std::optional<refusal_reason>{};
+  auto on = std::shared_ptr<const dispatch::route>{};
+  if (!call) {
+    reason = refusal_reason::kBadRequest;
+    call.emplace();
+  } else if (!known.IsConfigured()) {
+    reason = refusal_reason::kNotReady;
+  } else {
+    on = known.routes().Find(call->host, call->path);
+    if (on == nullptr) {
+      reason = refusal_reason::kNoRoute;
+    }
+  }
+  if (reason) {
+    LogRefusal(*call, *reason, known.routes().version());
+    node.measures().Count("daisywind_front_refusals_total",
+                          {{"reason", std::string(ReasonName(*reason))}});
+    co_await exchange.Respond(
+        node.requests().MakeRefusal({*reason, std::nullopt}));
+    co_return;
+  }
+  const auto flow = std::make_shared<request_flow>(
+      node, exchange, std::move(*call), std::move(on));
+  co_await flow->Run();
+}
+
+request_flow::request_flow(front_node& node,
+                           net::http_exchange& exchange,
+                           dispatch::call call,
+                           std::shared_ptr<const dispatch::route> on)
+    : node_(node),
+      exchange_(exchange),
+      call_(std::move(call)),
+      route_(std::move(on)),
+      began_(Now()),
+      watchdog_(node.context()) {
+  const auto& key = call_.session.empty() ? call_.request_id : call_.session;
+  service_ = dispatch::PickService(*route_, key);
+  if (const auto* profile = node.known().routes().FindService(service_)) {
+    engine_ = profile->engine;
+  }
+  deadline_ = began_ + std::min(route_->timeout,
+                                call_.deadline.value_or(route_->timeout));
+}
+
+auto request_flow::Run() -> asio::awaitable<void> {
+  Watch();
+  if (route_->keeps_turns) {
+    co_await RunTurn();
+  } else {
+    co_await RunPlain();
+  }
+  watchdog_.cancel();
+  LogEnd();
+}
+
+auto request_flow::Watch() -> void {
+  const auto weak = weak_from_this();
+  watchdog_.expires_after(std::max(TimeLeft(), duration(0)));
+  watchdog_.async_wait([weak](const boost::system::error_code& error) {
+    const auto self = weak.lock();
+    if (error || self == nullptr) {
+      return;
+    }
+    self->is_timed_out_ = true;
+    if (self->sending_ != nullptr) {
+      self->sending_->Cancel();
+    }
+  });
+  exchange_.OnClose([weak] {
+    const auto self = weak.lock();
+    if (self == nullptr) {
+      return;
+    }
+    self->is_caller_gone_ = true;
+    if (self->sending_ != nullptr) {
+      self->sending_->Cancel();
+    }
+  });
+}
+
+auto request_flow::RunPlain() -> asio::awaitable<void> {
+  auto placement = dispatch::placement_request{};
+  placement.prompt = call_.prompt;
+  placement.prompt_tokens = call_.prompt_tokens;
+  co_await Dispatch(exchange_.request().body, std::move(placement));
+}
+
+auto request_flow::Dispatch(const std::string& body,
+                            dispatch::placement_request placement)
+    -> asio::awaitable<void> {
+  placement.service = service_;
+  placement.is_engine = engine_.has_value();
+  while (!IsOver()) {
+    const auto choice = node_.Place(placement);
+    if (!choice) {
+      // Endpoints that have refused may have room again.
+      if (placement.excluded.empty()) {
+        co_await Refuse(refusal_reason::kNoEndpoint, 200ms);
+        co_return;
+      }
+      placement.excluded.clear();
+    }
+    if (choice) {
+      summary_.choice = choice;
+      const auto end = co_await Attempt(body, *choice);
+      if (!end) {
+        co_return;
+      }
+      placement.excluded.insert(choice->endpoint);
+      const auto step = dispatch::NextStep(*route_, attempts_, *end, TimeLeft(),
+                                           node_.retries());
+      if (IsOver()) {
+        break;
+      }
+      if (step == dispatch::next_step::kRefuse) {
+        co_await Refuse(refusal_reason::kOverloaded, 200ms);
+        co_return;
+      }
+      if (step == dispatch::next_step::kFail) {
+        co_await Refuse(refusal_reason::kNoAnswer, std::nullopt);
+        co_return;
+      }
+    }
+  }
+  co_await GiveUp();
+}
+
+// Returns nothing when the request is over: answered, or broken off midway.
+auto request_flow::Attempt(const std::string& body,
+                           const dispatch::placement_choice& choice)
+    -> asio::awaitable<std::optional<attempt_end>> {
+  auto& endpoints = node_.known().endpoints();
+  const auto* state = endpoints.Find(choice.endpoint);
+  const auto address = net::ParseSocketAddress(state->entry.address)
+                           .value_or(net::socket_address{});
+  auto request = node_.requests().MakeAttempt(
+      exchange_.request(), {choice.endpoint, TimeLeft(), Urgency()});
+  request.body = body;
+  auto options = net::http_options{};
+  options.connect_timeout = std::min(kConnectTimeout, TimeLeft());
+  options.head_timeout = TimeLeft() + 1s;
+  options.idle_timeout = TimeLeft() + 1s;
+  options.resend_on_stale = false;
+  options.max_body_bytes = kMaxWholeBytes;
+  options.is_own_answer = [this](const net::http_response& head) {
+    const auto answer = node_.requests().ReadAnswer(head);
+    const auto is_own =
+        answer.request_id.empty() || answer.request_id == call_.request_id;
+    if (!is_own) {
+      Log(log_events::kAnswerNotForUs,
+          {{"request", std::string_view(call_.request_id)},
+           {"answered", std::string_view(answer.request_id)}});
+    }
+    return is_own;
+  };
+  sending_ = std::make_shared<net::http_cancellation>();
+  options.cancellation = sending_;
+  ++attempts_.attempts;
+  endpoints.OnSent(choice.endpoint);
+  const auto sent_at = Now();
+  auto opened = co_await node_.endpoint_client().Open(
+      address, std::move(request), std::move(options));
+  summary_.is_reused = opened.is_reused;
+  auto end = std::optional<attempt_end>{};
+  if (opened.outcome == net::http_outcome::kAnswered) {
+    end = co_await TakeAnswer(opened, choice.endpoint);
+  } else {
+    end = opened.outcome == net::http_outcome::kNotSent
+              ? attempt_end::kNotRun
+              : attempt_end::kMayHaveRun;
+    // A request that was called off tells nothing of its endpoint.
+    if (!IsOver()) {
+      endpoints.OnSign(choice.endpoint, attempt_sign::kFailed, Now());
+    }
+  }
+  sending_ = nullptr;
+  endpoints.OnEnded(choice.endpoint);
+  if (end == attempt_end::kMayHaveRun) {
+    ++attempts_.runs;
+  }
+  if (end) {
+    Log(log_events::kAttemptEnded,
+        {{"request", std::string_view(call_.request_id)},
+         {"endpoint", std::string_view(choice.endpoint.value)},
+         {"attempt", std::int64_t{attempts_.attempts}},
+         {"end", EndName(*end)},
+         {"status", std::int64_t{opened.head.status}},
+         {"error", std::string_view(opened.error)},
+         {"reused", opened.is_reused},
+         {"caller_gone", is_caller_gone_},
+         {"timed_out", is_timed_out_},
+         {"took_ms", Milliseconds(Now() - sent_at)}});
+  }
+  co_return end;
+}
+
+auto request_flow::TakeAnswer(net::http_stream_result& opened,
+                              const endpoint_id& endpoint)
+    -> asio::awaitable<std::optional<attempt_end>> {
+  auto& endpoints = node_.known().endpoints();
+  const auto answer = node_.requests().ReadAnswer(opened.head);
+  if (answer.load) {
+    endpoints.OnReport(endpoint, *answer.load, Now());
+  }
+  if (answer.is_not_run) {
+    endpoints.OnSign(endpoint,
+                     answer.is_other_endpoint ? attempt_sign::kNotThere
+                                              : attempt_sign::kFull,
+                     Now());
+    // Reading the rest keeps the connection for the next request.
+    while (co_await opened.body->Next()) {
+    }
+    co_return attempt_end::kNotRun;
+  }
+  summary_.first_byte = Now() - began_;
+  const auto is_stream =
+      route_->kind == route_kind::kStream && answer.status < kFirstErrorStatus;
+  if (is_stream) {
+    endpoints.OnPromptRead(endpoint, call_.prompt);
+    co_await PassStream(opened, endpoint);
+    co_return std::nullopt;
+  }
+  if (!co_await PassWhole(opened)) {
+    if (!IsOver()) {
+      endpoints.OnSign(endpoint, attempt_sign::kFailed, Now());
+    }
+    co_return attempt_end::kMayHaveRun;
+  }
+  endpoints.OnSign(endpoint, attempt_sign::kAnswered, Now());
+  co_return std::nullopt;
+}
+
+// Returns false when the answer did not arrive whole.
+auto request_flow::PassWhole(net::http_stream_result& opened)
+    -> asio::awaitable<bool> {
+  auto body = std::string{};
+  while (auto part = co_await opened.body->Next()) {
+    body += *part;
+  }
+  if (!opened.body->IsWhole()) {
+    co_return false;
+  }
+  // Without the endpoint's own statement such a status promises too much.
+  if (route_->kind != route_kind::kIdempotent &&
+      IsPromise(opened.head.status)) {
+    co_return false;
+  }
+  auto answer = node_.requests().MakeAnswer(opened.head);
+  answer.body = std::move(body);
+  summary_.status = answer.status;
+  co_await exchange_.Respond(std::move(answer));
+  co_return true;
+}
+
+auto request_flow::PassStream(net::http_stream_result& opened,
+                              const endpoint_id& endpoint)
+    -> asio::awaitable<void> {
+  auto events = net::sse_parser{};
+  summary_.status = opened.head.status;
+  exchange_.StartStreamWithFirstChunk(node_.requests().MakeAnswer(opened.head));
+  while (auto part = co_await opened.body->Next()) {
+    if (is_turn_) {
+      for (const auto& data : events.Feed(*part)) {
+        output_ += data;
+        output_ += '\n';
+        ++events_;
+      }
+    }
+    if (!co_await exchange_.WriteChunk(*part)) {
+      is_caller_gone_ = true;
+      opened.body->Cancel();
+      break;
+    }
+  }
+  auto is_whole = opened.body->IsWhole() && !IsOver();
+  if (!is_whole && !IsOver()) {
+    node_.known().endpoints().OnSign(endpoint, attempt_sign::kFailed, Now());
+  }
+  if (is_whole) {
+    node_.known().endpoints().OnSign(endpoint, attempt_sign::kAnswered, Now());
+  }
+  if (is_whole && is_turn_) {
+    is_whole = co_await RecordTurn(endpoint);
+  }
+  if (is_whole) {
+    co_await exchange_.EndStream();
+    co_return;
+  }
+  summary_.outcome = is_caller_gone_ ? "caller_gone"
+                     : is_timed_out_ ? "timed_out"
+                                     : "broken_off";
+  exchange_.Abort();
+}
+
+auto request_flow::GiveUp() -> asio::awaitable<void> {
+  if (is_caller_gone_) {
+    summary_.outcome = "caller_gone";
+    exchange_.Abort();
+    co_return;
+  }
+  // An attempt that was called off may still have run.
+  co_await Refuse(attempts_.runs > 0 ? refusal_reason::kTimeout
+                                     : refusal_reason::kOverloaded,
+                  std::nullopt);
+}
+
+auto request_flow::Refuse(refusal_reason reason,
+                          std::optional<duration> retry_after)
+    -> asio::awaitable<void> {
+  auto response = node_.requests().MakeRefusal({reason, retry_after});
+  summary_.status = response.status;
+  summary_.outcome = ReasonName(reason);
+  node_.measures().Count("daisywind_front_refusals_total",
+                         {{"reason", std::string(ReasonName(reason))}});
+  co_await exchange_.Respond(std::move(response));
+}
+
+auto request_flow::TimeLeft() const -> duration {
+  return std::max(deadline_ - Now(), duration(0));
+}
+
+auto request_flow::IsOver() const -> bool {
+  return is_caller_gone_ || is_timed_out_;
+}
+
+auto request_flow::Urgency() const -> std::uint32_t {
+  return route_->rank;
+}
+
+auto request_flow::LogEnd() -> void {
+  const auto took = Now() - began_;
+  node_.measures().Observe("daisywind_front_request_seconds", tenant_id{},
+                           class_id(route_->id.value), took);
+  const auto choice = summary_.choice.value_or(dispatch::placement_choice{});
+  Log(log_events::kRequestEnded,
+      {{"request", std::string_view(call_.request_id)},
+       {"program", std::string_view(call_.program)},
+       {"route", std::string_view(route_->id.value)},
+       {"version", static_cast<std::int64_t>(node_.known().routes().version())},
+       {"status", std::int64_t{summary_.status}},
+       {"outcome", summary_.outcome},
+       {"attempts", std::int64_t{attempts_.attempts}},
+       {"may_have_run", std::int64_t{attempts_.runs}},
+       {"endpoint", std::string_view(choice.endpoint.value)},
+       {"load", choice.load},
+       {"load_age_ms",
+        choice.report_age ? Milliseconds(*choice.report_age) : -1.0},
+       {"missing_tokens", static_cast<std::int64_t>(choice.missing_tokens)},
+       {"reused", summary_.is_reused},
+       {"first_byte_ms",
+        summary_.first_byte ? Milliseconds(*summary_.first_byte) : -1.0},
+       {"events", std::int64_t{events_}},
+       {"took_ms", Milliseconds(took)}});
+}
+
+}  // namespace daisywind::front
--- a/source/core/gateway/admin_api.cc
+++ b/source/core/gateway/admin_api.cc
@@ -8,9 +8,9 @@
 #include <variant>
 
 #include "common/json.h"
+#include "common/process_clock.h"
 #include "gateway/admin_json.h"
 #include "gateway/bearer_keys.h"
-#include "gateway/process_clock.h"
 
 namespace daisywind::gateway {
 namespace {
--- a/source/core/gateway/caller_api.h
+++ b/source/core/gateway/caller_api.h
@@ -7,10 +7,10 @@
 #include <memory>
 #include <string>
 
+#include "common/metrics.h"
 #include "configuration/document.h"
 #include "gateway/bearer_keys.h"
 #include "gateway/call_reader.h"
-#include "gateway/metrics.h"
 #include "gateway/reply_box.h"
 #include "net/http_server.h"
 #include "program/events.h"
--- a/source/core/gateway/configuration_adapter.cc
+++ b/source/core/gateway/configuration_adapter.cc
@@ -6,8 +6,8 @@
 #include <utility>
 #include <variant>
 
+#include "common/process_clock.h"
 #include "configuration_wire/codec.h"
-#include "gateway/process_clock.h"
 
 namespace daisywind::gateway {
 
--- a/source/core/gateway/endpoint_poller.cc
+++ b/source/core/gateway/endpoint_poller.cc
@@ -8,8 +8,8 @@
 #include <utility>
 
 #include "common/json.h"
+#include "common/process_clock.h"
 #include "gateway/json_calls.h"
-#include "gateway/process_clock.h"
 
 namespace daisywind::gateway {
 namespace {
--- a/source/core/gateway/lease_keeper.cc
+++ b/source/core/gateway/lease_keeper.cc
@@ -3,7 +3,7 @@
 #include <chrono>
 #include <utility>
 
-#include "gateway/process_clock.h"
+#include "common/process_clock.h"
 
 namespace daisywind::gateway {
 namespace {
--- a/source/core/gateway/membership_adapter.cc
+++ b/source/core/gateway/membership_adapter.cc
@@ -10,7 +10,7 @@
 
 #include "common/json.h"
 #include "common/logging.h"
-#include "gateway/process_clock.h"
+#include "common/process_clock.h"
 #include "membership_wire/codec.h"
 
 namespace daisywind::gateway {
--- a/source/core/gateway/migration_adapter.cc
+++ b/source/core/gateway/migration_adapter.cc
@@ -7,9 +7,9 @@
 #include <vector>
 
 #include "common/json.h"
+#include "common/process_clock.h"
 #include "gateway/endpoint_calls.h"
 #include "gateway/json_calls.h"
-#include "gateway/process_clock.h"
 
 namespace daisywind::gateway {
 namespace {
--- a/source/core/gateway/node.cc
+++ b/source/core/gateway/node.cc
@@ -7,9 +7,9 @@
 #include <utility>
 #include <vector>
 
+#include "common/process_clock.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/node_parts.h"
-#include "gateway/process_clock.h"
 
 namespace daisywind::gateway {
 namespace {
--- a/source/core/gateway/node_inputs.cc
+++ b/source/core/gateway/node_inputs.cc
@@ -6,9 +6,9 @@
 #include <utility>
 
 #include "common/logging.h"
+#include "common/process_clock.h"
 #include "configuration_wire/codec.h"
 #include "gateway/node_parts.h"
-#include "gateway/process_clock.h"
 #include "membership_wire/codec.h"
 #include "policy_wire/codec.h"
 #include "program_wire/codec.h"
--- a/source/core/gateway/node_loops.cc
+++ b/source/core/gateway/node_loops.cc
@@ -9,10 +9,10 @@
 #include <utility>
 
 #include "common/digest.h"
+#include "common/process_clock.h"
 #include "gateway/endpoint_calls.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/node_parts.h"
-#include "gateway/process_clock.h"
 
 namespace daisywind::gateway {
 namespace {
--- a/source/core/gateway/node_parts.h
+++ b/source/core/gateway/node_parts.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 
+#include "common/metrics.h"
 #include "common/random.h"
 #include "common/settings.h"
 #include "gateway/admin_api.h"
@@ -22,7 +23,6 @@
 #include "gateway/endpoint_poller.h"
 #include "gateway/lease_keeper.h"
 #include "gateway/membership_adapter.h"
-#include "gateway/metrics.h"
 #include "gateway/migration_adapter.h"
 #include "gateway/node.h"
 #include "gateway/peer_network.h"
--- a/source/core/gateway/program_adapter.cc
+++ b/source/core/gateway/program_adapter.cc
@@ -5,8 +5,8 @@
 #include <utility>
 #include <variant>
 
+#include "common/process_clock.h"
 #include "gateway/endpoint_calls.h"
-#include "gateway/process_clock.h"
 #include "program_wire/codec.h"
 
 namespace daisywind::gateway {
--- a/source/core/gateway/program_adapter.h
+++ b/source/core/gateway/program_adapter.h
@@ -9,10 +9,10 @@
 #include <string>
 #include <vector>
 
+#include "common/metrics.h"
 #include "common/time.h"
 #include "gateway/attempt_runner.h"
 #include "gateway/endpoint_directory.h"
-#include "gateway/metrics.h"
 #include "gateway/peer_network.h"
 #include "gateway/reply_box.h"
 #include "gateway/scheduler_adapter.h"
--- /dev/null
+++ b/source/core/history/messages.h
@@ -0,0 +1,126 @@
+// Messages between the users of facts and the VMs that hold them.
+#ifndef DAISYWIND_HISTORY_MESSAGES_H_
+#define DAISYWIND_HISTORY_MESSAGES_H_
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <variant>
+#include <vector>
+
+#include "history/fact_table.h"
+#include "history/types.h"
+#include "history/view.h"
+
+namespace daisywind::history {
+
+// Reserves a turn's tokens on disk and asks what its program has spent.
+struct begin_request {
+  program_name program;
+  turn_id turn;
+  // The turn to continue from; empty at the start of a chain.
+  turn_id parent;
+  std::uint32_t reserved_tokens = 0;
+  bool wants_chain = false;
+
+  auto operator<=>(const begin_request&) const = default;
+};
+
+// Sent once the reservation is on disk.
+struct begin_reply {
+  bool is_complete = false;
+  turn_chain chain;
+  std::vector<spending> spent;
+
+  auto operator<=>(const begin_reply&) const = default;
+};
+
+// Asks to put facts on disk.
+struct record_request {
+  std::vector<turn_fact> facts;
+
+  auto operator<=>(const record_request&) const = default;
+};
+
+struct record_reply {
+  // False when the disk refused the write.
+  bool is_durable = false;
+
+  auto operator<=>(const record_reply&) const = default;
+};
+
+// Asks for a chain of turns.
+struct read_request {
+  turn_id turn;
+
+  auto operator<=>(const read_request&) const = default;
+};
+
+struct read_reply {
+  bool is_complete = false;
+  turn_chain chain;
+
+  auto operator<=>(const read_reply&) const = default;
+};
+
+// Tells a member the newest view. It accepts nothing of an older one
+// afterwards.
+struct adopt_request {
+  view newest;
+
+  auto operator<=>(const adopt_request&) const = default;
+};
+
+struct adopt_reply {
+  bool is_complete = false;
+
+  auto operator<=>(const adopt_reply&) const = default;
+};
+
+// Asks for the facts after a position.
+struct pull_request {
+  fact_sequence after = 0;
+  // Hashes of facts that the asking VM holds.
+  std::vector<std::uint64_t> known;
+
+  auto operator<=>(const pull_request&) const = default;
+};
+
+struct pull_reply {
+  bool is_complete = false;
+  fact_page page;
+
+  auto operator<=>(const pull_reply&) const = default;
+};
+
+// The receiver's view is newer than the sender's.
+struct stale_view {
+  view newest;
+
+  auto operator<=>(const stale_view&) const = default;
+};
+
+using message_body = std::variant<begin_request,
+                                  begin_reply,
+                                  record_request,
+                                  record_reply,
+                                  read_request,
+                                  read_reply,
+                                  adopt_request,
+                                  adopt_reply,
+                                  pull_request,
+                                  pull_reply,
+                                  stale_view>;
+
+// One frame. A reply bears the number of its request.
+struct message {
+  std::uint64_t id = 0;
+  view_number view = 0;
+  message_body body;
+
+  auto operator<=>(const message&) const = default;
+};
+
+}  // namespace daisywind::history
+
+#endif  // DAISYWIND_HISTORY_MESSAGES_H_
--- /dev/null
+++ b/source/core/history/quorum.cc
@@ -0,0 +1,80 @@
+#include "history/quorum.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace daisywind::history {
+
+budget_decision::budget_decision(turn_id turn,
+                                 std::uint32_t reserved_tokens,
+                                 std::optional<std::uint64_t> budget,
+                                 quorum_sizes sizes)
+    : turn_(std::move(turn)),
+      reserved_tokens_(reserved_tokens),
+      budget_(budget),
+      sizes_(sizes) {}
+
+auto budget_decision::Add(const vm_id& vm,
+                          bool is_complete,
+                          const std::vector<spending>& spent) -> void {
+  for (const auto& item : spent) {
+    // A settlement is never more than the reservation that it replaces.
+    const auto [known, is_new] = spent_.try_emplace(item.turn, item.tokens);
+    known->second = std::min(known->second, item.tokens);
+  }
+  if (is_complete) {
+    complete_.insert(vm);
+  }
+}
+
+auto budget_decision::state() const -> decision_state {
+  // Two concurrent reservations meet only at a member that both wait for, so
+  // the budget needs as many complete answers as a write.
+  if (complete_.size() < std::max(sizes_.write, sizes_.read)) {
+    return decision_state::kOpen;
+  }
+  const auto is_over = budget_ && SpentByOthers() + reserved_tokens_ > *budget_;
+  return is_over ? decision_state::kNo : decision_state::kYes;
+}
+
+auto budget_decision::SpentByOthers() const -> std::uint64_t {
+  auto sum = std::uint64_t{0};
+  for (const auto& [turn, tokens] : spent_) {
+    sum += turn == turn_ ? 0 : tokens;
+  }
+  return sum;
+}
+
+chain_decision::chain_decision(turn_id newest, quorum_sizes sizes)
+    : target_(std::move(newest)), sizes_(sizes), is_whole_(target_.empty()) {}
+
+auto chain_decision::Add(const vm_id& vm, bool is_complete, turn_chain chain)
+    -> void {
+  if (is_whole_ || chain.state == chain_state::kNone) {
+    return;
+  }
+  turns_.insert(turns_.begin(), std::make_move_iterator(chain.turns.begin()),
+                std::make_move_iterator(chain.turns.end()));
+  if (chain.state == chain_state::kWhole) {
+    is_whole_ = true;
+    return;
+  }
+  if (chain.missing != target_) {
+    target_ = std::move(chain.missing);
+    misses_.clear();
+  }
+  if (is_complete) {
+    misses_.insert(vm);
+  }
+}
+
+auto chain_decision::state() const -> decision_state {
+  if (is_whole_) {
+    return decision_state::kYes;
+  }
+  return misses_.size() >= sizes_.read ? decision_state::kNo
+                                       : decision_state::kOpen;
+}
+
+}  // namespace daisywind::history
--- /dev/null
+++ b/source/core/history_client/member_client.cc
@@ -0,0 +1,189 @@
+#include "history_client/member_client.h"
+
+#include <boost/asio.hpp>
+#include <map>
+#include <string_view>
+#include <utility>
+
+#include "history_wire/codec.h"
+#include "net/frame_channel.h"
+
+namespace daisywind::history {
+namespace {
+
+namespace asio = boost::asio;
+
+struct pending_request {
+  explicit pending_request(asio::io_context& context) : timer(context) {}
+
+  asio::steady_timer timer;
+  reply_handler handler;
+  // Frames received on the connection when the request was sent.
+  std::uint64_t frames_before = 0;
+};
+
+}  // namespace
+
+struct member_client::state : std::enable_shared_from_this<state> {
+  state(asio::io_context& io, net::socket_address to)
+      : context(io), address(std::move(to)) {}
+
+  auto Connect() -> void {
+    if (channel != nullptr && channel->IsOpen()) {
+      return;
+    }
+    const auto weak = weak_from_this();
+    auto handlers = net::channel_handlers{};
+    handlers.on_frame = [weak](std::string_view frame) {
+      if (const auto self = weak.lock()) {
+        self->OnFrame(frame);
+      }
+    };
+    handlers.on_close = [weak] {
+      if (const auto self = weak.lock()) {
+        self->OnClose();
+      }
+    };
+    channel = std::make_shared<net::frame_channel>(
+        context, address, net::channel_options{}, std::move(handlers));
+  }
+
+  auto OnFrame(std::string_view frame) -> void {
+    ++frames;
+    auto reply = DecodeMessage(frame);
+    if (!reply) {
+      return Drop();
+    }
+    const auto found = pending.find(reply->id);
+    // The reply to a request that was given up.
+    if (found == pending.end()) {
+      return;
+    }
+    failures = 0;
+    Finish(found->first, std::move(reply->body));
+  }
+
+  // Fails every request under way on the connection.
+  auto OnClose() -> void {
+    ++failures;
+    const auto failed = std::exchange(pending, {});
+    for (const auto& [id, item] : failed) {
+      item->timer.cancel();
+      asio::post(context, [handler = std::move(item->handler)] {
+        handler(std::nullopt);
+      });
+    }
+  }
+
+  auto OnTimeout(std::uint64_t id) -> void {
+    const auto found = pending.find(id);
+    if (found == pending.end()) {
+      return;
+    }
+    const auto is_silent = found->second->frames_before == frames;
+    ++failures;
+    Finish(id, std::nullopt);
+    // A connection may go silent without an error; a new one may work.
+    if (is_silent) {
+      Drop();
+    }
+  }
+
+  auto Drop() -> void {
+    const auto old = std::exchange(channel, nullptr);
+    if (old != nullptr) {
+      old->Close();
+    }
+    OnClose();
+  }
+
+  auto Finish(std::uint64_t id, std::optional<message_body> body) -> void {
+    auto node = pending.extract(id);
+    node.mapped()->timer.cancel();
+    auto handler = std::move(node.mapped()->handler);
+    handler(std::move(body));
+  }
+
+  asio::io_context& context;
+  net::socket_address address;
+  std::shared_ptr<net::frame_channel> channel;
+  std::map<std::uint64_t, std::shared_ptr<pending_request>> pending;
+  std::uint64_t last_id = 0;
+  std::uint64_t frames = 0;
+  std::uint32_t failures = 0;
+};
+
+member_client::member_client(asio::io_context& context,
+                             net::socket_address address)
+    : state_(std::make_shared<state>(context, std::move(address))) {}
+
+member_client::~member_client() {
+  if (state_->channel != nullptr) {
+    state_->channel->Close();
+  }
+  state_->OnClose();
+}
+
+auto member_client::Ask(view_number view,
+                        message_body body,
+                        duration timeout,
+                        reply_handler handler) -> void {
+  state_->Connect();
+  const auto id = ++state_->last_id;
+  auto item = std::make_shared<pending_request>(state_->context);
+  item->handler = std::move(handler);
+  item->frames_before = state_->frames;
+  item->timer.expires_after(timeout);
+  item->timer.async_wait([weak = std::weak_ptr(state_),
+                          id](const boost::system::error_code& error) {
+    const auto self = weak.lock();
+    if (!error && self != nullptr) {
+      self->OnTimeout(id);
+    }
+  });
+  state_->pending.emplace(id, std::move(item));
+  const auto frame = EncodeMessage({id, view, std::move(body)});
+  if (!state_->channel->Send(frame)) {
+    asio::post(state_->context, [weak = std::weak_ptr(state_), id] {
+      const auto self = weak.lock();
+      if (self != nullptr && self->pending.contains(id)) {
+        self->Finish(id, std::nullopt);
+      }
+    });
+  }
+}
+
+auto member_client::AskAndWait(view_number view,
+                               message_body body,
+                               duration timeout)
+    -> asio::awaitable<std::optional<message_body>> {
+  struct waiting {
+    explicit waiting(asio::io_context& context)
+        : wake(context, asio::steady_timer::time_point::max()) {}
+
+    asio::steady_timer wake;
+    std::optional<message_body> reply;
+    bool is_over = false;
+  };
+  const auto shared = std::make_shared<waiting>(state_->context);
+  Ask(view, std::move(body), timeout,
+      [shared](std::optional<message_body> reply) {
+        shared->reply = std::move(reply);
+        shared->is_over = true;
+        shared->wake.cancel();
+      });
+  while (!shared->is_over) {
+    co_await shared->wake.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  co_return std::move(shared->reply);
+}
+
+auto member_client::address() const -> const net::socket_address& {
+  return state_->address;
+}
+
+auto member_client::failures() const -> std::uint32_t {
+  return state_->failures;
+}
+
+}  // namespace daisywind::history
--- /dev/null
+++ b/source/core/history_client/turn_keeper.cc
@@ -0,0 +1,300 @@
+#include "history_client/turn_keeper.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <chrono>
+#include <utility>
+
+#include "common/logging.h"
+
+namespace daisywind::history {
+namespace {
+
+namespace asio = boost::asio;
+using steady = std::chrono::steady_clock;
+
+// Calls of the platform outlive a caller's patience by little.
+constexpr auto kSettlePatience = duration(3s);
+
+}  // namespace
+
+// Asks members, the nearest first, until the owner has heard enough. Members
+// that stay silent are joined by the next ones.
+class turn_keeper::round : public std::enable_shared_from_this<round> {
+ public:
+  // Makes the request to the member of the given position.
+  using request_maker = std::function<message_body(std::size_t position)>;
+  // Takes in a reply. Returns false when it does not count.
+  using reply_taker =
+      std::function<bool(const member& from, message_body& reply)>;
+  using done_test = std::function<bool()>;
+
+  round(turn_keeper& keeper,
+        request_maker make,
+        reply_taker take,
+        done_test is_done)
+      : keeper_(keeper),
+        members_(keeper.MembersByDistance()),
+        view_(keeper.view_.number),
+        make_(std::move(make)),
+        take_(std::move(take)),
+        is_done_(std::move(is_done)),
+        wake_(keeper.context_) {}
+
+  // Returns when done, when all members have answered without that, when the
+  // view is stale, or at the given time.
+  auto Run(std::size_t needed, steady::time_point until)
+      -> asio::awaitable<void> {
+    while (!is_done_() && !is_stale_ && steady::now() < until) {
+      while (waiting_ + counted_ < needed && next_ < members_.size()) {
+        Ask();
+      }
+      if (waiting_ == 0 && next_ == members_.size()) {
+        co_return;
+      }
+      if (waiting_ == 0) {
+        Ask();
+      }
+      auto wait_until =
+          std::min(until, steady::now() + keeper_.options_.hedge_delay);
+      if (next_ == members_.size()) {
+        wait_until = until;
+      }
+      const auto heard = heard_;
+      wake_.expires_at(wait_until);
+      co_await wake_.async_wait(asio::as_tuple(asio::use_awaitable));
+      if (heard == heard_ && next_ < members_.size()) {
+        Ask();
+      }
+    }
+  }
+
+  [[nodiscard]] auto IsStale() const -> bool { return is_stale_; }
+  [[nodiscard]] auto answers() const -> std::size_t { return heard_; }
+
+ private:
+  auto Ask() -> void {
+    const auto position = next_++;
+    const auto& to = members_[position];
+    ++waiting_;
+    keeper_.Client(to)->Ask(view_, make_(position),
+                            keeper_.options_.ask_timeout,
+                            [self = shared_from_this(),
+                             position](std::optional<message_body> reply) {
+                              self->OnReply(position, std::move(reply));
+                            });
+  }
+
+  auto OnReply(std::size_t position, std::optional<message_body> reply)
+      -> void {
+    --waiting_;
+    ++heard_;
+    if (reply) {
+      if (const auto* newer = std::get_if<stale_view>(&*reply)) {
+        keeper_.Adopt(newer->newest);
+        is_stale_ = true;
+      } else if (!is_over_ && take_(members_[position], *reply)) {
+        ++counted_;
+      }
+    }
+    wake_.cancel();
+  }
+
+ public:
+  // Stops taking in replies: what they would be given to is gone.
+  auto End() -> void { is_over_ = true; }
+
+ private:
+  turn_keeper& keeper_;
+  std::vector<member> members_;
+  view_number view_;
+  request_maker make_;
+  reply_taker take_;
+  done_test is_done_;
+  asio::steady_timer wake_;
+  std::size_t next_ = 0;
+  std::size_t waiting_ = 0;
+  std::size_t counted_ = 0;
+  std::size_t heard_ = 0;
+  bool is_stale_ = false;
+  bool is_over_ = false;
+};
+
+turn_keeper::turn_keeper(asio::io_context& context, keeper_options options)
+    : context_(context), options_(std::move(options)) {}
+
+auto turn_keeper::Adopt(const view& newest) -> void {
+  if (newest.number <= view_.number) {
+    return;
+  }
+  view_ = newest;
+  std::erase_if(clients_, [&](const auto& item) {
+    return std::none_of(
+        view_.members.begin(), view_.members.end(),
+        [&](const member& of) { return of.address == item.first; });
+  });
+  Log(log_events::kViewInForce,
+      {{"view", static_cast<std::int64_t>(view_.number)},
+       {"members", static_cast<std::int64_t>(view_.members.size())}});
+}
+
+auto turn_keeper::MembersByDistance() const -> std::vector<member> {
+  auto members = view_.members;
+  const auto distance = [&](const member& to) {
+    if (to.failure_domain == options_.failure_domain) {
+      return 0;
+    }
+    return to.region == options_.region ? 1 : 2;
+  };
+  std::stable_sort(members.begin(), members.end(),
+                   [&](const member& a, const member& b) {
+                     return distance(a) < distance(b);
+                   });
+  // A member that has just failed is asked after those that have not.
+  std::stable_partition(members.begin(), members.end(), [&](const member& of) {
+    const auto found = clients_.find(of.address);
+    return found == clients_.end() || found->second->failures() == 0;
+  });
+  return members;
+}
+
+auto turn_keeper::Client(const member& of) -> std::shared_ptr<member_client> {
+  auto& client = clients_[of.address];
+  if (client == nullptr) {
+    client = std::make_shared<member_client>(
+        context_,
+        net::ParseSocketAddress(of.address).value_or(net::socket_address{}));
+  }
+  return client;
+}
+
+auto turn_keeper::Begin(turn_begin request, duration patience)
+    -> asio::awaitable<begin_result> {
+  const auto until = steady::now() + patience;
+  auto result = begin_result{};
+  while (steady::now() < until) {
+    const auto sizes = QuorumSizes(view_, options_.tolerated);
+    auto budget = budget_decision(request.turn, request.reserved_tokens,
+                                  request.budget, sizes);
+    auto chain = chain_decision(request.parent, sizes);
+    const auto asks = std::make_shared<round>(
+        *this,
+        [&](std::size_t position) -> message_body {
+          return begin_request{request.program, request.turn, request.parent,
+                               request.reserved_tokens, position == 0};
+        },
+        [&](const member& from, message_body& reply) {
+          auto* begun = std::get_if<begin_reply>(&reply);
+          if (begun == nullptr) {
+            return false;
+          }
+          budget.Add(from.vm, begun->is_complete, begun->spent);
+          chain.Add(from.vm, begun->is_complete, std::move(begun->chain));
+          return begun->is_complete;
+        },
+        [&] { return budget.state() != decision_state::kOpen; });
+    co_await asks->Run(std::max(sizes.write, sizes.read), until);
+    asks->End();
+    result.answers += asks->answers();
+    result.view = view_.number;
+    result.spent_by_others = budget.SpentByOthers();
+    if (budget.state() == decision_state::kNo) {
+      result.outcome = begin_outcome::kBudgetSpent;
+      co_return result;
+    }
+    if (budget.state() == decision_state::kYes) {
+      co_await ReadChain(
+          chain, std::chrono::duration_cast<duration>(until - steady::now()));
+      if (chain.state() == decision_state::kNo) {
+        result.outcome = begin_outcome::kUnknownTurn;
+        co_return result;
+      }
+      if (chain.state() == decision_state::kYes) {
+        result.outcome = begin_outcome::kGranted;
+        result.chain = chain.turns();
+        co_return result;
+      }
+    }
+    if (!asks->IsStale()) {
+      auto pause = asio::steady_timer(context_, options_.retry_pause);
+      co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+  }
+  co_return result;
+}
+
+auto turn_keeper::ReadChain(chain_decision& chain, duration patience)
+    -> asio::awaitable<void> {
+  const auto until = steady::now() + patience;
+  while (chain.state() == decision_state::kOpen && steady::now() < until) {
+    const auto target = chain.target();
+    const auto asks = std::make_shared<round>(
+        *this,
+        [&](std::size_t) -> message_body { return read_request{target}; },
+        [&](const member& from, message_body& reply) {
+          auto* read = std::get_if<read_reply>(&reply);
+          // Once another member has led further back, this one is asked again.
+          if (read == nullptr || chain.target() != target) {
+            return false;
+          }
+          chain.Add(from.vm, read->is_complete, std::move(read->chain));
+          return true;
+        },
+        [&] {
+          return chain.state() != decision_state::kOpen ||
+                 chain.target() != target;
+        });
+    co_await asks->Run(1, until);
+    asks->End();
+    if (chain.state() == decision_state::kOpen && chain.target() == target) {
+      auto pause = asio::steady_timer(context_, options_.retry_pause);
+      co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+  }
+}
+
+auto turn_keeper::Record(turn_fact fact, duration patience)
+    -> asio::awaitable<bool> {
+  const auto until = steady::now() + patience;
+  while (steady::now() < until) {
+    const auto sizes = QuorumSizes(view_, options_.tolerated);
+    auto copies = std::size_t{0};
+    const auto asks = std::make_shared<round>(
+        *this,
+        [&](std::size_t) -> message_body { return record_request{{fact}}; },
+        [&](const member&, message_body& reply) {
+          const auto* recorded = std::get_if<record_reply>(&reply);
+          if (recorded == nullptr || !recorded->is_durable) {
+            return false;
+          }
+          ++copies;
+          return true;
+        },
+        [&] { return copies >= sizes.write && !view_.members.empty(); });
+    co_await asks->Run(sizes.write, until);
+    asks->End();
+    if (copies >= sizes.write && !view_.members.empty()) {
+      co_return true;
+    }
+    if (!asks->IsStale()) {
+      auto pause = asio::steady_timer(context_, options_.retry_pause);
+      co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+  }
+  co_return false;
+}
+
+auto turn_keeper::Settle(turn_fact fact) -> void {
+  asio::co_spawn(context_, SettleAndForget(std::move(fact)), asio::detached);
+}
+
+auto turn_keeper::SettleAndForget(turn_fact fact) -> asio::awaitable<void> {
+  const auto turn = fact.turn.value;
+  if (!co_await Record(std::move(fact), kSettlePatience)) {
+    // The reservation stays, which refuses too much rather than too little.
+    Log(log_events::kTurnNotRecorded,
+        {{"request", std::string_view(turn)}, {"what", "settlement"}});
+  }
+}
+
+}  // namespace daisywind::history
--- /dev/null
+++ b/source/core/history_client/turn_keeper.h
@@ -0,0 +1,104 @@
+// Begins and records turns at the VMs that hold facts.
+#ifndef DAISYWIND_HISTORY_CLIENT_TURN_KEEPER_H_
+#define DAISYWIND_HISTORY_CLIENT_TURN_KEEPER_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/ids.h"
+#include "common/time.h"
+#include "history/quorum.h"
+#include "history/types.h"
+#include "history/view.h"
+#include "history_client/member_client.h"
+
+namespace daisywind::history {
+
+// Where the asking VM stands, and how patient it is.
+struct keeper_options {
+  failure_domain_id failure_domain;
+  region_id region;
+  // Disks that may be lost at once.
+  std::size_t tolerated = 1;
+  // A member that has not answered for this long is not waited for alone.
+  duration hedge_delay = 120ms;
+  // A request to a member without a reply is given up after this time.
+  duration ask_timeout = 1500ms;
+  // Pause before members are asked again after all have failed.
+  duration retry_pause = 100ms;
+};
+
+// A turn to be reserved.
+struct turn_begin {
+  program_name program;
+  turn_id turn;
+  turn_id parent;
+  std::uint32_t reserved_tokens = 0;
+  std::optional<std::uint64_t> budget;
+};
+
+enum class begin_outcome : std::uint8_t {
+  kGranted,
+  kBudgetSpent,
+  kUnknownTurn,
+  // Not enough members could be asked in time.
+  kUnavailable,
+};
+
+struct begin_result {
+  begin_outcome outcome = begin_outcome::kUnavailable;
+  // The turns before this one, the oldest first.
+  std::vector<turn_fact> chain;
+  std::uint64_t spent_by_others = 0;
+  // What was asked in what time, for the log.
+  std::size_t answers = 0;
+  view_number view = 0;
+};
+
+// One VM's access to the facts. All calls run on the context's thread.
+class turn_keeper {
+ public:
+  turn_keeper(boost::asio::io_context& context, keeper_options options);
+
+  // Takes a view into force unless an equal or newer one is.
+  auto Adopt(const view& newest) -> void;
+
+  [[nodiscard]] auto current() const -> const view& { return view_; }
+
+  // Reserves a turn and reads its chain.
+  auto Begin(turn_begin request, duration patience)
+      -> boost::asio::awaitable<begin_result>;
+
+  // Puts a fact on enough disks. Returns false when that failed in time.
+  auto Record(turn_fact fact, duration patience)
+      -> boost::asio::awaitable<bool>;
+
+  // Tells what a turn without content has spent, without waiting.
+  auto Settle(turn_fact fact) -> void;
+
+ private:
+  class round;
+
+  [[nodiscard]] auto MembersByDistance() const -> std::vector<member>;
+  auto Client(const member& of) -> std::shared_ptr<member_client>;
+  auto ReadChain(chain_decision& chain, duration patience)
+      -> boost::asio::awaitable<void>;
+  auto SettleAndForget(turn_fact fact) -> boost::asio::awaitable<void>;
+
+  boost::asio::io_context& context_;
+  keeper_options options_;
+  view view_;
+  std::map<std::string, std::shared_ptr<member_client>> clients_;
+};
+
+}  // namespace daisywind::history
+
+#endif  // DAISYWIND_HISTORY_CLIENT_TURN_KEEPER_H_
--- /dev/null
+++ b/source/core/history_wire/codec.cc
@@ -0,0 +1,349 @@
+#include "history_wire/codec.h"
+
+#include <history_generated.h>
+
+#include <cstdint>
+#include <memory>
+#include <utility>
+#include <variant>
+
+namespace daisywind::history {
+namespace {
+
+// FlatBuffers aligns its buffers to this many bytes.
+constexpr auto kAlignment = std::size_t{8};
+
+auto Copy(const turn_fact& from) -> std::unique_ptr<fbs::FactT> {
+  auto to = std::make_unique<fbs::FactT>();
+  to->program = from.program.value;
+  to->turn = from.turn.value;
+  to->reserved_tokens = from.reserved_tokens;
+  to->has_settled = from.settled_tokens.has_value();
+  to->settled_tokens = from.settled_tokens.value_or(0);
+  to->recorded_ms = from.recorded_ms;
+  if (from.content) {
+    to->content = std::make_unique<fbs::ContentT>();
+    to->content->parent = from.content->parent.value;
+    to->content->input = from.content->input;
+    to->content->output = from.content->output;
+    to->content->endpoint = from.content->endpoint.value;
+  }
+  return to;
+}
+
+auto Copy(fbs::FactT& from) -> turn_fact {
+  auto to = turn_fact{};
+  to.program = program_name(std::move(from.program));
+  to.turn = turn_id(std::move(from.turn));
+  to.reserved_tokens = from.reserved_tokens;
+  if (from.has_settled) {
+    to.settled_tokens = from.settled_tokens;
+  }
+  to.recorded_ms = from.recorded_ms;
+  if (from.content != nullptr) {
+    to.content = turn_content{turn_id(std::move(from.content->parent)),
+                              std::move(from.content->input),
+                              std::move(from.content->output),
+                              endpoint_id(std::move(from.content->endpoint))};
+  }
+  return to;
+}
+
+using fact_objects = std::vector<std::unique_ptr<fbs::FactT>>;
+
+auto CopyAll(const std::vector<turn_fact>& from) -> fact_objects {
+  auto to = fact_objects{};
+  to.reserve(from.size());
+  for (const auto& fact : from) {
+    to.push_back(Copy(fact));
+  }
+  return to;
+}
+
+auto CopyAll(fact_objects& from) -> std::vector<turn_fact> {
+  auto to = std::vector<turn_fact>{};
+  to.reserve(from.size());
+  for (auto& fact : from) {
+    to.push_back(Copy(*fact));
+  }
+  return to;
+}
+
+auto Copy(const view& from) -> std::unique_ptr<fbs::ViewT> {
+  auto to = std::make_unique<fbs::ViewT>();
+  to->number = from.number;
+  for (const auto& item : from.members) {
+    auto object = std::make_unique<fbs::MemberT>();
+    object->vm = item.vm.value;
+    object->disk = item.disk.value;
+    object->address = item.address;
+    object->failure_domain = item.failure_domain.value;
+    object->region = item.region.value;
+    to->members.push_back(std::move(object));
+  }
+  return to;
+}
+
+auto Copy(const fbs::ViewT& from) -> view {
+  auto to = view{};
+  to.number = from.number;
+  for (const auto& item : from.members) {
+    to.members.push_back({vm_id(item->vm), disk_id(item->disk), item->address,
+                          failure_domain_id(item->failure_domain),
+                          region_id(item->region)});
+  }
+  return to;
+}
+
+auto StateFrom(std::uint8_t value) -> chain_state {
+  return value <= static_cast<std::uint8_t>(chain_state::kMissing)
+             ? static_cast<chain_state>(value)
+             : chain_state::kNone;
+}
+
+template <class Object>
+auto CopyChain(const turn_chain& from, Object& to) -> void {
+  to.chain_state = static_cast<std::uint8_t>(from.state);
+  to.missing = from.missing.value;
+  to.chain = CopyAll(from.turns);
+}
+
+template <class Object>
+auto ChainFrom(Object& from) -> turn_chain {
+  return {StateFrom(from.chain_state), turn_id(std::move(from.missing)),
+          CopyAll(from.chain)};
+}
+
+// One overload a message for each direction.
+auto ToObject(const begin_request& from) -> fbs::BeginRequestT {
+  auto to = fbs::BeginRequestT{};
+  to.program = from.program.value;
+  to.turn = from.turn.value;
+  to.parent = from.parent.value;
+  to.reserved_tokens = from.reserved_tokens;
+  to.wants_chain = from.wants_chain;
+  return to;
+}
+
+auto FromObject(fbs::BeginRequestT& from) -> begin_request {
+  return {program_name(std::move(from.program)), turn_id(std::move(from.turn)),
+          turn_id(std::move(from.parent)), from.reserved_tokens,
+          from.wants_chain};
+}
+
+auto ToObject(const begin_reply& from) -> fbs::BeginReplyT {
+  auto to = fbs::BeginReplyT{};
+  to.is_complete = from.is_complete;
+  CopyChain(from.chain, to);
+  for (const auto& item : from.spent) {
+    auto object = std::make_unique<fbs::SpendingT>();
+    object->turn = item.turn.value;
+    object->tokens = item.tokens;
+    to.spending.push_back(std::move(object));
+  }
+  return to;
+}
+
+auto FromObject(fbs::BeginReplyT& from) -> begin_reply {
+  auto to = begin_reply{from.is_complete, ChainFrom(from), {}};
+  to.spent.reserve(from.spending.size());
+  for (auto& item : from.spending) {
+    to.spent.push_back({turn_id(std::move(item->turn)), item->tokens});
+  }
+  return to;
+}
+
+auto ToObject(const record_request& from) -> fbs::RecordRequestT {
+  auto to = fbs::RecordRequestT{};
+  to.facts = CopyAll(from.facts);
+  return to;
+}
+
+auto FromObject(fbs::RecordRequestT& from) -> record_request {
+  return {CopyAll(from.facts)};
+}
+
+auto ToObject(const record_reply& from) -> fbs::RecordReplyT {
+  auto to = fbs::RecordReplyT{};
+  to.is_durable = from.is_durable;
+  return to;
+}
+
+auto FromObject(fbs::RecordReplyT& from) -> record_reply {
+  return {from.is_durable};
+}
+
+auto ToObject(const read_request& from) -> fbs::ReadRequestT {
+  auto to = fbs::ReadRequestT{};
+  to.turn = from.turn.value;
+  return to;
+}
+
+auto FromObject(fbs::ReadRequestT& from) -> read_request {
+  return {turn_id(std::move(from.turn))};
+}
+
+auto ToObject(const read_reply& from) -> fbs::ReadReplyT {
+  auto to = fbs::ReadReplyT{};
+  to.is_complete = from.is_complete;
+  CopyChain(from.chain, to);
+  return to;
+}
+
+auto FromObject(fbs::ReadReplyT& from) -> read_reply {
+  return {from.is_complete, ChainFrom(from)};
+}
+
+auto ToObject(const adopt_request& from) -> fbs::AdoptRequestT {
+  auto to = fbs::AdoptRequestT{};
+  to.view = Copy(from.newest);
+  return to;
+}
+
+auto FromObject(fbs::AdoptRequestT& from) -> adopt_request {
+  return {Copy(*from.view)};
+}
+
+auto ToObject(const adopt_reply& from) -> fbs::AdoptReplyT {
+  auto to = fbs::AdoptReplyT{};
+  to.is_complete = from.is_complete;
+  return to;
+}
+
+auto FromObject(fbs::AdoptReplyT& from) -> adopt_reply {
+  return {from.is_complete};
+}
+
+auto ToObject(const pull_request& from) -> fbs::PullRequestT {
+  auto to = fbs::PullRequestT{};
+  to.after = from.after;
+  to.known = from.known;
+  return to;
+}
+
+auto FromObject(fbs::PullRequestT& from) -> pull_request {
+  return {from.after, std::move(from.known)};
+}
+
+auto ToObject(const pull_reply& from) -> fbs::PullReplyT {
+  auto to = fbs::PullReplyT{};
+  to.is_complete = from.is_complete;
+  to.facts = CopyAll(from.page.facts);
+  to.next = from.page.next;
+  to.has_more = from.page.has_more;
+  return to;
+}
+
+auto FromObject(fbs::PullReplyT& from) -> pull_reply {
+  return {from.is_complete,
+          fact_page{CopyAll(from.facts), from.next, from.has_more}};
+}
+
+auto ToObject(const stale_view& from) -> fbs::StaleViewT {
+  auto to = fbs::StaleViewT{};
+  to.view = Copy(from.newest);
+  return to;
+}
+
+auto FromObject(fbs::StaleViewT& from) -> stale_view {
+  return {Copy(*from.view)};
+}
+
+auto BodyFrom(fbs::BodyUnion& from) -> std::optional<message_body> {
+  switch (from.type) {
+    case fbs::Body_BeginRequest:
+      return FromObject(*from.AsBeginRequest());
+    case fbs::Body_BeginReply:
+      return FromObject(*from.AsBeginReply());
+    case fbs::Body_RecordRequest:
+      return FromObject(*from.AsRecordRequest());
+    case fbs::Body_RecordReply:
+      return FromObject(*from.AsRecordReply());
+    case fbs::Body_ReadRequest:
+      return FromObject(*from.AsReadRequest());
+    case fbs::Body_ReadReply:
+      return FromObject(*from.AsReadReply());
+    case fbs::Body_AdoptRequest:
+      return FromObject(*from.AsAdoptRequest());
+    case fbs::Body_AdoptReply:
+      return FromObject(*from.AsAdoptReply());
+    case fbs::Body_PullRequest:
+      return FromObject(*from.AsPullRequest());
+    case fbs::Body_PullReply:
+      return FromObject(*from.AsPullReply());
+    case fbs::Body_StaleView:
+      return FromObject(*from.AsStaleView());
+    case fbs::Body_NONE:
+      break;
+  }
+  return std::nullopt;
+}
+
+auto Bytes(const flatbuffers::FlatBufferBuilder& builder) -> std::string {
+  const auto* begin = builder.GetBufferPointer();
+  return {begin, begin + builder.GetSize()};
+}
+
+// A copy at an aligned address, which the verifier asks for.
+class aligned_bytes {
+ public:
+  explicit aligned_bytes(std::string_view from)
+      : words_((from.size() + kAlignment - 1) / kAlignment) {
+    std::copy(from.begin(), from.end(), reinterpret_cast<char*>(words_.data()));
+  }
+
+  [[nodiscard]] auto data() const -> const std::uint8_t* {
+    return reinterpret_cast<const std::uint8_t*>(words_.data());
+  }
+
+ private:
+  std::vector<std::uint64_t> words_;
+};
+
+}  // namespace
+
+auto EncodeMessage(const message& from) -> std::string {
+  auto to = fbs::MessageT{};
+  to.id = from.id;
+  to.view = from.view;
+  std::visit([&](const auto& body) { to.body.Set(ToObject(body)); }, from.body);
+  auto builder = flatbuffers::FlatBufferBuilder{};
+  builder.Finish(fbs::Message::Pack(builder, &to), fbs::MessageIdentifier());
+  return Bytes(builder);
+}
+
+auto DecodeMessage(std::string_view frame) -> std::optional<message> {
+  const auto bytes = aligned_bytes(frame);
+  auto verifier = flatbuffers::Verifier(bytes.data(), frame.size());
+  if (!fbs::VerifyMessageBuffer(verifier)) {
+    return std::nullopt;
+  }
+  const auto from = fbs::UnPackMessage(bytes.data());
+  auto body = BodyFrom(from->body);
+  if (!body) {
+    return std::nullopt;
+  }
+  return message{from->id, from->view, std::move(*body)};
+}
+
+auto EncodeRecord(const disk_record& from) -> std::string {
+  auto to = fbs::BatchT{};
+  to.facts = CopyAll(from.facts);
+  to.complete_in_view = from.complete_in_view;
+  auto builder = flatbuffers::FlatBufferBuilder{};
+  builder.Finish(fbs::Batch::Pack(builder, &to));
+  return Bytes(builder);
+}
+
+auto DecodeRecord(std::string_view bytes) -> std::optional<disk_record> {
+  const auto copy = aligned_bytes(bytes);
+  auto verifier = flatbuffers::Verifier(copy.data(), bytes.size());
+  if (!verifier.VerifyBuffer<fbs::Batch>(nullptr)) {
+    return std::nullopt;
+  }
+  const auto from = std::unique_ptr<fbs::BatchT>(
+      flatbuffers::GetRoot<fbs::Batch>(copy.data())->UnPack());
+  return disk_record{CopyAll(from->facts), from->complete_in_view};
+}
+
+}  // namespace daisywind::history
--- /dev/null
+++ b/source/core/journal/disk_log.cc
@@ -0,0 +1,326 @@
+#include "journal/disk_log.h"
+
+#include <dirent.h>
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <boost/asio.hpp>
+#include <cerrno>
+#include <chrono>
+#include <condition_variable>
+#include <cstring>
+#include <deque>
+#include <fstream>
+#include <iterator>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+#include "common/digest.h"
+#include "common/logging.h"
+
+namespace daisywind::journal {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr auto kPrefix = std::string_view("segment-");
+constexpr auto kDigits = std::size_t{20};
+// Length and checksum before each record.
+constexpr auto kHeadBytes = std::size_t{12};
+constexpr auto kChecksumSeed = std::uint64_t{0x6a6f75726e616c};
+// A failed disk is tried again after this pause.
+constexpr auto kRetryPause = std::chrono::milliseconds(100);
+
+auto SegmentName(segment_number number) -> std::string {
+  auto digits = std::to_string(number);
+  digits.insert(0, kDigits - digits.size(), '0');
+  return std::string(kPrefix) + digits;
+}
+
+auto ParseSegmentName(std::string_view name) -> segment_number {
+  if (!name.starts_with(kPrefix) || name.size() != kPrefix.size() + kDigits) {
+    return 0;
+  }
+  auto number = segment_number{0};
+  for (const auto digit : name.substr(kPrefix.size())) {
+    if (digit < '0' || digit > '9') {
+      return 0;
+    }
+    number = number * 10 + static_cast<segment_number>(digit - '0');
+  }
+  return number;
+}
+
+auto ListSegments(const std::string& folder) -> std::vector<segment_number> {
+  auto list = std::vector<segment_number>{};
+  auto* directory = ::opendir(folder.c_str());
+  if (directory == nullptr) {
+    return list;
+  }
+  while (const auto* item = ::readdir(directory)) {
+    const auto number =
+        ParseSegmentName(static_cast<const char*>(item->d_name));
+    if (number != 0) {
+      list.push_back(number);
+    }
+  }
+  ::closedir(directory);
+  std::sort(list.begin(), list.end());
+  return list;
+}
+
+auto PutNumber(std::string& to, std::uint64_t value, std::size_t bytes)
+    -> void {
+  for (auto i = std::size_t{0}; i < bytes; ++i) {
+    to.push_back(static_cast<char>(value >> (8 * i)));
+  }
+}
+
+auto TakeNumber(std::string_view from, std::size_t bytes) -> std::uint64_t {
+  auto value = std::uint64_t{0};
+  for (auto i = std::size_t{0}; i < bytes; ++i) {
+    value |= std::uint64_t{static_cast<std::uint8_t>(from[i])} << (8 * i);
+  }
+  return value;
+}
+
+auto Frame(std::string_view record) -> std::string {
+  auto framed = std::string{};
+  framed.reserve(kHeadBytes + record.size());
+  PutNumber(framed, record.size(), 4);
+  PutNumber(framed, PlacementHash(record, kChecksumSeed), 8);
+  framed.append(record);
+  return framed;
+}
+
+// Hands on the records of a segment. Returns false at a damaged one.
+auto VisitRecords(std::string_view bytes,
+                  const record_visitor& visit,
+                  disk_load& load) -> bool {
+  while (!bytes.empty()) {
+    if (bytes.size() < kHeadBytes) {
+      return false;
+    }
+    const auto length = TakeNumber(bytes, 4);
+    const auto checksum = TakeNumber(bytes.substr(4), 8);
+    bytes.remove_prefix(kHeadBytes);
+    if (length == 0 || length > bytes.size()) {
+      return false;
+    }
+    const auto record = bytes.substr(0, length);
+    if (PlacementHash(record, kChecksumSeed) != checksum) {
+      return false;
+    }
+    visit(record);
+    ++load.records;
+    load.bytes += length;
+    bytes.remove_prefix(length);
+  }
+  return true;
+}
+
+auto WriteAll(int file, std::string_view bytes) -> bool {
+  while (!bytes.empty()) {
+    const auto written = ::write(file, bytes.data(), bytes.size());
+    if (written < 0 && errno == EINTR) {
+      continue;
+    }
+    if (written <= 0) {
+      return false;
+    }
+    bytes.remove_prefix(static_cast<std::size_t>(written));
+  }
+  return true;
+}
+
+struct queued_record {
+  std::string bytes;
+  append_handler handler;
+};
+
+}  // namespace
+
+struct disk_log::state {
+  state(asio::io_context& io, std::string path, disk_log_options bounds)
+      : context(io), folder(std::move(path)), options(bounds) {}
+
+  auto Path(segment_number number) const -> std::string {
+    return folder + "/" + SegmentName(number);
+  }
+
+  auto Run() -> void {
+    auto lock = std::unique_lock(mutex);
+    while (!is_stopping) {
+      if (queue.empty()) {
+        wake.wait(lock);
+        continue;
+      }
+      auto batch = std::exchange(queue, {});
+      lock.unlock();
+      // Later records may build on these, so nothing overtakes a refused write.
+      auto is_durable = WriteBatch(batch);
+      while (!is_durable && !is_stopping) {
+        std::this_thread::sleep_for(kRetryPause);
+        is_durable = WriteBatch(batch);
+      }
+      if (is_durable) {
+        Report(std::move(batch));
+      }
+      lock.lock();
+    }
+  }
+
+  auto WriteBatch(const std::vector<queued_record>& batch) -> bool {
+    const auto began = std::chrono::steady_clock::now();
+    auto bytes = std::string{};
+    for (const auto& item : batch) {
+      bytes += item.bytes;
+    }
+    const auto is_written =
+        OpenSegment() && WriteAll(file, bytes) && ::fdatasync(file) == 0;
+    if (!is_written) {
+      const auto reason = std::string(std::strerror(errno));
+      Log(log_events::kDiskRefused, {{"reason", std::string_view(reason)}});
+      // What follows a torn record in its segment would not be found again.
+      CloseSegment();
+      return false;
+    }
+    segment_size += bytes.size();
+    if (segment_size >= options.segment_bytes) {
+      CloseSegment();
+    }
+    const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::steady_clock::now() - began);
+    longest_ms = std::max<std::uint64_t>(
+        longest_ms, static_cast<std::uint64_t>(took.count()));
+    return true;
+  }
+
+  auto OpenSegment() -> bool {
+    if (file >= 0) {
+      return true;
+    }
+    constexpr auto kMode = 0644;
+    constexpr auto kFlags = O_WRONLY | O_CREAT | O_EXCL | O_CLOEXEC;
+    segment_size = 0;
+    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-vararg)
+    file = ::open(Path(current).c_str(), kFlags, kMode);
+    while (file < 0 && errno == EEXIST) {
+      ++current;
+      // NOLINTNEXTLINE(cppcoreguidelines-pro-type-vararg)
+      file = ::open(Path(current).c_str(), kFlags, kMode);
+    }
+    return file >= 0;
+  }
+
+  auto CloseSegment() -> void {
+    if (file >= 0) {
+      ::close(file);
+      file = -1;
+      ++current;
+    }
+  }
+
+  auto Report(std::vector<queued_record> batch) -> void {
+    for (const auto& item : batch) {
+      queued_bytes -= item.bytes.size();
+    }
+    asio::post(context, [batch = std::move(batch)] {
+      for (const auto& item : batch) {
+        item.handler(true);
+      }
+    });
+  }
+
+  asio::io_context& context;
+  std::string folder;
+  disk_log_options options;
+  std::mutex mutex;
+  std::condition_variable wake;
+  std::vector<queued_record> queue;
+  std::atomic<std::size_t> queued_bytes{0};
+  std::atomic<std::uint64_t> longest_ms{0};
+  std::atomic<segment_number> current{1};
+  std::atomic<bool> is_stopping{false};
+  // The writer's own.
+  int file = -1;
+  std::size_t segment_size = 0;
+  std::thread writer;
+};
+
+disk_log::disk_log(asio::io_context& context,
+                   std::string folder,
+                   disk_log_options options)
+    : state_(std::make_shared<state>(context, std::move(folder), options)) {}
+
+disk_log::~disk_log() {
+  {
+    const auto lock = std::lock_guard(state_->mutex);
+    state_->is_stopping = true;
+  }
+  state_->wake.notify_all();
+  if (state_->writer.joinable()) {
+    state_->writer.join();
+  }
+  state_->CloseSegment();
+}
+
+auto disk_log::Load(const record_visitor& visit) -> disk_load {
+  auto load = disk_load{};
+  const auto segments = ListSegments(state_->folder);
+  load.is_readable = true;
+  for (const auto number : segments) {
+    auto stream = std::ifstream(state_->Path(number), std::ios::binary);
+    const auto bytes = std::string(std::istreambuf_iterator<char>(stream),
+                                   std::istreambuf_iterator<char>());
+    load.is_readable = load.is_readable && !stream.bad();
+    if (!VisitRecords(bytes, visit, load)) {
+      ++load.damaged_segments;
+    }
+  }
+  state_->current = segments.empty() ? 1 : segments.back() + 1;
+  state_->writer = std::thread([self = state_.get()] { self->Run(); });
+  return load;
+}
+
+auto disk_log::Append(std::string record, append_handler handler) -> void {
+  auto framed = Frame(record);
+  const auto size = framed.size();
+  if (state_->queued_bytes + size > state_->options.max_queued_bytes) {
+    handler(false);
+    return;
+  }
+  state_->queued_bytes += size;
+  {
+    const auto lock = std::lock_guard(state_->mutex);
+    state_->queue.push_back({std::move(framed), std::move(handler)});
+  }
+  state_->wake.notify_one();
+}
+
+auto disk_log::CurrentSegment() const -> segment_number {
+  return state_->current;
+}
+
+auto disk_log::RemoveBefore(segment_number first_kept) -> void {
+  for (const auto number : ListSegments(state_->folder)) {
+    if (number < first_kept) {
+      ::unlink(state_->Path(number).c_str());
+    }
+  }
+}
+
+auto disk_log::QueuedBytes() const -> std::size_t {
+  return state_->queued_bytes;
+}
+
+auto disk_log::LongestSyncMs() const -> std::uint64_t {
+  return state_->longest_ms;
+}
+
+}  // namespace daisywind::journal
--- /dev/null
+++ b/source/core/journal/journal_node.cc
@@ -0,0 +1,308 @@
+#include "journal/journal_node.h"
+
+#include <dirent.h>
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <boost/asio.hpp>
+#include <chrono>
+#include <iterator>
+#include <utility>
+
+#include "common/logging.h"
+#include "common/process_clock.h"
+#include "common/random.h"
+#include "history_wire/codec.h"
+#include "journal/journal_settings.h"
+#include "journal/seat_keeper.h"
+
+namespace daisywind::journal {
+namespace {
+
+namespace asio = boost::asio;
+
+// The name of this file is the identity of the disk.
+constexpr auto kIdentityPrefix = std::string_view("disk-");
+constexpr auto kMaxChannels = std::size_t{4096};
+constexpr auto kForgetInterval = std::chrono::seconds(10);
+
+auto FindIdentity(const std::string& folder) -> std::string {
+  auto* directory = ::opendir(folder.c_str());
+  if (directory == nullptr) {
+    return {};
+  }
+  auto found = std::string{};
+  while (const auto* item = ::readdir(directory)) {
+    const auto name = std::string_view(static_cast<const char*>(item->d_name));
+    if (name.starts_with(kIdentityPrefix)) {
+      found = name.substr(kIdentityPrefix.size());
+    }
+  }
+  ::closedir(directory);
+  return found;
+}
+
+// A new file lasts once it has been synced.
+auto CreateIdentity(const std::string& folder, const std::string& identity)
+    -> bool {
+  constexpr auto kMode = 0644;
+  const auto path = folder + "/" + std::string(kIdentityPrefix) + identity;
+  // NOLINTNEXTLINE(cppcoreguidelines-pro-type-vararg)
+  const auto file = ::open(path.c_str(), O_WRONLY | O_CREAT | O_CLOEXEC, kMode);
+  if (file < 0) {
+    return false;
+  }
+  const auto is_synced = ::fsync(file) == 0;
+  ::close(file);
+  return is_synced;
+}
+
+auto Hexadecimal(std::uint64_t value) -> std::string {
+  constexpr auto kDigits = std::string_view("0123456789abcdef");
+  auto text = std::string{};
+  for (auto shift = 60; shift >= 0; shift -= 4) {
+    text += kDigits[(value >> static_cast<unsigned>(shift)) & 0xFU];
+  }
+  return text;
+}
+
+}  // namespace
+
+journal_node::journal_node(asio::io_context& context,
+                           const settings& values,
+                           kv::store& store,
+                           seat_options seat)
+    : context_(context),
+      folder_(values.Get(kDataFolder)),
+      listen_address_(values.Get(kListenAddress)),
+      retention_ms_(values.Get(kRetentionMs)),
+      self_{vm_id(values.Get(kVm)),
+            {},
+            listen_address_,
+            failure_domain_id(values.Get(kFailureDomain)),
+            region_id(values.Get(kRegion))},
+      log_(context, folder_, {}),
+      server_(context,
+              kMaxChannels,
+              {},
+              [this](const std::shared_ptr<net::frame_channel>& channel) {
+                return Serve(channel);
+              }),
+      timer_(context),
+      seat_(std::make_unique<seat_keeper>(context,
+                                          *this,
+                                          store,
+                                          std::move(seat))) {}
+
+journal_node::~journal_node() = default;
+
+auto journal_node::Start() -> bool {
+  ::mkdir(folder_.c_str(), 0755);
+  if (!LoadIdentity()) {
+    Log(log_events::kDiskRefused, {{"reason", "identity not writable"}});
+    return false;
+  }
+  LoadRecords();
+  const auto address = net::ParseSocketAddress(listen_address_);
+  if (!address || server_.Listen(*address) == 0) {
+    return false;
+  }
+  seat_->Start();
+  asio::co_spawn(context_, ForgetOldFacts(), asio::detached);
+  return true;
+}
+
+auto journal_node::Stop() -> void {
+  is_stopped_ = true;
+  timer_.cancel();
+  seat_->Stop();
+  server_.Close();
+}
+
+auto journal_node::LoadIdentity() -> bool {
+  auto identity = FindIdentity(folder_);
+  if (identity.empty()) {
+    identity = Hexadecimal(SystemSeed());
+    if (!CreateIdentity(folder_, identity)) {
+      return false;
+    }
+  }
+  self_.disk = history::disk_id(identity);
+  return true;
+}
+
+auto journal_node::LoadRecords() -> void {
+  const auto began = Now();
+  auto unreadable = std::int64_t{0};
+  const auto load = log_.Load([&](std::string_view bytes) {
+    const auto record = history::DecodeRecord(bytes);
+    if (!record) {
+      ++unreadable;
+      return;
+    }
+    holder_.Restore(record->facts);
+    // A record without facts states whether the copy is complete.
+    if (record->facts.empty()) {
+      holder_.SetComplete(record->complete_in_view);
+    }
+  });
+  segments_.emplace_back(UnixMs(), log_.CurrentSegment());
+  Log(log_events::kDiskLoaded,
+      {{"disk", std::string_view(self_.disk.value)},
+       {"records", static_cast<std::int64_t>(load.records)},
+       {"bytes", static_cast<std::int64_t>(load.bytes)},
+       {"damaged_segments", static_cast<std::int64_t>(load.damaged_segments)},
+       {"unreadable_records", unreadable},
+       {"facts", static_cast<std::int64_t>(holder_.facts().size())},
+       {"complete", holder_.IsComplete()},
+       {"took_us", (Now() - began).count()}});
+}
+
+auto journal_node::Serve(const std::shared_ptr<net::frame_channel>& channel)
+    -> net::channel_handlers {
+  auto handlers = net::channel_handlers{};
+  handlers.on_frame = [this, weak = std::weak_ptr(channel)](
+                          std::string_view frame) { OnFrame(weak, frame); };
+  return handlers;
+}
+
+auto journal_node::OnFrame(const std::weak_ptr<net::frame_channel>& channel,
+                           std::string_view frame) -> void {
+  auto request = history::DecodeMessage(frame);
+  if (!request) {
+    Log(log_events::kFrameRejected, {{"reason", "not a message about facts"}});
+    if (const auto open = channel.lock()) {
+      open->Close();
+    }
+    return;
+  }
+  ++counters_.requests;
+  auto effect = holder_.Handle(*request, UnixMs());
+  if (!effect.reply) {
+    return;
+  }
+  if (std::holds_alternative<history::stale_view>(*effect.reply)) {
+    ++counters_.stale_requests;
+  }
+  const auto send = [channel, id = request->id,
+                     view =
+                         holder_.current().number](history::message_body body) {
+    if (const auto open = channel.lock()) {
+      open->Send(history::EncodeMessage({id, view, std::move(body)}));
+    }
+  };
+  // Facts that were known already may still be on their way to the disk, so a
+  // request for them waits for the disk as well.
+  const auto is_read =
+      std::holds_alternative<history::read_request>(request->body) ||
+      std::holds_alternative<history::pull_request>(request->body) ||
+      std::holds_alternative<history::adopt_request>(request->body) ||
+      std::holds_alternative<history::stale_view>(*effect.reply);
+  if (is_read) {
+    send(std::move(*effect.reply));
+    return;
+  }
+  Persist(std::move(effect.to_persist),
+          [this, send, body = std::move(*effect.reply)](bool is_durable) {
+            if (is_durable) {
+              send(body);
+              return;
+            }
+            ++counters_.refused_writes;
+            send(history::record_reply{false});
+          });
+}
+
+auto journal_node::Persist(std::vector<history::turn_fact> facts,
+                           append_handler done) -> void {
+  facts.insert(facts.end(), std::make_move_iterator(owed_.begin()),
+               std::make_move_iterator(owed_.end()));
+  owed_.clear();
+  // A batch without facts is written too: its sync covers all that came before.
+  if (facts.empty()) {
+    facts.emplace_back();
+  }
+  auto record = history::EncodeRecord({facts, 0});
+  log_.Append(std::move(record), [this, facts = std::move(facts),
+                                  done = std::move(done)](bool is_durable) {
+    if (!is_durable) {
+      owed_.insert(owed_.end(), facts.begin(), facts.end());
+    }
+    done(is_durable);
+  });
+}
+
+auto journal_node::PersistComplete(history::view_number since,
+                                   append_handler done) -> void {
+  holder_.SetComplete(since);
+  log_.Append(history::EncodeRecord({{}, since}), std::move(done));
+}
+
+auto journal_node::ForgetOldFacts() -> asio::awaitable<void> {
+  while (!is_stopped_) {
+    timer_.expires_after(kForgetInterval);
+    co_await timer_.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (is_stopped_) {
+      co_return;
+    }
+    const auto forgotten = holder_.ForgetBefore(UnixMs() - retention_ms_);
+    counters_.facts_forgotten += forgotten;
+    if (forgotten > 0) {
+      Log(log_events::kFactsForgotten,
+          {{"facts", static_cast<std::int64_t>(forgotten)},
+           {"left", static_cast<std::int64_t>(holder_.facts().size())}});
+    }
+    RewriteOldSegments();
+  }
+}
+
+// Facts that are still needed are written again before their segment goes.
+auto journal_node::RewriteOldSegments() -> void {
+  const auto now = UnixMs();
+  if (segments_.back().second != log_.CurrentSegment()) {
+    segments_.emplace_back(now, log_.CurrentSegment());
+  }
+  // A segment ends when the next one begins.
+  auto first_kept = segment_number{0};
+  auto ended_ms = std::int64_t{0};
+  while (segments_.size() > 1 && segments_[1].first < now - 2 * retention_ms_) {
+    first_kept = segments_[1].second;
+    ended_ms = segments_[1].first;
+    segments_.erase(segments_.begin());
+  }
+  if (first_kept == 0) {
+    return;
+  }
+  auto needed = holder_.facts().RecordedBefore(ended_ms);
+  const auto since = holder_.complete_since();
+  log_.Append(history::EncodeRecord({{}, since}), [](bool) {});
+  Persist(std::move(needed), [this, first_kept](bool is_durable) {
+    if (is_durable) {
+      log_.RemoveBefore(first_kept);
+    }
+  });
+}
+
+auto journal_node::RenderMetrics() const -> std::string {
+  auto text = std::string{};
+  const auto add = [&](std::string_view name, std::uint64_t value) {
+    text.append("daisywind_journal_").append(name).append(" ");
+    text.append(std::to_string(value)).append("\n");
+  };
+  add("requests_total", counters_.requests);
+  add("stale_requests_total", counters_.stale_requests);
+  add("refused_writes_total", counters_.refused_writes);
+  add("facts_pulled_total", counters_.facts_pulled);
+  add("facts_forgotten_total", counters_.facts_forgotten);
+  add("facts", holder_.facts().size());
+  add("facts_bytes", holder_.facts().bytes());
+  add("disk_queued_bytes", log_.QueuedBytes());
+  add("disk_longest_sync_ms", log_.LongestSyncMs());
+  add("view", holder_.current().number);
+  add("complete", holder_.IsComplete() ? 1 : 0);
+  add("log_lines_dropped_total", DroppedLogLines());
+  return text;
+}
+
+}  // namespace daisywind::journal
--- /dev/null
+++ b/source/core/journal/journal_node.h
@@ -0,0 +1,100 @@
+// One VM that holds facts: its disk, its server and its seat in the view.
+#ifndef DAISYWIND_JOURNAL_JOURNAL_NODE_H_
+#define DAISYWIND_JOURNAL_JOURNAL_NODE_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "common/settings.h"
+#include "history/holder.h"
+#include "history/messages.h"
+#include "history/view.h"
+#include "journal/disk_log.h"
+#include "kv/store.h"
+#include "net/frame_channel.h"
+
+namespace daisywind::journal {
+
+class seat_keeper;
+struct seat_options;
+
+// Counters of one journal.
+struct journal_counters {
+  std::uint64_t requests = 0;
+  std::uint64_t stale_requests = 0;
+  std::uint64_t refused_writes = 0;
+  std::uint64_t facts_pulled = 0;
+  std::uint64_t facts_forgotten = 0;
+};
+
+// Holds facts on this VM's disk and answers requests about them. Everything but
+// the disk's writer runs on the context's thread.
+class journal_node {
+ public:
+  journal_node(boost::asio::io_context& context,
+               const settings& values,
+               kv::store& store,
+               seat_options seat);
+  journal_node(const journal_node&) = delete;
+  auto operator=(const journal_node&) -> journal_node& = delete;
+  ~journal_node();
+
+  // Reads the disk and starts serving. Returns false when the disk can't be
+  // used or the address can't be had.
+  auto Start() -> bool;
+
+  // Stops accepting requests.
+  auto Stop() -> void;
+
+  [[nodiscard]] auto state() -> history::holder& { return holder_; }
+  [[nodiscard]] auto self() const -> const history::member& { return self_; }
+
+  // Puts facts on the disk; the handler hears whether that succeeded.
+  auto Persist(std::vector<history::turn_fact> facts, append_handler done)
+      -> void;
+
+  // Records since which view this disk holds everything; zero that it may not.
+  auto PersistComplete(history::view_number since, append_handler done) -> void;
+
+  // Counters and gauges as text.
+  [[nodiscard]] auto RenderMetrics() const -> std::string;
+
+  [[nodiscard]] auto counters() -> journal_counters& { return counters_; }
+
+ private:
+  auto LoadIdentity() -> bool;
+  auto LoadRecords() -> void;
+  auto Serve(const std::shared_ptr<net::frame_channel>& channel)
+      -> net::channel_handlers;
+  auto OnFrame(const std::weak_ptr<net::frame_channel>& channel,
+               std::string_view frame) -> void;
+  auto ForgetOldFacts() -> boost::asio::awaitable<void>;
+  auto RewriteOldSegments() -> void;
+
+  boost::asio::io_context& context_;
+  std::string folder_;
+  std::string listen_address_;
+  std::int64_t retention_ms_;
+  history::member self_;
+  history::holder holder_;
+  disk_log log_;
+  net::channel_server server_;
+  boost::asio::steady_timer timer_;
+  std::unique_ptr<seat_keeper> seat_;
+  journal_counters counters_;
+  // Facts in memory that the disk's queue had no room for.
+  std::vector<history::turn_fact> owed_;
+  // Segments by the wall-clock time at which they were begun.
+  std::vector<std::pair<std::int64_t, segment_number>> segments_;
+  bool is_stopped_ = false;
+};
+
+}  // namespace daisywind::journal
+
+#endif  // DAISYWIND_JOURNAL_JOURNAL_NODE_H_
--- /dev/null
+++ b/source/core/journal/journal_settings.cc
@@ -0,0 +1,18 @@
+#include "journal/journal_settings.h"
+
+namespace daisywind::journal {
+
+auto JournalSchema() -> settings_schema {
+  return {Declare(kVm),
+          Declare(kFailureDomain),
+          Declare(kRegion),
+          Declare(kListenAddress),
+          Declare(kMetricsAddress),
+          Declare(kStoreAddress),
+          Declare(kDataFolder),
+          Declare(kToleratedLosses),
+          Declare(kRetentionMs),
+          Declare(kLogLevel)};
+}
+
+}  // namespace daisywind::journal
--- /dev/null
+++ b/source/core/journal/seat_keeper.h
@@ -0,0 +1,103 @@
+// Takes and keeps this VM's seat in the view of journals.
+#ifndef DAISYWIND_JOURNAL_SEAT_KEEPER_H_
+#define DAISYWIND_JOURNAL_SEAT_KEEPER_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "common/time.h"
+#include "history/view.h"
+#include "history_client/member_client.h"
+#include "kv/store.h"
+#include "kv/store_watch.h"
+
+namespace daisywind::journal {
+
+class journal_node;
+
+// Key of the view in the platform's store.
+inline constexpr auto kViewPrefix = std::string_view("daisywind/view");
+
+// How the platform asks for the emptying of a VM and hears of it. The names are
+// the platform's, so the adapter gives them.
+struct retire_keys {
+  std::string request_prefix;
+  std::string status_prefix;
+  // Values of the status key.
+  std::string running;
+  std::string done;
+};
+
+struct seat_options {
+  std::size_t tolerated = 1;
+  retire_keys retire;
+  // A member that is unreachable for this long may be replaced.
+  duration replace_after = 1500ms;
+  duration tick = 250ms;
+  duration ask_timeout = 1s;
+  // A VM that leaves waits this long for another one to take its seat.
+  duration successor_wait = 1500ms;
+};
+
+// Watches the view and changes it by compare-and-swap.
+class seat_keeper {
+ public:
+  seat_keeper(boost::asio::io_context& context,
+              journal_node& node,
+              kv::store& store,
+              seat_options options);
+
+  auto Start() -> void;
+  auto Stop() -> void;
+
+ private:
+  auto OnViewItem(const kv::key_value& item) -> void;
+  auto OnRetireItems(const std::vector<kv::key_value>& items) -> void;
+  auto Run() -> boost::asio::awaitable<void>;
+  auto Step() -> boost::asio::awaitable<void>;
+  // Returns false when there is no seat to take.
+  auto TakeSeat() -> boost::asio::awaitable<bool>;
+  auto Write(history::view next) -> boost::asio::awaitable<bool>;
+  auto ProbeMembers() -> boost::asio::awaitable<void>;
+  auto BecomeComplete() -> boost::asio::awaitable<void>;
+  auto AnnounceView() -> boost::asio::awaitable<std::vector<history::member>>;
+  auto PullFrom(const history::member& from) -> boost::asio::awaitable<bool>;
+  auto Retire() -> boost::asio::awaitable<void>;
+  auto PushAll() -> boost::asio::awaitable<bool>;
+  auto AreMembersComplete() -> boost::asio::awaitable<bool>;
+  auto WriteStatus(const std::string& value) -> boost::asio::awaitable<bool>;
+  auto Pause(duration length) -> boost::asio::awaitable<void>;
+  auto Client(const history::member& of)
+      -> std::shared_ptr<history::member_client>;
+  [[nodiscard]] auto HasSeat() const -> bool;
+  [[nodiscard]] auto Others() const -> std::vector<history::member>;
+
+  boost::asio::io_context& context_;
+  journal_node& node_;
+  kv::store& store_;
+  seat_options options_;
+  kv::store_watch view_watch_;
+  kv::store_watch retire_watch_;
+  boost::asio::steady_timer timer_;
+  // The view as the store has it, and the revision of its key.
+  history::view stored_;
+  kv::revision revision_ = 0;
+  bool has_read_view_ = false;
+  std::set<vm_id> retiring_;
+  std::string last_status_;
+  // When members that do not answer answered last.
+  std::map<vm_id, instant> silent_since_;
+  std::map<std::string, std::shared_ptr<history::member_client>> clients_;
+  bool is_stopped_ = false;
+};
+
+}  // namespace daisywind::journal
+
+#endif  // DAISYWIND_JOURNAL_SEAT_KEEPER_H_
--- /dev/null
+++ b/source/core/kv/store_watch.cc
@@ -0,0 +1,113 @@
+#include "kv/store_watch.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "common/logging.h"
+
+namespace daisywind::kv {
+
+namespace asio = boost::asio;
+
+store_watch::store_watch(asio::io_context& context,
+                         store& source,
+                         std::string prefix,
+                         watch_options options,
+                         watch_handlers handlers)
+    : context_(context),
+      source_(source),
+      prefix_(std::move(prefix)),
+      options_(options),
+      handlers_(std::move(handlers)),
+      timer_(context) {}
+
+auto store_watch::Start() -> void {
+  asio::co_spawn(context_, Run(), asio::detached);
+}
+
+auto store_watch::Stop() -> void {
+  is_stopped_ = true;
+  timer_.cancel();
+}
+
+auto store_watch::Run() -> asio::awaitable<void> {
+  auto retry = options_.first_retry;
+  while (!is_stopped_) {
+    auto is_answered = false;
+    if (needs_refresh_) {
+      is_answered = co_await Refresh();
+    } else {
+      is_answered = co_await Follow();
+    }
+    if (is_answered) {
+      retry = options_.first_retry;
+      continue;
+    }
+    co_await Pause(retry);
+    retry = std::min(2 * retry, options_.longest_retry);
+  }
+}
+
+auto store_watch::Refresh() -> asio::awaitable<bool> {
+  auto result = co_await source_.List(prefix_);
+  if (is_stopped_) {
+    co_return false;
+  }
+  SetReachable(result.value.has_value(), result.error);
+  if (!result.value) {
+    co_return false;
+  }
+  next_ = result.value->revision_at;
+  needs_refresh_ = false;
+  handlers_.on_snapshot(result.value->items);
+  co_return true;
+}
+
+auto store_watch::Follow() -> asio::awaitable<bool> {
+  auto result = co_await source_.WaitForChanges(prefix_, next_, options_.wait);
+  if (is_stopped_) {
+    co_return false;
+  }
+  SetReachable(result.value.has_value(), result.error);
+  if (!result.value) {
+    // Entries may have lapsed unseen, or a lost answer may have held changes.
+    needs_refresh_ = true;
+    co_return false;
+  }
+  if (result.value->is_history_lost) {
+    needs_refresh_ = true;
+    co_return true;
+  }
+  next_ = std::max(next_, result.value->next);
+  if (!result.value->changes.empty()) {
+    handlers_.on_changes(result.value->changes);
+    co_await Pause(options_.coalesce);
+  }
+  co_return true;
+}
+
+auto store_watch::Pause(duration length) -> asio::awaitable<void> {
+  timer_.expires_after(length);
+  co_await timer_.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+auto store_watch::SetReachable(bool value, const std::string& reason) -> void {
+  if (value == is_reachable_) {
+    return;
+  }
+  is_reachable_ = value;
+  if (value) {
+    Log(log_events::kStoreRegained, {{"prefix", std::string_view(prefix_)}});
+  } else {
+    Log(log_events::kStoreLost, {{"prefix", std::string_view(prefix_)},
+                                 {"reason", std::string_view(reason)},
+                                 {"revision", next_}});
+  }
+  handlers_.on_contact(value);
+}
+
+}  // namespace daisywind::kv
--- /dev/null
+++ b/source/core/kv/store_watch.h
@@ -0,0 +1,72 @@
+// Follows the keys under one prefix through outages and lost history.
+#ifndef DAISYWIND_KV_STORE_WATCH_H_
+#define DAISYWIND_KV_STORE_WATCH_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "common/kv_types.h"
+#include "common/time.h"
+#include "kv/store.h"
+
+namespace daisywind::kv {
+
+// What the owner of a watch hears.
+struct watch_handlers {
+  // All keys under the prefix, after the start and whenever changes may have
+  // been missed.
+  std::function<void(const std::vector<key_value>& items)> on_snapshot;
+  std::function<void(const std::vector<key_change>& changes)> on_changes;
+  // The store has become unreachable, or reachable again.
+  std::function<void(bool is_reachable)> on_contact;
+};
+
+// Timing of a watch.
+struct watch_options {
+  // How long the store may keep one call waiting.
+  duration wait = 10s;
+  // Changes that come in quick succession are fetched together.
+  duration coalesce = 100ms;
+  // Pause after a failure, doubled up to the longest one.
+  duration first_retry = 100ms;
+  duration longest_retry = 1s;
+};
+
+// One watch. Its loop runs until Stop.
+class store_watch {
+ public:
+  store_watch(boost::asio::io_context& context,
+              store& source,
+              std::string prefix,
+              watch_options options,
+              watch_handlers handlers);
+
+  auto Start() -> void;
+  auto Stop() -> void;
+
+ private:
+  auto Run() -> boost::asio::awaitable<void>;
+  auto Refresh() -> boost::asio::awaitable<bool>;
+  auto Follow() -> boost::asio::awaitable<bool>;
+  auto Pause(duration length) -> boost::asio::awaitable<void>;
+  auto SetReachable(bool value, const std::string& reason) -> void;
+
+  boost::asio::io_context& context_;
+  store& source_;
+  std::string prefix_;
+  watch_options options_;
+  watch_handlers handlers_;
+  boost::asio::steady_timer timer_;
+  revision next_ = 0;
+  bool needs_refresh_ = true;
+  bool is_reachable_ = true;
+  bool is_stopped_ = false;
+};
+
+}  // namespace daisywind::kv
+
+#endif  // DAISYWIND_KV_STORE_WATCH_H_
--- /dev/null
+++ b/source/core/net/frame_channel.h
@@ -0,0 +1,91 @@
+// Frames in both directions over one TCP connection, for requests and replies
+// between our own processes. The frames are those of frame_link.
+#ifndef DAISYWIND_NET_FRAME_CHANNEL_H_
+#define DAISYWIND_NET_FRAME_CHANNEL_H_
+
+#include <boost/asio/io_context.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "common/time.h"
+#include "net/http_types.h"
+
+namespace daisywind::net {
+
+// What the owner of a channel hears. Neither is called after Close.
+struct channel_handlers {
+  std::function<void(std::string_view frame)> on_frame;
+  // Called once, when the connection failed or the peer has closed it.
+  std::function<void()> on_close;
+};
+
+// Bounds of a channel.
+struct channel_options {
+  duration connect_timeout = 1500ms;
+  // A peer that acknowledges nothing for this long is taken as gone.
+  duration dead_peer_timeout = 3s;
+  std::size_t max_queued_bytes = std::size_t{32} * 1024 * 1024;
+};
+
+// One connection. Frames that are sent before it is up are queued.
+class frame_channel {
+ public:
+  struct state;
+
+  frame_channel(boost::asio::io_context& context,
+                const socket_address& address,
+                channel_options options,
+                channel_handlers handlers);
+  explicit frame_channel(std::shared_ptr<state> accepted);
+  frame_channel(const frame_channel&) = delete;
+  auto operator=(const frame_channel&) -> frame_channel& = delete;
+  ~frame_channel();
+
+  // Queues a frame. Returns false when the channel is closed or its queue full.
+  auto Send(std::string_view frame) -> bool;
+
+  // Closes the connection and drops what is queued.
+  auto Close() -> void;
+
+  [[nodiscard]] auto IsOpen() const -> bool;
+
+ private:
+  std::shared_ptr<state> state_;
+};
+
+// Called with each accepted connection; returns what it hears. The reference
+// stays valid until the connection has closed.
+using channel_acceptor =
+    std::function<channel_handlers(std::shared_ptr<frame_channel> channel)>;
+
+// Accepts channels on one address.
+class channel_server {
+ public:
+  struct state;
+
+  channel_server(boost::asio::io_context& context,
+                 std::size_t max_channels,
+                 channel_options options,
+                 channel_acceptor on_accept);
+  channel_server(const channel_server&) = delete;
+  auto operator=(const channel_server&) -> channel_server& = delete;
+  ~channel_server();
+
+  // Binds and starts accepting; port 0 takes a free one. Returns the bound
+  // port, or 0 when the address can't be had.
+  auto Listen(const socket_address& address) -> std::uint16_t;
+
+  // Stops accepting and closes every channel.
+  auto Close() -> void;
+
+ private:
+  std::shared_ptr<state> state_;
+};
+
+}  // namespace daisywind::net
+
+#endif  // DAISYWIND_NET_FRAME_CHANNEL_H_
--- a/source/core/net/frame_link.cc
+++ b/source/core/net/frame_link.cc
@@ -10,6 +10,7 @@
 
 #include "common/logging.h"
 #include "net/acceptor.h"
+#include "net/frame_length.h"
 
 namespace daisywind::net {
 namespace {
@@ -19,31 +20,12 @@
 using tcp = asio::ip::tcp;
 
 constexpr auto kWithError = asio::as_tuple(asio::use_awaitable);
-constexpr auto kLengthBytes = std::size_t{4};
 constexpr auto kConnectTimeout = std::chrono::milliseconds(1500);
 constexpr auto kWriteTimeout = std::chrono::seconds(10);
 constexpr auto kReconnectDelay = std::chrono::milliseconds(100);
 // A length prefix promises the rest of its frame within this time.
 constexpr auto kFrameTimeout = std::chrono::seconds(30);
 
-using length_bytes = std::array<std::uint8_t, kLengthBytes>;
-
-auto EncodeLength(std::size_t length) -> length_bytes {
-  auto bytes = length_bytes{};
-  for (auto i = std::size_t{0}; i < kLengthBytes; ++i) {
-    bytes[i] = static_cast<std::uint8_t>(length >> (8 * i));
-  }
-  return bytes;
-}
-
-auto DecodeLength(const length_bytes& bytes) -> std::size_t {
-  auto length = std::size_t{0};
-  for (auto i = std::size_t{0}; i < kLengthBytes; ++i) {
-    length |= std::size_t{bytes[i]} << (8 * i);
-  }
-  return length;
-}
-
 }  // namespace
 
 struct frame_server::state {
--- a/source/core/net/http_client.cc
+++ b/source/core/net/http_client.cc
@@ -1,14 +1,21 @@
 #include "net/http_client.h"
 
+#include <sys/socket.h>
+
+#include <algorithm>
 #include <array>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <cerrno>
+#include <charconv>
 #include <chrono>
 #include <map>
 #include <utility>
 #include <vector>
 
+#include "net/socket_options.h"
+
 namespace daisywind::net {
 namespace {
 
@@ -18,32 +25,56 @@
 using tcp = asio::ip::tcp;
 
 constexpr auto kWithError = asio::as_tuple(asio::use_awaitable);
-constexpr auto kMaxPooledPerAddress = std::size_t{32};
-constexpr auto kMaxPooledAge = std::chrono::seconds(30);
+// Answers of other requests that are skipped before a connection is given up.
+constexpr auto kMaxSkippedAnswers = 3;
 
+// One connection. A write may still be under way when the answer has come.
 struct link {
   explicit link(asio::io_context& context) : stream(context) {}
 
+  auto Close() -> void {
+    // Closing with unread bytes resets the connection, which also tells the
+    // server that nobody waits for its answer.
+    stream.close();
+  }
+
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
+  std::string outgoing;
+  std::size_t bytes_written = 0;
+  bool is_written = true;
+  bool has_write_failed = false;
   std::chrono::steady_clock::time_point idle_since;
+  // How long the server keeps it open while it is idle.
+  duration idle_bound{};
 };
 
-using link_ptr = std::unique_ptr<link>;
+using link_ptr = std::shared_ptr<link>;
 
-auto ToBeast(const socket_address& address, const http_request& from)
-    -> http::request<http::string_body> {
-  auto to = http::request<http::string_body>{};
-  to.version(11);
-  to.method_string(from.method);
-  to.target(from.target);
-  to.set(http::field::host, ToString(address));
+// Renders a request. A serializer would hold on to a message of its own.
+auto Render(const socket_address& address, const http_request& from)
+    -> std::string {
+  auto size = from.body.size() + from.target.size() + 128;
   for (const auto& header : from.headers) {
-    to.insert(header.name, header.value);
+    size += header.name.size() + header.value.size() + 4;
   }
-  to.body() = from.body;
-  to.prepare_payload();
-  return to;
+  auto text = std::string{};
+  text.reserve(size);
+  text.append(from.method).append(" ").append(from.target);
+  text.append(" HTTP/1.1\r\n");
+  if (from.Header("Host").empty()) {
+    text.append("Host: ").append(ToString(address)).append("\r\n");
+  }
+  for (const auto& header : from.headers) {
+    text.append(header.name).append(": ").append(header.value).append("\r\n");
+  }
+  if (!from.body.empty() || (from.method != "GET" && from.method != "HEAD")) {
+    text.append("Content-Length: ")
+        .append(std::to_string(from.body.size()))
+        .append("\r\n");
+  }
+  text.append("\r\n").append(from.body);
+  return text;
 }
 
 auto HeadFrom(const http::response_header<>& from) -> http_response {
@@ -56,35 +87,79 @@
   return to;
 }
 
+// The idle time that a response allows its connection.
+auto IdleBound(const http_response& head, duration longest) -> duration {
+  constexpr auto kKey = std::string_view("timeout=");
+  const auto text = head.Header("Keep-Alive");
+  const auto position = text.find(kKey);
+  if (position == std::string_view::npos) {
+    return longest;
+  }
+  auto seconds = std::int64_t{0};
+  const auto digits = text.substr(position + kKey.size());
+  const auto parsed =
+      std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  if (parsed.ec != std::errc{} || seconds <= 0) {
+    return longest;
+  }
+  // The server's clock started earlier, by the time that its answer took.
+  return std::min(longest, duration(std::chrono::seconds(seconds)) * 7 / 10);
+}
+
 }  // namespace
 
+auto http_cancellation::Cancel() -> void {
+  is_cancelled_ = true;
+  if (hook_) {
+    std::exchange(hook_, nullptr)();
+  }
+}
+
 struct http_client::state {
-  explicit state(asio::io_context& io) : context(io) {}
+  state(asio::io_context& io, http_pool_options bounds)
+      : context(io), pool(bounds) {}
 
   auto TakePooled(const socket_address& address) -> link_ptr {
-    auto& pool = idle[address];
+    const auto found = idle.find(address);
     const auto now = std::chrono::steady_clock::now();
-    while (!pool.empty()) {
-      auto candidate = std::move(pool.back());
-      pool.pop_back();
-      if (now - candidate->idle_since < kMaxPooledAge) {
+    while (found != idle.end() && !found->second.empty()) {
+      auto candidate = std::move(found->second.back());
+      found->second.pop_back();
+      if (now - candidate->idle_since < candidate->idle_bound &&
+          IsQuiet(*candidate)) {
         return candidate;
       }
+      candidate->Close();
     }
     return nullptr;
   }
 
+  // An idle connection with bytes to read was closed by the server or carries
+  // an answer to nobody.
+  static auto IsQuiet(link& connection) -> bool {
+    auto byte = char{};
+    const auto size = ::recv(connection.stream.socket().native_handle(), &byte,
+                             1, MSG_PEEK | MSG_DONTWAIT);
+    return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+
   auto Return(const socket_address& address, link_ptr connection) -> void {
-    auto& pool = idle[address];
-    if (pool.size() >= kMaxPooledPerAddress) {
+    auto& list = idle[address];
+    const auto is_usable = connection->buffer.size() == 0 &&
+                           connection->is_written &&
+                           list.size() < pool.max_idle_connections_per_address;
+    if (!is_usable) {
+      connection->Close();
       return;
     }
     connection->stream.expires_never();
     connection->idle_since = std::chrono::steady_clock::now();
-    pool.push_back(std::move(connection));
+    list.push_back(std::move(connection));
   }
 
   asio::io_context& context;
+  http_pool_options pool;
+  std::uint64_t opened_connections = 0;
   std::map<socket_address, std::vector<link_ptr>> idle;
 };
 
@@ -101,60 +176,102 @@
       : client_(std::move(client)),
         address_(std::move(address)),
         connection_(std::move(connection)),
-        options_(options) {
-    parser_.body_limit(options_.max_body_bytes);
+        options_(std::move(options)) {}
+
+  ~body_stream() override {
+    if (connection_ != nullptr) {
+      connection_->Close();
+    }
   }
 
+  body_stream(const body_stream&) = delete;
+  auto operator=(const body_stream&) -> body_stream& = delete;
+
+  // Reads the head of the answer to this request, past those of others.
   auto ReadHead() -> asio::awaitable<beast::error_code> {
-    connection_->stream.expires_after(options_.head_timeout);
-    const auto [error, size] = co_await http::async_read_header(
-        connection_->stream, connection_->buffer, parser_, kWithError);
-    co_return error;
+    for (auto skipped = 0; skipped <= kMaxSkippedAnswers; ++skipped) {
+      parser_.emplace();
+      parser_->body_limit(options_.max_body_bytes);
+      connection_->stream.expires_after(options_.head_timeout);
+      const auto [error, size] = co_await http::async_read_header(
+          connection_->stream, connection_->buffer, *parser_, kWithError);
+      if (error) {
+        co_return error;
+      }
+      head_ = HeadFrom(parser_->get().base());
+      if (!options_.is_own_answer || options_.is_own_answer(head_)) {
+        connection_->idle_bound = IdleBound(head_, client_->pool.max_idle);
+        co_return error;
+      }
+      if (!co_await SkipBody()) {
+        break;
+      }
+    }
+    co_return http::error::bad_status;
   }
 
-  [[nodiscard]] auto Head() const -> http_response {
-    return HeadFrom(parser_.get().base());
-  }
+  auto TakeHead() -> http_response { return std::move(head_); }
 
   auto Next() -> asio::awaitable<std::optional<std::string>> override {
-    while (!is_cancelled_ && !parser_.is_done()) {
+    auto part = co_await ReadPart();
+    if (!part) {
+      ReturnToPool();
+    }
+    co_return part;
+  }
+
+  [[nodiscard]] auto IsWhole() const -> bool override {
+    return parser_->is_done() && !has_failed_;
+  }
+
+  auto Cancel() -> void override {
+    is_cancelled_ = true;
+    if (connection_ != nullptr) {
+      connection_->Close();
+    }
+  }
+
+ private:
+  auto ReadPart() -> asio::awaitable<std::optional<std::string>> {
+    while (!is_cancelled_ && !has_failed_ && !parser_->is_done()) {
       auto space = std::array<char, kPartBytes>{};
-      parser_.get().body().data = space.data();
-      parser_.get().body().size = space.size();
+      parser_->get().body().data = space.data();
+      parser_->get().body().size = space.size();
       connection_->stream.expires_after(options_.idle_timeout);
       const auto [error, size] = co_await http::async_read_some(
-          connection_->stream, connection_->buffer, parser_, kWithError);
+          connection_->stream, connection_->buffer, *parser_, kWithError);
       if (error && error != http::error::need_buffer) {
         has_failed_ = true;
-        co_return std::nullopt;
+        break;
       }
-      const auto read = space.size() - parser_.get().body().size;
+      const auto read = space.size() - parser_->get().body().size;
       if (read > 0) {
         co_return std::string(space.data(), read);
       }
     }
-    ReturnToPool();
     co_return std::nullopt;
   }
 
-  [[nodiscard]] auto IsWhole() const -> bool override {
-    return parser_.is_done() && !has_failed_;
-  }
-
-  auto Cancel() -> void override {
-    is_cancelled_ = true;
-    if (connection_ != nullptr) {
-      connection_->stream.close();
+  // Returns true when another answer may follow on the connection.
+  auto SkipBody() -> asio::awaitable<bool> {
+    while (co_await ReadPart()) {
     }
+    co_return IsWhole() && parser_->get().keep_alive();
   }
 
- private:
   auto ReturnToPool() -> void {
-    if (connection_ == nullptr || is_cancelled_ || has_failed_ ||
-        !parser_.get().keep_alive()) {
+    if (connection_ == nullptr || is_cancelled_) {
+      return;
+    }
+    if (options_.cancellation != nullptr) {
+      options_.cancellation->SetHook(nullptr);
+    }
+    auto connection = std::exchange(connection_, nullptr);
+    if (has_failed_ || !parser_->get().keep_alive()) {
+      connection->Close();
       return;
     }
-    client_->Return(address_, std::move(connection_));
+    client_->Return(address_, std::move(connection));
   }
 
   static constexpr std::size_t kPartBytes = 8192;
@@ -163,7 +280,8 @@
   socket_address address_;
   link_ptr connection_;
   http_options options_;
-  http::response_parser<http::buffer_body> parser_;
+  std::optional<http::response_parser<http::buffer_body>> parser_;
+  http_response head_;
   bool has_failed_ = false;
   bool is_cancelled_ = false;
 };
@@ -176,21 +294,48 @@
   if (error) {
     co_return nullptr;
   }
-  auto connection = std::make_unique<link>(client->context);
+  auto connection = std::make_shared<link>(client->context);
+  if (options.cancellation != nullptr) {
+    options.cancellation->SetHook([connection] { connection->Close(); });
+  }
   connection->stream.expires_after(options.connect_timeout);
   const auto [connect_error] = co_await connection->stream.async_connect(
       tcp::endpoint(ip, address.port), kWithError);
   if (connect_error) {
     co_return nullptr;
   }
-  connection->stream.socket().set_option(tcp::no_delay(true), error);
+  ++client->opened_connections;
+  DetectDeadPeer(connection->stream.socket(), client->pool.dead_peer_timeout);
   co_return connection;
 }
 
+// Starts the write of a request. A server may answer before it has read it all,
+// so the answer is not kept waiting for the write.
+auto StartWrite(const link_ptr& connection,
+                std::string request,
+                duration timeout) -> void {
+  connection->outgoing = std::move(request);
+  connection->bytes_written = 0;
+  connection->is_written = false;
+  connection->has_write_failed = false;
+  connection->stream.expires_after(timeout);
+  asio::async_write(
+      connection->stream, asio::buffer(connection->outgoing),
+      [connection](const beast::error_code& error, std::size_t size) {
+        connection->bytes_written += size;
+        connection->is_written = !error;
+        connection->has_write_failed = error.failed();
+      });
+}
+
+auto IsCancelled(const http_options& options) -> bool {
+  return options.cancellation != nullptr && options.cancellation->IsCancelled();
+}
+
 }  // namespace
 
-http_client::http_client(asio::io_context& context)
-    : state_(std::make_shared<state>(context)) {}
+http_client::http_client(asio::io_context& context, http_pool_options pool)
+    : state_(std::make_shared<state>(context, pool)) {}
 
 http_client::~http_client() = default;
 
@@ -205,34 +350,50 @@
   if (!is_pooled) {
     connection = co_await Connect(client, address, options);
   }
-  if (connection == nullptr) {
+  if (connection == nullptr || IsCancelled(options)) {
     co_return http_stream_result{
         http_outcome::kNotSent, {}, nullptr, "cannot connect"};
   }
-  auto message = ToBeast(address, request);
-  connection->stream.expires_after(options.head_timeout);
-  const auto [write_error, written] =
-      co_await http::async_write(connection->stream, message, kWithError);
-  auto body = std::make_unique<body_stream>(client, address,
-                                            std::move(connection), options);
-  const auto error = write_error ? write_error : co_await body->ReadHead();
-  if (error && is_pooled) {
-    options.use_fresh_connection = true;
-    co_return co_await Open(std::move(address), std::move(request), options);
+  if (options.cancellation != nullptr) {
+    options.cancellation->SetHook([connection] { connection->Close(); });
   }
-  if (error) {
-    co_return http_stream_result{
-        http_outcome::kNoAnswer, {}, nullptr, error.message()};
+  StartWrite(connection, Render(address, request), options.head_timeout);
+  auto body =
+      std::make_unique<body_stream>(client, address, connection, options);
+  const auto error = co_await body->ReadHead();
+  if (!error) {
+    auto head = body->TakeHead();
+    co_return http_stream_result{http_outcome::kAnswered, std::move(head),
+                                 std::move(body), "", is_pooled};
+  }
+  if (is_pooled && options.resend_on_stale && !IsCancelled(options)) {
+    options.use_fresh_connection = true;
+    co_return co_await Open(std::move(address), std::move(request),
+                            std::move(options));
   }
-  auto head = body->Head();
-  co_return http_stream_result{http_outcome::kAnswered, std::move(head),
-                               std::move(body), ""};
+  const auto is_unsent =
+      connection->has_write_failed && connection->bytes_written == 0;
+  co_return http_stream_result{
+      is_unsent ? http_outcome::kNotSent : http_outcome::kNoAnswer,
+      {},
+      nullptr,
+      error.message(),
+      is_pooled};
+}
+
+auto http_client::Forget(const socket_address& address) -> void {
+  state_->idle.erase(address);
+}
+
+auto http_client::OpenedConnections() const -> std::uint64_t {
+  return state_->opened_connections;
 }
 
 auto http_client::Send(socket_address address,
                        http_request request,
                        http_options options) -> asio::awaitable<http_result> {
-  auto opened = co_await Open(std::move(address), std::move(request), options);
+  auto opened =
+      co_await Open(std::move(address), std::move(request), std::move(options));
   if (opened.outcome != http_outcome::kAnswered) {
     co_return http_result{opened.outcome, {}, std::move(opened.error)};
   }
--- a/source/core/net/http_client.h
+++ b/source/core/net/http_client.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -26,6 +27,22 @@
   kNoAnswer,
 };
 
+// Ends a request from outside, at any moment of it.
+class http_cancellation {
+ public:
+  // Ends the request. Its caller sees a failure.
+  auto Cancel() -> void;
+
+  [[nodiscard]] auto IsCancelled() const -> bool { return is_cancelled_; }
+
+  // Set by the client: closes the connection in use.
+  auto SetHook(std::function<void()> hook) -> void { hook_ = std::move(hook); }
+
+ private:
+  std::function<void()> hook_;
+  bool is_cancelled_ = false;
+};
+
 // Bounds and choices of one request.
 struct http_options {
   duration connect_timeout = 2s;
@@ -37,6 +54,21 @@
   // A pooled connection may have been closed by the server, which leaves the
   // outcome of a write open. Non-idempotent requests ask for a fresh one.
   bool use_fresh_connection = false;
+  // Whether a request that failed on a pooled connection is sent again on a
+  // fresh one. Never set it for a request that may run once only.
+  bool resend_on_stale = true;
+  // Tells an answer to this request from a late one to another. Answers that
+  // are not its own are skipped.
+  std::function<bool(const http_response& head)> is_own_answer;
+  std::shared_ptr<http_cancellation> cancellation;
+};
+
+// Which pooled connections a client keeps.
+struct http_pool_options {
+  duration max_idle = 30s;
+  std::size_t max_idle_connections_per_address = 32;
+  // A server that acknowledges nothing for this long is taken as gone.
+  duration dead_peer_timeout = 5s;
 };
 
 // The end of a whole exchange. The response is valid when answered.
@@ -71,6 +103,8 @@
   http_response head;
   std::unique_ptr<http_body_stream> body;
   std::string error;
+  // True when the connection had carried another request before.
+  bool is_reused = false;
 };
 
 // Sends requests over pooled connections on one context.
@@ -78,7 +112,8 @@
  public:
   struct state;
 
-  explicit http_client(boost::asio::io_context& context);
+  explicit http_client(boost::asio::io_context& context,
+                       http_pool_options pool = {});
   http_client(const http_client&) = delete;
   auto operator=(const http_client&) -> http_client& = delete;
   ~http_client();
@@ -91,6 +126,12 @@
   auto Open(socket_address address, http_request request, http_options options)
       -> boost::asio::awaitable<http_stream_result>;
 
+  // Closes the idle connections to one address.
+  auto Forget(const socket_address& address) -> void;
+
+  // Connections opened so far.
+  [[nodiscard]] auto OpenedConnections() const -> std::uint64_t;
+
  private:
   std::shared_ptr<state> state_;
 };
--- a/source/core/net/http_server.cc
+++ b/source/core/net/http_server.cc
@@ -1,8 +1,10 @@
 #include "net/http_server.h"
 
+#include <array>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <chrono>
 #include <optional>
 #include <set>
@@ -22,17 +24,32 @@
 
 constexpr auto kWithError = asio::as_tuple(asio::use_awaitable);
 
-auto ToBeast(const http_response& from) -> http::response<http::string_body> {
-  auto to = http::response<http::string_body>{};
-  to.version(11);
-  to.result(from.status);
+// Renders a response head up to the framing of its body.
+auto RenderHead(const http_response& from, bool keep_alive) -> std::string {
+  auto text = std::string("HTTP/1.1 ");
+  text.append(std::to_string(from.status)).append(" ");
+  const auto reason = http::obsolete_reason(http::int_to_status(from.status));
+  text.append(reason.data(), reason.size()).append("\r\n");
   for (const auto& header : from.headers) {
-    to.insert(header.name, header.value);
+    text.append(header.name).append(": ").append(header.value).append("\r\n");
   }
-  to.body() = from.body;
-  return to;
+  if (!keep_alive) {
+    text.append("Connection: close\r\n");
+  }
+  return text;
+}
+
+auto RenderChunk(std::string_view bytes) -> std::string {
+  auto text = std::array<char, 20>{};
+  const auto end =
+      std::to_chars(text.data(), text.data() + text.size(), bytes.size(), 16);
+  auto chunk = std::string(text.data(), end.ptr);
+  chunk.append("\r\n").append(bytes).append("\r\n");
+  return chunk;
 }
 
+constexpr auto kLastChunk = std::string_view("0\r\n\r\n");
+
 auto FromBeast(http::request<http::string_body>&& from) -> http_request {
   auto to = http_request{};
   to.method = std::string(from.method_string());
@@ -80,6 +97,8 @@
   std::set<connection*> connections;
   std::size_t active_requests = 0;
   bool is_closing = false;
+  // Set while this process prepares to stop: responses ask for a close.
+  bool is_leaving = false;
 };
 
 namespace {
@@ -96,44 +115,38 @@
   }
 
   auto Respond(http_response response) -> asio::awaitable<bool> override {
-    auto message = ToBeast(response);
-    message.keep_alive(keep_alive_);
-    message.prepare_payload();
+    auto text = RenderHead(response, KeepsAlive());
+    text.append("Content-Length: ")
+        .append(std::to_string(response.body.size()))
+        .append("\r\n\r\n")
+        .append(response.body);
     has_answered_ = true;
-    stream_.expires_after(limits_.write_timeout);
-    const auto [error, size] =
-        co_await http::async_write(stream_, message, kWithError);
-    co_return Finish(error);
+    co_return co_await Write(std::move(text));
   }
 
   auto StartStream(http_response head) -> asio::awaitable<bool> override {
-    auto message = http::response<http::empty_body>{ToBeast(head).base()};
-    message.version(11);
-    message.chunked(true);
-    message.keep_alive(keep_alive_);
-    auto serializer = http::response_serializer<http::empty_body>{message};
+    StartStreamWithFirstChunk(std::move(head));
+    co_return co_await Write(std::exchange(pending_head_, {}));
+  }
+
+  auto StartStreamWithFirstChunk(http_response head) -> void override {
+    pending_head_ = RenderHead(head, KeepsAlive());
+    pending_head_.append("Transfer-Encoding: chunked\r\n\r\n");
     has_answered_ = true;
     is_streaming_ = true;
-    stream_.expires_after(limits_.write_timeout);
-    const auto [error, size] =
-        co_await http::async_write_header(stream_, serializer, kWithError);
-    co_return Finish(error);
   }
 
   auto WriteChunk(std::string_view bytes) -> asio::awaitable<bool> override {
-    stream_.expires_after(limits_.write_timeout);
-    const auto [error, size] = co_await asio::async_write(
-        stream_, http::make_chunk(asio::buffer(bytes.data(), bytes.size())),
-        kWithError);
-    co_return Finish(error);
+    co_return co_await Write(std::exchange(pending_head_, {}) +
+                             RenderChunk(bytes));
   }
 
   auto EndStream() -> asio::awaitable<bool> override {
-    stream_.expires_after(limits_.write_timeout);
-    const auto [error, size] = co_await asio::async_write(
-        stream_, http::make_chunk_last(), kWithError);
+    auto text = std::exchange(pending_head_, {});
+    text.append(kLastChunk);
+    const auto is_sent = co_await Write(std::move(text));
     is_streaming_ = false;
-    co_return Finish(error);
+    co_return is_sent;
   }
 
   auto Abort() -> void override {
@@ -161,11 +174,32 @@
     }
   }
 
+  auto OnClose(std::function<void()> handler) -> void override {
+    close_handler_ = std::move(handler);
+    if (is_watching_) {
+      return;
+    }
+    is_watching_ = true;
+    const auto alive = std::weak_ptr<bool>(alive_);
+    stream_.socket().async_wait(
+        tcp::socket::wait_read, [this, alive](const beast::error_code& error) {
+          if (alive.expired()) {
+            return;
+          }
+          is_watching_ = false;
+          if (close_handler_ && (error ? error != asio::error::operation_aborted
+                                       : IsPeerClosed())) {
+            std::exchange(close_handler_, nullptr)();
+          }
+        });
+  }
+
   [[nodiscard]] auto IsClosed() -> bool override {
     return !stream_.socket().is_open() || IsPeerClosed();
   }
 
   auto Run(server_state server) -> asio::awaitable<void> {
+    server_ = server.get();
     while (keep_alive_ && !server->is_closing) {
       if (!co_await ReadRequest()) {
         break;
@@ -175,6 +209,8 @@
       has_answered_ = false;
       co_await server->handler(*this);
       is_busy_ = false;
+      close_handler_ = nullptr;
+      keep_alive_ = KeepsAlive();
       --server->active_requests;
       if (is_streaming_ || !has_answered_) {
         Abort();
@@ -272,6 +308,17 @@
     return error.failed() || size == 0;
   }
 
+  [[nodiscard]] auto KeepsAlive() const -> bool {
+    return keep_alive_ && (server_ == nullptr || !server_->is_leaving);
+  }
+
+  auto Write(std::string text) -> asio::awaitable<bool> {
+    stream_.expires_after(limits_.write_timeout);
+    const auto [error, size] =
+        co_await asio::async_write(stream_, asio::buffer(text), kWithError);
+    co_return Finish(error);
+  }
+
   auto Finish(const beast::error_code& error) -> bool {
     if (error) {
       keep_alive_ = false;
@@ -286,6 +333,11 @@
   const http_limits& limits_;
   beast::flat_buffer buffer_;
   http_request request_;
+  std::string pending_head_;
+  std::function<void()> close_handler_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  http_server::state* server_ = nullptr;
+  bool is_watching_ = false;
   bool keep_alive_ = true;
   bool is_busy_ = false;
   bool has_answered_ = false;
@@ -342,6 +394,14 @@
   return port;
 }
 
+auto http_server::UpdateLimits(const http_limits& limits) -> void {
+  state_->limits = limits;
+}
+
+auto http_server::CloseAfterResponses() -> void {
+  state_->is_leaving = true;
+}
+
 auto http_server::StopAccepting() -> void {
   auto ignored = beast::error_code{};
   state_->acceptor.close(ignored);
--- a/source/core/net/http_server.h
+++ b/source/core/net/http_server.h
@@ -47,6 +47,9 @@
   virtual auto StartStream(http_response head)
       -> boost::asio::awaitable<bool> = 0;
 
+  // As StartStream, but the head leaves together with the first chunk.
+  virtual auto StartStreamWithFirstChunk(http_response head) -> void = 0;
+
   // Sends one chunk. Returns false when the caller is gone.
   virtual auto WriteChunk(std::string_view bytes)
       -> boost::asio::awaitable<bool> = 0;
@@ -60,6 +63,10 @@
   // Completes when the caller closes its side, for use beside other work.
   virtual auto WaitForClose() -> boost::asio::awaitable<void> = 0;
 
+  // Calls the handler once if the caller closes its side before the exchange is
+  // over. Not at all when the caller sends more before that.
+  virtual auto OnClose(std::function<void()> handler) -> void = 0;
+
   // Whether the caller has closed its side.
   [[nodiscard]] virtual auto IsClosed() -> bool = 0;
 };
@@ -84,6 +91,13 @@
   // port, or 0 when the address can't be had.
   auto Listen(const socket_address& address) -> std::uint16_t;
 
+  // Replaces the limits, for connections that are open as well. The number of
+  // connections is not lowered for them.
+  auto UpdateLimits(const http_limits& limits) -> void;
+
+  // Has each connection close after its next response.
+  auto CloseAfterResponses() -> void;
+
   // Stops accepting. Requests under way go on.
   auto StopAccepting() -> void;
 
--- /dev/null
+++ b/source/core/process/process_main.cc
@@ -0,0 +1,124 @@
+#include "process/process_main.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <cstdlib>
+#include <cxxopts.hpp>
+#include <iostream>
+#include <vector>
+
+#include "common/logging.h"
+
+namespace daisywind::process {
+namespace {
+
+constexpr auto kUsageExit = 2;
+
+auto Load(const program& what, const cxxopts::ParseResult& arguments)
+    -> leaf::result<settings> {
+  auto values = settings(what.schema);
+  BOOST_LEAF_CHECK(values.AddFile(arguments["settings"].as<std::string>()));
+  if (arguments.count("set") != 0) {
+    for (const auto& item : arguments["set"].as<std::vector<std::string>>()) {
+      BOOST_LEAF_CHECK(values.AddOverride(item));
+    }
+  }
+  BOOST_LEAF_CHECK(values.CheckComplete());
+  if (what.check) {
+    BOOST_LEAF_CHECK(what.check(values));
+  }
+  return values;
+}
+
+auto LoadOrReport(const program& what,
+                  const cxxopts::ParseResult& arguments,
+                  const std::function<void(const std::string&)>& report)
+    -> std::optional<settings> {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<std::optional<settings>> {
+        BOOST_LEAF_AUTO(values, Load(what, arguments));
+        return std::optional<settings>(std::move(values));
+      },
+      [&](const settings_error& error) {
+        report(ToString(error));
+        return std::optional<settings>();
+      },
+      [&] {
+        report("settings: not readable");
+        return std::optional<settings>();
+      });
+}
+
+auto Options(const program& what) -> cxxopts::Options {
+  auto options = cxxopts::Options(what.name, what.help);
+  options.add_options()  //
+      ("settings", "JSON file with the settings",
+       cxxopts::value<std::string>())  //
+      ("set", "one setting as KEY=VALUE, over the file's",
+       cxxopts::value<std::vector<std::string>>())                //
+      ("check-settings", "check the settings and exit")           //
+      ("print-settings", "print the settings in force and exit")  //
+      ("version", "print the version and exit")                   //
+      ("help", "print this help and exit");
+  return options;
+}
+
+auto RunWith(const program& what, const cxxopts::ParseResult& arguments)
+    -> int {
+  const auto values = LoadOrReport(
+      what, arguments,
+      [](const std::string& problem) { std::cerr << problem << '\n'; });
+  if (!values) {
+    return kUsageExit;
+  }
+  if (arguments.count("print-settings") != 0) {
+    std::cout << values->Print() << '\n';
+    return EXIT_SUCCESS;
+  }
+  if (arguments.count("check-settings") != 0) {
+    std::cout << "settings are valid\n";
+    return EXIT_SUCCESS;
+  }
+  return what.run(*values, [&] {
+    return LoadOrReport(what, arguments, [](const std::string& problem) {
+      Log(log_events::kSettingsRefused,
+          {{"problem", std::string_view(problem)}});
+    });
+  });
+}
+
+}  // namespace
+
+auto Main(const program& what, int argc, char** argv) -> int {
+  try {
+    auto options = Options(what);
+    const auto arguments = options.parse(argc, argv);
+    if (arguments.count("help") != 0) {
+      std::cout << options.help();
+      return EXIT_SUCCESS;
+    }
+    if (arguments.count("version") != 0) {
+      std::cout << what.name << ' ' << DAISYWIND_VERSION << '\n';
+      return EXIT_SUCCESS;
+    }
+    if (arguments.count("settings") == 0) {
+      std::cerr << what.name << ": --settings is missing\n";
+      return kUsageExit;
+    }
+    return RunWith(what, arguments);
+  } catch (const cxxopts::exceptions::exception& error) {
+    std::cerr << what.name << ": " << error.what() << '\n';
+    return kUsageExit;
+  }
+}
+
+auto LevelFromText(std::string_view text) -> log_level {
+  for (const auto level :
+       {log_level::kDebug, log_level::kWarning, log_level::kError}) {
+    if (text == LevelName(level)) {
+      return level;
+    }
+  }
+  return log_level::kInfo;
+}
+
+}  // namespace daisywind::process
--- a/source/core/standin/stand_in.cc
+++ b/source/core/standin/stand_in.cc
@@ -74,12 +74,20 @@
     co_return co_await inner_.EndStream();
   }
 
+  auto StartStreamWithFirstChunk(net::http_response head) -> void override {
+    inner_.StartStreamWithFirstChunk(std::move(head));
+  }
+
   auto Abort() -> void override { inner_.Abort(); }
 
   auto WaitForClose() -> asio::awaitable<void> override {
     co_await inner_.WaitForClose();
   }
 
+  auto OnClose(std::function<void()> handler) -> void override {
+    inner_.OnClose(std::move(handler));
+  }
+
   [[nodiscard]] auto IsClosed() -> bool override { return inner_.IsClosed(); }
 
  private:
--- /dev/null
+++ b/source/daisywind_front/main.cc
@@ -0,0 +1,60 @@
+// daisywind-front: serves callers on one entry VM of the platform.
+#include <boost/asio/io_context.hpp>
+#include <cstdlib>
+#include <functional>
+#include <optional>
+
+#include "common/logging.h"
+#include "front/front_node.h"
+#include "front/front_settings.h"
+#include "platform/directory_json.h"
+#include "platform/http_dialect.h"
+#include "platform/store_client.h"
+#include "process/process_main.h"
+#include "process/signals.h"
+
+namespace daisywind::front {
+namespace {
+
+auto Run(const settings& values,
+         const std::function<std::optional<settings>()>& reload) -> int {
+  StartBoundedLogging(process::LevelFromText(values.Get(kLogLevel)));
+  const auto vm = values.Get(kVm);
+  Log(log_events::kProcessStarted, {{"vm", std::string_view(vm)},
+                                    {"program", "daisywind-front"},
+                                    {"version", DAISYWIND_VERSION}});
+  auto context = boost::asio::io_context(1);
+  const auto requests = platform::http_dialect();
+  const auto documents = platform::directory_json();
+  auto store =
+      platform::store_client(context,
+                             net::ParseSocketAddress(values.Get(kStoreAddress))
+                                 .value_or(net::socket_address{}),
+                             {});
+  auto node = front_node(context, values, {requests, documents, store});
+  if (!node.Start()) {
+    FlushLogs();
+    return EXIT_FAILURE;
+  }
+  const auto on_signal =
+      process::signals(context, {[&] { node.Stop([&] { context.stop(); }); },
+                                 [&] {
+                                   if (reload()) {
+                                     Log(log_events::kSettingsReloaded);
+                                   }
+                                 }});
+  context.run();
+  Log(log_events::kProcessStopped);
+  FlushLogs();
+  return EXIT_SUCCESS;
+}
+
+}  // namespace
+}  // namespace daisywind::front
+
+auto main(int argc, char** argv) -> int {
+  return daisywind::process::Main(
+      {"daisywind-front", "Serves callers of agent programs on one entry VM",
+       daisywind::front::FrontSchema(), nullptr, daisywind::front::Run},
+      argc, argv);
+}
--- /dev/null
+++ b/source/daisywind_journal/main.cc
@@ -0,0 +1,92 @@
+// daisywind-journal: keeps turns and budgets on one VM with a disk.
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdlib>
+#include <functional>
+#include <optional>
+
+#include "common/logging.h"
+#include "journal/journal_node.h"
+#include "journal/journal_settings.h"
+#include "journal/seat_keeper.h"
+#include "net/http_server.h"
+#include "platform/directory_json.h"
+#include "platform/store_client.h"
+#include "process/process_main.h"
+#include "process/signals.h"
+
+namespace daisywind::journal {
+namespace {
+
+constexpr auto kFlushInterval = std::chrono::milliseconds(100);
+
+auto FlushRegularly(boost::asio::steady_timer& timer) -> void {
+  FlushLogs();
+  timer.expires_after(kFlushInterval);
+  timer.async_wait([&timer](const boost::system::error_code& error) {
+    if (!error) {
+      FlushRegularly(timer);
+    }
+  });
+}
+
+auto Run(const settings& values,
+         const std::function<std::optional<settings>()>& reload) -> int {
+  StartBoundedLogging(process::LevelFromText(values.Get(kLogLevel)));
+  const auto vm = values.Get(kVm);
+  Log(log_events::kProcessStarted, {{"vm", std::string_view(vm)},
+                                    {"program", "daisywind-journal"},
+                                    {"version", DAISYWIND_VERSION}});
+  auto context = boost::asio::io_context(1);
+  auto store =
+      platform::store_client(context,
+                             net::ParseSocketAddress(values.Get(kStoreAddress))
+                                 .value_or(net::socket_address{}),
+                             {});
+  auto seat = seat_options{};
+  seat.tolerated = static_cast<std::size_t>(values.Get(kToleratedLosses));
+  seat.retire = platform::RetireKeys();
+  auto node = journal_node(context, values, store, std::move(seat));
+  if (!node.Start()) {
+    FlushLogs();
+    return EXIT_FAILURE;
+  }
+  auto metrics = net::http_server(
+      context, {},
+      [&](net::http_exchange& exchange) -> boost::asio::awaitable<void> {
+        co_await exchange.Respond(
+            {200, {{"Content-Type", "text/plain"}}, node.RenderMetrics()});
+      });
+  const auto address = net::ParseSocketAddress(values.Get(kMetricsAddress));
+  if (address && metrics.Listen(*address) == 0) {
+    FlushLogs();
+    return EXIT_FAILURE;
+  }
+  auto timer = boost::asio::steady_timer(context);
+  FlushRegularly(timer);
+  const auto on_signal =
+      process::signals(context, {[&] {
+                                   node.Stop();
+                                   context.stop();
+                                 },
+                                 [&] {
+                                   if (reload()) {
+                                     Log(log_events::kSettingsReloaded);
+                                   }
+                                 }});
+  context.run();
+  Log(log_events::kProcessStopped);
+  FlushLogs();
+  return EXIT_SUCCESS;
+}
+
+}  // namespace
+}  // namespace daisywind::journal
+
+auto main(int argc, char** argv) -> int {
+  return daisywind::process::Main(
+      {"daisywind-journal", "Keeps turns and budgets on one VM with a disk",
+       daisywind::journal::JournalSchema(), nullptr, daisywind::journal::Run},
+      argc, argv);
+}
--- a/source/unit_tests/gateway/metrics_test.cc
+++ b/source/unit_tests/common/metrics_test.cc
@@ -1,8 +1,8 @@
-#include "gateway/metrics.h"
+#include "common/metrics.h"
 
 #include <doctest/doctest.h>
 
-namespace daisywind::gateway {
+namespace daisywind {
 
 TEST_CASE("counters and gauges are rendered with their labels") {
   auto series = metrics{};
@@ -25,4 +25,4 @@
         std::string::npos);
 }
 
-}  // namespace daisywind::gateway
+}  // namespace daisywind
--- a/source/unit_tests/standin/roles_test.cc
+++ b/source/unit_tests/standin/roles_test.cc
@@ -138,6 +138,9 @@
   }
 
   auto EndStream() -> asio::awaitable<bool> override { co_return true; }
+  auto StartStreamWithFirstChunk(net::http_response /*head*/) -> void override {
+  }
+  auto OnClose(std::function<void()> /*handler*/) -> void override {}
   auto Abort() -> void override {}
   auto WaitForClose() -> asio::awaitable<void> override { co_return; }
   auto IsClosed() -> bool override { return false; }
