--- a/source/core/common/log_events.cc
+++ b/source/core/common/log_events.cc
@@ -52,6 +52,7 @@
     kRetireProgress,
     kFactsForgotten,
     kViewAdopted,
+    kFactsMayBeLost,
 });
 
 }  // namespace
--- a/source/core/common/log_events.h
+++ b/source/core/common/log_events.h
@@ -159,6 +159,9 @@
 inline constexpr auto kViewAdopted =
     log_event{2208, log_subsystem::kJournal, log_level::kInfo,
               "view of the journals adopted"};
+inline constexpr auto kFactsMayBeLost =
+    log_event{2209, log_subsystem::kJournal, log_level::kError,
+              "more disks were lost than tolerated, facts may be lost"};
 
 }  // namespace log_events
 
--- a/source/core/dispatch/placement.h
+++ b/source/core/dispatch/placement.h
@@ -3,6 +3,7 @@
 #define DAISYWIND_DISPATCH_PLACEMENT_H_
 
 #include <compare>
+#include <map>
 #include <optional>
 #include <set>
 #include <vector>
--- a/source/core/history/fact_table.cc
+++ b/source/core/history/fact_table.cc
@@ -20,29 +20,31 @@
 
 }  // namespace
 
-auto FactHash(const turn_fact& fact) -> std::uint64_t {
-  const auto seed = (fact.content ? 2U : 0U) + (fact.settled_tokens ? 1U : 0U);
-  return PlacementHash(fact.turn.value, seed);
+auto FactHash(const turn_fact& fact) -> fact_hash {
+  // The state is part of the text: with short texts, hashes under small seeds
+  // collide.
+  auto text = fact.turn.value;
+  text += fact.content ? 'c' : '-';
+  text += fact.settled_tokens ? 's' : '-';
+  return PlacementHash(text);
 }
 
 auto fact_table::Apply(const turn_fact& fact) -> bool {
-  auto [found, is_new] = facts_.try_emplace(fact.turn);
+  const auto [found, is_new] = facts_.try_emplace(fact.turn, fact);
   auto& known = found->second;
   if (is_new) {
-    known.fact = fact;
     by_program_[fact.program].push_back(fact.turn);
   } else {
-    auto merged = Merge(known.fact, fact);
-    if (merged == known.fact) {
+    auto merged = Merge(known, fact);
+    if (merged == known) {
       return false;
     }
-    bytes_ -= SizeOf(known.fact);
-    known.fact = std::move(merged);
-    by_sequence_.erase(known.sequence);
+    bytes_ -= SizeOf(known);
+    by_hash_.erase(FactHash(known));
+    known = std::move(merged);
   }
-  bytes_ += SizeOf(known.fact);
-  known.sequence = ++last_;
-  by_sequence_.emplace(known.sequence, fact.turn);
+  bytes_ += SizeOf(known);
+  by_hash_.emplace(FactHash(known), known.turn);
   return true;
 }
 
@@ -54,7 +56,7 @@
     return list;
   }
   for (const auto& turn : found->second) {
-    const auto& fact = facts_.at(turn).fact;
+    const auto& fact = facts_.at(turn);
     list.push_back({turn, fact.settled_tokens.value_or(fact.reserved_tokens)});
   }
   return list;
@@ -65,45 +67,35 @@
   auto turn = newest;
   while (!turn.empty()) {
     const auto found = facts_.find(turn);
-    if (found == facts_.end() || !found->second.fact.content) {
+    if (found == facts_.end() || !found->second.content) {
       chain.state = chain_state::kMissing;
       chain.missing = turn;
       break;
     }
-    chain.turns.push_back(found->second.fact);
+    chain.turns.push_back(found->second);
     chain.state = chain_state::kWhole;
-    turn = found->second.fact.content->parent;
+    turn = found->second.content->parent;
   }
   std::reverse(chain.turns.begin(), chain.turns.end());
   return chain;
 }
 
-auto fact_table::After(fact_sequence after,
-                       const std::set<std::uint64_t>& known,
-                       std::size_t max_bytes) const -> fact_page {
-  auto page = fact_page{{}, after, false};
-  auto size = std::size_t{0};
-  for (auto next = by_sequence_.upper_bound(after); next != by_sequence_.end();
-       ++next) {
-    if (size >= max_bytes) {
-      page.has_more = true;
-      break;
-    }
-    page.next = next->first;
-    const auto& fact = facts_.at(next->second).fact;
-    if (!known.contains(FactHash(fact))) {
-      size += SizeOf(fact);
-      page.facts.push_back(fact);
+auto fact_table::OfHashes(const std::vector<fact_hash>& hashes) const
+    -> std::vector<turn_fact> {
+  auto facts = std::vector<turn_fact>{};
+  for (const auto hash : hashes) {
+    if (const auto found = by_hash_.find(hash); found != by_hash_.end()) {
+      facts.push_back(facts_.at(found->second));
     }
   }
-  return page;
+  return facts;
 }
 
-auto fact_table::Hashes() const -> std::vector<std::uint64_t> {
-  auto hashes = std::vector<std::uint64_t>{};
-  hashes.reserve(facts_.size());
-  for (const auto& [turn, known] : facts_) {
-    hashes.push_back(FactHash(known.fact));
+auto fact_table::Hashes() const -> std::vector<fact_hash> {
+  auto hashes = std::vector<fact_hash>{};
+  hashes.reserve(by_hash_.size());
+  for (const auto& [hash, turn] : by_hash_) {
+    hashes.push_back(hash);
   }
   return hashes;
 }
@@ -112,8 +104,8 @@
     -> std::vector<turn_fact> {
   auto facts = std::vector<turn_fact>{};
   for (const auto& [turn, known] : facts_) {
-    if (known.fact.recorded_ms < recorded_ms) {
-      facts.push_back(known.fact);
+    if (known.recorded_ms < recorded_ms) {
+      facts.push_back(known);
     }
   }
   return facts;
@@ -123,7 +115,7 @@
   auto old = std::vector<turn_id>{};
   for (const auto& [program, turns] : by_program_) {
     const auto is_recent = [&](const turn_id& turn) {
-      return facts_.at(turn).fact.recorded_ms >= recorded_ms;
+      return facts_.at(turn).recorded_ms >= recorded_ms;
     };
     if (std::none_of(turns.begin(), turns.end(), is_recent)) {
       old.insert(old.end(), turns.begin(), turns.end());
@@ -137,9 +129,9 @@
 
 auto fact_table::Forget(const turn_id& turn) -> void {
   const auto found = facts_.find(turn);
-  bytes_ -= SizeOf(found->second.fact);
-  by_sequence_.erase(found->second.sequence);
-  const auto program = by_program_.find(found->second.fact.program);
+  bytes_ -= SizeOf(found->second);
+  by_hash_.erase(FactHash(found->second));
+  const auto program = by_program_.find(found->second.program);
   std::erase(program->second, turn);
   if (program->second.empty()) {
     by_program_.erase(program);
--- a/source/core/history/holder.cc
+++ b/source/core/history/holder.cc
@@ -1,7 +1,6 @@
 #include "history/holder.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 #include <variant>
 
@@ -26,6 +25,7 @@
 auto holder::IsStale(const message& request) -> bool {
   const auto is_for_any_view =
       std::holds_alternative<adopt_request>(request.body) ||
+      std::holds_alternative<list_request>(request.body) ||
       std::holds_alternative<pull_request>(request.body);
   if (is_for_any_view) {
     return false;
@@ -90,13 +90,14 @@
   return {{}, adopt_reply{IsComplete()}};
 }
 
+auto holder::Answer(const list_request& /*request*/, std::int64_t /*now_ms*/)
+    -> holder_effect {
+  return {{}, list_reply{IsComplete(), facts_.Hashes()}};
+}
+
 auto holder::Answer(const pull_request& request, std::int64_t /*now_ms*/)
     -> holder_effect {
-  const auto known =
-      std::set<std::uint64_t>(request.known.begin(), request.known.end());
-  return {{},
-          pull_reply{IsComplete(),
-                     facts_.After(request.after, known, kPullPageBytes)}};
+  return {{}, pull_reply{facts_.OfHashes(request.hashes)}};
 }
 
 auto holder::TakeIn(const std::vector<turn_fact>& facts)
--- a/source/core/history/holder.h
+++ b/source/core/history/holder.h
@@ -21,9 +21,6 @@
   auto operator<=>(const holder_effect&) const = default;
 };
 
-// The most bytes of facts in one reply to a pull.
-inline constexpr auto kPullPageBytes = std::size_t{256} * 1024;
-
 class holder {
  public:
   // Takes in facts that were on disk at the start.
@@ -61,6 +58,8 @@
       -> holder_effect;
   auto Answer(const adopt_request& request, std::int64_t now_ms)
       -> holder_effect;
+  auto Answer(const list_request& request, std::int64_t now_ms)
+      -> holder_effect;
   auto Answer(const pull_request& request, std::int64_t now_ms)
       -> holder_effect;
   template <class Other>
--- a/source/core/history/messages.h
+++ b/source/core/history/messages.h
@@ -77,18 +77,27 @@
   auto operator<=>(const adopt_reply&) const = default;
 };
 
-// Asks for the facts after a position.
+// Asks for the hashes of all facts.
+struct list_request {
+  auto operator<=>(const list_request&) const = default;
+};
+
+struct list_reply {
+  bool is_complete = false;
+  std::vector<fact_hash> hashes;
+
+  auto operator<=>(const list_reply&) const = default;
+};
+
+// Asks for facts by their hashes. Those that are not known are left out.
 struct pull_request {
-  fact_sequence after = 0;
-  // Hashes of facts that the asking VM holds.
-  std::vector<std::uint64_t> known;
+  std::vector<fact_hash> hashes;
 
   auto operator<=>(const pull_request&) const = default;
 };
 
 struct pull_reply {
-  bool is_complete = false;
-  fact_page page;
+  std::vector<turn_fact> facts;
 
   auto operator<=>(const pull_reply&) const = default;
 };
@@ -108,6 +117,8 @@
                                   read_reply,
                                   adopt_request,
                                   adopt_reply,
+                                  list_request,
+                                  list_reply,
                                   pull_request,
                                   pull_reply,
                                   stale_view>;
--- a/source/core/history/view.cc
+++ b/source/core/history/view.cc
@@ -1,6 +1,7 @@
 #include "history/view.h"
 
 #include <algorithm>
+#include <unordered_map>
 #include <utility>
 
 namespace daisywind::history {
@@ -24,8 +25,24 @@
   return std::nullopt;
 }
 
+// Complete members other than the one of a seat.
+auto CompleteBeside(const join_inputs& inputs, const vm_id& seat)
+    -> std::size_t {
+  return static_cast<std::size_t>(
+      std::count_if(inputs.current.members.begin(),
+                    inputs.current.members.end(), [&](const member& item) {
+                      return item.vm != seat &&
+                             Contains(inputs.complete, item.vm);
+                    }));
+}
+
 }  // namespace
 
+auto SourcesNeeded(std::size_t members, std::size_t tolerated) -> std::size_t {
+  const auto write = tolerated + 1;
+  return members + 1 > write ? members + 1 - write : 1;
+}
+
 auto view::Find(const vm_id& vm) const -> const member* {
   const auto found =
       std::find_if(members.begin(), members.end(),
@@ -59,20 +76,26 @@
       return next;
     }
   }
-  if (next.members.size() < MaxMembers(inputs.tolerated)) {
+  const auto count = next.members.size();
+  if (count < MaxMembers(inputs.tolerated)) {
+    if (CompleteBeside(inputs, inputs.self.vm) < count) {
+      return std::nullopt;
+    }
     next.members.push_back(inputs.self);
     return next;
   }
   const auto seat = FindReplaceable(inputs);
-  if (!seat) {
+  if (!seat || CompleteBeside(inputs, next.members[*seat].vm) <
+                   SourcesNeeded(count, inputs.tolerated)) {
     return std::nullopt;
   }
   next.members[*seat] = inputs.self;
   return next;
 }
 
-auto ViewWithout(const view& current, const vm_id& vm) -> std::optional<view> {
-  if (current.Find(vm) == nullptr || current.members.size() == 1) {
+auto ViewWithout(const view& current, const vm_id& vm, std::size_t tolerated)
+    -> std::optional<view> {
+  if (current.Find(vm) == nullptr || current.members.size() <= tolerated + 1) {
     return std::nullopt;
   }
   auto next = current;
@@ -82,4 +105,22 @@
   return next;
 }
 
+auto UnderReplicated(const std::vector<std::vector<std::uint64_t>>& lists,
+                     std::size_t copies) -> std::vector<std::uint64_t> {
+  auto counts = std::unordered_map<std::uint64_t, std::size_t>{};
+  for (const auto& list : lists) {
+    for (const auto hash : list) {
+      ++counts[hash];
+    }
+  }
+  auto missing = std::vector<std::uint64_t>{};
+  for (const auto& [hash, count] : counts) {
+    if (count < copies) {
+      missing.push_back(hash);
+    }
+  }
+  std::sort(missing.begin(), missing.end());
+  return missing;
+}
+
 }  // namespace daisywind::history
--- a/source/core/history/view.h
+++ b/source/core/history/view.h
@@ -59,14 +59,29 @@
   std::vector<vm_id> unreachable;
   // Members that an operator wants emptied.
   std::vector<vm_id> retiring;
+  // Members that answer and whose copies are complete.
+  std::vector<vm_id> complete;
 };
 
+// Complete members from which a new copy has to be made, so that every fact of
+// a view of so many members is on one of them.
+auto SourcesNeeded(std::size_t members, std::size_t tolerated) -> std::size_t;
+
 // The view in which the VM has a seat, or nothing when there is none for it or
-// it has it already. A changed address of a member counts as a change.
+// it has it already. A changed address of a member counts as a change. A seat of
+// another VM, or a further one, is taken only if the copy can be made at once: a
+// view with too few complete copies could never make more.
 auto ViewWithSelf(const join_inputs& inputs) -> std::optional<view>;
 
-// The view without one member, or nothing when it is none.
-auto ViewWithout(const view& current, const vm_id& vm) -> std::optional<view>;
+// The view without one member, or nothing when it is none or when fewer disks
+// would stay than a write needs.
+auto ViewWithout(const view& current, const vm_id& vm, std::size_t tolerated)
+    -> std::optional<view>;
+
+// The hashes of facts that are on fewer members than a write needs, as far as
+// the lists of some members show. Copies of them are missing.
+auto UnderReplicated(const std::vector<std::vector<std::uint64_t>>& lists,
+                     std::size_t copies) -> std::vector<std::uint64_t>;
 
 }  // namespace daisywind::history
 
--- a/source/core/history_wire/codec.cc
+++ b/source/core/history_wire/codec.cc
@@ -214,29 +214,43 @@
   return {from.is_complete};
 }
 
+auto ToObject(const list_request& /*from*/) -> fbs::ListRequestT {
+  return {};
+}
+
+auto FromObject(const fbs::ListRequestT& /*from*/) -> list_request {
+  return {};
+}
+
+auto ToObject(const list_reply& from) -> fbs::ListReplyT {
+  auto to = fbs::ListReplyT{};
+  to.is_complete = from.is_complete;
+  to.hashes = from.hashes;
+  return to;
+}
+
+auto FromObject(fbs::ListReplyT& from) -> list_reply {
+  return {from.is_complete, std::move(from.hashes)};
+}
+
 auto ToObject(const pull_request& from) -> fbs::PullRequestT {
   auto to = fbs::PullRequestT{};
-  to.after = from.after;
-  to.known = from.known;
+  to.hashes = from.hashes;
   return to;
 }
 
 auto FromObject(fbs::PullRequestT& from) -> pull_request {
-  return {from.after, std::move(from.known)};
+  return {std::move(from.hashes)};
 }
 
 auto ToObject(const pull_reply& from) -> fbs::PullReplyT {
   auto to = fbs::PullReplyT{};
-  to.is_complete = from.is_complete;
-  to.facts = CopyAll(from.page.facts);
-  to.next = from.page.next;
-  to.has_more = from.page.has_more;
+  to.facts = CopyAll(from.facts);
   return to;
 }
 
 auto FromObject(fbs::PullReplyT& from) -> pull_reply {
-  return {from.is_complete,
-          fact_page{CopyAll(from.facts), from.next, from.has_more}};
+  return {CopyAll(from.facts)};
 }
 
 auto ToObject(const stale_view& from) -> fbs::StaleViewT {
@@ -267,6 +281,10 @@
       return FromObject(*from.AsAdoptRequest());
     case fbs::Body_AdoptReply:
       return FromObject(*from.AsAdoptReply());
+    case fbs::Body_ListRequest:
+      return FromObject(*from.AsListRequest());
+    case fbs::Body_ListReply:
+      return FromObject(*from.AsListReply());
     case fbs::Body_PullRequest:
       return FromObject(*from.AsPullRequest());
     case fbs::Body_PullReply:
--- a/source/core/journal/journal_node.cc
+++ b/source/core/journal/journal_node.cc
@@ -196,6 +196,7 @@
   // request for them waits for the disk as well.
   const auto is_read =
       std::holds_alternative<history::read_request>(request->body) ||
+      std::holds_alternative<history::list_request>(request->body) ||
       std::holds_alternative<history::pull_request>(request->body) ||
       std::holds_alternative<history::adopt_request>(request->body) ||
       std::holds_alternative<history::stale_view>(*effect.reply);
--- a/source/core/journal/seat_keeper.cc
+++ b/source/core/journal/seat_keeper.cc
@@ -149,6 +149,7 @@
   inputs.current = stored_;
   inputs.self = node_.self();
   inputs.tolerated = options_.tolerated;
+  inputs.complete = complete_;
   inputs.retiring.assign(retiring_.begin(), retiring_.end());
   for (const auto& [vm, since] : silent_since_) {
     if (Now() - since >= options_.replace_after) {
@@ -159,12 +160,6 @@
   if (!next) {
     co_return false;
   }
-  // A further seat raises what a read needs, so the copies before it must be
-  // complete.
-  const auto is_growth = next->members.size() > stored_.members.size();
-  if (is_growth && !co_await AreMembersComplete()) {
-    co_return true;
-  }
   // Facts of a time without a seat may be missing from this copy.
   const auto is_first = stored_.number == 0;
   auto is_noted = false;
@@ -205,94 +200,175 @@
 }
 
 auto seat_keeper::ProbeMembers() -> asio::awaitable<void> {
+  const auto answering = co_await AnnounceView();
+  complete_.clear();
   for (const auto& item : Others()) {
-    const auto reply = co_await Client(item)->AskAndWait(
-        stored_.number, history::adopt_request{stored_}, options_.ask_timeout);
-    if (reply) {
-      silent_since_.erase(item.vm);
-    } else {
+    const auto found = std::find_if(
+        answering.begin(), answering.end(),
+        [&](const answering_member& known) { return known.who == item; });
+    if (found == answering.end()) {
       silent_since_.try_emplace(item.vm, Now());
+      continue;
+    }
+    silent_since_.erase(item.vm);
+    if (found->is_complete) {
+      complete_.push_back(item.vm);
     }
   }
 }
 
 auto seat_keeper::AnnounceView()
-    -> asio::awaitable<std::vector<history::member>> {
-  auto complete = std::vector<history::member>{};
+    -> asio::awaitable<std::vector<answering_member>> {
+  auto answering = std::vector<answering_member>{};
   for (const auto& item : Others()) {
     const auto reply = co_await Client(item)->AskAndWait(
         stored_.number, history::adopt_request{stored_}, options_.ask_timeout);
-    const auto* adopted =
-        reply ? std::get_if<history::adopt_reply>(&*reply) : nullptr;
-    if (adopted != nullptr && adopted->is_complete) {
-      complete.push_back(item);
+    if (const auto* adopted =
+            reply ? std::get_if<history::adopt_reply>(&*reply) : nullptr) {
+      answering.push_back({item, adopted->is_complete});
     }
   }
-  co_return complete;
+  co_return answering;
 }
 
 auto seat_keeper::BecomeComplete() -> asio::awaitable<void> {
   const auto view = stored_.number;
-  const auto sources = co_await AnnounceView();
-  // Every fact of the view before is on at least one of these: its copies were
-  // as many as a write needs, and this VM's seat held one of them at most.
+  const auto answering = co_await AnnounceView();
+  auto sources = answering;
+  std::erase_if(sources, [](const answering_member& item) {
+    return !item.is_complete;
+  });
+  // Every fact of the view before is on at least one of so many: its copies
+  // were as many as a write needs, and this VM's seat held at most one.
   const auto others = Others().size();
-  const auto write = options_.tolerated + 1;
-  const auto needed = others + 2 > write ? others + 2 - write : 1;
-  if (sources.size() < needed) {
-    Log(log_events::kPullFailed,
+  const auto needed = history::SourcesNeeded(others + 1, options_.tolerated);
+  if (sources.size() >= needed) {
+    stuck_since_.reset();
+  } else {
+    const auto all_answer = answering.size() == others;
+    if (!all_answer) {
+      stuck_since_.reset();
+    } else if (!stuck_since_) {
+      stuck_since_ = Now();
+    }
+    const auto gives_up =
+        stuck_since_ && Now() - *stuck_since_ >= options_.give_up_after;
+    Log(gives_up ? log_events::kFactsMayBeLost : log_events::kPullFailed,
         {{"reason", "too few complete members answer"},
+         {"answering", static_cast<std::int64_t>(answering.size())},
          {"complete", static_cast<std::int64_t>(sources.size())},
          {"needed", static_cast<std::int64_t>(needed)}});
-    co_return;
-  }
-  auto pulled = std::size_t{0};
-  for (const auto& item : sources) {
-    pulled += co_await PullFrom(item) ? 1 : 0;
-    if (pulled >= needed) {
-      break;
+    if (!gives_up) {
+      co_return;
     }
+    sources = answering;
   }
-  if (pulled < needed || stored_.number != view) {
+  const auto lists = co_await ReadLists(sources);
+  const auto is_pulled =
+      lists.size() == sources.size() && co_await Pull(lists);
+  if (!is_pulled || stored_.number != view) {
     co_return;
   }
+  stuck_since_.reset();
   node_.PersistComplete(view, [](bool) {});
   Log(log_events::kCopyComplete,
       {{"view", static_cast<std::int64_t>(view)},
        {"facts", static_cast<std::int64_t>(node_.state().facts().size())},
-       {"sources", static_cast<std::int64_t>(pulled)}});
+       {"sources", static_cast<std::int64_t>(sources.size())}});
 }
 
-auto seat_keeper::PullFrom(const history::member& from)
+auto seat_keeper::ReadLists(const std::vector<answering_member>& from)
+    -> asio::awaitable<std::vector<fact_list>> {
+  auto lists = std::vector<fact_list>{};
+  for (const auto& item : from) {
+    auto reply = co_await Client(item.who)->AskAndWait(
+        stored_.number, history::list_request{}, 3 * options_.ask_timeout);
+    auto* list = reply ? std::get_if<history::list_reply>(&*reply) : nullptr;
+    if (list == nullptr) {
+      Log(log_events::kPullFailed,
+          {{"vm", std::string_view(item.who.vm.value)},
+           {"reason", "no list"}});
+      break;
+    }
+    lists.push_back({item.who, std::move(list->hashes)});
+  }
+  co_return lists;
+}
+
+// Reads the facts that are on fewer of the others than a write needs. All other
+// facts are safe without this copy, and any read still meets one of theirs.
+auto seat_keeper::Pull(const std::vector<fact_list>& lists)
     -> asio::awaitable<bool> {
-  auto request = history::pull_request{};
-  request.known = node_.state().facts().Hashes();
-  while (!is_stopped_) {
-    auto reply = co_await Client(from)->AskAndWait(stored_.number, request,
-                                                   3 * options_.ask_timeout);
-    auto* pulled = reply ? std::get_if<history::pull_reply>(&*reply) : nullptr;
-    if (pulled == nullptr || !pulled->is_complete) {
+  auto all = std::vector<std::vector<history::fact_hash>>{};
+  for (const auto& item : lists) {
+    all.push_back(item.hashes);
+  }
+  const auto missing =
+      history::UnderReplicated(all, options_.tolerated + 1);
+  const auto mine = node_.state().facts().Hashes();
+  auto taken = std::set<history::fact_hash>(mine.begin(), mine.end());
+  for (const auto& item : lists) {
+    auto work = std::make_shared<pull_work>();
+    work->from = item.who;
+    for (const auto hash : item.hashes) {
+      const auto is_missing =
+          std::binary_search(missing.begin(), missing.end(), hash);
+      if (is_missing && taken.insert(hash).second) {
+        work->wanted.push_back(hash);
+      }
+    }
+    // Several connections, since one has a small window over a long way.
+    constexpr auto kConnections = std::size_t{4};
+    work->running = kConnections;
+    for (auto i = std::size_t{0}; i < kConnections; ++i) {
+      asio::co_spawn(context_, PullBatches(work), asio::detached);
+    }
+    while (work->running > 0) {
+      co_await Pause(options_.ask_timeout);
+    }
+    if (work->has_failed) {
       Log(log_events::kPullFailed,
-          {{"vm", std::string_view(from.vm.value)},
-           {"reason", pulled == nullptr ? "no reply" : "incomplete"}});
+          {{"vm", std::string_view(item.who.vm.value)},
+           {"reason", "no reply"}});
       co_return false;
     }
-    auto fresh = node_.state().TakeIn(pulled->page.facts);
+  }
+  co_return true;
+}
+
+auto seat_keeper::PullBatches(std::shared_ptr<pull_work> work)
+    -> asio::awaitable<void> {
+  constexpr auto kBatch = std::size_t{32};
+  auto client = history::member_client(
+      context_, net::ParseSocketAddress(work->from.address)
+                    .value_or(net::socket_address{}));
+  while (work->next < work->wanted.size() && !work->has_failed) {
+    const auto begin = work->next;
+    const auto end = std::min(begin + kBatch, work->wanted.size());
+    work->next = end;
+    auto request = history::pull_request{};
+    request.hashes.assign(
+        work->wanted.begin() + static_cast<std::ptrdiff_t>(begin),
+        work->wanted.begin() + static_cast<std::ptrdiff_t>(end));
+    auto reply = co_await client.AskAndWait(
+        stored_.number, std::move(request), 3 * options_.ask_timeout);
+    auto* pulled = reply ? std::get_if<history::pull_reply>(&*reply) : nullptr;
+    if (pulled == nullptr) {
+      work->has_failed = true;
+      break;
+    }
+    auto fresh = node_.state().TakeIn(pulled->facts);
     node_.counters().facts_pulled += fresh.size();
     if (!fresh.empty()) {
       node_.Persist(std::move(fresh), [](bool) {});
     }
-    if (!pulled->page.has_more) {
-      co_return true;
-    }
-    request.after = pulled->page.next;
-    request.known.clear();
   }
-  co_return false;
+  --work->running;
+  timer_.cancel();
 }
 
-// Everything that this VM holds is on every member before it says that it is
-// empty.
+// Every fact is on as many other disks as a write needs before this VM says
+// that it is empty.
 auto seat_keeper::Retire() -> asio::awaitable<void> {
   if (last_status_ == options_.retire.done) {
     co_return;
@@ -302,7 +378,8 @@
   }
   if (stored_.Find(node_.self().vm) != nullptr) {
     co_await Pause(options_.successor_wait);
-    const auto next = history::ViewWithout(stored_, node_.self().vm);
+    const auto next = history::ViewWithout(stored_, node_.self().vm,
+                                           options_.tolerated);
     if (next && !co_await Write(*next)) {
       co_return;
     }
@@ -310,23 +387,40 @@
   if (stored_.Find(node_.self().vm) != nullptr) {
     co_return;
   }
-  const auto is_done = co_await PushAll() && co_await AreMembersComplete();
+  const auto is_done = co_await Push() && co_await AreMembersComplete();
   if (is_done) {
     co_await WriteStatus(options_.retire.done);
   }
 }
 
-auto seat_keeper::PushAll() -> asio::awaitable<bool> {
-  for (const auto& item : Others()) {
-    auto position = history::fact_sequence{0};
-    auto has_more = true;
-    while (has_more) {
-      auto page =
-          node_.state().facts().After(position, {}, history::kPullPageBytes);
-      position = page.next;
-      has_more = page.has_more;
-      const auto reply = co_await Client(item)->AskAndWait(
-          stored_.number, history::record_request{std::move(page.facts)},
+auto seat_keeper::Push() -> asio::awaitable<bool> {
+  const auto members = co_await AnnounceView();
+  const auto lists = co_await ReadLists(members);
+  if (lists.size() != stored_.members.size()) {
+    co_return false;
+  }
+  constexpr auto kBatch = std::size_t{32};
+  auto all = std::vector<std::vector<history::fact_hash>>{};
+  for (const auto& item : lists) {
+    all.push_back(item.hashes);
+  }
+  // A fact that only this VM has is on no list.
+  all.push_back(node_.state().facts().Hashes());
+  const auto missing =
+      history::UnderReplicated(all, options_.tolerated + 2);
+  for (const auto& item : lists) {
+    const auto has = std::set<history::fact_hash>(item.hashes.begin(),
+                                                  item.hashes.end());
+    auto owed = missing;
+    std::erase_if(owed, [&](auto hash) { return has.contains(hash); });
+    for (auto at = std::size_t{0}; at < owed.size(); at += kBatch) {
+      const auto last = std::min(at + kBatch, owed.size());
+      const auto batch = std::vector<history::fact_hash>(
+          owed.begin() + static_cast<std::ptrdiff_t>(at),
+          owed.begin() + static_cast<std::ptrdiff_t>(last));
+      const auto reply = co_await Client(item.who)->AskAndWait(
+          stored_.number,
+          history::record_request{node_.state().facts().OfHashes(batch)},
           3 * options_.ask_timeout);
       const auto* recorded =
           reply ? std::get_if<history::record_reply>(&*reply) : nullptr;
@@ -339,8 +433,11 @@
 }
 
 auto seat_keeper::AreMembersComplete() -> asio::awaitable<bool> {
-  const auto complete = co_await AnnounceView();
-  co_return complete.size() == stored_.members.size();
+  const auto answering = co_await AnnounceView();
+  const auto complete = std::count_if(
+      answering.begin(), answering.end(),
+      [](const answering_member& item) { return item.is_complete; });
+  co_return static_cast<std::size_t>(complete) == stored_.members.size();
 }
 
 auto seat_keeper::WriteStatus(const std::string& value)
--- a/source/core/journal/seat_keeper.h
+++ b/source/core/journal/seat_keeper.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -42,6 +43,9 @@
   duration replace_after = 1500ms;
   duration tick = 250ms;
   duration ask_timeout = 1s;
+  // When all members answer and too few are complete for this long, more disks
+  // were lost than the system tolerates, and what they hold together is taken.
+  duration give_up_after = 3s;
   // A VM that leaves waits this long for another one to take its seat.
   duration successor_wait = 1500ms;
 };
@@ -58,6 +62,26 @@
   auto Stop() -> void;
 
  private:
+  struct answering_member {
+    history::member who;
+    bool is_complete = false;
+  };
+
+  // The facts that a member has.
+  struct fact_list {
+    history::member who;
+    std::vector<history::fact_hash> hashes;
+  };
+
+  // Facts to be read from one member, shared by several connections.
+  struct pull_work {
+    history::member from;
+    std::vector<history::fact_hash> wanted;
+    std::size_t next = 0;
+    std::size_t running = 0;
+    bool has_failed = false;
+  };
+
   auto OnViewItem(const kv::key_value& item) -> void;
   auto OnRetireItems(const std::vector<kv::key_value>& items) -> void;
   auto Run() -> boost::asio::awaitable<void>;
@@ -67,10 +91,17 @@
   auto Write(history::view next) -> boost::asio::awaitable<bool>;
   auto ProbeMembers() -> boost::asio::awaitable<void>;
   auto BecomeComplete() -> boost::asio::awaitable<void>;
-  auto AnnounceView() -> boost::asio::awaitable<std::vector<history::member>>;
-  auto PullFrom(const history::member& from) -> boost::asio::awaitable<bool>;
+  // Tells the view to all other members; returns those that answered.
+  auto AnnounceView() -> boost::asio::awaitable<std::vector<answering_member>>;
+  auto ReadLists(const std::vector<answering_member>& from)
+      -> boost::asio::awaitable<std::vector<fact_list>>;
+  auto Pull(const std::vector<fact_list>& lists)
+      -> boost::asio::awaitable<bool>;
+  auto PullBatches(std::shared_ptr<pull_work> work)
+      -> boost::asio::awaitable<void>;
   auto Retire() -> boost::asio::awaitable<void>;
-  auto PushAll() -> boost::asio::awaitable<bool>;
+  // Puts facts that are on too few members on others.
+  auto Push() -> boost::asio::awaitable<bool>;
   auto AreMembersComplete() -> boost::asio::awaitable<bool>;
   auto WriteStatus(const std::string& value) -> boost::asio::awaitable<bool>;
   auto Pause(duration length) -> boost::asio::awaitable<void>;
@@ -92,9 +123,13 @@
   bool has_read_view_ = false;
   std::set<vm_id> retiring_;
   std::string last_status_;
-  // When members that do not answer answered last.
+  // Members that were complete when they were last asked.
+  std::vector<vm_id> complete_;
+  // Since when members do not answer.
   std::map<vm_id, instant> silent_since_;
   std::map<std::string, std::shared_ptr<history::member_client>> clients_;
+  // Since when too few complete members answer, although all answer.
+  std::optional<instant> stuck_since_;
   bool is_stopped_ = false;
 };
 
--- /dev/null
+++ b/source/unit_tests/dispatch/endpoint_table_test.cc
@@ -0,0 +1,138 @@
+#include "dispatch/endpoint_table.h"
+
+#include <doctest/doctest.h>
+
+namespace daisywind::dispatch {
+namespace {
+
+constexpr auto kStart = instant(100s);
+
+auto Endpoint(const char* id) -> endpoint {
+  auto item = endpoint{};
+  item.id = endpoint_id(id);
+  item.service = service_id("s");
+  item.address = "10.0.0.1:80";
+  item.slots = 4;
+  item.started_ms = 1;
+  return item;
+}
+
+TEST_CASE("an entry that vanishes is gone at once") {
+  auto table = endpoint_table({});
+  table.Put(Endpoint("a"), kStart);
+  table.Remove(endpoint_id("a"), false, kStart);
+  CHECK(table.Find(endpoint_id("a")) == nullptr);
+  CHECK(table.OfService(service_id("s")).empty());
+}
+
+TEST_CASE("an entry in doubt is used on until its time has passed") {
+  auto table = endpoint_table({});
+  table.Put(Endpoint("a"), kStart);
+  table.Remove(endpoint_id("a"), true, kStart);
+  CHECK(table.Tick(kStart + 1999ms).empty());
+  CHECK(table.Find(endpoint_id("a")) != nullptr);
+  CHECK(table.Tick(kStart + 2s).size() == 1);
+  CHECK(table.Find(endpoint_id("a")) == nullptr);
+}
+
+TEST_CASE("a doubt does not begin anew when it is raised again") {
+  auto table = endpoint_table({});
+  table.Put(Endpoint("a"), kStart);
+  table.Remove(endpoint_id("a"), true, kStart);
+  table.Remove(endpoint_id("a"), true, kStart + 1500ms);
+  CHECK(table.Tick(kStart + 2s).size() == 1);
+}
+
+TEST_CASE("an entry that comes back ends the doubt") {
+  auto table = endpoint_table({});
+  table.Put(Endpoint("a"), kStart);
+  table.Remove(endpoint_id("a"), true, kStart);
+  table.Put(Endpoint("a"), kStart + 1s);
+  CHECK(table.Tick(kStart + 10s).empty());
+}
+
+TEST_CASE("a later start under the same id forgets what was known") {
+  auto table = endpoint_table({});
+  auto entry = Endpoint("a");
+  table.Put(entry, kStart);
+  const auto parts = std::vector<prompt_part>{{prompt_part_id("x"), 100}};
+  table.OnPromptRead(entry.id, parts);
+  table.OnSent(entry.id);
+  CHECK(table.MissingTokens(entry.id, parts) == 0);
+  entry.started_ms = 2;
+  table.Put(entry, kStart);
+  CHECK(table.MissingTokens(entry.id, parts) == 100);
+  CHECK(table.Find(entry.id)->in_flight == 0);
+  // The end of a request to the run before is not counted here.
+  table.OnEnded(entry.id);
+  CHECK(table.Find(entry.id)->in_flight == 0);
+  CHECK(table.OfService(service_id("s")).size() == 1);
+}
+
+TEST_CASE("a change of state keeps what is known") {
+  auto table = endpoint_table({});
+  auto entry = Endpoint("a");
+  table.Put(entry, kStart);
+  table.OnSent(entry.id);
+  entry.is_draining = true;
+  table.Put(entry, kStart);
+  CHECK(table.Find(entry.id)->entry.is_draining);
+  CHECK(table.Find(entry.id)->in_flight == 1);
+}
+
+TEST_CASE("the load of others fades, one's own does not") {
+  auto table = endpoint_table({});
+  const auto id = endpoint_id("a");
+  table.Put(Endpoint("a"), kStart);
+  table.OnSent(id);
+  table.OnReport(id, {3, 2, 4}, kStart);
+  CHECK(table.ExpectedLoad(*table.Find(id), kStart) == doctest::Approx(5));
+  CHECK(table.ExpectedLoad(*table.Find(id), kStart + 500ms) ==
+        doctest::Approx(3));
+  CHECK(table.ExpectedLoad(*table.Find(id), kStart + 60s) ==
+        doctest::Approx(1));
+}
+
+TEST_CASE("failures pause an endpoint longer each time, an answer ends that") {
+  auto table = endpoint_table({});
+  const auto id = endpoint_id("a");
+  table.Put(Endpoint("a"), kStart);
+  table.OnSign(id, attempt_sign::kFailed, kStart);
+  CHECK(table.Find(id)->paused_until == kStart + 250ms);
+  table.OnSign(id, attempt_sign::kFailed, kStart + 1s);
+  CHECK(table.Find(id)->paused_until == kStart + 1500ms);
+  for (auto i = 0; i < 20; ++i) {
+    table.OnSign(id, attempt_sign::kFailed, kStart + 2s);
+  }
+  CHECK(table.Find(id)->paused_until == kStart + 6s);
+  table.OnSign(id, attempt_sign::kAnswered, kStart + 7s);
+  table.OnSign(id, attempt_sign::kFailed, kStart + 8s);
+  CHECK(table.Find(id)->paused_until == kStart + 8250ms);
+}
+
+TEST_CASE("a part counts as cached only behind cached parts") {
+  auto table = endpoint_table({});
+  const auto id = endpoint_id("a");
+  table.Put(Endpoint("a"), kStart);
+  table.OnPromptRead(id, {{prompt_part_id("y"), 10}});
+  CHECK(table.MissingTokens(
+            id, {{prompt_part_id("x"), 100}, {prompt_part_id("y"), 10}}) ==
+        110);
+  CHECK(table.MissingTokens(
+            id, {{prompt_part_id("y"), 10}, {prompt_part_id("x"), 100}}) ==
+        100);
+}
+
+TEST_CASE("the parts that were used longest ago are forgotten first") {
+  auto memory = part_memory(2);
+  memory.Add(prompt_part_id("x"));
+  memory.Add(prompt_part_id("y"));
+  memory.Add(prompt_part_id("x"));
+  memory.Add(prompt_part_id("z"));
+  CHECK(memory.Has(prompt_part_id("x")));
+  CHECK_FALSE(memory.Has(prompt_part_id("y")));
+  CHECK(memory.Has(prompt_part_id("z")));
+}
+
+}  // namespace
+}  // namespace daisywind::dispatch
--- /dev/null
+++ b/source/unit_tests/dispatch/placement_test.cc
@@ -0,0 +1,137 @@
+#include "dispatch/placement.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+namespace daisywind::dispatch {
+namespace {
+
+constexpr auto kNow = instant(100s);
+
+struct fixture {
+  fixture() {
+    here.failure_domain = failure_domain_id("near");
+    here.region = region_id("r1");
+    here.regions = {{failure_domain_id("near"), region_id("r1")},
+                    {failure_domain_id("beside"), region_id("r1")},
+                    {failure_domain_id("far"), region_id("r2")}};
+    request.service = service_id("s");
+  }
+
+  auto Add(const char* id, const char* domain) -> endpoint_id {
+    auto entry = endpoint{};
+    entry.id = endpoint_id(id);
+    entry.service = service_id("s");
+    entry.address = "10.0.0.1:80";
+    entry.failure_domain = failure_domain_id(domain);
+    entry.slots = 4;
+    table.Put(entry, kNow);
+    return entry.id;
+  }
+
+  auto Chosen() -> std::string {
+    const auto choice = Place(table, request, here, {}, kNow, random);
+    return choice ? choice->endpoint.value : "";
+  }
+
+  endpoint_table table{endpoint_options{}};
+  placement_request request;
+  location here;
+  random_source random{7};
+};
+
+TEST_CASE_FIXTURE(fixture, "nothing is chosen where nothing may be used") {
+  CHECK(Chosen().empty());
+  const auto id = Add("a", "near");
+  request.excluded.insert(id);
+  CHECK(Chosen().empty());
+}
+
+TEST_CASE_FIXTURE(fixture, "a draining endpoint gets no request") {
+  const auto id = Add("a", "near");
+  auto entry = table.Find(id)->entry;
+  entry.is_draining = true;
+  table.Put(entry, kNow);
+  CHECK(Chosen().empty());
+}
+
+TEST_CASE_FIXTURE(fixture, "equal endpoints share the requests") {
+  Add("a", "near");
+  Add("b", "near");
+  Add("c", "near");
+  auto counts = std::map<std::string, int>{};
+  for (auto i = 0; i < 3000; ++i) {
+    ++counts[Chosen()];
+  }
+  for (const auto* id : {"a", "b", "c"}) {
+    CHECK(counts[id] > 800);
+  }
+}
+
+TEST_CASE_FIXTURE(fixture, "near endpoints go before far ones until loaded") {
+  const auto near = Add("near", "near");
+  Add("beside", "beside");
+  Add("far", "far");
+  CHECK(Chosen() == "near");
+  for (auto i = 0; i < 3; ++i) {
+    table.OnSent(near);
+  }
+  CHECK(Chosen() == "beside");
+}
+
+TEST_CASE_FIXTURE(fixture, "a full plain endpoint is left for a farther one") {
+  const auto near = Add("near", "near");
+  Add("far", "far");
+  for (auto i = 0; i < 4; ++i) {
+    table.OnSent(near);
+  }
+  CHECK(Chosen() == "far");
+}
+
+TEST_CASE_FIXTURE(fixture, "a paused endpoint is used only when all are") {
+  const auto near = Add("near", "near");
+  Add("far", "far");
+  table.OnSign(near, attempt_sign::kFailed, kNow);
+  CHECK(Chosen() == "far");
+  table.OnSign(endpoint_id("far"), attempt_sign::kFailed, kNow);
+  CHECK(Chosen() == "near");
+}
+
+TEST_CASE_FIXTURE(fixture, "a turn goes to the engine that has its chain") {
+  request.is_engine = true;
+  request.prompt_tokens = 4000;
+  const auto last = Add("a", "near");
+  Add("b", "near");
+  request.last_endpoint = last;
+  for (auto i = 0; i < 10; ++i) {
+    CHECK(Chosen() == "a");
+  }
+}
+
+TEST_CASE_FIXTURE(fixture, "a loaded engine is left when reading is cheaper") {
+  request.is_engine = true;
+  request.prompt_tokens = 1000;
+  const auto last = Add("a", "near");
+  Add("b", "near");
+  request.last_endpoint = last;
+  for (auto i = 0; i < 20; ++i) {
+    table.OnSent(last);
+  }
+  CHECK(Chosen() == "b");
+}
+
+TEST_CASE_FIXTURE(fixture, "a shared part that an engine has read draws it") {
+  request.is_engine = true;
+  request.prompt = {{prompt_part_id("shared"), 2560},
+                    {prompt_part_id("own"), 500}};
+  Add("a", "near");
+  const auto warm = Add("b", "near");
+  table.OnPromptRead(warm, {{prompt_part_id("shared"), 2560}});
+  for (auto i = 0; i < 10; ++i) {
+    CHECK(Chosen() == "b");
+  }
+}
+
+}  // namespace
+}  // namespace daisywind::dispatch
--- /dev/null
+++ b/source/unit_tests/history/fact_table_test.cc
@@ -0,0 +1,142 @@
+#include "history/fact_table.h"
+
+#include <doctest/doctest.h>
+
+#include <set>
+#include <string>
+
+namespace daisywind::history {
+namespace {
+
+auto Reserved(const char* program, const char* turn, std::uint32_t tokens)
+    -> turn_fact {
+  auto fact = turn_fact{};
+  fact.program = program_name(program);
+  fact.turn = turn_id(turn);
+  fact.reserved_tokens = tokens;
+  fact.recorded_ms = 1000;
+  return fact;
+}
+
+auto Whole(const char* program, const char* turn, const char* parent)
+    -> turn_fact {
+  auto fact = Reserved(program, turn, 50);
+  fact.settled_tokens = 20;
+  fact.content = turn_content{turn_id(parent), std::string("in-") + turn,
+                              std::string("out-") + turn, endpoint_id("e")};
+  return fact;
+}
+
+TEST_CASE("a fact gains parts and never loses one") {
+  auto table = fact_table{};
+  CHECK(table.Apply(Reserved("p", "t1", 50)));
+  CHECK(table.Apply(Whole("p", "t1", "")));
+  CHECK_FALSE(table.Apply(Reserved("p", "t1", 50)));
+  const auto chain = table.Chain(turn_id("t1"));
+  CHECK(chain.state == chain_state::kWhole);
+  CHECK(chain.turns.front().settled_tokens == 20U);
+}
+
+TEST_CASE("merging is the same in either order") {
+  const auto a = Reserved("p", "t1", 50);
+  const auto b = Whole("p", "t1", "t0");
+  CHECK(Merge(a, b) == Merge(b, a));
+  CHECK(Merge(b, b) == b);
+}
+
+TEST_CASE("spending counts a reservation until it is settled") {
+  auto table = fact_table{};
+  table.Apply(Reserved("p", "t1", 50));
+  table.Apply(Whole("p", "t2", ""));
+  table.Apply(Reserved("q", "t3", 70));
+  const auto list = table.Spending(program_name("p"));
+  CHECK(list == std::vector<spending>{{turn_id("t1"), 50},
+                                      {turn_id("t2"), 20}});
+}
+
+TEST_CASE("a chain runs from its oldest turn to the newest") {
+  auto table = fact_table{};
+  table.Apply(Whole("p", "t3", "t2"));
+  table.Apply(Whole("p", "t1", ""));
+  table.Apply(Whole("p", "t2", "t1"));
+  const auto chain = table.Chain(turn_id("t3"));
+  CHECK(chain.state == chain_state::kWhole);
+  REQUIRE(chain.turns.size() == 3);
+  CHECK(chain.turns.front().turn == turn_id("t1"));
+  CHECK(chain.turns.back().turn == turn_id("t3"));
+}
+
+TEST_CASE("a chain names the first turn that is missing") {
+  auto table = fact_table{};
+  table.Apply(Whole("p", "t3", "t2"));
+  const auto chain = table.Chain(turn_id("t3"));
+  CHECK(chain.state == chain_state::kMissing);
+  CHECK(chain.missing == turn_id("t2"));
+  CHECK(chain.turns.size() == 1);
+  // A reservation is no turn to continue from.
+  table.Apply(Reserved("p", "t2", 50));
+  CHECK(table.Chain(turn_id("t2")).state == chain_state::kMissing);
+  CHECK(table.Chain(turn_id("")).state == chain_state::kNone);
+}
+
+TEST_CASE("facts are found by their hashes, the unknown are left out") {
+  auto table = fact_table{};
+  for (const auto* turn : {"a", "b", "c"}) {
+    table.Apply(Whole("p", turn, ""));
+  }
+  CHECK(table.Hashes().size() == 3);
+  const auto found = table.OfHashes(
+      {FactHash(Whole("p", "c", "")), 12345, FactHash(Whole("p", "a", ""))});
+  REQUIRE(found.size() == 2);
+  CHECK(found[0].turn == turn_id("c"));
+  CHECK(found[1].turn == turn_id("a"));
+}
+
+TEST_CASE("a fact that has gained a part has another hash") {
+  auto table = fact_table{};
+  table.Apply(Reserved("p", "a", 50));
+  const auto before = table.Hashes();
+  table.Apply(Whole("p", "a", ""));
+  const auto after = table.Hashes();
+  REQUIRE(after.size() == 1);
+  CHECK(before != after);
+  CHECK(table.OfHashes(before).empty());
+  CHECK(table.OfHashes(after).front().content.has_value());
+}
+
+TEST_CASE("facts of similar names in different states have hashes of their own") {
+  auto hashes = std::set<fact_hash>{};
+  auto table = fact_table{};
+  for (auto i = 0; i < 1000; ++i) {
+    const auto turn = "t" + std::to_string(i);
+    auto fact = i % 3 == 0 ? Whole("p", turn.c_str(), "")
+                           : Reserved("p", turn.c_str(), 50);
+    if (i % 3 == 1) {
+      fact.settled_tokens = 5;
+    }
+    hashes.insert(FactHash(fact));
+    table.Apply(fact);
+  }
+  CHECK(hashes.size() == 1000);
+  CHECK(table.OfHashes(table.Hashes()).size() == 1000);
+}
+
+TEST_CASE("a program is forgotten as a whole, after its newest fact") {
+  auto table = fact_table{};
+  auto old = Whole("p", "t1", "");
+  old.recorded_ms = 100;
+  auto newer = Whole("p", "t2", "t1");
+  newer.recorded_ms = 900;
+  table.Apply(old);
+  table.Apply(newer);
+  CHECK(table.ForgetBefore(500) == 0);
+  CHECK(table.Chain(turn_id("t2")).state == chain_state::kWhole);
+  CHECK(table.ForgetBefore(901) == 2);
+  CHECK(table.size() == 0);
+  CHECK(table.bytes() == 0);
+  CHECK(table.Hashes().empty());
+  CHECK(table.Spending(program_name("p")).empty());
+}
+
+}  // namespace
+}  // namespace daisywind::history
--- /dev/null
+++ b/source/unit_tests/history/quorum_test.cc
@@ -0,0 +1,90 @@
+#include "history/quorum.h"
+
+#include <doctest/doctest.h>
+
+namespace daisywind::history {
+namespace {
+
+constexpr auto kSizes = quorum_sizes{2, 2};
+
+auto Turn(const char* id) -> turn_fact {
+  auto fact = turn_fact{};
+  fact.turn = turn_id(id);
+  return fact;
+}
+
+TEST_CASE("a budget is decided by as many complete members as a write needs") {
+  auto decision = budget_decision(turn_id("t"), 50, 100, kSizes);
+  decision.Add(vm_id("a"), true, {});
+  CHECK(decision.state() == decision_state::kOpen);
+  decision.Add(vm_id("b"), false, {});
+  CHECK(decision.state() == decision_state::kOpen);
+  // One member's word counts once.
+  decision.Add(vm_id("a"), true, {});
+  CHECK(decision.state() == decision_state::kOpen);
+  decision.Add(vm_id("c"), true, {});
+  CHECK(decision.state() == decision_state::kYes);
+}
+
+TEST_CASE("spending is the union of what the members know") {
+  auto decision = budget_decision(turn_id("t"), 50, 100, kSizes);
+  decision.Add(vm_id("a"), true, {{turn_id("x"), 30}, {turn_id("t"), 50}});
+  decision.Add(vm_id("b"), true, {{turn_id("y"), 30}});
+  CHECK(decision.SpentByOthers() == 60);
+  CHECK(decision.state() == decision_state::kNo);
+}
+
+TEST_CASE("a settlement replaces the reservation that another member has") {
+  auto decision = budget_decision(turn_id("t"), 50, 100, kSizes);
+  decision.Add(vm_id("a"), true, {{turn_id("x"), 60}});
+  decision.Add(vm_id("b"), true, {{turn_id("x"), 10}});
+  CHECK(decision.SpentByOthers() == 10);
+  CHECK(decision.state() == decision_state::kYes);
+}
+
+TEST_CASE("without a budget every turn fits") {
+  auto decision = budget_decision(turn_id("t"), 50, std::nullopt, kSizes);
+  decision.Add(vm_id("a"), true, {{turn_id("x"), 1'000'000}});
+  decision.Add(vm_id("b"), true, {});
+  CHECK(decision.state() == decision_state::kYes);
+}
+
+TEST_CASE("a turn that continues from none has its chain at once") {
+  CHECK(chain_decision(turn_id(""), kSizes).state() == decision_state::kYes);
+}
+
+TEST_CASE("one member's whole chain is enough") {
+  auto decision = chain_decision(turn_id("t2"), kSizes);
+  decision.Add(vm_id("a"), false,
+               {chain_state::kWhole, {}, {Turn("t1"), Turn("t2")}});
+  CHECK(decision.state() == decision_state::kYes);
+  CHECK(decision.turns().size() == 2);
+}
+
+TEST_CASE("a turn is unknown once enough complete members miss it") {
+  auto decision = chain_decision(turn_id("t2"), kSizes);
+  decision.Add(vm_id("a"), true, {chain_state::kMissing, turn_id("t2"), {}});
+  decision.Add(vm_id("b"), false, {chain_state::kMissing, turn_id("t2"), {}});
+  CHECK(decision.state() == decision_state::kOpen);
+  decision.Add(vm_id("a"), true, {chain_state::kMissing, turn_id("t2"), {}});
+  CHECK(decision.state() == decision_state::kOpen);
+  decision.Add(vm_id("c"), true, {chain_state::kMissing, turn_id("t2"), {}});
+  CHECK(decision.state() == decision_state::kNo);
+}
+
+TEST_CASE("a chain is put together where no member has all of it") {
+  auto decision = chain_decision(turn_id("t3"), kSizes);
+  decision.Add(vm_id("c"), true, {chain_state::kMissing, turn_id("t3"), {}});
+  decision.Add(vm_id("a"), true,
+               {chain_state::kMissing, turn_id("t1"), {Turn("t2"), Turn("t3")}});
+  CHECK(decision.state() == decision_state::kOpen);
+  CHECK(decision.target() == turn_id("t1"));
+  decision.Add(vm_id("b"), true, {chain_state::kWhole, {}, {Turn("t1")}});
+  CHECK(decision.state() == decision_state::kYes);
+  REQUIRE(decision.turns().size() == 3);
+  CHECK(decision.turns().front().turn == turn_id("t1"));
+  CHECK(decision.turns().back().turn == turn_id("t3"));
+}
+
+}  // namespace
+}  // namespace daisywind::history
--- /dev/null
+++ b/source/unit_tests/history_wire/codec_test.cc
@@ -0,0 +1,89 @@
+#include "history_wire/codec.h"
+
+#include <doctest/doctest.h>
+
+#include "common/random.h"
+
+namespace daisywind::history {
+namespace {
+
+auto Fact() -> turn_fact {
+  return {program_name("p"),
+          turn_id("t"),
+          50,
+          20U,
+          turn_content{turn_id("s"), std::string("in\0put", 6), "output\n",
+                       endpoint_id("e")},
+          1'700'000'000'000};
+}
+
+auto Bare() -> turn_fact {
+  return {program_name("p"), turn_id("u"), 7, std::nullopt, std::nullopt, 5};
+}
+
+auto View() -> view {
+  return {9,
+          {{vm_id("a"), disk_id("1"), "10.0.0.1:7380", failure_domain_id("d"),
+            region_id("r")},
+           {vm_id("b"), disk_id("2"), "10.0.0.2:7380", failure_domain_id("e"),
+            region_id("r")}}};
+}
+
+auto Chain() -> turn_chain {
+  return {chain_state::kMissing, turn_id("x"), {Fact(), Bare()}};
+}
+
+auto AllBodies() -> std::vector<message_body> {
+  return {begin_request{program_name("p"), turn_id("t"), turn_id("s"), 50, true},
+          begin_reply{true, Chain(), {{turn_id("y"), 3}}},
+          record_request{{Fact(), Bare()}},
+          record_reply{true},
+          read_request{turn_id("t")},
+          read_reply{true, Chain()},
+          adopt_request{View()},
+          adopt_reply{true},
+          list_request{},
+          list_reply{true, {1, 2, 3}},
+          pull_request{{1, 2, 3}},
+          pull_reply{{Fact()}},
+          stale_view{View()}};
+}
+
+TEST_CASE("each message is read as it was written") {
+  for (const auto& body : AllBodies()) {
+    const auto sent = message{42, 9, body};
+    const auto read = DecodeMessage(EncodeMessage(sent));
+    REQUIRE(read);
+    CHECK(*read == sent);
+  }
+}
+
+TEST_CASE("a record is read as it was written") {
+  const auto full = disk_record{{Fact(), Bare()}, 0};
+  CHECK(DecodeRecord(EncodeRecord(full)) == full);
+  const auto mark = disk_record{{}, 12};
+  CHECK(DecodeRecord(EncodeRecord(mark)) == mark);
+}
+
+TEST_CASE("no cut or altered message is taken for another kind of trouble") {
+  auto random = random_source(1);
+  for (const auto& body : AllBodies()) {
+    const auto frame = EncodeMessage({42, 9, body});
+    for (auto size = std::size_t{0}; size < frame.size(); size += 3) {
+      // Reading must not fail hard; a cut frame may still be well formed.
+      static_cast<void>(DecodeMessage(std::string_view(frame).substr(0, size)));
+    }
+    for (auto i = 0; i < 200; ++i) {
+      auto altered = frame;
+      altered[random.Below(altered.size())] =
+          static_cast<char>(random.Below(256));
+      static_cast<void>(DecodeMessage(altered));
+    }
+  }
+  CHECK_FALSE(DecodeMessage(""));
+  CHECK_FALSE(DecodeMessage("not a message"));
+  CHECK_FALSE(DecodeRecord("x"));
+}
+
+}  // namespace
+}  // namespace daisywind::history
--- /dev/null
+++ b/source/unit_tests/journal/disk_log_test.cc
@@ -0,0 +1,199 @@
+#include "journal/disk_log.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio.hpp>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <string>
+#include <vector>
+
+#include "common/random.h"
+
+namespace daisywind::journal {
+namespace {
+
+namespace fs = std::filesystem;
+
+// A folder that goes with the test.
+class scratch_folder {
+ public:
+  scratch_folder()
+      : path_(fs::temp_directory_path() /
+              ("daisywind-log-" + std::to_string(SystemSeed()))) {
+    fs::create_directories(path_);
+  }
+  scratch_folder(const scratch_folder&) = delete;
+  auto operator=(const scratch_folder&) -> scratch_folder& = delete;
+  ~scratch_folder() { fs::remove_all(path_); }
+
+  [[nodiscard]] auto path() const -> const fs::path& { return path_; }
+
+ private:
+  fs::path path_;
+};
+
+using records = std::vector<std::string>;
+
+// Appends records to a new log and waits until all are on disk.
+auto Append(const fs::path& folder,
+            const records& list,
+            disk_log_options options = {}) -> void {
+  auto context = boost::asio::io_context(1);
+  auto log = disk_log(context, folder.string(), options);
+  log.Load([](std::string_view) {});
+  auto left = list.size();
+  for (const auto& item : list) {
+    log.Append(item, [&](bool is_durable) {
+      CHECK(is_durable);
+      --left;
+    });
+  }
+  const auto guard = boost::asio::make_work_guard(context);
+  while (left > 0) {
+    context.run_one();
+  }
+}
+
+auto Load(const fs::path& folder, disk_load* result = nullptr) -> records {
+  auto context = boost::asio::io_context(1);
+  auto log = disk_log(context, folder.string(), {});
+  auto list = records{};
+  const auto load =
+      log.Load([&](std::string_view record) { list.emplace_back(record); });
+  if (result != nullptr) {
+    *result = load;
+  }
+  return list;
+}
+
+auto OnlySegment(const fs::path& folder) -> fs::path {
+  auto found = fs::path{};
+  for (const auto& item : fs::directory_iterator(folder)) {
+    found = item.path();
+  }
+  return found;
+}
+
+auto ReadFile(const fs::path& path) -> std::string {
+  auto stream = std::ifstream(path, std::ios::binary);
+  return {std::istreambuf_iterator<char>(stream),
+          std::istreambuf_iterator<char>()};
+}
+
+auto WriteFile(const fs::path& path, const std::string& bytes) -> void {
+  std::ofstream(path, std::ios::binary) << bytes;
+}
+
+TEST_CASE("records come back in their order, from several starts") {
+  const auto folder = scratch_folder();
+  Append(folder.path(), {"one", "two"});
+  Append(folder.path(), {"three"});
+  CHECK(Load(folder.path()) == records{"one", "two", "three"});
+}
+
+TEST_CASE("a long log goes over several segments") {
+  const auto folder = scratch_folder();
+  auto list = records{};
+  for (auto i = 0; i < 50; ++i) {
+    list.push_back(std::string(100, static_cast<char>('a' + i % 26)));
+  }
+  for (const auto& item : list) {
+    Append(folder.path(), {item}, {64, 1U << 20U});
+  }
+  CHECK(Load(folder.path()) == list);
+}
+
+TEST_CASE("at each torn end the whole records before it are found") {
+  const auto folder = scratch_folder();
+  Append(folder.path(), {"one", "two", "three"});
+  const auto segment = OnlySegment(folder.path());
+  const auto whole = ReadFile(segment);
+  for (auto size = std::size_t{0}; size <= whole.size(); ++size) {
+    WriteFile(segment, whole.substr(0, size));
+    const auto found = Load(folder.path());
+    const auto all = records{"one", "two", "three"};
+    REQUIRE(found.size() <= all.size());
+    CHECK(std::equal(found.begin(), found.end(), all.begin()));
+    CHECK((size < whole.size()) == (found.size() < all.size()));
+    // The load has made no file of its own.
+    CHECK(OnlySegment(folder.path()) == segment);
+  }
+}
+
+TEST_CASE("no altered byte is taken for a record") {
+  const auto folder = scratch_folder();
+  Append(folder.path(), {"one", "two", "three"});
+  const auto segment = OnlySegment(folder.path());
+  const auto whole = ReadFile(segment);
+  const auto all = records{"one", "two", "three"};
+  for (auto i = std::size_t{0}; i < whole.size(); ++i) {
+    auto altered = whole;
+    altered[i] = static_cast<char>(altered[i] ^ 0x40);
+    WriteFile(segment, altered);
+    auto result = disk_load{};
+    const auto found = Load(folder.path(), &result);
+    REQUIRE(found.size() < all.size());
+    CHECK(std::equal(found.begin(), found.end(), all.begin()));
+    CHECK(result.damaged_segments == 1);
+  }
+}
+
+TEST_CASE("records after a damaged segment are found") {
+  const auto folder = scratch_folder();
+  Append(folder.path(), {"one", "two"});
+  const auto segment = OnlySegment(folder.path());
+  WriteFile(segment, ReadFile(segment).substr(0, 20));
+  Append(folder.path(), {"three"});
+  CHECK(Load(folder.path()) == records{"one", "three"});
+}
+
+TEST_CASE("a write that the disk refuses is repeated until it succeeds") {
+  const auto folder = scratch_folder();
+  const auto moved = folder.path().string() + "-away";
+  auto context = boost::asio::io_context(1);
+  auto log = disk_log(context, folder.path().string(), {});
+  log.Load([](std::string_view) {});
+  fs::rename(folder.path(), moved);
+  auto is_done = false;
+  log.Append("one", [&](bool is_durable) {
+    CHECK(is_durable);
+    is_done = true;
+  });
+  auto timer = boost::asio::steady_timer(context, std::chrono::milliseconds(250));
+  timer.async_wait([&](const boost::system::error_code&) {
+    CHECK_FALSE(is_done);
+    fs::rename(moved, folder.path());
+  });
+  const auto guard = boost::asio::make_work_guard(context);
+  while (!is_done) {
+    context.run_one();
+  }
+  CHECK(Load(folder.path()) == records{"one"});
+}
+
+TEST_CASE("a full queue refuses further records at once") {
+  const auto folder = scratch_folder();
+  auto context = boost::asio::io_context(1);
+  auto log = disk_log(context, folder.path().string(), {1U << 20U, 64});
+  log.Load([](std::string_view) {});
+  auto is_refused = false;
+  log.Append(std::string(100, 'x'),
+             [&](bool is_durable) { is_refused = !is_durable; });
+  CHECK(is_refused);
+}
+
+TEST_CASE("old segments are removed, newer ones stay") {
+  const auto folder = scratch_folder();
+  Append(folder.path(), {"one"});
+  Append(folder.path(), {"two"});
+  auto context = boost::asio::io_context(1);
+  auto log = disk_log(context, folder.path().string(), {});
+  log.Load([](std::string_view) {});
+  log.RemoveBefore(2);
+  CHECK(Load(folder.path()) == records{"two"});
+}
+
+}  // namespace
+}  // namespace daisywind::journal
