--- a/source/unit_tests/history/faults_test.cc
+++ b/source/unit_tests/history/faults_test.cc
@@ -274,7 +274,7 @@
       return std::nullopt;
     }
     // A planted bug strikes often, so that few seeds show it.
-    const auto one_in = bug_ == planted_bug::kAnswerBeforeSync ? 2U : 12U;
+    const auto one_in = bug_ == planted_bug::kAnswerBeforeSync ? 5U : 12U;
     const auto is_synced = random_.Below(one_in) != 0;
     if (is_synced) {
       vm.disk.insert(vm.disk.end(), effect.to_persist.begin(),
