Refuse turns at once while too few journals answer

A front that hears fewer journals than a write needs now refuses turns at once, is not ready, and asks for signs of life until enough answer; a begin waits 600 ms instead of 2 s; Retry-After is 1 s without a configuration and 0.3 s without journals (another front may have them).

--- a/source/core/common/log_events.cc
+++ b/source/core/common/log_events.cc
@@ -44,6 +44,8 @@
     kTurnDecided,
     kTurnNotRecorded,
     kAnswerNotForUs,
+    kJournalsLost,
+    kJournalsRegained,
     kDiskLoaded,
     kDiskRefused,
     kSeatTaken,
--- a/source/core/common/log_events.h
+++ b/source/core/common/log_events.h
@@ -137,6 +137,12 @@
 inline constexpr auto kAnswerNotForUs =
     log_event{2106, log_subsystem::kFront, log_level::kWarning,
               "answer of another request skipped"};
+inline constexpr auto kJournalsLost =
+    log_event{2107, log_subsystem::kFront, log_level::kWarning,
+              "too few journals answer, turns are refused"};
+inline constexpr auto kJournalsRegained =
+    log_event{2108, log_subsystem::kFront, log_level::kInfo,
+              "enough journals answer again"};
 inline constexpr auto kDiskLoaded =
     log_event{2201, log_subsystem::kJournal, log_level::kInfo,
               "records read from the disk"};
--- a/source/core/front/front_node.cc
+++ b/source/core/front/front_node.cc
@@ -154,8 +154,9 @@
 }
 
 auto front_node::UpdateReadiness() -> void {
-  // The journals are not asked for: requests without turns need none of them.
-  const auto is_ready = directory_.IsConfigured() && !is_stopping_;
+  // Callers are better off with a front that reaches the journals.
+  const auto is_ready =
+      directory_.IsConfigured() && turns_.IsInContact() && !is_stopping_;
   if (is_ready == is_ready_) {
     return;
   }
--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -21,6 +21,9 @@
 // A connection that takes longer is tried elsewhere. The farthest endpoint is
 // 40 ms away and back.
 constexpr auto kConnectTimeout = duration(400ms);
+// A front without a configuration waits for the platform's store, which may be
+// away for seconds.
+constexpr auto kUnconfiguredRetry = duration(1s);
 // Answers of plain services that are passed on whole.
 constexpr auto kMaxWholeBytes = std::size_t{8} * 1024 * 1024;
 constexpr auto kFirstErrorStatus = 300U;
@@ -73,8 +76,11 @@
     LogRefusal(*call, *reason, known.routes().version());
     node.measures().Count("daisywind_front_refusals_total",
                           {{"reason", std::string(ReasonName(*reason))}});
+    const auto retry_after = *reason == refusal_reason::kNotReady
+                                 ? std::optional<duration>(kUnconfiguredRetry)
+                                 : std::nullopt;
     co_await exchange.Respond(
-        node.requests().MakeRefusal({*reason, std::nullopt}));
+        node.requests().MakeRefusal({*reason, retry_after}));
     co_return;
   }
   const auto flow = std::make_shared<request_flow>(
--- a/source/core/front/turn_flow.cc
+++ b/source/core/front/turn_flow.cc
@@ -11,9 +11,13 @@
 
 namespace asio = boost::asio;
 
-// The journals are asked for this long at the most, so that a refusal leaves
-// its caller time for another attempt.
-constexpr auto kBeginPatience = duration(2s);
+// The journals are asked for this long at the most: four ways to the other
+// region and back, and a slow sync. Another front may reach them, so a refusal
+// is not kept waiting.
+constexpr auto kBeginPatience = duration(600ms);
+// Callers that come back reach another front, which may be in contact; if none
+// is, a lost journal is back within seconds.
+constexpr auto kRetryElsewhere = duration(300ms);
 // The end of an answer waits for the journals until the caller's deadline, but
 // at least this long: the work is done.
 constexpr auto kRecordPatience = duration(2s);
@@ -78,7 +82,7 @@
   } else if (begun.outcome != history::begin_outcome::kGranted) {
     const auto retry_after =
         begun.outcome == history::begin_outcome::kUnavailable
-            ? std::optional<duration>(300ms)
+            ? std::optional<duration>(kRetryElsewhere)
             : std::nullopt;
     co_await Refuse(ReasonFor(begun.outcome), retry_after);
   } else {
--- a/source/core/history_client/turn_keeper.cc
+++ b/source/core/history_client/turn_keeper.cc
@@ -70,6 +70,8 @@
   }
 
   [[nodiscard]] auto IsStale() const -> bool { return is_stale_; }
+  // Members whose reply has come, whatever it said.
+  [[nodiscard]] auto replies() const -> std::size_t { return replies_; }
   [[nodiscard]] auto answers() const -> std::size_t { return heard_; }
 
  private:
@@ -90,6 +92,7 @@
     --waiting_;
     ++heard_;
     if (reply) {
+      ++replies_;
       if (const auto* newer = std::get_if<stale_view>(&*reply)) {
         keeper_.Adopt(newer->newest);
         is_stale_ = true;
@@ -116,12 +119,63 @@
   std::size_t waiting_ = 0;
   std::size_t counted_ = 0;
   std::size_t heard_ = 0;
+  std::size_t replies_ = 0;
   bool is_stale_ = false;
   bool is_over_ = false;
 };
 
-turn_keeper::turn_keeper(asio::io_context& context, keeper_options options)
-    : context_(context), options_(std::move(options)) {}
+turn_keeper::turn_keeper(asio::io_context& context,
+                         keeper_options options,
+                         contact_handler on_contact)
+    : context_(context),
+      options_(std::move(options)),
+      on_contact_(std::move(on_contact)) {}
+
+auto turn_keeper::SetContact(bool is_in_contact) -> void {
+  if (is_in_contact == is_in_contact_) {
+    return;
+  }
+  is_in_contact_ = is_in_contact;
+  Log(is_in_contact ? log_events::kJournalsRegained
+                    : log_events::kJournalsLost,
+      {{"view", static_cast<std::int64_t>(view_.number)},
+       {"members", static_cast<std::int64_t>(view_.members.size())}});
+  if (on_contact_) {
+    on_contact_(is_in_contact);
+  }
+  if (!is_in_contact) {
+    asio::co_spawn(context_, Probe(), asio::detached);
+  }
+}
+
+auto turn_keeper::Probe() -> asio::awaitable<void> {
+  while (!is_in_contact_) {
+    auto pause = asio::steady_timer(context_, options_.probe_interval);
+    co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
+    const auto sizes = QuorumSizes(view_, options_.tolerated);
+    const auto answering = co_await CountAnswering();
+    if (answering >= std::max(sizes.write, sizes.read)) {
+      SetContact(true);
+    }
+  }
+}
+
+auto turn_keeper::CountAnswering() -> asio::awaitable<std::size_t> {
+  const auto sizes = QuorumSizes(view_, options_.tolerated);
+  auto answering = std::size_t{0};
+  const auto asks = std::make_shared<round>(
+      *this,
+      [&](std::size_t) -> message_body { return adopt_request{view_}; },
+      [&](const member&, message_body&) {
+        ++answering;
+        return true;
+      },
+      [&] { return answering >= sizes.write; });
+  co_await asks->Run(view_.members.size(),
+                     steady::now() + 2 * options_.hedge_delay);
+  asks->End();
+  co_return answering;
+}
 
 auto turn_keeper::Adopt(const view& newest) -> void {
   if (newest.number <= view_.number) {
@@ -172,7 +226,8 @@
     -> asio::awaitable<begin_result> {
   const auto until = steady::now() + patience;
   auto result = begin_result{};
-  while (steady::now() < until) {
+  result.view = view_.number;
+  while (is_in_contact_ && steady::now() < until) {
     const auto sizes = QuorumSizes(view_, options_.tolerated);
     auto budget = budget_decision(request.turn, request.reserved_tokens,
                                   request.budget, sizes);
@@ -197,6 +252,9 @@
     asks->End();
     result.answers += asks->answers();
     result.view = view_.number;
+    if (steady::now() >= until && asks->replies() < sizes.write) {
+      SetContact(false);
+    }
     result.spent_by_others = budget.SpentByOthers();
     if (budget.state() == decision_state::kNo) {
       result.outcome = begin_outcome::kBudgetSpent;
--- a/source/core/history_client/turn_keeper.h
+++ b/source/core/history_client/turn_keeper.h
@@ -34,8 +34,13 @@
   duration ask_timeout = 1500ms;
   // Pause before members are asked again after all have failed.
   duration retry_pause = 100ms;
+  // While too few members answer, they are asked for signs of life so often.
+  duration probe_interval = 150ms;
 };
 
+// Told when enough members answer again, and when they stop doing so.
+using contact_handler = std::function<void(bool is_in_contact)>;
+
 // A turn to be reserved.
 struct turn_begin {
   program_name program;
@@ -66,13 +71,19 @@
 // One VM's access to the facts. All calls run on the context's thread.
 class turn_keeper {
  public:
-  turn_keeper(boost::asio::io_context& context, keeper_options options);
+  turn_keeper(boost::asio::io_context& context,
+              keeper_options options,
+              contact_handler on_contact = nullptr);
 
   // Takes a view into force unless an equal or newer one is.
   auto Adopt(const view& newest) -> void;
 
   [[nodiscard]] auto current() const -> const view& { return view_; }
 
+  // False while too few members answer. Turns are not begun then, so that their
+  // callers can go elsewhere at once.
+  [[nodiscard]] auto IsInContact() const -> bool { return is_in_contact_; }
+
   // Reserves a turn and reads its chain.
   auto Begin(turn_begin request, duration patience)
       -> boost::asio::awaitable<begin_result>;
@@ -91,10 +102,15 @@
   auto Client(const member& of) -> std::shared_ptr<member_client>;
   auto ReadChain(chain_decision& chain, duration patience)
       -> boost::asio::awaitable<void>;
+  auto SetContact(bool is_in_contact) -> void;
+  auto Probe() -> boost::asio::awaitable<void>;
+  auto CountAnswering() -> boost::asio::awaitable<std::size_t>;
   auto SettleAndForget(turn_fact fact) -> boost::asio::awaitable<void>;
 
   boost::asio::io_context& context_;
   keeper_options options_;
+  contact_handler on_contact_;
+  bool is_in_contact_ = true;
   view view_;
   std::map<std::string, std::shared_ptr<member_client>> clients_;
 };
