Learn the store's content from journals while the store is away

Journals now keep a copy of the store's keys in memory and on disk and give it to fronts that do not reach the store, at the addresses that each VM finds in its settings. Entries missing in a copy are in doubt; an older copy never replaces what is known.

Records are read in place: not measured by itself.

Ruled out: waiting longer in the caller (its own deadline passes first).

--- a/source/core/common/log_events.h
+++ b/source/core/common/log_events.h
@@ -108,6 +108,9 @@
 inline constexpr auto kStoreWatchEnded =
     log_event{1907, log_subsystem::kPlatform, log_level::kInfo,
               "watch of the platform's store ended, all keys are read again"};
+inline constexpr auto kStoreCopyTaken =
+    log_event{1908, log_subsystem::kFront, log_level::kInfo,
+              "copy of the platform's store taken from a journal"};
 inline constexpr auto kConfigurationInForce = log_event{
     2001, log_subsystem::kFront, log_level::kInfo, "configuration in force"};
 inline constexpr auto kEndpointChanged = log_event{
--- a/source/core/front/directory.cc
+++ b/source/core/front/directory.cc
@@ -30,18 +30,33 @@
              store,
              "",
              {},
-             {[this](const std::vector<kv::key_value>& items) {
-                OnSnapshot(items);
+             {[this](const kv::listing& all) {
+                OnSnapshot(all.items, IsInDoubt(Now()));
+                revision_ = std::max(revision_, all.revision_at);
               },
-              [this](const std::vector<kv::key_change>& changes) {
-                OnChanges(changes);
+              [this](const kv::change_list& list) {
+                OnChanges(list.changes);
+                revision_ = std::max(revision_, list.next);
               },
               [this](bool is_reachable) {
+                is_reachable_ = is_reachable;
                 if (is_reachable) {
                   doubt_until_ = Now() + options_.doubt_after_contact;
                 }
               }}) {}
 
+auto directory::Absorb(const history::store_copy& copy) -> void {
+  if (copy.revision_at <= revision_) {
+    return;
+  }
+  Log(log_events::kStoreCopyTaken,
+      {{"revision", copy.revision_at},
+       {"before", revision_},
+       {"items", static_cast<std::int64_t>(copy.items.size())}});
+  revision_ = copy.revision_at;
+  OnSnapshot(copy.items, true);
+}
+
 auto directory::Start() -> void {
   watch_.Start();
 }
@@ -61,7 +76,8 @@
   return now < doubt_until_;
 }
 
-auto directory::OnSnapshot(const std::vector<kv::key_value>& items) -> void {
+auto directory::OnSnapshot(const std::vector<kv::key_value>& items,
+                           bool is_in_doubt) -> void {
   const auto now = Now();
   heard_at_ = now;
   auto present = std::set<endpoint_id>{};
@@ -75,9 +91,9 @@
   auto missing = endpoints_.Ids();
   std::erase_if(missing,
                 [&](const endpoint_id& id) { return present.contains(id); });
-  const auto is_in_doubt = IsInDoubt(now) || IsBulkRemoval(missing.size());
+  const auto may_return = is_in_doubt || IsBulkRemoval(missing.size());
   for (const auto& id : missing) {
-    RemoveEndpoint(id, is_in_doubt, now);
+    RemoveEndpoint(id, may_return, now);
   }
 }
 
--- a/source/core/front/directory.h
+++ b/source/core/front/directory.h
@@ -11,6 +11,7 @@
 #include "dispatch/endpoint_table.h"
 #include "dispatch/route_table.h"
 #include "front/dialect.h"
+#include "history/messages.h"
 #include "history/view.h"
 #include "kv/store.h"
 #include "kv/store_watch.h"
@@ -45,6 +46,16 @@
   auto Start() -> void;
   auto Stop() -> void;
 
+  // Takes over another VM's copy of the store if it is newer than what is
+  // known. Entries that are missing in it are in doubt.
+  auto Absorb(const history::store_copy& copy) -> void;
+
+  // The newest revision of the store that is known.
+  [[nodiscard]] auto revision_at() const -> kv::revision { return revision_; }
+
+  // False while the store is out of reach.
+  [[nodiscard]] auto IsStoreReachable() const -> bool { return is_reachable_; }
+
   // Ends doubts whose time has passed.
   auto Tick(instant now) -> void;
 
@@ -64,7 +75,8 @@
   [[nodiscard]] auto heard_at() const -> instant { return heard_at_; }
 
  private:
-  auto OnSnapshot(const std::vector<kv::key_value>& items) -> void;
+  auto OnSnapshot(const std::vector<kv::key_value>& items, bool is_in_doubt)
+      -> void;
   auto OnChanges(const std::vector<kv::key_change>& changes) -> void;
   auto OnItem(const kv::key_value& item, instant now) -> void;
   auto OnConfiguration(const kv::key_value& item) -> void;
@@ -81,6 +93,8 @@
   dispatch::endpoint_table endpoints_;
   kv::store_watch watch_;
   instant heard_at_{};
+  kv::revision revision_ = 0;
+  bool is_reachable_ = true;
   instant doubt_until_{};
 };
 
--- a/source/core/front/front_node.cc
+++ b/source/core/front/front_node.cc
@@ -65,6 +65,7 @@
                  {},
                  {[this](const history::view& newest) { turns_.Adopt(newest); },
                   [this] { ApplyLimits(); }}),
+      backup_(context, directory_, turns_, values.GetList(kJournalSeeds), {}),
       callers_(context,
                {},
                [this](net::http_exchange& exchange) -> asio::awaitable<void> {
@@ -103,6 +104,7 @@
     return false;
   }
   directory_.Start();
+  backup_.Start();
   asio::co_spawn(context_, Tick(), asio::detached);
   return true;
 }
@@ -204,6 +206,7 @@
     FlushLogs();
   }
   directory_.Stop();
+  backup_.Stop();
   on_stopped();
 }
 
--- a/source/core/front/front_node.h
+++ b/source/core/front/front_node.h
@@ -17,6 +17,7 @@
 #include "dispatch/retry_rules.h"
 #include "front/dialect.h"
 #include "front/directory.h"
+#include "front/store_backup.h"
 #include "history_client/turn_keeper.h"
 #include "kv/store.h"
 #include "net/http_client.h"
@@ -87,6 +88,7 @@
   net::http_client endpoint_client_;
   history::turn_keeper turns_;
   directory directory_;
+  store_backup backup_;
   net::http_server callers_;
   net::http_server ready_;
   net::http_server metrics_server_;
--- a/source/core/front/front_settings.cc
+++ b/source/core/front/front_settings.cc
@@ -11,6 +11,7 @@
           Declare(kReadyAddress),
           Declare(kMetricsAddress),
           Declare(kStoreAddress),
+          DeclareList(kJournalSeeds),
           Declare(kToleratedLosses),
           Declare(kMaxConnections),
           Declare(kGraceMs),
--- a/source/core/front/front_settings.h
+++ b/source/core/front/front_settings.h
@@ -24,6 +24,9 @@
     "listen.metrics", "", "address for metrics, as ip:port; empty for none"};
 inline constexpr auto kStoreAddress = string_setting{
     "store.address", "", "the platform's store, as ip:port", 0, 0, true};
+inline constexpr auto kJournalSeeds = list_setting{
+    "journals.seeds", "",
+    "addresses of some journals, each as ip:port, for when the store is away"};
 inline constexpr auto kToleratedLosses = integer_setting{
     "tolerate.disks", 1, "disks that may be lost at once", 0, 5};
 inline constexpr auto kMaxConnections = integer_setting{
--- /dev/null
+++ b/source/core/front/store_backup.cc
@@ -0,0 +1,76 @@
+#include "front/store_backup.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <utility>
+
+#include "net/http_types.h"
+
+namespace daisywind::front {
+
+namespace asio = boost::asio;
+
+store_backup::store_backup(asio::io_context& context,
+                           directory& known,
+                           history::turn_keeper& turns,
+                           std::vector<std::string> seeds,
+                           backup_options options)
+    : context_(context),
+      known_(known),
+      turns_(turns),
+      seeds_(std::move(seeds)),
+      options_(options),
+      timer_(context) {}
+
+auto store_backup::Start() -> void {
+  asio::co_spawn(context_, Run(), asio::detached);
+}
+
+auto store_backup::Stop() -> void {
+  is_stopped_ = true;
+  timer_.cancel();
+}
+
+auto store_backup::Run() -> asio::awaitable<void> {
+  while (!is_stopped_) {
+    const auto is_urgent = !known_.IsConfigured();
+    timer_.expires_after(is_urgent ? options_.urgent_interval
+                                   : options_.interval);
+    co_await timer_.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (!is_stopped_ && !known_.IsStoreReachable()) {
+      co_await AskAll();
+    } else {
+      // Connections to journals that are not needed any more.
+      clients_.clear();
+    }
+  }
+}
+
+auto store_backup::AskAll() -> asio::awaitable<void> {
+  for (const auto& address : Addresses()) {
+    auto& client = clients_[address];
+    if (client == nullptr) {
+      client = std::make_shared<history::member_client>(
+          context_,
+          net::ParseSocketAddress(address).value_or(net::socket_address{}));
+    }
+    const auto asked = client;
+    const auto reply = co_await asked->AskAndWait(
+        0, history::copy_request{known_.revision_at()}, options_.ask_timeout);
+    const auto* answer =
+        reply ? std::get_if<history::copy_reply>(&*reply) : nullptr;
+    if (answer != nullptr && answer->copy && !is_stopped_) {
+      known_.Absorb(*answer->copy);
+    }
+  }
+}
+
+auto store_backup::Addresses() const -> std::vector<std::string> {
+  auto addresses = seeds_;
+  for (const auto& item : turns_.current().members) {
+    addresses.push_back(item.address);
+  }
+  return addresses;
+}
+
+}  // namespace daisywind::front
--- /dev/null
+++ b/source/core/front/store_backup.h
@@ -0,0 +1,58 @@
+// Learns what the platform's store holds from journals while it is away.
+#ifndef DAISYWIND_FRONT_STORE_BACKUP_H_
+#define DAISYWIND_FRONT_STORE_BACKUP_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "common/time.h"
+#include "front/directory.h"
+#include "history_client/member_client.h"
+#include "history_client/turn_keeper.h"
+
+namespace daisywind::front {
+
+// Timing of the questions to journals.
+struct backup_options {
+  // While nothing is known, journals are asked so often.
+  duration urgent_interval = 150ms;
+  // While the store is away but a configuration is in force.
+  duration interval = 1s;
+  duration ask_timeout = 400ms;
+};
+
+// Asks the journals of the settings, and those of the view, in turn.
+class store_backup {
+ public:
+  store_backup(boost::asio::io_context& context,
+               directory& known,
+               history::turn_keeper& turns,
+               std::vector<std::string> seeds,
+               backup_options options);
+
+  auto Start() -> void;
+  auto Stop() -> void;
+
+ private:
+  auto Run() -> boost::asio::awaitable<void>;
+  auto AskAll() -> boost::asio::awaitable<void>;
+  [[nodiscard]] auto Addresses() const -> std::vector<std::string>;
+
+  boost::asio::io_context& context_;
+  directory& known_;
+  history::turn_keeper& turns_;
+  std::vector<std::string> seeds_;
+  backup_options options_;
+  boost::asio::steady_timer timer_;
+  std::map<std::string, std::shared_ptr<history::member_client>> clients_;
+  bool is_stopped_ = false;
+};
+
+}  // namespace daisywind::front
+
+#endif  // DAISYWIND_FRONT_STORE_BACKUP_H_
--- a/source/core/history/fact_table.cc
+++ b/source/core/history/fact_table.cc
@@ -18,6 +18,13 @@
   return kEntryBytes + content;
 }
 
+// Whether a fact tells more than is known.
+auto AddsTo(const turn_fact& known, const turn_fact& fact) -> bool {
+  return fact.reserved_tokens > known.reserved_tokens ||
+         fact.settled_tokens > known.settled_tokens ||
+         (fact.content && !known.content);
+}
+
 }  // namespace
 
 auto FactHash(const turn_fact& fact) -> fact_hash {
@@ -35,13 +42,12 @@
   if (is_new) {
     by_program_[fact.program].push_back(fact.turn);
   } else {
-    auto merged = Merge(known, fact);
-    if (merged == known) {
+    if (!AddsTo(known, fact)) {
       return false;
     }
     bytes_ -= SizeOf(known);
     by_hash_.erase(FactHash(known));
-    known = std::move(merged);
+    known = Merge(std::move(known), fact);
   }
   bytes_ += SizeOf(known);
   by_hash_.emplace(FactHash(known), known.turn);
--- a/source/core/history/messages.h
+++ b/source/core/history/messages.h
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "common/kv_types.h"
 #include "history/fact_table.h"
 #include "history/types.h"
 #include "history/view.h"
@@ -102,6 +103,30 @@
   auto operator<=>(const pull_reply&) const = default;
 };
 
+// What the platform's store held at a revision.
+struct store_copy {
+  kv::revision revision_at = 0;
+  std::vector<kv::key_value> items;
+
+  auto operator<=>(const store_copy&) const = default;
+};
+
+// Asks for the receiver's copy of the platform's store, for a VM that does not
+// reach that itself.
+struct copy_request {
+  // The revision that the sender knows.
+  kv::revision known = 0;
+
+  auto operator<=>(const copy_request&) const = default;
+};
+
+struct copy_reply {
+  // Absent when it is not newer than what the sender knows.
+  std::optional<store_copy> copy;
+
+  auto operator<=>(const copy_reply&) const = default;
+};
+
 // The receiver's view is newer than the sender's.
 struct stale_view {
   view newest;
@@ -121,7 +146,9 @@
                                   list_reply,
                                   pull_request,
                                   pull_reply,
-                                  stale_view>;
+                                  stale_view,
+                                  copy_request,
+                                  copy_reply>;
 
 // One frame. A reply bears the number of its request.
 struct message {
--- a/source/core/history_client/turn_keeper.cc
+++ b/source/core/history_client/turn_keeper.cc
@@ -136,8 +136,10 @@
     return;
   }
   is_in_contact_ = is_in_contact;
-  Log(is_in_contact ? log_events::kJournalsRegained
-                    : log_events::kJournalsLost,
+  if (is_in_contact) {
+    regained_at_ = steady::now();
+  }
+  Log(is_in_contact ? log_events::kJournalsRegained : log_events::kJournalsLost,
       {{"view", static_cast<std::int64_t>(view_.number)},
        {"members", static_cast<std::int64_t>(view_.members.size())}});
   if (on_contact_) {
@@ -164,8 +166,7 @@
   const auto sizes = QuorumSizes(view_, options_.tolerated);
   auto answering = std::size_t{0};
   const auto asks = std::make_shared<round>(
-      *this,
-      [&](std::size_t) -> message_body { return adopt_request{view_}; },
+      *this, [&](std::size_t) -> message_body { return adopt_request{view_}; },
       [&](const member&, message_body&) {
         ++answering;
         return true;
@@ -252,7 +253,9 @@
     asks->End();
     result.answers += asks->answers();
     result.view = view_.number;
-    if (steady::now() >= until && asks->replies() < sizes.write) {
+    // Silence from before the last sign of life tells nothing.
+    if (steady::now() >= until && asks->replies() < sizes.write &&
+        until - patience > regained_at_) {
       SetContact(false);
     }
     result.spent_by_others = budget.SpentByOthers();
--- a/source/core/history_client/turn_keeper.h
+++ b/source/core/history_client/turn_keeper.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -111,6 +112,7 @@
   keeper_options options_;
   contact_handler on_contact_;
   bool is_in_contact_ = true;
+  std::chrono::steady_clock::time_point regained_at_{};
   view view_;
   std::map<std::string, std::shared_ptr<member_client>> clients_;
 };
--- a/source/core/history_wire/codec.cc
+++ b/source/core/history_wire/codec.cc
@@ -49,6 +49,28 @@
   return to;
 }
 
+auto Text(const flatbuffers::String* from) -> std::string {
+  return from == nullptr ? std::string{} : from->str();
+}
+
+// Reads a fact in place, which is faster than by way of an object.
+auto Read(const fbs::Fact& from) -> turn_fact {
+  auto to = turn_fact{};
+  to.program = program_name(Text(from.program()));
+  to.turn = turn_id(Text(from.turn()));
+  to.reserved_tokens = from.reserved_tokens();
+  if (from.has_settled()) {
+    to.settled_tokens = from.settled_tokens();
+  }
+  to.recorded_ms = from.recorded_ms();
+  if (const auto* content = from.content()) {
+    to.content = turn_content{turn_id(Text(content->parent())),
+                              Text(content->input()), Text(content->output()),
+                              endpoint_id(Text(content->endpoint()))};
+  }
+  return to;
+}
+
 using fact_objects = std::vector<std::unique_ptr<fbs::FactT>>;
 
 auto CopyAll(const std::vector<turn_fact>& from) -> fact_objects {
@@ -95,6 +117,28 @@
   return to;
 }
 
+auto Copy(const store_copy& from) -> std::unique_ptr<fbs::StoreCopyT> {
+  auto to = std::make_unique<fbs::StoreCopyT>();
+  to->revision = from.revision_at;
+  for (const auto& item : from.items) {
+    auto object = std::make_unique<fbs::ItemT>();
+    object->key = item.key;
+    object->value = item.value;
+    object->created = item.create_revision;
+    object->changed = item.mod_revision;
+    to->items.push_back(std::move(object));
+  }
+  return to;
+}
+
+auto Copy(const fbs::StoreCopyT& from) -> store_copy {
+  auto to = store_copy{from.revision, {}};
+  for (const auto& item : from.items) {
+    to.items.push_back({item->key, item->value, item->created, item->changed});
+  }
+  return to;
+}
+
 auto StateFrom(std::uint8_t value) -> chain_state {
   return value <= static_cast<std::uint8_t>(chain_state::kMissing)
              ? static_cast<chain_state>(value)
@@ -263,6 +307,32 @@
   return {Copy(*from.view)};
 }
 
+auto ToObject(const copy_request& from) -> fbs::CopyRequestT {
+  auto to = fbs::CopyRequestT{};
+  to.known = from.known;
+  return to;
+}
+
+auto FromObject(const fbs::CopyRequestT& from) -> copy_request {
+  return {from.known};
+}
+
+auto ToObject(const copy_reply& from) -> fbs::CopyReplyT {
+  auto to = fbs::CopyReplyT{};
+  if (from.copy) {
+    to.store = Copy(*from.copy);
+  }
+  return to;
+}
+
+auto FromObject(const fbs::CopyReplyT& from) -> copy_reply {
+  auto to = copy_reply{};
+  if (from.store != nullptr) {
+    to.copy = Copy(*from.store);
+  }
+  return to;
+}
+
 auto BodyFrom(fbs::BodyUnion& from) -> std::optional<message_body> {
   switch (from.type) {
     case fbs::Body_BeginRequest:
@@ -291,6 +361,10 @@
       return FromObject(*from.AsPullReply());
     case fbs::Body_StaleView:
       return FromObject(*from.AsStaleView());
+    case fbs::Body_CopyRequest:
+      return FromObject(*from.AsCopyRequest());
+    case fbs::Body_CopyReply:
+      return FromObject(*from.AsCopyReply());
     case fbs::Body_NONE:
       break;
   }
@@ -348,6 +422,9 @@
   auto to = fbs::BatchT{};
   to.facts = CopyAll(from.facts);
   to.complete_in_view = from.complete_in_view;
+  if (from.store) {
+    to.store = Copy(*from.store);
+  }
   auto builder = flatbuffers::FlatBufferBuilder{};
   builder.Finish(fbs::Batch::Pack(builder, &to));
   return Bytes(builder);
@@ -359,9 +436,20 @@
   if (!verifier.VerifyBuffer<fbs::Batch>(nullptr)) {
     return std::nullopt;
   }
-  const auto from = std::unique_ptr<fbs::BatchT>(
-      flatbuffers::GetRoot<fbs::Batch>(copy.data())->UnPack());
-  return disk_record{CopyAll(from->facts), from->complete_in_view};
+  const auto* from = flatbuffers::GetRoot<fbs::Batch>(copy.data());
+  auto to = disk_record{{}, from->complete_in_view(), std::nullopt};
+  if (from->store() != nullptr) {
+    const auto object =
+        std::unique_ptr<fbs::StoreCopyT>(from->store()->UnPack());
+    to.store = Copy(*object);
+  }
+  if (from->facts() != nullptr) {
+    to.facts.reserve(from->facts()->size());
+    for (const auto* fact : *from->facts()) {
+      to.facts.push_back(Read(*fact));
+    }
+  }
+  return to;
 }
 
 }  // namespace daisywind::history
--- a/source/core/history_wire/codec.h
+++ b/source/core/history_wire/codec.h
@@ -23,6 +23,8 @@
   std::vector<turn_fact> facts;
   // The view since which this disk holds everything; zero when not stated.
   view_number complete_in_view = 0;
+  // The platform's store as last seen, when the record holds that.
+  std::optional<store_copy> store;
 
   auto operator<=>(const disk_record&) const = default;
 };
--- a/source/core/journal/journal_node.cc
+++ b/source/core/journal/journal_node.cc
@@ -25,6 +25,8 @@
 // The name of this file is the identity of the disk.
 constexpr auto kIdentityPrefix = std::string_view("disk-");
 constexpr auto kMaxChannels = std::size_t{4096};
+// Changes of the platform's store within this time are written together.
+constexpr auto kMirrorInterval = duration(1s);
 constexpr auto kForgetInterval = std::chrono::seconds(10);
 
 auto FindIdentity(const std::string& folder) -> std::string {
@@ -76,6 +78,7 @@
     : context_(context),
       folder_(values.Get(kDataFolder)),
       listen_address_(values.Get(kListenAddress)),
+      seed_address_(values.Get(kSeedAddress)),
       retention_ms_(values.Get(kRetentionMs)),
       self_{vm_id(values.Get(kVm)),
             {},
@@ -89,6 +92,12 @@
               [this](const std::shared_ptr<net::frame_channel>& channel) {
                 return Serve(channel);
               }),
+      seed_server_(context,
+                   kMaxChannels,
+                   {},
+                   [this](const std::shared_ptr<net::frame_channel>& channel) {
+                     return Serve(channel);
+                   }),
       timer_(context),
       seat_(std::make_unique<seat_keeper>(context,
                                           *this,
@@ -108,6 +117,10 @@
   if (!address || server_.Listen(*address) == 0) {
     return false;
   }
+  const auto seed = net::ParseSocketAddress(seed_address_);
+  if (seed && seed_server_.Listen(*seed) == 0) {
+    return false;
+  }
   seat_->Start();
   asio::co_spawn(context_, ForgetOldFacts(), asio::detached);
   return true;
@@ -118,6 +131,7 @@
   timer_.cancel();
   seat_->Stop();
   server_.Close();
+  seed_server_.Close();
 }
 
 auto journal_node::LoadIdentity() -> bool {
@@ -142,12 +156,17 @@
       return;
     }
     holder_.Restore(record->facts);
+    if (record->store) {
+      mirror_.Restore(*record->store);
+      return;
+    }
     // A record without facts states whether the copy is complete.
     if (record->facts.empty()) {
       holder_.SetComplete(record->complete_in_view);
     }
   });
   segments_.emplace_back(UnixMs(), log_.CurrentSegment());
+  persisted_mirror_ = mirror_.revision_at();
   Log(log_events::kDiskLoaded,
       {{"disk", std::string_view(self_.disk.value)},
        {"records", static_cast<std::int64_t>(load.records)},
@@ -178,6 +197,14 @@
     return;
   }
   ++counters_.requests;
+  if (const auto* wanted = std::get_if<history::copy_request>(&request->body)) {
+    if (const auto open = channel.lock()) {
+      open->Send(history::EncodeMessage(
+          {request->id, holder_.current().number,
+           history::copy_reply{mirror_.CopyIfNewer(wanted->known)}}));
+    }
+    return;
+  }
   auto effect = holder_.Handle(*request, UnixMs());
   if (!effect.reply) {
     return;
@@ -224,7 +251,7 @@
   if (facts.empty()) {
     facts.emplace_back();
   }
-  auto record = history::EncodeRecord({facts, 0});
+  auto record = history::EncodeRecord({facts, 0, std::nullopt});
   log_.Append(std::move(record), [this, facts = std::move(facts),
                                   done = std::move(done)](bool is_durable) {
     if (!is_durable) {
@@ -237,7 +264,22 @@
 auto journal_node::PersistComplete(history::view_number since,
                                    append_handler done) -> void {
   holder_.SetComplete(since);
-  log_.Append(history::EncodeRecord({{}, since}), std::move(done));
+  log_.Append(history::EncodeRecord({{}, since, std::nullopt}),
+              std::move(done));
+}
+
+auto journal_node::PersistMirror() -> void {
+  const auto now = Now();
+  if (now - mirror_persisted_at_ < kMirrorInterval) {
+    return;
+  }
+  auto copy = mirror_.CopyIfNewer(persisted_mirror_);
+  if (!copy) {
+    return;
+  }
+  mirror_persisted_at_ = now;
+  persisted_mirror_ = copy->revision_at;
+  log_.Append(history::EncodeRecord({{}, 0, std::move(copy)}), [](bool) {});
 }
 
 auto journal_node::ForgetOldFacts() -> asio::awaitable<void> {
@@ -277,7 +319,9 @@
   }
   auto needed = holder_.facts().RecordedBefore(ended_ms);
   const auto since = holder_.complete_since();
-  log_.Append(history::EncodeRecord({{}, since}), [](bool) {});
+  log_.Append(history::EncodeRecord({{}, since, std::nullopt}), [](bool) {});
+  log_.Append(history::EncodeRecord({{}, 0, mirror_.CopyIfNewer(0)}),
+              [](bool) {});
   Persist(std::move(needed), [this, first_kept](bool is_durable) {
     if (is_durable) {
       log_.RemoveBefore(first_kept);
--- a/source/core/journal/journal_node.h
+++ b/source/core/journal/journal_node.h
@@ -16,6 +16,7 @@
 #include "history/messages.h"
 #include "history/view.h"
 #include "journal/disk_log.h"
+#include "journal/store_mirror.h"
 #include "kv/store.h"
 #include "net/frame_channel.h"
 
@@ -54,6 +55,10 @@
 
   [[nodiscard]] auto state() -> history::holder& { return holder_; }
   [[nodiscard]] auto self() const -> const history::member& { return self_; }
+  [[nodiscard]] auto mirror() -> store_mirror& { return mirror_; }
+
+  // Puts the copy of the store on the disk if it has changed for a while.
+  auto PersistMirror() -> void;
 
   // Puts facts on the disk; the handler hears whether that succeeded.
   auto Persist(std::vector<history::turn_fact> facts, append_handler done)
@@ -80,11 +85,17 @@
   boost::asio::io_context& context_;
   std::string folder_;
   std::string listen_address_;
+  std::string seed_address_;
   std::int64_t retention_ms_;
   history::member self_;
   history::holder holder_;
   disk_log log_;
+  store_mirror mirror_;
+  kv::revision persisted_mirror_ = 0;
+  instant mirror_persisted_at_{};
   net::channel_server server_;
+  // The same, at the address that other VMs know from their settings.
+  net::channel_server seed_server_;
   boost::asio::steady_timer timer_;
   std::unique_ptr<seat_keeper> seat_;
   journal_counters counters_;
--- a/source/core/journal/seat_keeper.cc
+++ b/source/core/journal/seat_keeper.cc
@@ -26,58 +26,62 @@
       node_(node),
       store_(store),
       options_(std::move(options)),
-      view_watch_(context,
-                  store,
-                  std::string(kViewPrefix),
-                  {},
-                  {[this](const std::vector<kv::key_value>& items) {
-                     has_read_view_ = true;
-                     for (const auto& item : items) {
-                       OnViewItem(item);
-                     }
-                   },
-                   [this](const std::vector<kv::key_change>& changes) {
-                     for (const auto& change : changes) {
-                       if (!change.is_removed) {
-                         OnViewItem(change.item);
-                       }
-                     }
-                   },
-                   [](bool) {}}),
-      retire_watch_(context,
-                    store,
-                    options_.retire.request_prefix,
-                    {},
-                    {[this](const std::vector<kv::key_value>& items) {
-                       retiring_.clear();
-                       OnRetireItems(items);
-                     },
-                     [this](const std::vector<kv::key_change>& changes) {
-                       for (const auto& change : changes) {
-                         if (change.is_removed) {
-                           retiring_.erase(vm_id(change.item.key.substr(
-                               options_.retire.request_prefix.size())));
-                         } else {
-                           OnRetireItems({change.item});
-                         }
-                       }
-                     },
-                     [](bool) {}}),
+      watch_(context,
+             store,
+             "",
+             {},
+             {[this](const kv::listing& all) { OnSnapshot(all); },
+              [this](const kv::change_list& list) { OnChanges(list); },
+              [](bool) {}}),
       timer_(context) {}
 
 auto seat_keeper::Start() -> void {
-  view_watch_.Start();
-  retire_watch_.Start();
+  watch_.Start();
   asio::co_spawn(context_, Run(), asio::detached);
 }
 
 auto seat_keeper::Stop() -> void {
   is_stopped_ = true;
-  view_watch_.Stop();
-  retire_watch_.Stop();
+  watch_.Stop();
   timer_.cancel();
 }
 
+auto seat_keeper::OnSnapshot(const kv::listing& all) -> void {
+  has_read_view_ = true;
+  node_.mirror().Replace(all);
+  retiring_.clear();
+  for (const auto& item : all.items) {
+    OnItem(item);
+  }
+}
+
+auto seat_keeper::OnChanges(const kv::change_list& list) -> void {
+  node_.mirror().Apply(list);
+  for (const auto& change : list.changes) {
+    if (!change.is_removed) {
+      OnItem(change.item);
+    } else if (const auto vm = RetiringVm(change.item.key)) {
+      retiring_.erase(*vm);
+    }
+  }
+}
+
+auto seat_keeper::OnItem(const kv::key_value& item) -> void {
+  if (item.key == kViewKey) {
+    OnViewItem(item);
+  } else if (const auto vm = RetiringVm(item.key)) {
+    retiring_.insert(*vm);
+  }
+}
+
+auto seat_keeper::RetiringVm(const std::string& key) const
+    -> std::optional<vm_id> {
+  const auto& prefix = options_.retire.request_prefix;
+  return key.starts_with(prefix)
+             ? std::optional<vm_id>(key.substr(prefix.size()))
+             : std::nullopt;
+}
+
 auto seat_keeper::OnViewItem(const kv::key_value& item) -> void {
   const auto read = history::ParseView(item.value);
   if (!read) {
@@ -98,14 +102,6 @@
        {"seat", HasSeat()}});
 }
 
-auto seat_keeper::OnRetireItems(const std::vector<kv::key_value>& items)
-    -> void {
-  for (const auto& item : items) {
-    retiring_.insert(
-        vm_id(item.key.substr(options_.retire.request_prefix.size())));
-  }
-}
-
 auto seat_keeper::HasSeat() const -> bool {
   const auto* seat = stored_.Find(node_.self().vm);
   return seat != nullptr && *seat == node_.self();
@@ -124,6 +120,7 @@
     if (has_read_view_) {
       co_await Step();
     }
+    node_.PersistMirror();
     co_await Pause(options_.tick);
   }
 }
@@ -180,9 +177,9 @@
 
 auto seat_keeper::Write(history::view next) -> asio::awaitable<bool> {
   auto request = kv::txn_request{};
-  request.compares = {{std::string(kViewPrefix), revision_}};
+  request.compares = {{std::string(kViewKey), revision_}};
   request.success = {
-      kv::put_request{std::string(kViewPrefix), history::RenderView(next), 0}};
+      kv::put_request{std::string(kViewKey), history::RenderView(next), 0}};
   const auto result = co_await store_.Write(std::move(request));
   const auto has_changed = result.value.value_or(false);
   Log(log_events::kSeatTaken,
@@ -192,7 +189,7 @@
        {"answered", result.value.has_value()},
        {"changed", has_changed}});
   // Whether a write without an answer was carried out shows in the key itself.
-  const auto read = co_await store_.Read(std::string(kViewPrefix));
+  const auto read = co_await store_.Read(std::string(kViewKey));
   if (read.value && *read.value) {
     OnViewItem(**read.value);
   }
@@ -235,9 +232,8 @@
   const auto view = stored_.number;
   const auto answering = co_await AnnounceView();
   auto sources = answering;
-  std::erase_if(sources, [](const answering_member& item) {
-    return !item.is_complete;
-  });
+  std::erase_if(sources,
+                [](const answering_member& item) { return !item.is_complete; });
   // Every fact of the view before is on at least one of so many: its copies
   // were as many as a write needs, and this VM's seat held at most one.
   const auto others = Others().size();
@@ -264,8 +260,7 @@
     sources = answering;
   }
   const auto lists = co_await ReadLists(sources);
-  const auto is_pulled =
-      lists.size() == sources.size() && co_await Pull(lists);
+  const auto is_pulled = lists.size() == sources.size() && co_await Pull(lists);
   if (!is_pulled || stored_.number != view) {
     co_return;
   }
@@ -286,8 +281,7 @@
     auto* list = reply ? std::get_if<history::list_reply>(&*reply) : nullptr;
     if (list == nullptr) {
       Log(log_events::kPullFailed,
-          {{"vm", std::string_view(item.who.vm.value)},
-           {"reason", "no list"}});
+          {{"vm", std::string_view(item.who.vm.value)}, {"reason", "no list"}});
       break;
     }
     lists.push_back({item.who, std::move(list->hashes)});
@@ -303,8 +297,7 @@
   for (const auto& item : lists) {
     all.push_back(item.hashes);
   }
-  const auto missing =
-      history::UnderReplicated(all, options_.tolerated + 1);
+  const auto missing = history::UnderReplicated(all, options_.tolerated + 1);
   const auto mine = node_.state().facts().Hashes();
   auto taken = std::set<history::fact_hash>(mine.begin(), mine.end());
   for (const auto& item : lists) {
@@ -327,9 +320,8 @@
       co_await Pause(options_.ask_timeout);
     }
     if (work->has_failed) {
-      Log(log_events::kPullFailed,
-          {{"vm", std::string_view(item.who.vm.value)},
-           {"reason", "no reply"}});
+      Log(log_events::kPullFailed, {{"vm", std::string_view(item.who.vm.value)},
+                                    {"reason", "no reply"}});
       co_return false;
     }
   }
@@ -350,8 +342,8 @@
     request.hashes.assign(
         work->wanted.begin() + static_cast<std::ptrdiff_t>(begin),
         work->wanted.begin() + static_cast<std::ptrdiff_t>(end));
-    auto reply = co_await client.AskAndWait(
-        stored_.number, std::move(request), 3 * options_.ask_timeout);
+    auto reply = co_await client.AskAndWait(stored_.number, std::move(request),
+                                            3 * options_.ask_timeout);
     auto* pulled = reply ? std::get_if<history::pull_reply>(&*reply) : nullptr;
     if (pulled == nullptr) {
       work->has_failed = true;
@@ -378,8 +370,8 @@
   }
   if (stored_.Find(node_.self().vm) != nullptr) {
     co_await Pause(options_.successor_wait);
-    const auto next = history::ViewWithout(stored_, node_.self().vm,
-                                           options_.tolerated);
+    const auto next =
+        history::ViewWithout(stored_, node_.self().vm, options_.tolerated);
     if (next && !co_await Write(*next)) {
       co_return;
     }
@@ -406,11 +398,10 @@
   }
   // A fact that only this VM has is on no list.
   all.push_back(node_.state().facts().Hashes());
-  const auto missing =
-      history::UnderReplicated(all, options_.tolerated + 2);
+  const auto missing = history::UnderReplicated(all, options_.tolerated + 2);
   for (const auto& item : lists) {
-    const auto has = std::set<history::fact_hash>(item.hashes.begin(),
-                                                  item.hashes.end());
+    const auto has =
+        std::set<history::fact_hash>(item.hashes.begin(), item.hashes.end());
     auto owed = missing;
     std::erase_if(owed, [&](auto hash) { return has.contains(hash); });
     for (auto at = std::size_t{0}; at < owed.size(); at += kBatch) {
--- a/source/core/journal/seat_keeper.h
+++ b/source/core/journal/seat_keeper.h
@@ -24,7 +24,7 @@
 class journal_node;
 
 // Key of the view in the platform's store.
-inline constexpr auto kViewPrefix = std::string_view("daisywind/view");
+inline constexpr auto kViewKey = std::string_view("daisywind/view");
 
 // How the platform asks for the emptying of a VM and hears of it. The names are
 // the platform's, so the adapter gives them.
@@ -82,8 +82,13 @@
     bool has_failed = false;
   };
 
+  auto OnSnapshot(const kv::listing& all) -> void;
+  auto OnChanges(const kv::change_list& list) -> void;
+  auto OnItem(const kv::key_value& item) -> void;
   auto OnViewItem(const kv::key_value& item) -> void;
-  auto OnRetireItems(const std::vector<kv::key_value>& items) -> void;
+  // The VM that a request to be emptied names, if the key is one.
+  [[nodiscard]] auto RetiringVm(const std::string& key) const
+      -> std::optional<vm_id>;
   auto Run() -> boost::asio::awaitable<void>;
   auto Step() -> boost::asio::awaitable<void>;
   // Returns false when there is no seat to take.
@@ -114,8 +119,7 @@
   journal_node& node_;
   kv::store& store_;
   seat_options options_;
-  kv::store_watch view_watch_;
-  kv::store_watch retire_watch_;
+  kv::store_watch watch_;
   boost::asio::steady_timer timer_;
   // The view as the store has it, and the revision of its key.
   history::view stored_;
--- a/source/core/kv/store_watch.cc
+++ b/source/core/kv/store_watch.cc
@@ -63,7 +63,7 @@
   }
   next_ = result.value->revision_at;
   needs_refresh_ = false;
-  handlers_.on_snapshot(result.value->items);
+  handlers_.on_snapshot(*result.value);
   co_return true;
 }
 
@@ -85,7 +85,7 @@
   }
   next_ = std::max(next_, result.value->next);
   if (!result.value->changes.empty()) {
-    handlers_.on_changes(result.value->changes);
+    handlers_.on_changes(*result.value);
     co_await Pause(options_.coalesce);
   }
   co_return true;
--- a/source/core/kv/store_watch.h
+++ b/source/core/kv/store_watch.h
@@ -19,8 +19,8 @@
 struct watch_handlers {
   // All keys under the prefix, after the start and whenever changes may have
   // been missed.
-  std::function<void(const std::vector<key_value>& items)> on_snapshot;
-  std::function<void(const std::vector<key_change>& changes)> on_changes;
+  std::function<void(const listing& all)> on_snapshot;
+  std::function<void(const change_list& list)> on_changes;
   // The store has become unreachable, or reachable again.
   std::function<void(bool is_reachable)> on_contact;
 };
--- a/source/unit_tests/history_wire/codec_test.cc
+++ b/source/unit_tests/history_wire/codec_test.cc
@@ -34,19 +34,23 @@
 }
 
 auto AllBodies() -> std::vector<message_body> {
-  return {begin_request{program_name("p"), turn_id("t"), turn_id("s"), 50, true},
-          begin_reply{true, Chain(), {{turn_id("y"), 3}}},
-          record_request{{Fact(), Bare()}},
-          record_reply{true},
-          read_request{turn_id("t")},
-          read_reply{true, Chain()},
-          adopt_request{View()},
-          adopt_reply{true},
-          list_request{},
-          list_reply{true, {1, 2, 3}},
-          pull_request{{1, 2, 3}},
-          pull_reply{{Fact()}},
-          stale_view{View()}};
+  return {
+      begin_request{program_name("p"), turn_id("t"), turn_id("s"), 50, true},
+      begin_reply{true, Chain(), {{turn_id("y"), 3}}},
+      record_request{{Fact(), Bare()}},
+      record_reply{true},
+      read_request{turn_id("t")},
+      read_reply{true, Chain()},
+      adopt_request{View()},
+      adopt_reply{true},
+      list_request{},
+      list_reply{true, {1, 2, 3}},
+      pull_request{{1, 2, 3}},
+      pull_reply{{Fact()}},
+      stale_view{View()},
+      copy_request{5},
+      copy_reply{store_copy{9, {{"k", "v", 3, 4}}}},
+      copy_reply{}};
 }
 
 TEST_CASE("each message is read as it was written") {
@@ -59,10 +63,12 @@
 }
 
 TEST_CASE("a record is read as it was written") {
-  const auto full = disk_record{{Fact(), Bare()}, 0};
+  const auto full = disk_record{{Fact(), Bare()}, 0, std::nullopt};
   CHECK(DecodeRecord(EncodeRecord(full)) == full);
-  const auto mark = disk_record{{}, 12};
+  const auto mark = disk_record{{}, 12, std::nullopt};
   CHECK(DecodeRecord(EncodeRecord(mark)) == mark);
+  const auto copy = disk_record{{}, 0, store_copy{9, {{"k", "v", 3, 4}}}};
+  CHECK(DecodeRecord(EncodeRecord(copy)) == copy);
 }
 
 TEST_CASE("no cut or altered message is taken for another kind of trouble") {
--- a/source/unit_tests/journal/journal_node_test.cc
+++ b/source/unit_tests/journal/journal_node_test.cc
@@ -42,7 +42,7 @@
       node->Stop();
     }
     // Loops see the stop before their owners go.
-    context.run_for(std::chrono::milliseconds(50));
+    RunFor(std::chrono::milliseconds(50));
     nodes_.clear();
     fs::remove_all(folder_);
   }
@@ -79,7 +79,7 @@
 
   auto Stop(int number) -> void {
     nodes_.at(number)->Stop();
-    context.run_for(std::chrono::milliseconds(50));
+    RunFor(std::chrono::milliseconds(50));
     nodes_.erase(number);
   }
 
@@ -87,18 +87,24 @@
     fs::remove_all(folder_ / ("vm" + std::to_string(number)));
   }
 
+  // A context that has run out of work stays stopped until it is restarted.
+  auto RunFor(std::chrono::milliseconds time) -> void {
+    context.restart();
+    context.run_for(time);
+  }
+
   // Runs until the condition holds.
   template <class Condition>
   auto Until(Condition condition) -> bool {
     const auto end = std::chrono::steady_clock::now() + kPatience;
     while (!condition() && std::chrono::steady_clock::now() < end) {
-      context.run_for(std::chrono::milliseconds(5));
+      RunFor(std::chrono::milliseconds(5));
     }
     return condition();
   }
 
   auto View() -> history::view {
-    return history::ParseView(store.Value(std::string(kViewPrefix)))
+    return history::ParseView(store.Value(std::string(kViewKey)))
         .value_or(history::view{});
   }
 
@@ -112,8 +118,7 @@
       return false;
     }
     for (const auto& [number, node] : nodes_) {
-      if (vms.contains(node->self().vm.value) &&
-          !node->state().IsComplete()) {
+      if (vms.contains(node->self().vm.value) && !node->state().IsComplete()) {
         return false;
       }
     }
@@ -128,7 +133,8 @@
   }
 
   // Records a turn and returns whether that was acknowledged.
-  auto Record(history::turn_keeper& keeper, const std::string& turn,
+  auto Record(history::turn_keeper& keeper,
+              const std::string& turn,
               const std::string& parent) -> bool {
     auto fact = history::turn_fact{};
     fact.program = history::program_name("p");
@@ -139,21 +145,23 @@
     return Await(keeper.Record(fact, kPatience));
   }
 
-  auto Begin(history::turn_keeper& keeper, const std::string& turn,
-             const std::string& parent, const std::string& program = "p")
-      -> history::begin_result {
-    return Await(keeper.Begin({history::program_name(program),
-                               history::turn_id(turn),
-                               history::turn_id(parent), 50, 100},
-                              kPatience));
+  auto Begin(history::turn_keeper& keeper,
+             const std::string& turn,
+             const std::string& parent,
+             const std::string& program = "p") -> history::begin_result {
+    return Await(
+        keeper.Begin({history::program_name(program), history::turn_id(turn),
+                      history::turn_id(parent), 50, 100},
+                     kPatience));
   }
 
   template <class Value>
   auto Await(asio::awaitable<Value> work) -> Value {
     auto result = std::optional<Value>{};
-    asio::co_spawn(
-        context, std::move(work),
-        [&](const std::exception_ptr&, Value value) { result = std::move(value); });
+    asio::co_spawn(context, std::move(work),
+                   [&](const std::exception_ptr&, Value value) {
+                     result = std::move(value);
+                   });
     REQUIRE(Until([&] { return result.has_value(); }));
     return std::move(*result);
   }
@@ -176,7 +184,8 @@
     auto& port = ports_[number];
     if (port == 0) {
       auto acceptor = asio::ip::tcp::acceptor(
-          context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+          context,
+          asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
       port = acceptor.local_endpoint().port();
     }
     return port;
@@ -191,7 +200,7 @@
   auto all = site();
   all.StartThree();
   all.Start(4);
-  all.context.run_for(std::chrono::milliseconds(200));
+  all.RunFor(std::chrono::milliseconds(200));
   CHECK(all.IsSettled({"vm1", "vm2", "vm3"}));
 }
 
@@ -253,8 +262,7 @@
     const auto before = all.View().number;
     all.Start(number);
     REQUIRE(all.Until([&] {
-      return all.View().number > before &&
-             all.IsSettled({"vm1", "vm2", "vm3"});
+      return all.View().number > before && all.IsSettled({"vm1", "vm2", "vm3"});
     }));
   }
   const auto begun = all.Begin(*all.Keeper(), "t2", "t1");
@@ -298,7 +306,7 @@
   CHECK(all.Begin(*all.Keeper(), "t2", "t1").outcome ==
         history::begin_outcome::kGranted);
   all.store.Put("wanted/vm2", "{}");
-  all.context.run_for(std::chrono::milliseconds(500));
+  all.RunFor(std::chrono::milliseconds(500));
   CHECK(all.store.Value("status/vm2") != "done");
   CHECK(all.View().members.size() == 2);
 }
