--- a/source/core/journal/journal_node.cc
+++ b/source/core/journal/journal_node.cc
@@ -82,7 +82,9 @@
       retention_ms_(values.Get(kRetentionMs)),
       self_{vm_id(values.Get(kVm)),
             {},
-            listen_address_,
+            values.Get(kAdvertisedAddress).empty()
+                ? listen_address_
+                : values.Get(kAdvertisedAddress),
             failure_domain_id(values.Get(kFailureDomain)),
             region_id(values.Get(kRegion))},
       log_(context, folder_, {}),
--- a/source/core/journal/journal_settings.cc
+++ b/source/core/journal/journal_settings.cc
@@ -7,7 +7,7 @@
           Declare(kFailureDomain),
           Declare(kRegion),
           Declare(kListenAddress),
-          Declare(kSeedAddress),
+          Declare(kAdvertisedAddress), Declare(kSeedAddress),
           Declare(kMetricsAddress),
           Declare(kStoreAddress),
           Declare(kDataFolder),
--- a/source/core/journal/journal_settings.h
+++ b/source/core/journal/journal_settings.h
@@ -16,6 +16,9 @@
     string_setting{"region", "", "region of this VM", 0, 0, true};
 inline constexpr auto kListenAddress = string_setting{
     "listen.journal", "", "address for requests, as ip:port", 0, 0, true};
+inline constexpr auto kAdvertisedAddress = string_setting{
+    "listen.advertised", "",
+    "address told to other VMs, as ip:port; empty for listen.journal"};
 inline constexpr auto kSeedAddress = string_setting{
     "listen.seed", "",
     "address that other VMs know from their settings, as ip:port; empty for "
