--- /dev/null
+++ b/source/unit_tests/front/test_site.cc
@@ -0,0 +1,187 @@
+#include "test_site.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <utility>
+
+#include "front/front_settings.h"
+
+namespace daisywind::front {
+namespace {
+
+namespace asio = boost::asio;
+using dispatch::route_kind;
+
+// Longest that a step of these tests may take on a busy machine.
+constexpr auto kPatience = std::chrono::seconds(30);
+constexpr auto kTestTimeout = duration(1500ms);
+
+auto FreePort(asio::io_context& context) -> int {
+  const auto acceptor = asio::ip::tcp::acceptor(
+      context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  return acceptor.local_endpoint().port();
+}
+
+auto Route(const char* prefix, route_kind kind) -> dispatch::route {
+  auto item = dispatch::route{};
+  item.id = dispatch::route_id(prefix);
+  item.host = "h";
+  item.prefix = prefix;
+  item.kind = kind;
+  item.timeout = kTestTimeout;
+  item.services = {{dispatch::service_id("s"), 1}};
+  item.max_attempts = kind == route_kind::kIdempotent ? 2 : 1;
+  return item;
+}
+
+}  // namespace
+
+auto test_dialect::ReadCall(const net::http_request& from) const
+    -> std::optional<dispatch::call> {
+  auto to = dispatch::call{};
+  to.host = std::string(from.Header("Host"));
+  to.path = std::string(from.Path());
+  to.request_id = std::string(from.Header("Id"));
+  return to;
+}
+
+auto test_dialect::MakeAttempt(const net::http_request& from,
+                               const attempt_head& head) const
+    -> net::http_request {
+  return {from.method,
+          from.target,
+          {{"Host", "h"},
+           {"Id", std::string(from.Header("Id"))},
+           {"Endpoint", head.endpoint.value}},
+          ""};
+}
+
+auto test_dialect::ReadAnswer(const net::http_response& from) const
+    -> answer_head {
+  auto to = answer_head{};
+  to.status = from.status;
+  to.request_id = std::string(from.Header("Id"));
+  to.is_not_run = !from.Header("Not-Run").empty();
+  return to;
+}
+
+auto test_dialect::MakeAnswer(const net::http_response& from) const
+    -> net::http_response {
+  return {from.status, {{"Id", std::string(from.Header("Id"))}}, ""};
+}
+
+auto test_dialect::MakeRefusal(const refusal& from) const
+    -> net::http_response {
+  const auto is_failure = from.reason == refusal_reason::kNoAnswer ||
+                          from.reason == refusal_reason::kTimeout;
+  return {is_failure ? 502U : 503U, {}, std::string(ReasonName(from.reason))};
+}
+
+auto test_dialect::IsReadinessQuestion(const net::http_request& from) const
+    -> bool {
+  return from.Path() == "/ready";
+}
+
+auto test_codec::ReadConfiguration(std::string_view value) const
+    -> std::optional<dispatch::configuration> {
+  auto to = dispatch::configuration{};
+  to.version = static_cast<version_number>(std::atoi(std::string(value).c_str()));
+  to.routes = {Route("/once/", route_kind::kOnce),
+               Route("/again/", route_kind::kIdempotent),
+               Route("/stream/", route_kind::kStream)};
+  to.services = {{dispatch::service_id("s"), 0, std::nullopt}};
+  return to.version == 0 ? std::nullopt
+                         : std::optional<dispatch::configuration>(to);
+}
+
+auto test_codec::ReadEndpoint(const endpoint_id& id,
+                              std::string_view value) const
+    -> std::optional<dispatch::endpoint> {
+  if (!net::ParseSocketAddress(value)) {
+    return std::nullopt;
+  }
+  auto to = dispatch::endpoint{};
+  to.id = id;
+  to.service = dispatch::service_id("s");
+  to.address = std::string(value);
+  to.slots = 4;
+  return to;
+}
+
+test_site::test_site() : store(context), port_(FreePort(context)) {
+  auto values = settings(FrontSchema());
+  const auto text =
+      R"({"vm":"v","failure_domain":"d","region":"r","listen":{"callers":"127.0.0.1:)" +
+      std::to_string(port_) + R"(","ready":"127.0.0.1:)" +
+      std::to_string(FreePort(context)) +
+      R"("},"store":{"address":"127.0.0.1:1"}})";
+  const auto is_read = leaf::try_handle_all(
+      [&]() -> leaf::result<bool> {
+        BOOST_LEAF_CHECK(values.AddText("test", text));
+        BOOST_LEAF_CHECK(values.CheckComplete());
+        return true;
+      },
+      [] { return false; });
+  REQUIRE(is_read);
+  node_ = std::make_unique<front_node>(
+      context, values, adapters{dialect_, codec_, store});
+  REQUIRE(node_->Start());
+  client_ = std::make_unique<net::http_client>(context);
+}
+
+test_site::~test_site() {
+  // Loops that the front has started end with the context.
+  context.stop();
+}
+
+auto test_site::AddEndpoint(const std::string& id, endpoint_handler handler)
+    -> void {
+  auto server = std::make_unique<net::http_server>(context, net::http_limits{},
+                                                   std::move(handler));
+  const auto port = server->Listen({"127.0.0.1", 0});
+  REQUIRE(port != 0);
+  servers_.push_back(std::move(server));
+  store.Put("endpoints/" + id, "127.0.0.1:" + std::to_string(port));
+}
+
+auto test_site::Configure() -> void {
+  const auto endpoints = servers_.size();
+  store.Put("configuration", "1");
+  REQUIRE(Until([&] {
+    return node_->known().IsConfigured() &&
+           node_->known().endpoints().size() == endpoints;
+  }));
+}
+
+auto test_site::Send(const std::string& kind, const std::string& id)
+    -> net::http_result {
+  auto result = std::optional<net::http_result>{};
+  auto request = net::http_request{};
+  request.method = kind == "again" ? "GET" : "POST";
+  request.target = "/" + kind + "/x";
+  request.headers = {{"Host", "h"}, {"Id", id}};
+  auto options = net::http_options{};
+  options.resend_on_stale = false;
+  asio::co_spawn(
+      context,
+      client_->Send({"127.0.0.1", static_cast<std::uint16_t>(port_)},
+                    std::move(request), std::move(options)),
+      [&](const std::exception_ptr&, net::http_result answer) {
+        result = std::move(answer);
+      });
+  REQUIRE(Until([&] { return result.has_value(); }));
+  return std::move(*result);
+}
+
+auto test_site::Until(const std::function<bool()>& condition) -> bool {
+  const auto end = std::chrono::steady_clock::now() + kPatience;
+  while (!condition() && std::chrono::steady_clock::now() < end) {
+    context.restart();
+    context.run_for(std::chrono::milliseconds(2));
+  }
+  return condition();
+}
+
+}  // namespace daisywind::front
