--- a/source/core/common/ids.h
+++ b/source/core/common/ids.h
@@ -27,7 +27,7 @@
 using vm_id = strong_name<struct vm_tag>;
 using failure_domain_id = strong_name<struct failure_domain_tag>;
 using region_id = strong_name<struct region_tag>;
-using tenant_id = strong_name<struct tenant_tag>;
+using organisation_id = strong_name<struct organisation_tag>;
 using class_id = strong_name<struct class_tag>;
 using endpoint_id = strong_name<struct endpoint_tag>;
 using model_id = strong_name<struct model_tag>;
--- a/source/core/common/metrics.cc
+++ b/source/core/common/metrics.cc
@@ -110,11 +110,11 @@
 }
 
 auto metrics::Observe(const std::string& name,
-                      const tenant_id& tenant,
+                      const organisation_id& organisation,
                       const class_id& klass,
                       duration value) -> void {
-  const auto labels =
-      metric_labels{{"tenant", tenant.value}, {"class", klass.value}};
+  const auto labels = metric_labels{{"organisation", organisation.value},
+                                    {"class", klass.value}};
   auto& series = state_->latencies[{name, labels}];
   const auto seconds = std::chrono::duration<double>(value).count();
   series.bins(seconds);
--- a/source/core/common/metrics.h
+++ b/source/core/common/metrics.h
@@ -1,5 +1,5 @@
-// Metrics: histograms by tenant and class, counters, and their exposition as
-// Prometheus text.
+// Metrics: histograms by organisation and class, counters, and their exposition
+// as Prometheus text.
 #ifndef DAISYWIND_COMMON_METRICS_H_
 #define DAISYWIND_COMMON_METRICS_H_
 
@@ -35,9 +35,9 @@
                 const metric_labels& labels,
                 double value) -> void;
 
-  // Adds a duration to a histogram by tenant and class.
+  // Adds a duration to a histogram by organisation and class.
   auto Observe(const std::string& name,
-               const tenant_id& tenant,
+               const organisation_id& organisation,
                const class_id& klass,
                duration value) -> void;
 
--- a/source/core/configuration/document.h
+++ b/source/core/configuration/document.h
@@ -26,14 +26,14 @@
   auto operator<=>(const failure_domain&) const = default;
 };
 
-// A class of a tenant's programs. A lower rank goes first.
-struct tenant_class {
+// A class of an organisation's programs. A lower rank goes first.
+struct organisation_class {
   std::int64_t rank = 0;
 
-  auto operator<=>(const tenant_class&) const = default;
+  auto operator<=>(const organisation_class&) const = default;
 };
 
-// Rates that a tenant may use.
+// Rates that an organisation may use.
 struct rate_limits {
   double tokens_per_second = 0;
   double calls_per_second = 0;
@@ -51,16 +51,16 @@
 };
 
 // An organisation whose programs run here. Absent limits do not bound.
-struct tenant {
-  // SHA-256 of the tenant's key, 64 lower-case hexadecimal digits.
+struct organisation {
+  // SHA-256 of the organisation's key, 64 lower-case hexadecimal digits.
   std::string key_digest;
-  // Weight among the tenants; greater than zero.
+  // Weight among the organisations; greater than zero.
   double share = 1.0;
-  std::map<class_id, tenant_class> classes;
+  std::map<class_id, organisation_class> classes;
   std::optional<rate_limits> limits;
   std::optional<program_budget> budget;
 
-  auto operator<=>(const tenant&) const = default;
+  auto operator<=>(const organisation&) const = default;
 };
 
 // A model and the version of its weights that is wanted.
@@ -124,7 +124,7 @@
 // One whole configuration, without its number.
 struct document {
   std::map<failure_domain_id, failure_domain> failure_domains;
-  std::map<tenant_id, tenant> tenants;
+  std::map<organisation_id, organisation> organisations;
   std::map<model_id, model> models;
   std::map<adapter_id, adapter> adapters;
   std::map<service_id, service> services;
--- a/source/core/configuration/version.cc
+++ b/source/core/configuration/version.cc
@@ -230,7 +230,7 @@
   BOOST_LEAF_AUTO(added, ReadDocument(json::value(std::move(new_members))));
   auto to = from;
   Exchange(to.failure_domains, gone.failure_domains, added.failure_domains);
-  Exchange(to.tenants, gone.tenants, added.tenants);
+  Exchange(to.organisations, gone.organisations, added.organisations);
   Exchange(to.models, gone.models, added.models);
   Exchange(to.adapters, gone.adapters, added.adapters);
   Exchange(to.services, gone.services, added.services);
--- a/source/core/experiment/benchmark.cc
+++ b/source/core/experiment/benchmark.cc
@@ -40,7 +40,7 @@
   auto call = policy::call_request{};
   call.call = ref;
   call.program = {program, program};
-  call.tenant = tenant_id{"t"};
+  call.organisation = organisation_id{"t"};
   call.target = "agent";
   call.prompt_tokens = kBlocks * kTokensPerBlock;
   call.is_idempotent = true;
--- a/source/core/experiment/program_driver.cc
+++ b/source/core/experiment/program_driver.cc
@@ -84,7 +84,7 @@
   call.key = Mix(program.id.high, program.calls);
   auto& request = call.request;
   request.program = program.id;
-  request.tenant = tenant_id{deployment_.tenant};
+  request.organisation = organisation_id{deployment_.organisation};
   request.call_class = class_id{ShapeOf(program).name};
   request.is_continuation = program.has_run;
   request.attained_service = program.attained;
--- a/source/core/experiment/specification.cc
+++ b/source/core/experiment/specification.cc
@@ -116,7 +116,7 @@
 
 auto ReadDeployment(const json::object& object) -> deployment_shape {
   auto out = deployment_shape{};
-  out.tenant = StringOr(object, "tenant", "tenant");
+  out.organisation = StringOr(object, "organisation", "organisation");
   for (const auto* item : ObjectsOf(object, "domains")) {
     out.domains.push_back(ReadDomain(*item));
   }
--- a/source/core/experiment/specification.h
+++ b/source/core/experiment/specification.h
@@ -75,7 +75,7 @@
 
 // A deployment and its workload.
 struct deployment_shape {
-  std::string tenant;
+  std::string organisation;
   std::vector<domain_shape> domains;
   engine_shape engine;
   std::uint32_t service_capacity = 16;
--- a/source/core/experiment/trial.cc
+++ b/source/core/experiment/trial.cc
@@ -87,12 +87,12 @@
     auto& gateway = *gateways_.emplace_back(std::make_unique<gateway_fake>(
         events_, fleet_, options, seed, measures_));
     gateway.core().SetEndpoints(fleet_.Infos(), events_.now());
-    auto tenant = policy::tenant_policy{};
-    tenant.id = tenant_id{deployment.tenant};
+    auto organisation = policy::organisation_policy{};
+    organisation.id = organisation_id{deployment.organisation};
     for (const auto& shape : deployment.classes) {
-      tenant.class_ranks[class_id{shape.name}] = shape.rank;
+      organisation.class_ranks[class_id{shape.name}] = shape.rank;
     }
-    gateway.core().SetTenants({tenant}, {});
+    gateway.core().SetOrganisations({organisation}, {});
   }
 
   auto Every(duration interval, const event_queue::action& what) -> void {
--- a/source/core/fault_matrix/caller.cc
+++ b/source/core/fault_matrix/caller.cc
@@ -16,8 +16,8 @@
   return branch_id{"sub"};
 }
 
-auto Tenant() -> tenant_id {
-  return tenant_id{"choclo"};
+auto Organisation() -> organisation_id {
+  return organisation_id{"choclo"};
 }
 
 constexpr auto kRetryDelay = duration{700ms};
@@ -94,14 +94,14 @@
     }
   });
   if (step == control_step::kOpen) {
-    world_.Deliver(entry, program::open_program{request, Tenant(),
+    world_.Deliver(entry, program::open_program{request, Organisation(),
                                                 class_id{"vendor"}, limits_});
     return;
   }
   auto control = program::control_arrived{};
   control.request = request;
   control.handle = handle_;
-  control.tenant = Tenant();
+  control.organisation = Organisation();
   control.branch = SubBranch();
   control.parent = MainBranch();
   control.action =
@@ -208,7 +208,7 @@
   auto arrival = program::call_arrived{};
   arrival.request = request;
   arrival.handle = handle_;
-  arrival.tenant = Tenant();
+  arrival.organisation = Organisation();
   arrival.call = MakeRequest(branch, call);
   world_.Deliver(call.entry, arrival);
 }
--- a/source/core/fault_matrix/checker.cc
+++ b/source/core/fault_matrix/checker.cc
@@ -98,7 +98,7 @@
   static constexpr auto kWrong = std::to_array<refusal_reason>(
       {refusal_reason::kHistoryMismatch, refusal_reason::kTurnConflict,
        refusal_reason::kKeyReused, refusal_reason::kBranchNotFound,
-       refusal_reason::kWrongTenant, refusal_reason::kBranchEnded});
+       refusal_reason::kWrongOrganisation, refusal_reason::kBranchEnded});
   for (const auto& event : history.events) {
     const auto is_wrong =
         event.kind == outside_kind::kRefused &&
--- a/source/core/fault_matrix/measure.cc
+++ b/source/core/fault_matrix/measure.cc
@@ -58,7 +58,7 @@
   auto Open() -> program::program_handle {
     Feed(kOwner,
          program::open_program{
-             ++request_, tenant_id{"choclo"}, class_id{"vendor"},
+             ++request_, organisation_id{"choclo"}, class_id{"vendor"},
              program::budget{kPlentyTokens, kPlentyCalls, duration{3600s}}});
     return last_view_->handle;
   }
@@ -70,7 +70,7 @@
     auto call = program::call_arrived{};
     call.request = ++request_;
     call.handle = handle;
-    call.tenant = tenant_id{"choclo"};
+    call.organisation = organisation_id{"choclo"};
     call.call.turn = turn;
     call.call.is_idempotent = true;
     call.call.target = "agent";
--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -394,7 +394,7 @@
 
 auto request_flow::LogEnd() -> void {
   const auto took = Now() - began_;
-  node_.measures().Observe("daisywind_front_request_seconds", tenant_id{},
+  node_.measures().Observe("daisywind_front_request_seconds", organisation_id{},
                            class_id(route_->id.value), took);
   const auto choice = summary_.choice.value_or(dispatch::placement_choice{});
   Log(log_events::kRequestEnded,
--- a/source/core/gateway/admin_json.cc
+++ b/source/core/gateway/admin_json.cc
@@ -126,7 +126,7 @@
   for (const auto& view : owned) {
     auto object = json::object{};
     object["program"] = program::ToString(view.handle);
-    object["tenant"] = view.tenant.value;
+    object["organisation"] = view.organisation.value;
     object["class"] = view.service_class.value;
     object["tokens_used"] = view.used.tokens;
     object["tokens_limit"] = view.limits.tokens;
--- a/source/core/gateway/bearer_keys.cc
+++ b/source/core/gateway/bearer_keys.cc
@@ -18,19 +18,21 @@
   return !key.empty() && EqualInConstantTime(Sha256Hex(key), key_digest);
 }
 
-auto tenant_keys::Set(std::map<tenant_id, std::string> digests) -> void {
+auto organisation_keys::Set(std::map<organisation_id, std::string> digests)
+    -> void {
   digests_ = std::move(digests);
 }
 
-auto tenant_keys::Find(std::string_view key) const -> std::optional<tenant_id> {
+auto organisation_keys::Find(std::string_view key) const
+    -> std::optional<organisation_id> {
   if (key.empty()) {
     return std::nullopt;
   }
   const auto wanted = Sha256Hex(key);
-  auto found = std::optional<tenant_id>{};
-  for (const auto& [tenant, key_digest] : digests_) {
+  auto found = std::optional<organisation_id>{};
+  for (const auto& [organisation, key_digest] : digests_) {
     if (EqualInConstantTime(wanted, key_digest)) {
-      found = tenant;
+      found = organisation;
     }
   }
   return found;
--- a/source/core/gateway/bearer_keys.h
+++ b/source/core/gateway/bearer_keys.h
@@ -17,19 +17,19 @@
 // True when the key's SHA-256 digest equals the given one.
 auto MatchesDigest(std::string_view key, std::string_view key_digest) -> bool;
 
-// Finds tenants by the digests of their keys.
-class tenant_keys {
+// Finds organisations by the digests of their keys.
+class organisation_keys {
  public:
   // Replaces all keys.
-  auto Set(std::map<tenant_id, std::string> digests) -> void;
+  auto Set(std::map<organisation_id, std::string> digests) -> void;
 
-  // The tenant whose key this is. Every digest is compared, so that the time
-  // does not tell how far a search went.
+  // The organisation whose key this is. Every digest is compared, so that the
+  // time does not tell how far a search went.
   [[nodiscard]] auto Find(std::string_view key) const
-      -> std::optional<tenant_id>;
+      -> std::optional<organisation_id>;
 
  private:
-  std::map<tenant_id, std::string> digests_;
+  std::map<organisation_id, std::string> digests_;
 };
 
 }  // namespace daisywind::gateway
--- a/source/core/gateway/call_reader.cc
+++ b/source/core/gateway/call_reader.cc
@@ -48,8 +48,8 @@
 }
 
 auto BudgetOf(const caller_context& caller) -> configuration::program_budget {
-  const auto found = caller.document->tenants.find(caller.tenant);
-  if (found == caller.document->tenants.end() || !found->second.budget) {
+  const auto found = caller.document->organisations.find(caller.organisation);
+  if (found == caller.document->organisations.end() || !found->second.budget) {
     return kDefaultBudget;
   }
   return *found->second.budget;
@@ -59,10 +59,11 @@
   return {limits.tokens, limits.calls, std::chrono::seconds(limits.seconds)};
 }
 
-// The class of programs whose caller names none: the tenant's last in rank.
+// The class of programs whose caller names none: the organisation's last in
+// rank.
 auto DefaultClass(const caller_context& caller) -> class_id {
-  const auto found = caller.document->tenants.find(caller.tenant);
-  if (found == caller.document->tenants.end() ||
+  const auto found = caller.document->organisations.find(caller.organisation);
+  if (found == caller.document->organisations.end() ||
       found->second.classes.empty()) {
     return class_id("default");
   }
@@ -75,12 +76,13 @@
 }
 
 auto HasClass(const caller_context& caller, const class_id& name) -> bool {
-  const auto found = caller.document->tenants.find(caller.tenant);
-  return found != caller.document->tenants.end() &&
+  const auto found = caller.document->organisations.find(caller.organisation);
+  return found != caller.document->organisations.end() &&
          found->second.classes.contains(name);
 }
 
-// The smaller of what the caller asks for and what the tenant may ask for.
+// The smaller of what the caller asks for and what the organisation may ask
+// for.
 auto Clamp(const json::object& asked, std::string_view key, std::int64_t limit)
     -> std::int64_t {
   const auto value = IntegerOr(asked, key, limit);
@@ -173,7 +175,7 @@
               call_headers headers) -> program::call_arrived {
   auto arrived = program::call_arrived{};
   arrived.handle = std::move(headers.handle);
-  arrived.tenant = caller.tenant;
+  arrived.organisation = caller.organisation;
   arrived.service_class = DefaultClass(caller);
   arrived.limits = ToBudget(BudgetOf(caller));
   auto& call = arrived.call;
@@ -237,11 +239,11 @@
   }
   const auto& object = std::get<json::object>(body);
   auto open = program::open_program{};
-  open.tenant = caller.tenant;
+  open.organisation = caller.organisation;
   open.service_class =
       class_id(StringOr(object, "class", DefaultClass(caller).value));
   if (!HasClass(caller, open.service_class)) {
-    return BadRequest("/class: not a class of this tenant");
+    return BadRequest("/class: not a class of this organisation");
   }
   auto limits = BudgetOf(caller);
   if (const auto* asked = ObjectOrNull(object, "budget")) {
@@ -325,7 +327,7 @@
   const auto& object = std::get<json::object>(body);
   auto control = program::control_arrived{};
   control.handle = std::get<program::program_handle>(std::move(handle));
-  control.tenant = caller.tenant;
+  control.organisation = caller.organisation;
   control.action = action;
   control.branch = branch_id(StringOr(object, "name", ""));
   control.parent = branch_id(StringOr(object, "parent", "main"));
--- a/source/core/gateway/call_reader.h
+++ b/source/core/gateway/call_reader.h
@@ -17,7 +17,7 @@
 
 // Who asks, and under which configuration.
 struct caller_context {
-  tenant_id tenant;
+  organisation_id organisation;
   const configuration::document* document = nullptr;
 };
 
--- a/source/core/gateway/caller_api.cc
+++ b/source/core/gateway/caller_api.cc
@@ -28,7 +28,7 @@
 
 caller_api::caller_api(caller_api_hooks hooks,
                        reply_table& replies,
-                       tenant_keys& keys,
+                       organisation_keys& keys,
                        metrics& series)
     : hooks_(std::move(hooks)),
       replies_(replies),
@@ -75,9 +75,9 @@
     co_await Refuse(exchange, why);
     co_return;
   }
-  const auto tenant =
+  const auto organisation =
       keys_.Find(BearerKey(exchange.request().Header("Authorization")));
-  if (!tenant) {
+  if (!organisation) {
     const auto why = problem{kUnauthorized, "unauthorized", "unknown key",
                              program::outcome::kNotRun, std::nullopt};
     co_await Refuse(exchange, why);
@@ -90,7 +90,7 @@
     co_await Refuse(exchange, why);
     co_return;
   }
-  const auto caller = caller_context{*tenant, document.get()};
+  const auto caller = caller_context{*organisation, document.get()};
   co_await (this->*found->handle)(exchange, caller);
 }
 
@@ -154,7 +154,7 @@
 
 auto caller_api::RunCall(exchange_ref exchange, program::call_arrived arrived)
     -> asio::awaitable<void> {
-  const auto tenant = arrived.tenant;
+  const auto organisation = arrived.organisation;
   auto session = call_session(exchange, replies_, hooks_.submit);
   arrived.request = session.request();
   const auto call =
@@ -163,8 +163,8 @@
                                                 : arrived.call.adapter.value};
   hooks_.submit(std::move(arrived));
   const auto outcome = co_await session.ServeCall(call);
-  series_.Count("daisywind_calls_total",
-                {{"tenant", tenant.value}, {"outcome", std::string(outcome)}});
+  series_.Count("daisywind_calls_total", {{"organisation", organisation.value},
+                                          {"outcome", std::string(outcome)}});
 }
 
 auto caller_api::RunControl(exchange_ref exchange,
--- a/source/core/gateway/caller_api.h
+++ b/source/core/gateway/caller_api.h
@@ -32,7 +32,7 @@
  public:
   caller_api(caller_api_hooks hooks,
              reply_table& replies,
-             tenant_keys& keys,
+             organisation_keys& keys,
              metrics& series);
 
   // Handles one request.
@@ -78,7 +78,7 @@
 
   caller_api_hooks hooks_;
   reply_table& replies_;
-  tenant_keys& keys_;
+  organisation_keys& keys_;
   metrics& series_;
 };
 
--- a/source/core/gateway/conversions.cc
+++ b/source/core/gateway/conversions.cc
@@ -103,11 +103,11 @@
                      });
 }
 
-auto ToPolicyTenants(const configuration::document& document)
-    -> std::vector<policy::tenant_policy> {
-  auto tenants = std::vector<policy::tenant_policy>{};
-  for (const auto& [id, from] : document.tenants) {
-    auto to = policy::tenant_policy{};
+auto ToPolicyOrganisations(const configuration::document& document)
+    -> std::vector<policy::organisation_policy> {
+  auto organisations = std::vector<policy::organisation_policy>{};
+  for (const auto& [id, from] : document.organisations) {
+    auto to = policy::organisation_policy{};
     to.id = id;
     to.share = from.share;
     for (const auto& [name, klass] : from.classes) {
@@ -117,9 +117,9 @@
       to.tokens_per_second = from.limits->tokens_per_second;
       to.calls_per_second = from.limits->calls_per_second;
     }
-    tenants.push_back(std::move(to));
+    organisations.push_back(std::move(to));
   }
-  return tenants;
+  return organisations;
 }
 
 auto ToPolicyNeeds(const configuration::document& document)
--- a/source/core/gateway/conversions.h
+++ b/source/core/gateway/conversions.h
@@ -27,9 +27,9 @@
 auto HasOpenEndpoints(const configuration::document& document,
                       const routing_table& routing) -> bool;
 
-// Shares, ranks and rates of all tenants.
-auto ToPolicyTenants(const configuration::document& document)
-    -> std::vector<policy::tenant_policy>;
+// Shares, ranks and rates of all organisations.
+auto ToPolicyOrganisations(const configuration::document& document)
+    -> std::vector<policy::organisation_policy>;
 
 // The least number of serving endpoints by name.
 auto ToPolicyNeeds(const configuration::document& document)
--- a/source/core/gateway/node_inputs.cc
+++ b/source/core/gateway/node_inputs.cc
@@ -106,14 +106,14 @@
   Log(log_events::kVersionInstalled,
       {{"version", static_cast<std::int64_t>(version.number)},
        {"spread_ms", version.spread_ms}});
-  auto digests = std::map<tenant_id, std::string>{};
-  for (const auto& [id, tenant] : version.content->tenants) {
-    digests[id] = tenant.key_digest;
+  auto digests = std::map<organisation_id, std::string>{};
+  for (const auto& [id, organisation] : version.content->organisations) {
+    digests[id] = organisation.key_digest;
   }
   keys.Set(std::move(digests));
   endpoints.Update(*version.content);
-  scheduler.SetTenants(ToPolicyTenants(*version.content),
-                       ToPolicyNeeds(*version.content));
+  scheduler.SetOrganisations(ToPolicyOrganisations(*version.content),
+                             ToPolicyNeeds(*version.content));
   const auto age =
       std::chrono::milliseconds(std::max<std::int64_t>(0, version.spread_ms));
   migration_side.Submit(migration::wanted_changed{
--- a/source/core/gateway/node_parts.h
+++ b/source/core/gateway/node_parts.h
@@ -81,7 +81,7 @@
   net::http_client client;
   kv::client service;
   endpoint_directory endpoints;
-  tenant_keys keys;
+  organisation_keys keys;
   reply_table replies;
   admin_answers answers;
   peer_network peers;
--- a/source/core/gateway/program_adapter.cc
+++ b/source/core/gateway/program_adapter.cc
@@ -130,7 +130,7 @@
   attempt.attempt = command.attempt;
   attempt.endpoint = command.endpoint;
   attempt.started = now;
-  attempt.tenant = command.tenant;
+  attempt.organisation = command.organisation;
   attempt.service_class = command.service_class;
   attempt.kind = command.call.kind;
   attempt.is_resume = command.is_resume;
@@ -220,7 +220,7 @@
   const auto now = Now();
   if (!attempt.has_output) {
     attempt.has_output = true;
-    parts_.series.Observe("daisywind_first_token_seconds", attempt.tenant,
+    parts_.series.Observe("daisywind_first_token_seconds", attempt.organisation,
                           attempt.service_class, now - attempt.started);
   }
   parts_.scheduler.OnOutput(attempt.attempt.call, now);
@@ -246,12 +246,14 @@
     parts_.on_cut(attempt.endpoint);
   }
   parts_.scheduler.OnUsage(attempt.attempt.call, result.usage);
-  parts_.series.Observe("daisywind_attempt_seconds", attempt.tenant,
+  parts_.series.Observe("daisywind_attempt_seconds", attempt.organisation,
                         attempt.service_class, Now() - attempt.started);
   parts_.series.Count("daisywind_prompt_tokens_total",
-                      {{"tenant", attempt.tenant.value}}, result.usage.prompt);
+                      {{"organisation", attempt.organisation.value}},
+                      result.usage.prompt);
   parts_.series.Count("daisywind_cached_tokens_total",
-                      {{"tenant", attempt.tenant.value}}, result.usage.cached);
+                      {{"organisation", attempt.organisation.value}},
+                      result.usage.cached);
   auto ended = program::attempt_ended{};
   ended.attempt = attempt.attempt;
   ended.result = ToResult(result, attempt.is_resume);
--- a/source/core/gateway/program_adapter.h
+++ b/source/core/gateway/program_adapter.h
@@ -67,7 +67,7 @@
     endpoint_id endpoint;
     std::string text;
     instant started;
-    tenant_id tenant;
+    organisation_id organisation;
     class_id service_class;
     program::call_kind kind = program::call_kind::kChat;
     bool is_resume = false;
--- a/source/core/gateway/scheduler_adapter.cc
+++ b/source/core/gateway/scheduler_adapter.cc
@@ -38,7 +38,7 @@
     -> policy::call_request {
   auto request = policy::call_request{};
   request.program = wanted.call.program;
-  request.tenant = wanted.tenant;
+  request.organisation = wanted.organisation;
   request.call_class = wanted.service_class;
   request.kind = wanted.kind == program::call_kind::kChat
                      ? policy::endpoint_kind::kEngine
--- a/source/core/load/deployment.h
+++ b/source/core/load/deployment.h
@@ -45,7 +45,7 @@
   std::int64_t stream_every = 2;
 };
 
-// A tenant's deployment.
+// An organisation's deployment.
 struct deployment {
   std::string_view name;
   std::span<const program_kind> kinds;
--- a/source/core/load/load_report.cc
+++ b/source/core/load/load_report.cc
@@ -96,7 +96,7 @@
     finished.emplace_back(found == finished_by_second_.end() ? 0
                                                              : found->second);
   }
-  return {{"tenant", tenant_},
+  return {{"organisation", organisation_},
           {"programs", Programs()},
           {"calls", calls_},
           {"refusals", load::ToJson(counts.refusals_by_outcome)},
@@ -127,7 +127,7 @@
   auto by_class = json::object{};
   for (const auto& [name, times] : latencies_by_class_) {
     all.insert(all.end(), times.begin(), times.end());
-    by_class[tenant_ + "/" + name] = Summary(times);
+    by_class[organisation_ + "/" + name] = Summary(times);
   }
   auto out = Summary(all);
   out["by_class"] = std::move(by_class);
--- a/source/core/load/load_report.h
+++ b/source/core/load/load_report.h
@@ -27,7 +27,8 @@
   // The slowest programs that are named one by one.
   static constexpr std::size_t kMaxSlowPrograms = 10;
 
-  explicit load_report(std::string tenant) : tenant_(std::move(tenant)) {}
+  explicit load_report(std::string organisation)
+      : organisation_(std::move(organisation)) {}
 
   // Counts a program's start.
   auto RecordStart() -> void { ++started_; }
@@ -60,7 +61,7 @@
 
   auto KeepIfSlow(slow_program item) -> void;
 
-  std::string tenant_;
+  std::string organisation_;
   std::int64_t started_ = 0;
   std::map<program_status, std::int64_t> ended_;
   std::map<std::string, std::vector<duration>> latencies_by_class_;
--- a/source/core/load/load_run.cc
+++ b/source/core/load/load_run.cc
@@ -26,7 +26,7 @@
         plans_(DrawPlans(*options.where, options.plan, random_)),
         gateways_(options.gateways, random_),
         client_(context_, gateways_, options.client, random_),
-        report_(options.tenant) {
+        report_(options.organisation) {
     progress_.programs = plans_.size();
   }
 
--- a/source/core/load/load_run.h
+++ b/source/core/load/load_run.h
@@ -18,7 +18,7 @@
 // What a run is told.
 struct load_options {
   std::vector<net::socket_address> gateways;
-  std::string tenant;
+  std::string organisation;
   const deployment* where = nullptr;
   std::uint64_t seed = 1;
   plan_options plan;
--- a/source/core/load/reply.cc
+++ b/source/core/load/reply.cc
@@ -14,7 +14,7 @@
     "bad_request",
     "unauthorized",
     "not_found",
-    "wrong_tenant",
+    "wrong_organisation",
     "program_not_found",
     "program_ended",
     "program_lost",
--- a/source/core/policy/call_queue.cc
+++ b/source/core/policy/call_queue.cc
@@ -8,9 +8,9 @@
 
 auto call_queue::LeastServed() const -> double {
   auto least = std::numeric_limits<double>::infinity();
-  for (const auto& [id, tenant] : tenants_) {
-    if (!tenant.calls.empty()) {
-      least = std::min(least, tenant.served);
+  for (const auto& [id, organisation] : organisations_) {
+    if (!organisation.calls.empty()) {
+      least = std::min(least, organisation.served);
     }
   }
   return std::isinf(least) ? 0.0 : least;
@@ -18,13 +18,13 @@
 
 auto call_queue::Add(const waiting_call& call, instant virtual_arrival)
     -> void {
-  auto& tenant = tenants_[call.request.tenant];
-  if (tenant.calls.empty()) {
-    tenant.served = std::max(tenant.served, LeastServed());
+  auto& organisation = organisations_[call.request.organisation];
+  if (organisation.calls.empty()) {
+    organisation.served = std::max(organisation.served, LeastServed());
   }
   const auto order = queue_order{virtual_arrival, next_sequence_++};
-  tenant.calls.emplace(order, call);
-  places_.emplace(call.request.call, place{call.request.tenant, order});
+  organisation.calls.emplace(order, call);
+  places_.emplace(call.request.call, place{call.request.organisation, order});
   ++counts_[call.rank];
   fresh_.push_back(call.request.call);
 }
@@ -34,7 +34,7 @@
   if (found == places_.end()) {
     return std::nullopt;
   }
-  auto& calls = tenants_[found->second.tenant].calls;
+  auto& calls = organisations_[found->second.organisation].calls;
   const auto item = calls.find(found->second.order);
   auto out = std::optional{std::move(item->second)};
   calls.erase(item);
@@ -45,17 +45,17 @@
 
 auto call_queue::Next(std::size_t limit) const
     -> std::vector<const waiting_call*> {
-  auto order = std::vector<const tenant_queue*>{};
-  for (const auto& [id, tenant] : tenants_) {
-    if (!tenant.calls.empty()) {
-      order.push_back(&tenant);
+  auto order = std::vector<const organisation_queue*>{};
+  for (const auto& [id, organisation] : organisations_) {
+    if (!organisation.calls.empty()) {
+      order.push_back(&organisation);
     }
   }
-  std::ranges::sort(order, {}, &tenant_queue::served);
+  std::ranges::sort(order, {}, &organisation_queue::served);
   auto out = std::vector<const waiting_call*>{};
-  for (const auto* tenant : order) {
+  for (const auto* organisation : order) {
     auto taken = std::size_t{0};
-    for (const auto& [key, call] : tenant->calls) {
+    for (const auto& [key, call] : organisation->calls) {
       if (taken++ >= limit) {
         break;
       }
@@ -70,17 +70,18 @@
   for (const auto call : fresh_) {
     const auto found = places_.find(call);
     if (found != places_.end()) {
-      out.push_back(
-          &tenants_[found->second.tenant].calls.at(found->second.order));
+      out.push_back(&organisations_[found->second.organisation].calls.at(
+          found->second.order));
     }
   }
   fresh_.clear();
   return out;
 }
 
-auto call_queue::Charge(const tenant_id& tenant, seconds service, double share)
-    -> void {
-  tenants_[tenant].served += service.count() / share;
+auto call_queue::Charge(const organisation_id& organisation,
+                        seconds service,
+                        double share) -> void {
+  organisations_[organisation].served += service.count() / share;
 }
 
 auto call_queue::CountUpTo(std::int32_t rank) const -> std::size_t {
@@ -95,8 +96,8 @@
 
 auto call_queue::ArrivedBefore(instant limit) const -> std::vector<call_ref> {
   auto out = std::vector<call_ref>{};
-  for (const auto& [id, tenant] : tenants_) {
-    for (const auto& [key, call] : tenant.calls) {
+  for (const auto& [id, organisation] : organisations_) {
+    for (const auto& [key, call] : organisation.calls) {
       if (call.arrived < limit) {
         out.push_back(call.request.call);
       }
--- a/source/core/policy/call_queue.h
+++ b/source/core/policy/call_queue.h
@@ -1,4 +1,4 @@
-// Calls that wait for an endpoint of one model or service, by tenant.
+// Calls that wait for an endpoint of one model or service, by organisation.
 #ifndef DAISYWIND_POLICY_CALL_QUEUE_H_
 #define DAISYWIND_POLICY_CALL_QUEUE_H_
 
@@ -13,9 +13,9 @@
 
 namespace daisywind::policy {
 
-// Place of a call in its tenant's queue: lower goes first. The arrival time is
-// part of the order, so a call that has waited long enough goes before any new
-// one.
+// Place of a call in its organisation's queue: lower goes first. The arrival
+// time is part of the order, so a call that has waited long enough goes before
+// any new one.
 struct queue_order {
   instant virtual_arrival;
   std::uint64_t sequence = 0;
@@ -31,22 +31,25 @@
 
 class call_queue {
  public:
-  // Adds a call. A tenant that was idle starts level with the least served.
+  // Adds a call. An organisation that was idle starts level with the least
+  // served.
   auto Add(const waiting_call& call, instant virtual_arrival) -> void;
 
   // Removes a call. Returns nothing when it is not here.
   auto Remove(call_ref call) -> std::optional<waiting_call>;
 
-  // The next calls in order: first of the tenant that has been served least
-  // for its share, at most `limit` of each tenant.
+  // The next calls in order: first of the organisation that has been served
+  // least for its share, at most `limit` of each organisation.
   [[nodiscard]] auto Next(std::size_t limit) const
       -> std::vector<const waiting_call*>;
 
   // The waiting calls that have been added since the last time, in that order.
   auto TakeFresh() -> std::vector<const waiting_call*>;
 
-  // Charges engine time to a tenant, divided by its share.
-  auto Charge(const tenant_id& tenant, seconds service, double share) -> void;
+  // Charges engine time to an organisation, divided by its share.
+  auto Charge(const organisation_id& organisation,
+              seconds service,
+              double share) -> void;
 
   // Waiting calls of this rank or a lower one.
   [[nodiscard]] auto CountUpTo(std::int32_t rank) const -> std::size_t;
@@ -59,18 +62,18 @@
   [[nodiscard]] auto empty() const -> bool { return places_.empty(); }
 
  private:
-  struct tenant_queue {
+  struct organisation_queue {
     double served = 0.0;
     std::map<queue_order, waiting_call> calls;
   };
   struct place {
-    tenant_id tenant;
+    organisation_id organisation;
     queue_order order;
   };
 
   [[nodiscard]] auto LeastServed() const -> double;
 
-  std::map<tenant_id, tenant_queue> tenants_;
+  std::map<organisation_id, organisation_queue> organisations_;
   std::map<call_ref, place> places_;
   std::map<std::int32_t, std::size_t> counts_;
   std::vector<call_ref> fresh_;
--- a/source/core/policy/tenant_table.cc
+++ b/source/core/policy/organisation_table.cc
@@ -1,4 +1,4 @@
-#include "policy/tenant_table.h"
+#include "policy/organisation_table.h"
 
 #include <algorithm>
 
@@ -8,7 +8,8 @@
 constexpr auto kBurstSeconds = 2.0;
 constexpr auto kMinShare = 0.001;
 
-auto HasSameRates(const tenant_policy& a, const tenant_policy& b) -> bool {
+auto HasSameRates(const organisation_policy& a, const organisation_policy& b)
+    -> bool {
   return a.tokens_per_second == b.tokens_per_second &&
          a.calls_per_second == b.calls_per_second;
 }
@@ -26,33 +27,36 @@
 
 }  // namespace
 
-auto tenant_table::Set(const std::vector<tenant_policy>& tenants) -> void {
-  auto next = std::map<tenant_id, entry>{};
-  for (const auto& tenant : tenants) {
-    auto item = entry{tenant, MakeBucket(tenant.tokens_per_second, gateways_),
-                      MakeBucket(tenant.calls_per_second, gateways_)};
-    const auto old = tenants_.find(tenant.id);
-    if (old != tenants_.end() && HasSameRates(old->second.policy, tenant)) {
+auto organisation_table::Set(
+    const std::vector<organisation_policy>& organisations) -> void {
+  auto next = std::map<organisation_id, entry>{};
+  for (const auto& organisation : organisations) {
+    auto item = entry{organisation,
+                      MakeBucket(organisation.tokens_per_second, gateways_),
+                      MakeBucket(organisation.calls_per_second, gateways_)};
+    const auto old = organisations_.find(organisation.id);
+    if (old != organisations_.end() &&
+        HasSameRates(old->second.policy, organisation)) {
       item.tokens = old->second.tokens;
       item.calls = old->second.calls;
     }
-    next.emplace(tenant.id, item);
+    next.emplace(organisation.id, item);
   }
-  tenants_ = std::move(next);
+  organisations_ = std::move(next);
 }
 
-auto tenant_table::SetGateways(std::uint32_t gateways) -> void {
+auto organisation_table::SetGateways(std::uint32_t gateways) -> void {
   gateways_ = std::max(1U, gateways);
-  for (auto& [id, item] : tenants_) {
+  for (auto& [id, item] : organisations_) {
     SetShare(item.tokens, item.policy.tokens_per_second, gateways_);
     SetShare(item.calls, item.policy.calls_per_second, gateways_);
   }
 }
 
-auto tenant_table::Charge(const call_request& call, instant now)
+auto organisation_table::Charge(const call_request& call, instant now)
     -> std::optional<duration> {
-  const auto found = tenants_.find(call.tenant);
-  if (found == tenants_.end()) {
+  const auto found = organisations_.find(call.organisation);
+  if (found == organisations_.end()) {
     return std::nullopt;
   }
   auto& [policy, tokens, calls] = found->second;
@@ -67,9 +71,10 @@
   return std::nullopt;
 }
 
-auto tenant_table::RankOf(const call_request& call) const -> std::int32_t {
-  const auto found = tenants_.find(call.tenant);
-  if (found == tenants_.end()) {
+auto organisation_table::RankOf(const call_request& call) const
+    -> std::int32_t {
+  const auto found = organisations_.find(call.organisation);
+  if (found == organisations_.end()) {
     return 0;
   }
   const auto& ranks = found->second.policy.class_ranks;
@@ -78,9 +83,10 @@
                              : rank->second;
 }
 
-auto tenant_table::ShareOf(const tenant_id& tenant) const -> double {
-  const auto found = tenants_.find(tenant);
-  return found == tenants_.end()
+auto organisation_table::ShareOf(const organisation_id& organisation) const
+    -> double {
+  const auto found = organisations_.find(organisation);
+  return found == organisations_.end()
              ? 1.0
              : std::max(kMinShare, found->second.policy.share);
 }
--- a/source/core/policy/retry_budget.cc
+++ b/source/core/policy/retry_budget.cc
@@ -26,21 +26,21 @@
   balance_ = std::min(kMaxBalance, balance_ + kEarnedPerAttempt);
 }
 
-auto retry_budget::OnFirstAttempt(const tenant_id& tenant) -> void {
+auto retry_budget::OnFirstAttempt(const organisation_id& organisation) -> void {
   gateway_.Earn();
-  tenants_[tenant].Earn();
+  organisations_[organisation].Earn();
 }
 
 auto retry_budget::Plan(const call_request& request,
                         finish_kind how,
                         random_source& random) -> std::optional<duration> {
-  auto& tenant = tenants_[request.tenant];
+  auto& organisation = organisations_[request.organisation];
   if (!IsSafe(request, how) || request.attempt >= kMaxAttempts ||
-      !gateway_.CanSpend() || !tenant.CanSpend()) {
+      !gateway_.CanSpend() || !organisation.CanSpend()) {
     return std::nullopt;
   }
   gateway_.Spend();
-  tenant.Spend();
+  organisation.Spend();
   const auto ceiling = kFirstBackoff * (1U << request.attempt);
   return ToDuration(ceiling * random.Unit());
 }
--- a/source/core/policy/retry_budget.h
+++ b/source/core/policy/retry_budget.h
@@ -27,12 +27,12 @@
   double balance_ = 10.0;
 };
 
-// One account for the gateway and one for each tenant. A retry is paid from
-// both.
+// One account for the gateway and one for each organisation. A retry is paid
+// from both.
 class retry_budget {
  public:
   // Records a first attempt.
-  auto OnFirstAttempt(const tenant_id& tenant) -> void;
+  auto OnFirstAttempt(const organisation_id& organisation) -> void;
 
   // The delay before the next attempt, or nothing when there must be none.
   auto Plan(const call_request& request, finish_kind how, random_source& random)
@@ -40,7 +40,7 @@
 
  private:
   retry_account gateway_;
-  std::map<tenant_id, retry_account> tenants_;
+  std::map<organisation_id, retry_account> organisations_;
 };
 
 }  // namespace daisywind::policy
--- a/source/core/policy/scheduler.cc
+++ b/source/core/policy/scheduler.cc
@@ -28,9 +28,10 @@
   tables.targets.Rebuild(tables.endpoints);
 }
 
-auto scheduler::SetTenants(const std::vector<tenant_policy>& tenants,
-                           const std::vector<target_need>& needs) -> void {
-  implementation_->tables.tenants.Set(tenants);
+auto scheduler::SetOrganisations(
+    const std::vector<organisation_policy>& organisations,
+    const std::vector<target_need>& needs) -> void {
+  implementation_->tables.organisations.Set(organisations);
   implementation_->tables.targets.SetNeeds(needs);
 }
 
@@ -66,7 +67,7 @@
     return refused;
   }
   if (request.attempt == 1) {
-    tables.retries.OnFirstAttempt(request.tenant);
+    tables.retries.OnFirstAttempt(request.organisation);
   }
   AddToQueue(tables, request, now);
   return std::nullopt;
--- a/source/core/policy/scheduler.h
+++ b/source/core/policy/scheduler.h
@@ -30,12 +30,12 @@
   auto SetEndpoints(const std::vector<endpoint_info>& endpoints, instant now)
       -> void;
 
-  // Replaces the tenants and the need per model or service.
-  auto SetTenants(const std::vector<tenant_policy>& tenants,
-                  const std::vector<target_need>& needs) -> void;
+  // Replaces the organisations and the need per model or service.
+  auto SetOrganisations(const std::vector<organisation_policy>& organisations,
+                        const std::vector<target_need>& needs) -> void;
 
-  // Sets the number of live gateways, this one included, among which tenants'
-  // rates and links are divided.
+  // Sets the number of live gateways, this one included, among which
+  // organisations' rates and links are divided.
   auto SetGateways(std::uint32_t gateways) -> void;
 
   // Takes a load report. An older one than the last is ignored.
--- a/source/core/policy/scheduler_tables.cc
+++ b/source/core/policy/scheduler_tables.cc
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr auto kBitsPerByte = 8.0;
-constexpr auto kScanPerTenant = std::size_t{32};
+constexpr auto kScanPerOrganisation = std::size_t{32};
 constexpr auto kScanInterval = 5ms;
 constexpr auto kMaxQueueTime = 120s;
 constexpr auto kSlowTickInterval = 500ms;
@@ -48,8 +48,8 @@
   const auto timing =
       call_timing{first - sent.sent_at, now - sent.sent_at, usage};
   target.costs.Learn(timing);
-  target.queue.Charge(sent.request.tenant, timing.total,
-                      tables.tenants.ShareOf(sent.request.tenant));
+  target.queue.Charge(sent.request.organisation, timing.total,
+                      tables.organisations.ShareOf(sent.request.organisation));
   entry.health.OnSuccess(SlowdownOf(target.costs, timing));
   tables.cache.Store(sent.endpoint, sent.request.prefix, now);
   tables.crashes.OnCompleted(sent.request.body);
@@ -127,8 +127,8 @@
     return;
   }
   target.last_scan = now;
-  while (DispatchCalls(tables, target, target.queue.Next(kScanPerTenant), now,
-                       out)) {
+  while (DispatchCalls(tables, target, target.queue.Next(kScanPerOrganisation),
+                       now, out)) {
   }
 }
 
@@ -140,7 +140,7 @@
       random(seed),
       endpoints(scheduler_options.region),
       targets(scheduler_options.failure_domain, seed),
-      tenants(std::max(1U, scheduler_options.gateways)),
+      organisations(std::max(1U, scheduler_options.gateways)),
       link(LinkShare(scheduler_options), scheduler_options.link_delay),
       routing(MakeRouting(scheduler_options.routing)) {}
 
@@ -151,7 +151,7 @@
 
 auto SetGateways(scheduler_tables& tables, std::uint32_t gateways) -> void {
   tables.options.gateways = std::max(1U, gateways);
-  tables.tenants.SetGateways(tables.options.gateways);
+  tables.organisations.SetGateways(tables.options.gateways);
   tables.link.SetRate(LinkShare(tables.options));
 }
 
@@ -165,13 +165,13 @@
   if (tables.options.admission == admission_kind::kAdaptive) {
     auto& target = tables.targets.Find(TargetOf(request), tables.endpoints);
     auto refused =
-        Admit(request, target, tables.endpoints, tables.tenants.RankOf(request),
-              tables.options.gateways);
+        Admit(request, target, tables.endpoints,
+              tables.organisations.RankOf(request), tables.options.gateways);
     if (refused) {
       return refused;
     }
   }
-  if (const auto wait = tables.tenants.Charge(request, now)) {
+  if (const auto wait = tables.organisations.Charge(request, now)) {
     return refusal{request.call, refusal_reason::kRateLimited, *wait};
   }
   return std::nullopt;
@@ -181,7 +181,7 @@
                 const call_request& request,
                 instant now) -> void {
   auto& target = tables.targets.Find(TargetOf(request), tables.endpoints);
-  const auto rank = tables.tenants.RankOf(request);
+  const auto rank = tables.organisations.RankOf(request);
   target.queue.Add({request, rank, now},
                    VirtualArrival(tables.options.queueing, request, rank, now));
 }
--- a/source/core/policy/scheduler_tables.h
+++ b/source/core/policy/scheduler_tables.h
@@ -12,11 +12,11 @@
 #include "policy/endpoint_table.h"
 #include "policy/link_budget.h"
 #include "policy/options.h"
+#include "policy/organisation_table.h"
 #include "policy/quarantine.h"
 #include "policy/retry_budget.h"
 #include "policy/routing.h"
 #include "policy/target_table.h"
-#include "policy/tenant_table.h"
 #include "policy/types.h"
 
 namespace daisywind::policy {
@@ -42,7 +42,7 @@
   random_source random;
   endpoint_table endpoints;
   target_table targets;
-  tenant_table tenants;
+  organisation_table organisations;
   cache_view cache;
   link_budget link;
   retry_budget retries;
@@ -56,9 +56,9 @@
   std::uint64_t retried = 0;
 };
 
-// Refuses a call that must not wait: quarantined, over its tenant's rates,
-// without an endpoint, or too late to be served in time.
-// Takes note of the number of gateways that share endpoints and links.
+// Refuses a call that must not wait: quarantined, over its organisation's
+// rates, without an endpoint, or too late to be served in time. Takes note of
+// the number of gateways that share endpoints and links.
 auto SetGateways(scheduler_tables& tables, std::uint32_t gateways) -> void;
 
 auto CheckEnqueue(scheduler_tables& tables,
--- a/source/core/policy/types.h
+++ b/source/core/policy/types.h
@@ -77,7 +77,7 @@
 struct call_request {
   call_ref call = 0;
   program_id program;
-  tenant_id tenant;
+  organisation_id organisation;
   class_id call_class;
   endpoint_kind kind = endpoint_kind::kEngine;
   // The model's or the service's name.
@@ -161,16 +161,17 @@
   auto operator<=>(const token_usage&) const = default;
 };
 
-// A tenant's part of the fleet and its limits. A rate of zero means no limit.
-struct tenant_policy {
-  tenant_id id;
+// An organisation's part of the fleet and its limits. A rate of zero means no
+// limit.
+struct organisation_policy {
+  organisation_id id;
   double share = 1.0;
-  // A lower rank goes first within the tenant.
+  // A lower rank goes first within the organisation.
   std::map<class_id, std::int32_t> class_ranks;
   double tokens_per_second = 0.0;
   double calls_per_second = 0.0;
 
-  auto operator<=>(const tenant_policy&) const = default;
+  auto operator<=>(const organisation_policy&) const = default;
 };
 
 // The least number of serving endpoints of a model or service.
--- a/source/core/program/attempts.cc
+++ b/source/core/program/attempts.cc
@@ -25,7 +25,7 @@
   start.endpoint = call.endpoint;
   start.fence = copy.replicas.epoch;
   start.call = call.request;
-  start.tenant = copy.state.tenant;
+  start.organisation = copy.state.organisation;
   start.service_class = copy.state.service_class;
   start.is_resume = call.is_resuming;
   start.offset = call.is_resuming ? call.text.size() : 0;
@@ -202,7 +202,7 @@
   call.phase = live_phase::kWaitingForEndpoint;
   auto ask = acquire_endpoint{};
   ask.call = CallName(copy, key);
-  ask.tenant = copy.state.tenant;
+  ask.organisation = copy.state.organisation;
   ask.service_class = copy.state.service_class;
   ask.kind = request.kind;
   ask.target = request.target;
--- a/source/core/program/calls.cc
+++ b/source/core/program/calls.cc
@@ -314,8 +314,8 @@
   const auto refuse = [&](outcome result, refusal_reason reason) {
     SendProblem(tables, *copy, from, item.request, MakeProblem(result, reason));
   };
-  if (copy->state.tenant != item.tenant) {
-    refuse(outcome::kNotRun, refusal_reason::kWrongTenant);
+  if (copy->state.organisation != item.organisation) {
+    refuse(outcome::kNotRun, refusal_reason::kWrongOrganisation);
     return;
   }
   if (!IsWellFormed(item.call)) {
--- a/source/core/program/commands.h
+++ b/source/core/program/commands.h
@@ -23,7 +23,7 @@
 // endpoint_refused.
 struct acquire_endpoint {
   call_ref call;
-  tenant_id tenant;
+  organisation_id organisation;
   class_id service_class;
   call_kind kind = call_kind::kChat;
   std::string target;
@@ -60,7 +60,7 @@
   // Grows with each owner of the program; for endpoints that check it.
   epoch_number fence = 0;
   call_request call;
-  tenant_id tenant;
+  organisation_id organisation;
   class_id service_class;
   bool is_resume = false;
   // Bytes of answer text already had, for a resume.
--- a/source/core/program/entry.cc
+++ b/source/core/program/entry.cc
@@ -38,14 +38,15 @@
   item.next_resend = tables.now + tables.options.resend_after;
   if (item.kind == entry_kind::kControl) {
     Send(tables, item.target,
-         forward_control{item.request, item.handle, item.tenant, item.action,
-                         item.branch, item.parent, item.is_owner_silent});
+         forward_control{item.request, item.handle, item.organisation,
+                         item.action, item.branch, item.parent,
+                         item.is_owner_silent});
     return;
   }
   auto message = forward_call{};
   message.request = item.request;
   message.handle = item.handle;
-  message.tenant = item.tenant;
+  message.organisation = item.organisation;
   message.call = item.call;
   message.call.offset = item.offset;
   message.delivered = MakePayload(item.delivered);
@@ -87,7 +88,7 @@
   auto end = control_arrived{};
   end.request = kInternalRequest | request;
   end.handle = item.handle;
-  end.tenant = item.tenant;
+  end.organisation = item.organisation;
   end.action = control_action::kEnd;
   OnControlArrived(tables, end);
 }
@@ -121,7 +122,7 @@
   if (!IsInternal(item.request)) {
     auto view = program_view{};
     view.handle = item.handle;
-    view.tenant = item.tenant;
+    view.organisation = item.organisation;
     view.is_ended = true;
     tables.out.emplace_back(control_done{item.request, view});
   }
@@ -230,7 +231,7 @@
   request.request = item.request;
   request.kind = entry_kind::kCall;
   request.handle = item.handle;
-  request.tenant = item.tenant;
+  request.organisation = item.organisation;
   request.call = item.call;
   request.offset = item.call.offset;
   if (item.handle.program != program_id{}) {
@@ -241,7 +242,7 @@
   request.arrived = tables.now;
   request.silent_since = tables.now;
   tables.requests[item.request] = std::move(request);
-  OpenProgram(tables, open_program{item.request, item.tenant,
+  OpenProgram(tables, open_program{item.request, item.organisation,
                                    item.service_class, item.limits});
 }
 
@@ -256,7 +257,7 @@
   request.request = item.request;
   request.kind = entry_kind::kControl;
   request.handle = item.handle;
-  request.tenant = item.tenant;
+  request.organisation = item.organisation;
   request.action = item.action;
   request.branch = item.branch;
   request.parent = item.parent;
--- a/source/core/program/events.h
+++ b/source/core/program/events.h
@@ -15,17 +15,17 @@
 // A caller opens a program. Answered by control_done or reply_problem.
 struct open_program {
   request_id request = 0;
-  tenant_id tenant;
+  organisation_id organisation;
   class_id service_class;
   budget limits;
 };
 
-// A caller makes a call; the tenant's key has been checked. An empty handle
-// opens a program of one call, which ends with its answer.
+// A caller makes a call; the organisation's key has been checked. An empty
+// handle opens a program of one call, which ends with its answer.
 struct call_arrived {
   request_id request = 0;
   program_handle handle;
-  tenant_id tenant;
+  organisation_id organisation;
   call_request call;
   // For an empty handle only.
   class_id service_class;
@@ -37,7 +37,7 @@
 struct control_arrived {
   request_id request = 0;
   program_handle handle;
-  tenant_id tenant;
+  organisation_id organisation;
   control_action action = control_action::kQuery;
   branch_id branch;
   branch_id parent;
--- a/source/core/program/lifecycle.cc
+++ b/source/core/program/lifecycle.cc
@@ -291,7 +291,7 @@
   }
   auto copy = program_copy{};
   copy.state.id = program_id{tables.random.Next(), tables.random.Next()};
-  copy.state.tenant = item.tenant;
+  copy.state.organisation = item.organisation;
   copy.state.service_class = item.service_class;
   copy.state.limits = item.limits;
   copy.state.limits.calls =
@@ -325,8 +325,9 @@
                     item.is_owner_silent);
     return;
   }
-  if (copy->state.tenant != item.tenant) {
-    RefuseControl(tables, *copy, from, item, refusal_reason::kWrongTenant);
+  if (copy->state.organisation != item.organisation) {
+    RefuseControl(tables, *copy, from, item,
+                  refusal_reason::kWrongOrganisation);
     return;
   }
   Send(tables, from, forward_accepted{item.request, copy->replicas});
--- a/source/core/program/messages.h
+++ b/source/core/program/messages.h
@@ -22,7 +22,7 @@
 struct forward_call {
   request_id request = 0;
   program_handle handle;
-  tenant_id tenant;
+  organisation_id organisation;
   call_request call;
   payload delivered;
   // The sender has tried the owner and got no reply.
@@ -33,7 +33,7 @@
 struct forward_control {
   request_id request = 0;
   program_handle handle;
-  tenant_id tenant;
+  organisation_id organisation;
   control_action action = control_action::kQuery;
   branch_id branch;
   branch_id parent;
--- a/source/core/program/program_state.h
+++ b/source/core/program/program_state.h
@@ -65,7 +65,7 @@
 // All that the owner and the witness both keep of a program.
 struct program_state {
   program_id id;
-  tenant_id tenant;
+  organisation_id organisation;
   class_id service_class;
   budget limits;
   budget used;
--- a/source/core/program/tables.cc
+++ b/source/core/program/tables.cc
@@ -68,7 +68,7 @@
     -> program_view {
   auto view = program_view{};
   view.handle = HandleOf(copy);
-  view.tenant = copy.state.tenant;
+  view.organisation = copy.state.organisation;
   view.service_class = copy.state.service_class;
   view.limits = copy.state.limits;
   view.used = copy.state.used;
--- a/source/core/program/tables.h
+++ b/source/core/program/tables.h
@@ -182,7 +182,7 @@
   request_id request = 0;
   entry_kind kind = entry_kind::kCall;
   program_handle handle;
-  tenant_id tenant;
+  organisation_id organisation;
   call_request call;
   control_action action = control_action::kQuery;
   branch_id branch;
--- a/source/core/program/types.cc
+++ b/source/core/program/types.cc
@@ -22,7 +22,7 @@
 
 constexpr auto kReasons = std::to_array<reason_row>({
     {refusal_reason::kBadRequest, 400, "bad_request"},
-    {refusal_reason::kWrongTenant, 403, "wrong_tenant"},
+    {refusal_reason::kWrongOrganisation, 403, "wrong_organisation"},
     {refusal_reason::kProgramNotFound, 404, "program_not_found"},
     {refusal_reason::kProgramEnded, 410, "program_ended"},
     {refusal_reason::kProgramLost, 410, "program_lost"},
--- a/source/core/program/types.h
+++ b/source/core/program/types.h
@@ -94,7 +94,7 @@
 // Why a request is refused.
 enum class refusal_reason : std::uint8_t {
   kBadRequest,
-  kWrongTenant,
+  kWrongOrganisation,
   kProgramNotFound,
   kProgramEnded,
   kProgramLost,
@@ -251,7 +251,7 @@
 // Public state of a program.
 struct program_view {
   program_handle handle;
-  tenant_id tenant;
+  organisation_id organisation;
   class_id service_class;
   budget limits;
   budget used;
--- a/source/core/program_wire/fields.h
+++ b/source/core/program_wire/fields.h
@@ -159,7 +159,7 @@
             domain_of<Direction, program_state>& value,
             fbs::ProgramStateT& object) -> void {
   copy.Object(value.id, object.id);
-  copy.Name(value.tenant, object.tenant);
+  copy.Name(value.organisation, object.organisation);
   copy.Name(value.service_class, object.service_class);
   copy.Object(value.limits, object.limits);
   copy.Object(value.used, object.used);
@@ -319,7 +319,7 @@
             domain_of<Direction, program_view>& value,
             fbs::ProgramViewT& object) -> void {
   copy.Object(value.handle, object.handle);
-  copy.Name(value.tenant, object.tenant);
+  copy.Name(value.organisation, object.organisation);
   copy.Name(value.service_class, object.service_class);
   copy.Object(value.limits, object.limits);
   copy.Object(value.used, object.used);
@@ -342,7 +342,7 @@
             fbs::ForwardCallT& object) -> void {
   copy.Number(value.request, object.request);
   copy.Object(value.handle, object.handle);
-  copy.Name(value.tenant, object.tenant);
+  copy.Name(value.organisation, object.organisation);
   copy.Object(value.call, object.call);
   copy.Bytes(value.delivered, object.delivered);
   copy.Number(value.is_owner_silent, object.is_owner_silent);
@@ -354,7 +354,7 @@
             fbs::ForwardControlT& object) -> void {
   copy.Number(value.request, object.request);
   copy.Object(value.handle, object.handle);
-  copy.Name(value.tenant, object.tenant);
+  copy.Name(value.organisation, object.organisation);
   copy.Enumerator(value.action, object.action, control_action::kQuery);
   copy.Name(value.branch, object.branch);
   copy.Name(value.parent, object.parent);
--- a/source/daisywind_load/run_command.cc
+++ b/source/daisywind_load/run_command.cc
@@ -22,9 +22,9 @@
   auto add = declared.add_options();
   add("gateways", "IP:PORT of the gateways' caller addresses, with commas",
       cxxopts::value<std::vector<std::string>>());
-  add("tenant", "name of the tenant in the report",
+  add("organisation", "name of the organisation in the report",
       cxxopts::value<std::string>()->default_value("choclo"));
-  add("key", "the tenant's key", cxxopts::value<std::string>());
+  add("key", "the organisation's key", cxxopts::value<std::string>());
   add("deployment", "choclo or inzira",
       cxxopts::value<std::string>()->default_value("choclo"));
   add("programs", "number of programs",
@@ -75,7 +75,7 @@
   }
   auto options = load_options{};
   options.gateways = std::move(*gateways);
-  options.tenant = parsed["tenant"].as<std::string>();
+  options.organisation = parsed["organisation"].as<std::string>();
   options.where = FindDeployment(parsed["deployment"].as<std::string>());
   options.seed = parsed["seed"].as<std::uint64_t>();
   options.plan.programs = parsed["programs"].as<std::size_t>();
--- a/source/unit_tests/configuration/sample_document.cc
+++ b/source/unit_tests/configuration/sample_document.cc
@@ -7,7 +7,7 @@
 auto SampleText() -> std::string {
   return R"({
   "failure_domains": {"cordoba-a": {"region": "cordoba"}},
-  "tenants": {
+  "organisations": {
     "choclo": {
       "key_digest": "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
       "share": 1.0,
--- a/source/unit_tests/gateway/site_fixture.cc
+++ b/source/unit_tests/gateway/site_fixture.cc
@@ -67,7 +67,7 @@
 auto site::Call(std::size_t node, net::http_request request)
     -> asio::awaitable<net::http_response> {
   request.headers.push_back(
-      {"Authorization", "Bearer " + std::string(kTenantKey)});
+      {"Authorization", "Bearer " + std::string(kOrganisationKey)});
   co_return co_await Tell(nodes_.at(node).caller_port, std::move(request));
 }
 
@@ -180,8 +180,8 @@
                                      {"capacity", 8},
                                      {"role", "serving"},
                                      {"services", json::array{"cart"}}};
-  const auto tenant = json::object{
-      {"key_digest", Sha256Hex(kTenantKey)},
+  const auto organisation = json::object{
+      {"key_digest", Sha256Hex(kOrganisationKey)},
       {"share", 1.0},
       {"classes", json::object{{"vendor", json::object{{"rank", 0}}},
                                {"customer", json::object{{"rank", 1}}}}}};
@@ -190,7 +190,7 @@
        json::object{{"cordoba-a", json::object{{"region", "cordoba"}}},
                     {"cordoba-b", json::object{{"region", "cordoba"}}},
                     {"rosario-a", json::object{{"region", "rosario"}}}}},
-      {"tenants", json::object{{"choclo", tenant}}},
+      {"organisations", json::object{{"choclo", organisation}}},
       {"models", json::object{{"agent", json::object{{"version", "1"}}}}},
       {"adapters", json::object{}},
       {"services", json::object{{"cart", json::object{{"lookup", false}}}}},
--- a/source/unit_tests/gateway/site_fixture.h
+++ b/source/unit_tests/gateway/site_fixture.h
@@ -18,7 +18,7 @@
 
 namespace daisywind::gateway {
 
-inline constexpr std::string_view kTenantKey = "tenant-key";
+inline constexpr std::string_view kOrganisationKey = "organisation-key";
 inline constexpr std::string_view kOperatorKey = "operator-key";
 
 // One running node and its ports.
@@ -36,7 +36,7 @@
   // Runs the context until the work is done.
   auto Run(std::function<boost::asio::awaitable<void>()> work) -> void;
 
-  // Sends a request of the tenant to a node.
+  // Sends a request of the organisation to a node.
   auto Call(std::size_t node, net::http_request request)
       -> boost::asio::awaitable<net::http_response>;
 
--- a/tools/daisywind_fleet.py
+++ b/tools/daisywind_fleet.py
@@ -18,7 +18,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BIN = ROOT / "build" / "release" / "bin"
 
-TENANT_KEY = "demo-tenant-key"
+ORGANISATION_KEY = "demo-organisation-key"
 OPERATOR_KEY = "demo-operator-key"
 
 # Below the range that the system takes for outgoing connections.
@@ -170,9 +170,9 @@
             if self.is_new(name):
                 item["role"] = "empty"
         self.configuration["need"] = self.move["need"]
-        tenant = self.configuration["tenants"][self.deployment]
-        tenant["key_digest"] = digest(TENANT_KEY)
-        tenant["limits"] = {"tokens_per_second": 1000000,
+        organisation = self.configuration["organisations"][self.deployment]
+        organisation["key_digest"] = digest(ORGANISATION_KEY)
+        organisation["limits"] = {"tokens_per_second": 1000000,
                             "calls_per_second": 2000}
 
     def start_endpoint(self, name, item):
@@ -230,7 +230,7 @@
         process = self.processes.start(
             "load", BIN / "daisywind-load", "run", "--gateways",
             ",".join(item["callers"] for item in self.gateways.values()),
-            "--tenant", self.deployment, "--key", TENANT_KEY,
+            "--organisation", self.deployment, "--key", ORGANISATION_KEY,
             "--deployment", self.deployment, "--programs", programs,
             "--seed", seed, "--rate", rate, "--time-scale", TIME_SCALE,
             "--report", report)
