--- a/source/core/history/view.cc
+++ b/source/core/history/view.cc
@@ -28,12 +28,11 @@
 // Complete members other than the one of a seat.
 auto CompleteBeside(const join_inputs& inputs, const vm_id& seat)
     -> std::size_t {
-  return static_cast<std::size_t>(
-      std::count_if(inputs.current.members.begin(),
-                    inputs.current.members.end(), [&](const member& item) {
-                      return item.vm != seat &&
-                             Contains(inputs.complete, item.vm);
-                    }));
+  return static_cast<std::size_t>(std::count_if(
+      inputs.current.members.begin(), inputs.current.members.end(),
+      [&](const member& item) {
+        return item.vm != seat && Contains(inputs.complete, item.vm);
+      }));
 }
 
 }  // namespace
--- a/source/core/history/view.h
+++ b/source/core/history/view.h
@@ -68,9 +68,9 @@
 auto SourcesNeeded(std::size_t members, std::size_t tolerated) -> std::size_t;
 
 // The view in which the VM has a seat, or nothing when there is none for it or
-// it has it already. A changed address of a member counts as a change. A seat of
-// another VM, or a further one, is taken only if the copy can be made at once: a
-// view with too few complete copies could never make more.
+// it has it already. A changed address of a member counts as a change. A seat
+// of another VM, or a further one, is taken only if the copy can be made at
+// once: a view with too few complete copies could never make more.
 auto ViewWithSelf(const join_inputs& inputs) -> std::optional<view>;
 
 // The view without one member, or nothing when it is none or when fewer disks
--- a/source/testing/fake_store.cc
+++ b/source/testing/fake_store.cc
@@ -102,9 +102,8 @@
     }
     const auto timer =
         std::make_shared<asio::steady_timer>(changed_.get_executor(), until);
-    changed_.async_wait([timer](const boost::system::error_code&) {
-      timer->cancel();
-    });
+    changed_.async_wait(
+        [timer](const boost::system::error_code&) { timer->cancel(); });
     co_await timer->async_wait(asio::as_tuple(asio::use_awaitable));
   }
 }
--- a/source/testing/fake_store.h
+++ b/source/testing/fake_store.h
@@ -18,9 +18,8 @@
  public:
   explicit fake_store(boost::asio::io_context& context);
 
-  auto Read(std::string key)
-      -> boost::asio::awaitable<
-          kv::store_result<std::optional<kv::key_value>>> override;
+  auto Read(std::string key) -> boost::asio::awaitable<
+      kv::store_result<std::optional<kv::key_value>>> override;
   auto List(std::string prefix)
       -> boost::asio::awaitable<kv::store_result<kv::listing>> override;
   auto Write(kv::txn_request request)
--- a/source/unit_tests/dispatch/endpoint_table_test.cc
+++ b/source/unit_tests/dispatch/endpoint_table_test.cc
@@ -115,12 +115,10 @@
   const auto id = endpoint_id("a");
   table.Put(Endpoint("a"), kStart);
   table.OnPromptRead(id, {{prompt_part_id("y"), 10}});
-  CHECK(table.MissingTokens(
-            id, {{prompt_part_id("x"), 100}, {prompt_part_id("y"), 10}}) ==
-        110);
-  CHECK(table.MissingTokens(
-            id, {{prompt_part_id("y"), 10}, {prompt_part_id("x"), 100}}) ==
-        100);
+  CHECK(table.MissingTokens(id, {{prompt_part_id("x"), 100},
+                                 {prompt_part_id("y"), 10}}) == 110);
+  CHECK(table.MissingTokens(id, {{prompt_part_id("y"), 10},
+                                 {prompt_part_id("x"), 100}}) == 100);
 }
 
 TEST_CASE("the parts that were used longest ago are forgotten first") {
--- a/source/unit_tests/front/directory_test.cc
+++ b/source/unit_tests/front/directory_test.cc
@@ -26,8 +26,8 @@
     return known.endpoints().Find(endpoint_id(id)) != nullptr;
   }
 
-  auto Item(const std::string& key, const std::string& value,
-            kv::revision at) -> kv::key_value {
+  auto Item(const std::string& key, const std::string& value, kv::revision at)
+      -> kv::key_value {
     return {key, value, at, at};
   }
 
@@ -55,7 +55,8 @@
   CHECK_FALSE(Has("a"));
 }
 
-TEST_CASE_FIXTURE(fixture, "a configuration is never replaced by an older one") {
+TEST_CASE_FIXTURE(fixture,
+                  "a configuration is never replaced by an older one") {
   store.Put("configuration", "5");
   Run();
   store.Put("configuration", "4");
@@ -74,7 +75,8 @@
   CHECK(Has("b"));
 }
 
-TEST_CASE_FIXTURE(fixture, "what is known stays in use while the store is away") {
+TEST_CASE_FIXTURE(fixture,
+                  "what is known stays in use while the store is away") {
   store.Put("configuration", "3");
   store.Put("endpoints/a", "127.0.0.1:1");
   Run();
@@ -114,9 +116,9 @@
 TEST_CASE_FIXTURE(fixture, "another VM's copy is taken if it is newer") {
   store.SetDown(true);
   Run();
-  known.Absorb({7,
-                {Item("configuration", "3", 5),
-                 Item("endpoints/a", "127.0.0.1:1", 6)}});
+  known.Absorb(
+      {7,
+       {Item("configuration", "3", 5), Item("endpoints/a", "127.0.0.1:1", 6)}});
   CHECK(known.routes().version() == 3);
   CHECK(Has("a"));
   known.Absorb({6, {Item("configuration", "9", 6)}});
--- a/source/unit_tests/front/test_site.cc
+++ b/source/unit_tests/front/test_site.cc
@@ -87,7 +87,8 @@
 auto test_codec::ReadConfiguration(std::string_view value) const
     -> std::optional<dispatch::configuration> {
   auto to = dispatch::configuration{};
-  to.version = static_cast<version_number>(std::atoi(std::string(value).c_str()));
+  to.version =
+      static_cast<version_number>(std::atoi(std::string(value).c_str()));
   to.routes = {Route("/once/", route_kind::kOnce),
                Route("/again/", route_kind::kIdempotent),
                Route("/stream/", route_kind::kStream)};
@@ -125,8 +126,8 @@
       },
       [] { return false; });
   REQUIRE(is_read);
-  node_ = std::make_unique<front_node>(
-      context, values, adapters{dialect_, codec_, store});
+  node_ = std::make_unique<front_node>(context, values,
+                                       adapters{dialect_, codec_, store});
   REQUIRE(node_->Start());
   client_ = std::make_unique<net::http_client>(context);
 }
@@ -164,13 +165,12 @@
   request.headers = {{"Host", "h"}, {"Id", id}};
   auto options = net::http_options{};
   options.resend_on_stale = false;
-  asio::co_spawn(
-      context,
-      client_->Send({"127.0.0.1", static_cast<std::uint16_t>(port_)},
-                    std::move(request), std::move(options)),
-      [&](const std::exception_ptr&, net::http_result answer) {
-        result = std::move(answer);
-      });
+  asio::co_spawn(context,
+                 client_->Send({"127.0.0.1", static_cast<std::uint16_t>(port_)},
+                               std::move(request), std::move(options)),
+                 [&](const std::exception_ptr&, net::http_result answer) {
+                   result = std::move(answer);
+                 });
   REQUIRE(Until([&] { return result.has_value(); }));
   return std::move(*result);
 }
--- a/source/unit_tests/front/test_site.h
+++ b/source/unit_tests/front/test_site.h
@@ -70,8 +70,7 @@
   auto Configure() -> void;
 
   // Sends a request as a caller. `kind` is "once", "again" or "stream".
-  auto Send(const std::string& kind, const std::string& id)
-      -> net::http_result;
+  auto Send(const std::string& kind, const std::string& id) -> net::http_result;
 
   // Runs until the condition holds or the test's patience is over.
   auto Until(const std::function<bool()>& condition) -> bool;
--- a/source/unit_tests/history/fact_table_test.cc
+++ b/source/unit_tests/history/fact_table_test.cc
@@ -50,8 +50,8 @@
   table.Apply(Whole("p", "t2", ""));
   table.Apply(Reserved("q", "t3", 70));
   const auto list = table.Spending(program_name("p"));
-  CHECK(list == std::vector<spending>{{turn_id("t1"), 50},
-                                      {turn_id("t2"), 20}});
+  CHECK(list ==
+        std::vector<spending>{{turn_id("t1"), 50}, {turn_id("t2"), 20}});
 }
 
 TEST_CASE("a chain runs from its oldest turn to the newest") {
@@ -104,7 +104,8 @@
   CHECK(table.OfHashes(after).front().content.has_value());
 }
 
-TEST_CASE("facts of similar names in different states have hashes of their own") {
+TEST_CASE(
+    "facts of similar names in different states have hashes of their own") {
   auto hashes = std::set<fact_hash>{};
   auto table = fact_table{};
   for (auto i = 0; i < 1000; ++i) {
--- a/source/unit_tests/history/faults_test.cc
+++ b/source/unit_tests/history/faults_test.cc
@@ -102,19 +102,18 @@
   // The part of the tolerated loss that is in use: members of the view that are
   // down, cut off or not complete.
   auto Lost() -> std::size_t {
-    return static_cast<std::size_t>(std::count_if(
-        stored_.members.begin(), stored_.members.end(),
-        [&](const member& item) {
-          const auto& vm = Vm(item.vm);
-          return !vm.state || vm.is_cut || vm.self != item ||
-                 !vm.state->IsComplete();
-        }));
+    return static_cast<std::size_t>(
+        std::count_if(stored_.members.begin(), stored_.members.end(),
+                      [&](const member& item) {
+                        const auto& vm = Vm(item.vm);
+                        return !vm.state || vm.is_cut || vm.self != item ||
+                               !vm.state->IsComplete();
+                      }));
   }
 
   auto Vm(const vm_id& id) -> journal& {
-    return *std::find_if(vms_.begin(), vms_.end(), [&](const journal& vm) {
-      return vm.self.vm == id;
-    });
+    return *std::find_if(vms_.begin(), vms_.end(),
+                         [&](const journal& vm) { return vm.self.vm == id; });
   }
 
   auto KillOrStart() -> void {
@@ -240,8 +239,8 @@
     stored_ = *next;
     vm.state->Adopt(stored_);
     // The VM hands over what is on too few others before it is done.
-    auto lists = std::vector<std::vector<fact_hash>>{
-        vm.state->facts().Hashes()};
+    auto lists =
+        std::vector<std::vector<fact_hash>>{vm.state->facts().Hashes()};
     for (const auto& item : stored_.members) {
       Vm(item.vm).state->Adopt(stored_);
       lists.push_back(Vm(item.vm).state->facts().Hashes());
@@ -249,8 +248,7 @@
     const auto missing = UnderReplicated(lists, kTolerated + 2);
     for (const auto& item : stored_.members) {
       auto& to = Vm(item.vm);
-      const auto fresh =
-          to.state->TakeIn(vm.state->facts().OfHashes(missing));
+      const auto fresh = to.state->TakeIn(vm.state->facts().OfHashes(missing));
       to.disk.insert(to.disk.end(), fresh.begin(), fresh.end());
     }
     const auto index = static_cast<std::size_t>(&vm - vms_.data());
@@ -307,8 +305,7 @@
     if (random_.Below(3) == 0) {
       known_ = stored_;
     }
-    const auto program =
-        program_name("p" + std::to_string(random_.Below(3)));
+    const auto program = program_name("p" + std::to_string(random_.Below(3)));
     const auto turn = turn_id("t" + std::to_string(++turns_));
     auto parent = turn_id{};
     auto& mine = acknowledged_[program];
@@ -319,8 +316,8 @@
     const auto sizes = QuorumSizes(asked_in, kTolerated);
     auto budget = budget_decision(turn, kReserved, kBudget, sizes);
     for (const auto& item : asked_in.members) {
-      auto reply = Ask(item, begin_request{program, turn, parent, kReserved,
-                                           false});
+      auto reply =
+          Ask(item, begin_request{program, turn, parent, kReserved, false});
       if (reply && known_.number == asked_in.number) {
         const auto& begun = std::get<begin_reply>(*reply);
         budget.Add(item.vm, begun.is_complete, begun.spent);
@@ -331,7 +328,8 @@
     }
     CheckParent(parent);
     // Tokens leave as they come, whether or not the turn becomes whole.
-    const auto tokens = static_cast<std::uint32_t>(random_.Below(kReserved + 1));
+    const auto tokens =
+        static_cast<std::uint32_t>(random_.Below(kReserved + 1));
     handed_out_[program] += tokens;
     if (random_.Below(6) == 0) {
       return;
--- a/source/unit_tests/history/quorum_test.cc
+++ b/source/unit_tests/history/quorum_test.cc
@@ -75,8 +75,9 @@
 TEST_CASE("a chain is put together where no member has all of it") {
   auto decision = chain_decision(turn_id("t3"), kSizes);
   decision.Add(vm_id("c"), true, {chain_state::kMissing, turn_id("t3"), {}});
-  decision.Add(vm_id("a"), true,
-               {chain_state::kMissing, turn_id("t1"), {Turn("t2"), Turn("t3")}});
+  decision.Add(
+      vm_id("a"), true,
+      {chain_state::kMissing, turn_id("t1"), {Turn("t2"), Turn("t3")}});
   CHECK(decision.state() == decision_state::kOpen);
   CHECK(decision.target() == turn_id("t1"));
   decision.Add(vm_id("b"), true, {chain_state::kWhole, {}, {Turn("t1")}});
--- a/source/unit_tests/history/view_test.cc
+++ b/source/unit_tests/history/view_test.cc
@@ -10,8 +10,7 @@
           failure_domain_id("d"), region_id("r")};
 }
 
-const auto kAll =
-    std::vector<vm_id>{vm_id("a"), vm_id("b"), vm_id("c")};
+const auto kAll = std::vector<vm_id>{vm_id("a"), vm_id("b"), vm_id("c")};
 
 auto Three() -> view {
   return {7, {Member("a", "1"), Member("b", "2"), Member("c", "3")}};
@@ -59,16 +58,20 @@
 }
 
 TEST_CASE("a VM that stands by takes the seat of an unreachable member") {
-  const auto next =
-      ViewWithSelf({Three(), Member("d", "4"), 1, {vm_id("c")}, {}, {vm_id("a"), vm_id("b")}});
+  const auto next = ViewWithSelf({Three(),
+                                  Member("d", "4"),
+                                  1,
+                                  {vm_id("c")},
+                                  {},
+                                  {vm_id("a"), vm_id("b")}});
   REQUIRE(next);
   CHECK(next->Find(vm_id("c")) == nullptr);
   CHECK(next->Find(vm_id("d")) != nullptr);
 }
 
 TEST_CASE("a retiring member's seat goes before an unreachable one's") {
-  const auto next =
-      ViewWithSelf({Three(), Member("d", "4"), 1, {vm_id("c")}, {vm_id("a")}, kAll});
+  const auto next = ViewWithSelf(
+      {Three(), Member("d", "4"), 1, {vm_id("c")}, {vm_id("a")}, kAll});
   REQUIRE(next);
   CHECK(next->Find(vm_id("a")) == nullptr);
   CHECK(next->Find(vm_id("c")) != nullptr);
@@ -76,7 +79,11 @@
 
 TEST_CASE("no seat of another is taken while too few copies are complete") {
   // A view of incomplete copies could make no complete one any more.
-  CHECK_FALSE(ViewWithSelf({Three(), Member("d", "4"), 1, {vm_id("c")}, {},
+  CHECK_FALSE(ViewWithSelf({Three(),
+                            Member("d", "4"),
+                            1,
+                            {vm_id("c")},
+                            {},
                             {vm_id("a"), vm_id("c")}}));
 }
 
--- a/source/unit_tests/history_wire/view_json_test.cc
+++ b/source/unit_tests/history_wire/view_json_test.cc
@@ -6,10 +6,9 @@
 namespace {
 
 TEST_CASE("a view is read as it was written") {
-  const auto sent =
-      view{3,
-           {{vm_id("a"), disk_id("1"), "10.0.0.1:7380", failure_domain_id("d"),
-             region_id("r")}}};
+  const auto sent = view{3,
+                         {{vm_id("a"), disk_id("1"), "10.0.0.1:7380",
+                           failure_domain_id("d"), region_id("r")}}};
   CHECK(ParseView(RenderView(sent)) == sent);
 }
 
--- a/source/unit_tests/journal/disk_log_test.cc
+++ b/source/unit_tests/journal/disk_log_test.cc
@@ -161,7 +161,8 @@
     CHECK(is_durable);
     is_done = true;
   });
-  auto timer = boost::asio::steady_timer(context, std::chrono::milliseconds(250));
+  auto timer =
+      boost::asio::steady_timer(context, std::chrono::milliseconds(250));
   timer.async_wait([&](const boost::system::error_code&) {
     CHECK_FALSE(is_done);
     fs::rename(moved, folder.path());
