--- a/source/core/history_client/turn_keeper.cc
+++ b/source/core/history_client/turn_keeper.cc
@@ -276,7 +276,8 @@
         co_return result;
       }
     }
-    if (!asks->IsStale()) {
+    // A member may know that the view is stale before it knows the newer one.
+    if (!asks->IsStale() || view_.number == result.view) {
       auto pause = asio::steady_timer(context_, options_.retry_pause);
       co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
     }
@@ -319,6 +320,7 @@
   const auto until = steady::now() + patience;
   while (steady::now() < until) {
     const auto sizes = QuorumSizes(view_, options_.tolerated);
+    const auto asked_view = view_.number;
     auto copies = std::size_t{0};
     const auto asks = std::make_shared<round>(
         *this,
@@ -337,7 +339,7 @@
     if (copies >= sizes.write && !view_.members.empty()) {
       co_return true;
     }
-    if (!asks->IsStale()) {
+    if (!asks->IsStale() || view_.number == asked_view) {
       auto pause = asio::steady_timer(context_, options_.retry_pause);
       co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
     }
