--- a/source/core/common/settings.cc
+++ b/source/core/common/settings.cc
@@ -26,17 +26,21 @@
       return "an integer";
     case 2:
       return "a string";
+    case 4:
+      return "a number";
     default:
       return "a list of strings";
   }
 }
 
 auto Allowed(const setting_declaration& item) -> std::string {
-  if (!std::holds_alternative<std::int64_t>(item.fallback)) {
+  const auto has_range = std::holds_alternative<std::int64_t>(item.fallback) ||
+                         std::holds_alternative<double>(item.fallback);
+  if (!has_range) {
     return TypeName(item.fallback);
   }
-  return "an integer from " + std::to_string(item.minimum) + " to " +
-         std::to_string(item.maximum);
+  return TypeName(item.fallback) + " from " + std::to_string(item.minimum) +
+         " to " + std::to_string(item.maximum);
 }
 
 auto ReadList(const json::value& value) -> std::optional<setting_value> {
@@ -67,6 +71,17 @@
   return number;
 }
 
+auto ReadNumber(const setting_declaration& item, const json::value& value)
+    -> std::optional<setting_value> {
+  if (!value.is_number()) {
+    return std::nullopt;
+  }
+  const auto number = value.to_number<double>();
+  const auto is_in_range = number >= static_cast<double>(item.minimum) &&
+                           number <= static_cast<double>(item.maximum);
+  return is_in_range ? std::optional<setting_value>(number) : std::nullopt;
+}
+
 auto ReadValue(const setting_declaration& item, const json::value& value)
     -> std::optional<setting_value> {
   if (std::holds_alternative<bool>(item.fallback)) {
@@ -76,6 +91,9 @@
   if (std::holds_alternative<std::int64_t>(item.fallback)) {
     return ReadInteger(item, value);
   }
+  if (std::holds_alternative<double>(item.fallback)) {
+    return ReadNumber(item, value);
+  }
   if (std::holds_alternative<std::string>(item.fallback)) {
     return value.is_string()
                ? std::optional<setting_value>(std::string(value.get_string()))
@@ -114,6 +132,10 @@
   return Erase(item, item.fallback);
 }
 
+auto Declare(const number_setting& item) -> setting_declaration {
+  return Erase(item, item.fallback);
+}
+
 auto Declare(const string_setting& item) -> setting_declaration {
   return Erase(item, std::string(item.fallback));
 }
@@ -186,6 +208,10 @@
   return std::get<std::int64_t>(values_.at(std::string(item.key)));
 }
 
+auto settings::Get(const number_setting& item) const -> double {
+  return std::get<double>(values_.at(std::string(item.key)));
+}
+
 auto settings::Get(const string_setting& item) const -> std::string {
   return std::get<std::string>(values_.at(std::string(item.key)));
 }
--- a/source/core/common/settings.h
+++ b/source/core/common/settings.h
@@ -19,7 +19,7 @@
 
 using string_list = std::vector<std::string>;
 using setting_value =
-    std::variant<bool, std::int64_t, std::string, string_list>;
+    std::variant<bool, std::int64_t, std::string, string_list, double>;
 
 // Loaded into a failed leaf::result: one line that an operator can act on.
 struct settings_error {
@@ -48,6 +48,7 @@
 
 using bool_setting = setting<bool>;
 using integer_setting = setting<std::int64_t>;
+using number_setting = setting<double>;
 using string_setting = setting<std::string_view>;
 using list_setting = setting<std::string_view>;
 
@@ -67,6 +68,9 @@
 // Erases the type of an integral setting.
 auto Declare(const integer_setting& item) -> setting_declaration;
 
+// Erases the type of a setting that may have a fraction.
+auto Declare(const number_setting& item) -> setting_declaration;
+
 // Erases the type of a string setting.
 auto Declare(const string_setting& item) -> setting_declaration;
 
@@ -96,6 +100,7 @@
 
   [[nodiscard]] auto Get(const bool_setting& item) const -> bool;
   [[nodiscard]] auto Get(const integer_setting& item) const -> std::int64_t;
+  [[nodiscard]] auto Get(const number_setting& item) const -> double;
   [[nodiscard]] auto Get(const string_setting& item) const -> std::string;
   [[nodiscard]] auto GetList(const list_setting& item) const -> string_list;
 
--- /dev/null
+++ b/source/core/common/vm_settings.h
@@ -0,0 +1,27 @@
+// Settings that every server program on the users' platform has.
+#ifndef DAISYWIND_COMMON_VM_SETTINGS_H_
+#define DAISYWIND_COMMON_VM_SETTINGS_H_
+
+#include "common/settings.h"
+
+namespace daisywind::vm_settings {
+
+inline constexpr auto kVm =
+    string_setting{"vm", "", "name of this VM", 0, 0, true};
+inline constexpr auto kFailureDomain = string_setting{
+    "failure_domain", "", "failure domain of this VM", 0, 0, true};
+inline constexpr auto kRegion =
+    string_setting{"region", "", "region of this VM", 0, 0, true};
+inline constexpr auto kMetricsAddress = string_setting{
+    "listen.metrics", "", "address for metrics, as ip:port; empty for none"};
+inline constexpr auto kStoreAddress =
+    string_setting{"store.address", "", "the platform's store, as ip:port", 0,
+                   0, true};
+inline constexpr auto kToleratedLosses = integer_setting{
+    "tolerate.disks", 1, "disks that may be lost at once", 0, 5};
+inline constexpr auto kLogLevel = string_setting{
+    "log.level", "info", "least severity: debug, info, warning or error"};
+
+}  // namespace daisywind::vm_settings
+
+#endif  // DAISYWIND_COMMON_VM_SETTINGS_H_
--- a/source/core/front/directory.cc
+++ b/source/core/front/directory.cc
@@ -10,13 +10,6 @@
 #include "history_wire/view_json.h"
 
 namespace daisywind::front {
-namespace {
-
-// Key under which the journals keep their view.
-constexpr auto kViewKey = std::string_view("daisywind/view");
-
-}  // namespace
-
 directory::directory(boost::asio::io_context& context,
                      kv::store& store,
                      const directory_codec& codec,
@@ -128,7 +121,7 @@
     OnConfiguration(item);
   } else if (item.key.starts_with(codec_.endpoint_prefix())) {
     OnEndpoint(item, now);
-  } else if (item.key == kViewKey) {
+  } else if (item.key == history::kViewKey) {
     if (const auto newest = history::ParseView(item.value)) {
       handlers_.on_view(*newest);
     } else {
--- a/source/core/front/front_node.cc
+++ b/source/core/front/front_node.cc
@@ -86,7 +86,8 @@
       ready_address_(values.Get(kReadyAddress)),
       metrics_address_(values.Get(kMetricsAddress)),
       max_connections_(static_cast<std::size_t>(values.Get(kMaxConnections))),
-      grace_(std::chrono::milliseconds(values.Get(kGraceMs))),
+      grace_(std::chrono::duration_cast<duration>(
+          std::chrono::duration<double>(values.Get(kGraceSeconds)))),
       leave_(std::chrono::milliseconds(values.Get(kLeaveMs))) {}
 
 front_node::~front_node() = default;
--- a/source/core/front/front_settings.cc
+++ b/source/core/front/front_settings.cc
@@ -14,7 +14,7 @@
           DeclareList(kJournalSeeds),
           Declare(kToleratedLosses),
           Declare(kMaxConnections),
-          Declare(kGraceMs),
+          Declare(kGraceSeconds),
           Declare(kLeaveMs),
           Declare(kLogLevel)};
 }
--- a/source/core/history_wire/view_json.h
+++ b/source/core/history_wire/view_json.h
@@ -10,6 +10,9 @@
 
 namespace daisywind::history {
 
+// Key under which the store keeps the view.
+inline constexpr auto kViewKey = std::string_view("daisywind/view");
+
 auto RenderView(const view& from) -> std::string;
 
 // Returns nothing when the text is no view.
--- a/source/core/journal/disk_log.cc
+++ b/source/core/journal/disk_log.cc
@@ -288,7 +288,7 @@
   return load;
 }
 
-auto disk_log::Append(std::string record, append_handler handler) -> void {
+auto disk_log::Append(std::string_view record, append_handler handler) -> void {
   auto framed = Frame(record);
   const auto size = framed.size();
   if (state_->queued_bytes + size > state_->options.max_queued_bytes) {
--- a/source/core/journal/disk_log.h
+++ b/source/core/journal/disk_log.h
@@ -57,7 +57,7 @@
 
   // Queues a record. The handler hears false when the queue is full. A write
   // that the disk refuses is repeated until it succeeds.
-  auto Append(std::string record, append_handler handler) -> void;
+  auto Append(std::string_view record, append_handler handler) -> void;
 
   // The segment that the next record goes to, or a later one.
   [[nodiscard]] auto CurrentSegment() const -> segment_number;
--- a/source/core/journal/journal_node.cc
+++ b/source/core/journal/journal_node.cc
@@ -253,9 +253,9 @@
   if (facts.empty()) {
     facts.emplace_back();
   }
-  auto record = history::EncodeRecord({facts, 0, std::nullopt});
-  log_.Append(std::move(record), [this, facts = std::move(facts),
-                                  done = std::move(done)](bool is_durable) {
+  const auto record = history::EncodeRecord({facts, 0, std::nullopt});
+  log_.Append(record, [this, facts = std::move(facts),
+                       done = std::move(done)](bool is_durable) {
     if (!is_durable) {
       owed_.insert(owed_.end(), facts.begin(), facts.end());
     }
--- a/source/core/journal/journal_settings.h
+++ b/source/core/journal/journal_settings.h
@@ -5,15 +5,12 @@
 #include <cstdint>
 
 #include "common/settings.h"
+#include "common/vm_settings.h"
 
 namespace daisywind::journal {
 
-inline constexpr auto kVm =
-    string_setting{"vm", "", "name of this VM", 0, 0, true};
-inline constexpr auto kFailureDomain = string_setting{
-    "failure_domain", "", "failure domain of this VM", 0, 0, true};
-inline constexpr auto kRegion =
-    string_setting{"region", "", "region of this VM", 0, 0, true};
+using namespace vm_settings;  // NOLINT(google-global-names-in-headers)
+
 inline constexpr auto kListenAddress = string_setting{
     "listen.journal", "", "address for requests, as ip:port", 0, 0, true};
 inline constexpr auto kAdvertisedAddress = string_setting{
@@ -23,21 +20,13 @@
     "listen.seed", "",
     "address that other VMs know from their settings, as ip:port; empty for "
     "none"};
-inline constexpr auto kMetricsAddress = string_setting{
-    "listen.metrics", "", "address for metrics, as ip:port; empty for none"};
-inline constexpr auto kStoreAddress = string_setting{
-    "store.address", "", "the platform's store, as ip:port", 0, 0, true};
 inline constexpr auto kDataFolder = string_setting{
     "data.folder", "", "folder for records on this VM's disk", 0, 0, true};
-inline constexpr auto kToleratedLosses = integer_setting{
-    "tolerate.disks", 1, "disks that may be lost at once", 0, 5};
 // Facts are kept a good deal longer than the longest retention of a route, so
 // that no step of a wall clock makes them vanish early.
 inline constexpr auto kRetentionMs = integer_setting{
     "data.retention_ms", 150'000,
     "time that facts are kept after a program's last one", 1'000, 86'400'000};
-inline constexpr auto kLogLevel = string_setting{
-    "log.level", "info", "least severity: debug, info, warning or error"};
 
 // All settings of the journal.
 auto JournalSchema() -> settings_schema;
--- a/source/core/journal/seat_keeper.cc
+++ b/source/core/journal/seat_keeper.cc
@@ -67,7 +67,7 @@
 }
 
 auto seat_keeper::OnItem(const kv::key_value& item) -> void {
-  if (item.key == kViewKey) {
+  if (item.key == history::kViewKey) {
     OnViewItem(item);
   } else if (const auto vm = RetiringVm(item.key)) {
     retiring_.insert(*vm);
@@ -177,9 +177,9 @@
 
 auto seat_keeper::Write(history::view next) -> asio::awaitable<bool> {
   auto request = kv::txn_request{};
-  request.compares = {{std::string(kViewKey), revision_}};
-  request.success = {
-      kv::put_request{std::string(kViewKey), history::RenderView(next), 0}};
+  request.compares = {{std::string(history::kViewKey), revision_}};
+  request.success = {kv::put_request{std::string(history::kViewKey),
+                                     history::RenderView(next), 0}};
   const auto result = co_await store_.Write(std::move(request));
   const auto has_changed = result.value.value_or(false);
   Log(log_events::kSeatTaken,
@@ -189,7 +189,7 @@
        {"answered", result.value.has_value()},
        {"changed", has_changed}});
   // Whether a write without an answer was carried out shows in the key itself.
-  const auto read = co_await store_.Read(std::string(kViewKey));
+  const auto read = co_await store_.Read(std::string(history::kViewKey));
   if (read.value && *read.value) {
     OnViewItem(**read.value);
   }
--- a/source/core/journal/seat_keeper.h
+++ b/source/core/journal/seat_keeper.h
@@ -23,9 +23,6 @@
 
 class journal_node;
 
-// Key of the view in the platform's store.
-inline constexpr auto kViewKey = std::string_view("daisywind/view");
-
 // How the platform asks for the emptying of a VM and hears of it. The names are
 // the platform's, so the adapter gives them.
 struct retire_keys {
--- a/source/unit_tests/common/settings_test.cc
+++ b/source/unit_tests/common/settings_test.cc
@@ -11,12 +11,13 @@
 constexpr auto kPort =
     integer_setting{"listen.port", 8080, "port for callers", 1, 65535};
 constexpr auto kName = string_setting{"vm", "", "name of this VM", 0, 0, true};
+constexpr auto kBound = number_setting{"bound_s", 1.5, "a bound", 0, 10};
 constexpr auto kIsFast = bool_setting{"is_fast", false, "a switch"};
 constexpr auto kPeers = list_setting{"peers", "", "addresses of peers"};
 
 auto MakeSettings() -> settings {
-  return settings(
-      {Declare(kPort), Declare(kName), Declare(kIsFast), DeclareList(kPeers)});
+  return settings({Declare(kPort), Declare(kName), Declare(kBound),
+                   Declare(kIsFast), DeclareList(kPeers)});
 }
 
 auto ErrorOf(auto&& action) -> std::string {
@@ -46,6 +47,19 @@
   CHECK(values.GetList(kPeers) == string_list{"x"});
 }
 
+TEST_CASE("a number may be whole or have a fraction, within its range") {
+  auto values = MakeSettings();
+  CHECK(values.Get(kBound) == 1.5);
+  REQUIRE(values.AddText("a.json", R"({"bound_s":8})"));
+  CHECK(values.Get(kBound) == 8.0);
+  REQUIRE(values.AddText("b.json", R"({"bound_s":4.25})"));
+  CHECK(values.Get(kBound) == 4.25);
+  CHECK(ErrorOfText(R"({"bound_s":10.5})") ==
+        "a.json: bound_s: found 1.05E1, allowed is a number from 0 to 10");
+  CHECK(ErrorOfText(R"({"bound_s":"4"})") ==
+        "a.json: bound_s: found \"4\", allowed is a number from 0 to 10");
+}
+
 TEST_CASE("errors name the file, the key, what was found and what is allowed") {
   CHECK(ErrorOfText(R"({"listen":{"port":70000}})") ==
         "a.json: listen.port: found 70000, allowed is an integer from 1 to "
--- a/source/unit_tests/front/request_flow_test.cc
+++ b/source/unit_tests/front/request_flow_test.cc
@@ -140,6 +140,28 @@
   CHECK(runs == 1);
 }
 
+TEST_CASE("a caller that leaves ends its attempt and no other is begun") {
+  auto site = test_site();
+  auto runs = 0;
+  auto ended = 0;
+  const auto waiting =
+      [&](net::http_exchange& exchange) -> asio::awaitable<void> {
+    ++runs;
+    co_await exchange.WaitForClose();
+    ++ended;
+  };
+  site.AddEndpoint("a", waiting);
+  site.AddEndpoint("b", waiting);
+  site.Configure();
+  for (const auto* kind : {"again", "stream"}) {
+    runs = 0;
+    ended = 0;
+    site.SendAndLeave(kind, "r", [&] { return runs == 1; });
+    CHECK(site.Until([&] { return ended == 1; }));
+    CHECK(runs == 1);
+  }
+}
+
 TEST_CASE("an answer to another request is skipped") {
   auto site = test_site();
   auto runs = 0;
--- a/source/unit_tests/front/test_site.cc
+++ b/source/unit_tests/front/test_site.cc
@@ -156,18 +156,23 @@
   }));
 }
 
-auto test_site::Send(const std::string& kind, const std::string& id)
-    -> net::http_result {
-  auto result = std::optional<net::http_result>{};
+auto test_site::Request(const std::string& kind, const std::string& id)
+    -> net::http_request {
   auto request = net::http_request{};
   request.method = kind == "again" ? "GET" : "POST";
   request.target = "/" + kind + "/x";
   request.headers = {{"Host", "h"}, {"Id", id}};
+  return request;
+}
+
+auto test_site::Send(const std::string& kind, const std::string& id)
+    -> net::http_result {
+  auto result = std::optional<net::http_result>{};
   auto options = net::http_options{};
   options.resend_on_stale = false;
   asio::co_spawn(context,
                  client_->Send({"127.0.0.1", static_cast<std::uint16_t>(port_)},
-                               std::move(request), std::move(options)),
+                               Request(kind, id), std::move(options)),
                  [&](const std::exception_ptr&, net::http_result answer) {
                    result = std::move(answer);
                  });
@@ -175,6 +180,25 @@
   return std::move(*result);
 }
 
+auto test_site::SendAndLeave(const std::string& kind,
+                             const std::string& id,
+                             const std::function<bool()>& condition) -> void {
+  auto is_over = false;
+  auto options = net::http_options{};
+  options.resend_on_stale = false;
+  options.cancellation = std::make_shared<net::http_cancellation>();
+  const auto leave = options.cancellation;
+  asio::co_spawn(context,
+                 client_->Send({"127.0.0.1", static_cast<std::uint16_t>(port_)},
+                               Request(kind, id), std::move(options)),
+                 [&](const std::exception_ptr&, const net::http_result&) {
+                   is_over = true;
+                 });
+  REQUIRE(Until(condition));
+  leave->Cancel();
+  REQUIRE(Until([&] { return is_over; }));
+}
+
 auto test_site::Until(const std::function<bool()>& condition) -> bool {
   const auto end = std::chrono::steady_clock::now() + kPatience;
   while (!condition() && std::chrono::steady_clock::now() < end) {
--- a/source/unit_tests/front/test_site.h
+++ b/source/unit_tests/front/test_site.h
@@ -72,6 +72,11 @@
   // Sends a request as a caller. `kind` is "once", "again" or "stream".
   auto Send(const std::string& kind, const std::string& id) -> net::http_result;
 
+  // Sends a request as a caller that leaves once the condition holds.
+  auto SendAndLeave(const std::string& kind,
+                    const std::string& id,
+                    const std::function<bool()>& condition) -> void;
+
   // Runs until the condition holds or the test's patience is over.
   auto Until(const std::function<bool()>& condition) -> bool;
 
@@ -79,6 +84,9 @@
   testing::fake_store store;
 
  private:
+  [[nodiscard]] static auto Request(const std::string& kind,
+                                    const std::string& id) -> net::http_request;
+
   test_dialect dialect_;
   test_codec codec_;
   int port_ = 0;
--- a/source/unit_tests/journal/journal_node_test.cc
+++ b/source/unit_tests/journal/journal_node_test.cc
@@ -104,7 +104,7 @@
   }
 
   auto View() -> history::view {
-    return history::ParseView(store.Value(std::string(kViewKey)))
+    return history::ParseView(store.Value(std::string(history::kViewKey)))
         .value_or(history::view{});
   }
 
