--- a/source/core/front/turn_flow.cc
+++ b/source/core/front/turn_flow.cc
@@ -64,7 +64,7 @@
   const auto asked_at = Now();
   auto begun = co_await node_.turns().Begin(
       std::move(begin), std::min(kBeginPatience, TimeLeft()));
-  is_reserved_ = true;
+  is_reserved_ = begun.was_asked;
   Log(log_events::kTurnDecided,
       {{"request", std::string_view(call_.request_id)},
        {"program", std::string_view(call_.program)},
--- a/source/core/history_client/turn_keeper.cc
+++ b/source/core/history_client/turn_keeper.cc
@@ -249,6 +249,7 @@
           return begun->is_complete;
         },
         [&] { return budget.state() != decision_state::kOpen; });
+    result.was_asked = true;
     co_await asks->Run(std::max(sizes.write, sizes.read), until);
     asks->End();
     result.answers += asks->answers();
--- a/source/core/history_client/turn_keeper.h
+++ b/source/core/history_client/turn_keeper.h
@@ -64,7 +64,9 @@
   // The turns before this one, the oldest first.
   std::vector<turn_fact> chain;
   std::uint64_t spent_by_others = 0;
-  // What was asked in what time, for the log.
+  // Whether any member was asked, which may have reserved the turn.
+  bool was_asked = false;
+  // What the decision was based on, for the log.
   std::size_t answers = 0;
   view_number view = 0;
 };
--- a/source/unit_tests/history/faults_test.cc
+++ b/source/unit_tests/history/faults_test.cc
@@ -259,7 +259,8 @@
   }
 
   // Sends one request; the reply may be lost after the request took effect.
-  auto Ask(const member& to, message_body body) -> std::optional<message_body> {
+  auto Ask(const member& to, const message_body& body)
+      -> std::optional<message_body> {
     auto& vm = Vm(to.vm);
     if (!vm.state || vm.is_cut || vm.self.address != to.address) {
       return std::nullopt;
--- a/source/unit_tests/history/view_test.cc
+++ b/source/unit_tests/history/view_test.cc
@@ -10,7 +10,9 @@
           failure_domain_id("d"), region_id("r")};
 }
 
-const auto kAll = std::vector<vm_id>{vm_id("a"), vm_id("b"), vm_id("c")};
+auto All() -> std::vector<vm_id> {
+  return {vm_id("a"), vm_id("b"), vm_id("c")};
+}
 
 auto Three() -> view {
   return {7, {Member("a", "1"), Member("b", "2"), Member("c", "3")}};
@@ -42,11 +44,11 @@
   next = ViewWithSelf(inputs);
   REQUIRE(next);
   CHECK(next->members.size() == 2);
-  CHECK_FALSE(ViewWithSelf({Three(), Member("d", "4"), 1, {}, {}, kAll}));
+  CHECK_FALSE(ViewWithSelf({Three(), Member("d", "4"), 1, {}, {}, All()}));
 }
 
 TEST_CASE("a member with its disk stays as it is") {
-  CHECK_FALSE(ViewWithSelf({Three(), Member("b", "2"), 1, {}, {}, kAll}));
+  CHECK_FALSE(ViewWithSelf({Three(), Member("b", "2"), 1, {}, {}, All()}));
 }
 
 TEST_CASE("a VM whose disk was lost takes its own seat again") {
@@ -71,7 +73,7 @@
 
 TEST_CASE("a retiring member's seat goes before an unreachable one's") {
   const auto next = ViewWithSelf(
-      {Three(), Member("d", "4"), 1, {vm_id("c")}, {vm_id("a")}, kAll});
+      {Three(), Member("d", "4"), 1, {vm_id("c")}, {vm_id("a")}, All()});
   REQUIRE(next);
   CHECK(next->Find(vm_id("a")) == nullptr);
   CHECK(next->Find(vm_id("c")) != nullptr);
