Repeat a VM's version soon, and keep VMs that are not listed for a while

With 201 gateways the first patch after the start was not shown in force: 16 VMs in two failure domains were silent in `status`, while each of them had the version in force itself. So no version came late; the watchers did not have the acknowledgements. Two ways lead there, each with a test that failed first: - an acknowledgement that is lost (a VM cut off for a second) was repeated only after 27 to 33 s; a version is to be in force, and shown to be, within 14 s; - a watcher that does not know a VM yet, as while a fleet starts, threw away what the VM had told it when it sent its own acknowledgement.

Now an acknowledgement is repeated after 2, 4, 8, 16 and then each 30 s, and a VM that is not listed is kept for a minute.

Ruled out: slow installation (each VM named the version itself when asked).

--- a/source/core/configuration/acknowledgements.cc
+++ b/source/core/configuration/acknowledgements.cc
@@ -9,8 +9,14 @@
 namespace daisywind::configuration {
 namespace {
 
-// An acknowledgement that was lost is repeated within this time.
-constexpr auto kRepeatInterval = duration(30s);
+// An acknowledgement may be lost, so it is repeated: first after this time,
+// which leaves room for further ones within the 14 s in which a version is to
+// be in force, then ever more rarely.
+constexpr auto kFirstRepeat = duration(2s);
+constexpr auto kLongestRepeat = duration(30s);
+// A VM that is not listed for a while, such as at its start, is kept at least
+// until it has repeated its acknowledgement.
+constexpr auto kKeepUnlisted = 2 * kLongestRepeat;
 // After each of these the next watcher of a silent domain is asked.
 constexpr auto kWaitForWatcher = duration(500ms);
 
@@ -28,17 +34,35 @@
 
 }  // namespace
 
-auto acknowledgements::HandleAcknowledge(const acknowledge_message& content)
-    -> void {
-  Merge(table_, content.state);
+auto acknowledgements::HandleAcknowledge(const acknowledge_message& content,
+                                         instant now) -> void {
+  Keep(content.state, now);
+}
+
+auto acknowledgements::Keep(const acknowledgement& state, instant now) -> void {
+  const auto [entry, is_new] =
+      table_.emplace(state.vm.vm, heard_state{state, now});
+  if (!is_new && IsNewer(state, entry->second.state)) {
+    entry->second = {state, now};
+  }
+}
+
+auto acknowledgements::ForgetGone(instant now) -> void {
+  std::erase_if(table_, [&](const auto& entry) {
+    return entry.second.heard_at + kKeepUnlisted < now &&
+           std::none_of(state_->members.begin(), state_->members.end(),
+                        [&](const member& item) {
+                          return item.vm == entry.second.state.vm;
+                        });
+  });
 }
 
 auto acknowledgements::HandleRequest(const vm_ref& from,
                                      const status_request& content,
                                      instant now) -> void {
   auto response = status_response{content.query, {Own(now)}};
-  for (const auto& [vm, state] : table_) {
-    response.states.push_back(state);
+  for (const auto& [vm, heard] : table_) {
+    response.states.push_back(heard.state);
   }
   state_->Send(from, std::move(response));
 }
@@ -66,10 +90,12 @@
     own_ref_ = installed.ref;
     own_spread_ms_ = std::max(std::int64_t{0},
                               state_->UnixMs(now) - installed.accepted_unix_ms);
+    repeat_after_ = kFirstRepeat;
     send_at_ = now;
   }
   if (state_->watchers != told_) {
     told_ = state_->watchers;
+    repeat_after_ = kFirstRepeat;
     send_at_ = now;
   }
   if (now >= send_at_) {
@@ -88,16 +114,14 @@
 }
 
 auto acknowledgements::SendOwn(instant now) -> void {
-  send_at_ = now + state_->Jitter(kRepeatInterval);
-  std::erase_if(table_, [&](const auto& entry) {
-    return std::none_of(
-        state_->members.begin(), state_->members.end(),
-        [&](const member& item) { return item.vm == entry.second.vm; });
-  });
+  const auto wait = std::max(repeat_after_, kFirstRepeat);
+  send_at_ = now + state_->Jitter(wait);
+  repeat_after_ = std::min(2 * wait, kLongestRepeat);
+  ForgetGone(now);
   const auto own = Own(now);
   for (const auto& watcher : told_) {
     if (watcher.vm == state_->self.vm) {
-      Merge(table_, own);
+      Keep(own, now);
     } else {
       state_->Send(watcher.vm, acknowledge_message{own});
     }
@@ -125,8 +149,8 @@
       continue;
     }
     item.unanswered.erase(domain);
-    for (const auto& [vm, state] : table_) {
-      Merge(item.states, state);
+    for (const auto& [vm, heard] : table_) {
+      Merge(item.states, heard.state);
     }
   }
   item.attempts += 1;
--- a/source/core/configuration/acknowledgements.h
+++ b/source/core/configuration/acknowledgements.h
@@ -17,7 +17,8 @@
  public:
   explicit acknowledgements(system_state& state) : state_(&state) {}
 
-  auto HandleAcknowledge(const acknowledge_message& content) -> void;
+  auto HandleAcknowledge(const acknowledge_message& content, instant now)
+      -> void;
   auto HandleRequest(const vm_ref& from,
                      const status_request& content,
                      instant now) -> void;
@@ -37,8 +38,17 @@
     std::map<vm_id, acknowledgement> states;
   };
 
+  // What a VM has told, and when it was heard last.
+  struct heard_state {
+    acknowledgement state;
+    instant heard_at;
+  };
+
   [[nodiscard]] auto Own(instant now) const -> acknowledgement;
   auto SendOwn(instant now) -> void;
+  auto Keep(const acknowledgement& state, instant now) -> void;
+  // Forgets VMs that have left.
+  auto ForgetGone(instant now) -> void;
   auto Take(query& item, const std::vector<acknowledgement>& states) -> void;
   auto AskWatchers(std::uint64_t id, query& item) -> void;
   // Returns true when the query is answered.
@@ -46,12 +56,14 @@
   auto Reply(const query& item) -> void;
 
   system_state* state_;
-  std::map<vm_id, acknowledgement> table_;
+  std::map<vm_id, heard_state> table_;
   std::map<std::uint64_t, query> queries_;
   version_ref own_ref_;
   std::int64_t own_spread_ms_ = -1;
   std::vector<member> told_;
   instant send_at_;
+  // Time until the next repetition, longer after each.
+  duration repeat_after_{};
 };
 
 }  // namespace daisywind::configuration
--- a/source/core/configuration/configuration_system.cc
+++ b/source/core/configuration/configuration_system.cc
@@ -116,8 +116,8 @@
 
   auto Read(const vm_ref& /*from*/,
             const acknowledge_message& content,
-            instant /*now*/) -> void {
-    acks.HandleAcknowledge(content);
+            instant now) -> void {
+    acks.HandleAcknowledge(content, now);
   }
 
   auto Read(const vm_ref& from, const status_request& content, instant now)
--- a/source/unit_tests/configuration/spread_test.cc
+++ b/source/unit_tests/configuration/spread_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "fake_fleet.h"
 #include "sample_document.h"
@@ -27,6 +28,19 @@
   return fleet;
 }
 
+// A version is in force everywhere, and shown to be, within this time (brief).
+constexpr auto kForceBound = duration(14s);
+
+// The VMs of which a query to one VM learns nothing.
+auto SilentOf(fake_fleet& fleet, std::size_t asked) -> std::vector<member> {
+  constexpr auto kQuery = request_id{77};
+  fleet.status_replies.clear();
+  fleet.Post(asked, status_requested{kQuery});
+  REQUIRE(fleet.RunUntil([&] { return fleet.status_replies.contains(kQuery); },
+                         5s));
+  return fleet.status_replies.at(kQuery).silent;
+}
+
 }  // namespace
 
 TEST_CASE("a version is in force everywhere within seconds, with few watches") {
@@ -109,6 +123,43 @@
                     }));
 }
 
+TEST_CASE("status shows a VM whose acknowledgement was lost") {
+  auto fleet = MakeFleet();
+  constexpr auto kNode = kNodes - 1;
+  fleet->Kill(kNode);
+  fleet->Run(1s);
+  fleet->At(kNode).group = 1;
+  fleet->Start(kNode);
+  REQUIRE(fleet->RunUntil(
+      [&] { return fleet->At(kNode).system->Number() == 1; }, 30s));
+  fleet->Run(1s);
+  fleet->At(kNode).group = 0;
+  fleet->Run(kForceBound);
+  CHECK(SilentOf(*fleet, 0).empty());
+}
+
+TEST_CASE("status shows a VM that the others did not know of for a while") {
+  auto fleet = MakeFleet();
+  auto all = members_changed{};
+  for (auto i = std::size_t{0}; i < kNodes; ++i) {
+    all.members.push_back(fleet->At(i).self);
+  }
+  auto others = all;
+  others.members.pop_back();
+  const auto tell = [&](const members_changed& change) {
+    for (auto i = std::size_t{0}; i + 1 < kNodes; ++i) {
+      fleet->Post(i, change);
+    }
+  };
+  constexpr auto kBlinks = 10;
+  for (auto i = 0; i < kBlinks; ++i) {
+    tell(others);
+    fleet->Run(5s);
+    tell(all);
+    CHECK(SilentOf(*fleet, 0).empty());
+  }
+}
+
 TEST_CASE("a new VM is ready with the newest version only") {
   auto fleet = MakeFleet();
   fleet->Kill(7);
