Let an old load report fade to the average of its service, not to zero

A front hears of one engine every 1.5 s there and takes an unheard load as zero after a second, so the engine that has just answered, whose load it knows, looked the worst. The expected load was 2.0 on the average; by Little's law about 11 ran. Moved turns had their first event after 248 ms (median), the others after 170 ms, and events came every 94 ms in the burst, 36 ms before it: other turns' prompts were read in between.

The replay of the pattern (placement_test, "an engine is not left for ones not heard of") fails with an average of zero.

--- a/source/core/dispatch/endpoint_table.cc
+++ b/source/core/dispatch/endpoint_table.cc
@@ -183,13 +183,31 @@
   return missing;
 }
 
+auto endpoint_table::MeanOthers(const service_id& service, instant now) const
+    -> double {
+  auto sum = 0.0;
+  auto count = 0.0;
+  for (const auto& id : OfService(service)) {
+    const auto& state = states_.at(id).state;
+    if (state.report && now - state.reported_at <= options_.report_lifetime) {
+      sum += state.others;
+      count += 1.0;
+    }
+  }
+  return count == 0.0 ? 0.0 : sum / count;
+}
+
 auto endpoint_table::ExpectedLoad(const endpoint_state& state,
+                                  double mean_others,
                                   instant now) const -> double {
+  if (!state.report) {
+    return mean_others + double(state.in_flight);
+  }
   const auto age = std::chrono::duration<double>(now - state.reported_at);
   const auto half = std::chrono::duration<double>(options_.report_half_life);
-  const auto others =
-      state.report ? state.others * std::exp2(-(age / half)) : 0.0;
-  return others + double(state.in_flight);
+  const auto trust = std::exp2(-(age / half));
+  return mean_others + (state.others - mean_others) * trust +
+         double(state.in_flight);
 }
 
 }  // namespace daisywind::dispatch
--- a/source/core/dispatch/endpoint_table.h
+++ b/source/core/dispatch/endpoint_table.h
@@ -41,8 +41,12 @@
   duration longest_pause = 4s;
   // Pause after an endpoint said that it is full.
   duration full_pause = 60ms;
-  // Age at which what other VMs had under way at an endpoint counts half.
+  // Age at which what other VMs had under way at an endpoint counts half; the
+  // other half is what they have under way at the service's endpoints on the
+  // average.
   duration report_half_life = 500ms;
+  // Age up to which a report counts for that average.
+  duration report_lifetime = 4s;
   // Prompt parts remembered for each endpoint.
   std::size_t parts_per_endpoint = 1024;
 
@@ -116,8 +120,15 @@
                                    const std::vector<prompt_part>& parts) const
       -> std::uint64_t;
 
-  // Requests that an endpoint runs or keeps waiting, as far as is known.
+  // Requests of other VMs at an endpoint of a service, on the average of those
+  // that have reported lately; zero when none has.
+  [[nodiscard]] auto MeanOthers(const service_id& service, instant now) const
+      -> double;
+
+  // Requests that an endpoint runs or keeps waiting, as far as is known. An old
+  // report, or none, leads to the average of its service.
   [[nodiscard]] auto ExpectedLoad(const endpoint_state& state,
+                                  double mean_others,
                                   instant now) const -> double;
 
  private:
--- a/source/core/dispatch/placement.cc
+++ b/source/core/dispatch/placement.cc
@@ -70,12 +70,13 @@
   auto best = std::optional<placement_choice>{};
   auto is_best_paused = true;
   auto equals = std::uint64_t{0};
+  const auto mean_others = endpoints.MeanOthers(request.service, now);
   for (const auto& id : endpoints.OfService(request.service)) {
     const auto* state = endpoints.Find(id);
     if (state->entry.is_draining || request.excluded.contains(id)) {
       continue;
     }
-    const auto load = endpoints.ExpectedLoad(*state, now);
+    const auto load = endpoints.ExpectedLoad(*state, mean_others, now);
     const auto missing = Missing(endpoints, id, request);
     const auto cost =
         Distance(state->entry, here, options) +
--- a/source/unit_tests/dispatch/endpoint_table_test.cc
+++ b/source/unit_tests/dispatch/endpoint_table_test.cc
@@ -80,17 +80,36 @@
   CHECK(table.Find(entry.id)->in_flight == 1);
 }
 
-TEST_CASE("the load of others fades, one's own does not") {
+TEST_CASE("the load of others fades to the average, one's own stays") {
   auto table = endpoint_table({});
   const auto id = endpoint_id("a");
   table.Put(Endpoint("a"), kStart);
   table.OnSent(id);
   table.OnReport(id, {3, 2, 4}, kStart);
-  CHECK(table.ExpectedLoad(*table.Find(id), kStart) == doctest::Approx(5));
-  CHECK(table.ExpectedLoad(*table.Find(id), kStart + 500ms) ==
-        doctest::Approx(3));
-  CHECK(table.ExpectedLoad(*table.Find(id), kStart + 60s) ==
-        doctest::Approx(1));
+  const auto load = [&](double mean, duration age) {
+    return table.ExpectedLoad(*table.Find(id), mean, kStart + age);
+  };
+  CHECK(load(0, 0s) == doctest::Approx(5));
+  CHECK(load(0, 500ms) == doctest::Approx(3));
+  CHECK(load(0, 60s) == doctest::Approx(1));
+  CHECK(load(8, 0s) == doctest::Approx(5));
+  CHECK(load(8, 500ms) == doctest::Approx(7));
+  CHECK(load(8, 60s) == doctest::Approx(9));
+}
+
+TEST_CASE("the average is that of the endpoints that have reported lately") {
+  auto table = endpoint_table({});
+  const auto service = service_id("s");
+  for (const auto* id : {"a", "b", "c"}) {
+    table.Put(Endpoint(id), kStart);
+  }
+  CHECK(table.MeanOthers(service, kStart) == doctest::Approx(0));
+  table.OnReport(endpoint_id("a"), {2, 0, 4}, kStart);
+  table.OnReport(endpoint_id("b"), {4, 4, 4}, kStart + 3s);
+  CHECK(table.MeanOthers(service, kStart + 3s) == doctest::Approx(5));
+  CHECK(table.MeanOthers(service, kStart + 5s) == doctest::Approx(8));
+  CHECK(table.ExpectedLoad(*table.Find(endpoint_id("c")), 5, kStart) ==
+        doctest::Approx(5));
 }
 
 TEST_CASE("failures pause an endpoint longer each time, an answer ends that") {
--- a/source/unit_tests/dispatch/placement_test.cc
+++ b/source/unit_tests/dispatch/placement_test.cc
@@ -121,6 +121,23 @@
   CHECK(Chosen() == "b");
 }
 
+// A burst over many VMs: each hears of an engine only every few seconds, and
+// last of the one that has just served the turn before.
+TEST_CASE_FIXTURE(fixture, "an engine is not left for ones not heard of") {
+  request.is_engine = true;
+  request.prompt_tokens = 2000;
+  const auto last = Add("a", "near");
+  for (const auto* id : {"b", "c", "d"}) {
+    table.OnReport(Add(id, "near"), {12, 0, 16}, kNow - 2s);
+  }
+  Add("e", "near");
+  table.OnReport(last, {14, 0, 16}, kNow);
+  request.last_endpoint = last;
+  for (auto i = 0; i < 10; ++i) {
+    CHECK(Chosen() == "a");
+  }
+}
+
 TEST_CASE_FIXTURE(fixture, "a shared part that an engine has read draws it") {
   request.is_engine = true;
   request.prompt = {{prompt_part_id("shared"), 2560},
