Tell other fronts of endpoint loads through the journals

The board tells a change of two requests or more at once, a smaller one after 400 ms. It is kept in memory only. Placement is unchanged.

Tests: load_board_test, load_exchange_test, endpoint_table_test (what others have heard), codec_test.

--- a/source/core/dispatch/endpoint_table.cc
+++ b/source/core/dispatch/endpoint_table.cc
@@ -4,7 +4,24 @@
 #include <cmath>
 #include <utility>
 
+#include "common/digest.h"
+
 namespace daisywind::dispatch {
+namespace {
+
+auto TakeReport(endpoint_state& state,
+                const load_report& report,
+                instant taken_at) -> void {
+  if (state.report && taken_at < state.reported_at) {
+    return;
+  }
+  state.report = report;
+  state.reported_at = taken_at;
+  const auto total = double(report.running) + double(report.waiting);
+  state.others = std::max(0.0, total - double(state.in_flight));
+}
+
+}  // namespace
 
 auto part_memory::Add(const prompt_part_id& part) -> void {
   if (const auto found = places_.find(part); found != places_.end()) {
@@ -44,6 +61,7 @@
   states_.emplace(entry.id, slot{std::move(state),
                                  part_memory(options_.parts_per_endpoint)});
   by_service_[entry.service].push_back(entry.id);
+  by_key_.insert_or_assign(PlacementHash(entry.id.value), entry.id);
 }
 
 auto endpoint_table::Remove(const endpoint_id& id,
@@ -83,6 +101,7 @@
   if (by_service_[service].empty()) {
     by_service_.erase(service);
   }
+  by_key_.erase(PlacementHash(id.value));
   states_.erase(found);
 }
 
@@ -128,11 +147,23 @@
   if (found == states_.end()) {
     return;
   }
-  auto& state = found->second.state;
-  state.report = report;
-  state.reported_at = now;
-  const auto total = double(report.running) + double(report.waiting);
-  state.others = std::max(0.0, total - double(state.in_flight));
+  TakeReport(found->second.state, report, now);
+}
+
+auto endpoint_table::OnSharedReport(std::uint64_t key,
+                                    std::uint32_t running,
+                                    std::uint32_t waiting,
+                                    instant taken_at) -> void {
+  const auto id = by_key_.find(key);
+  if (id == by_key_.end()) {
+    return;
+  }
+  auto& state = states_.at(id->second).state;
+  // A sample of an earlier run under the same id says nothing of this one.
+  if (taken_at < state.registered_at) {
+    return;
+  }
+  TakeReport(state, {running, waiting, state.entry.slots}, taken_at);
 }
 
 auto endpoint_table::OnSign(const endpoint_id& id,
--- a/source/core/dispatch/endpoint_table.h
+++ b/source/core/dispatch/endpoint_table.h
@@ -108,6 +108,11 @@
   auto OnEnded(const endpoint_id& id) -> void;
   auto OnReport(const endpoint_id& id, const load_report& report, instant now)
       -> void;
+  // Takes in what an endpoint has said to another VM.
+  auto OnSharedReport(std::uint64_t key,
+                      std::uint32_t running,
+                      std::uint32_t waiting,
+                      instant taken_at) -> void;
   auto OnSign(const endpoint_id& id, attempt_sign sign, instant now) -> void;
 
   // Remembers that an endpoint has read a prompt.
@@ -142,6 +147,8 @@
   endpoint_options options_;
   std::unordered_map<endpoint_id, slot> states_;
   std::unordered_map<service_id, std::vector<endpoint_id>> by_service_;
+  // By the hash under which VMs tell each other of endpoints.
+  std::unordered_map<std::uint64_t, endpoint_id> by_key_;
   std::vector<endpoint_id> none_;
 };
 
--- a/source/core/front/front_node.cc
+++ b/source/core/front/front_node.cc
@@ -58,7 +58,13 @@
       here_(HereFrom(values)),
       random_(SystemSeed()),
       endpoint_client_(context),
-      turns_(context, KeeperOptions(values)),
+      turns_(context,
+             KeeperOptions(values),
+             nullptr,
+             [this](const history::load_sample& sample, instant taken_at) {
+               directory_.endpoints().OnSharedReport(
+                   sample.endpoint, sample.running, sample.waiting, taken_at);
+             }),
       directory_(context,
                  platform.store,
                  platform.directory,
--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -266,6 +266,8 @@
   const auto answer = node_.requests().ReadAnswer(opened.head);
   if (answer.load) {
     endpoints.OnReport(endpoint, *answer.load, Now());
+    node_.turns().NoteLoad({history::KeyOf(endpoint), answer.load->running,
+                            answer.load->waiting, duration(0)});
   }
   if (answer.is_not_run) {
     endpoints.OnSign(endpoint,
--- a/source/core/history/holder.cc
+++ b/source/core/history/holder.cc
@@ -53,7 +53,9 @@
   fact.reserved_tokens = request.reserved_tokens;
   fact.recorded_ms = now_ms;
   auto effect = holder_effect{};
-  auto reply = begin_reply{IsComplete(), {}, facts_.Spending(request.program)};
+  auto reply = begin_reply{};
+  reply.is_complete = IsComplete();
+  reply.spent = facts_.Spending(request.program);
   if (request.wants_chain) {
     reply.chain = facts_.Chain(request.parent);
   }
--- /dev/null
+++ b/source/core/history/load_board.cc
@@ -0,0 +1,81 @@
+#include "history/load_board.h"
+
+#include <algorithm>
+
+#include "common/digest.h"
+
+namespace daisywind::history {
+namespace {
+
+auto SumOf(const load_sample& sample) -> std::uint32_t {
+  return sample.running + sample.waiting;
+}
+
+auto Difference(std::uint32_t a, std::uint32_t b) -> std::uint32_t {
+  return a > b ? a - b : b - a;
+}
+
+}  // namespace
+
+auto KeyOf(const endpoint_id& id) -> endpoint_key {
+  return PlacementHash(id.value);
+}
+
+auto load_board::Put(const load_sample& sample, instant now) -> void {
+  if (now >= forget_at_) {
+    Forget(now);
+  }
+  const auto taken_at = now - sample.age;
+  if (now - taken_at > options_.lifetime) {
+    return;
+  }
+  const auto [found, is_new] = entries_.try_emplace(sample.endpoint);
+  auto& item = found->second;
+  if (!is_new && taken_at <= item.taken_at) {
+    return;
+  }
+  item.sample = sample;
+  item.taken_at = taken_at;
+  const auto is_told =
+      is_new ||
+      Difference(SumOf(sample), item.told_sum) >= options_.least_change ||
+      now - item.told_at >= options_.refresh;
+  if (!is_told) {
+    return;
+  }
+  order_.erase(item.told_as);
+  item.told_sum = SumOf(sample);
+  item.told_at = now;
+  item.told_as = ++last_;
+  order_.emplace(last_, sample.endpoint);
+}
+
+auto load_board::NewsSince(sequence known, instant now) const -> news {
+  auto result = news{{}, last_};
+  const auto after = known > last_ ? sequence{0} : known;
+  for (auto i = order_.rbegin(); i != order_.rend() && i->first > after; ++i) {
+    if (result.samples.size() == options_.most_told) {
+      break;
+    }
+    const auto& item = entries_.at(i->second);
+    auto sample = item.sample;
+    sample.age = std::max(duration(0), now - item.taken_at);
+    if (sample.age <= options_.lifetime) {
+      result.samples.push_back(sample);
+    }
+  }
+  return result;
+}
+
+auto load_board::Forget(instant now) -> void {
+  forget_at_ = now + options_.lifetime;
+  std::erase_if(entries_, [&](const auto& item) {
+    const auto is_over = now - item.second.taken_at > options_.lifetime;
+    if (is_over) {
+      order_.erase(item.second.told_as);
+    }
+    return is_over;
+  });
+}
+
+}  // namespace daisywind::history
--- /dev/null
+++ b/source/core/history/load_board.h
@@ -0,0 +1,92 @@
+// What VMs tell each other about the load of endpoints, by way of the VMs that
+// hold facts, to which every turn goes anyway. Without I/O or clock.
+#ifndef DAISYWIND_HISTORY_LOAD_BOARD_H_
+#define DAISYWIND_HISTORY_LOAD_BOARD_H_
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+#include "common/ids.h"
+#include "common/time.h"
+
+namespace daisywind::history {
+
+// Stands for an endpoint's id, so that a sample stays small.
+using endpoint_key = std::uint64_t;
+
+auto KeyOf(const endpoint_id& id) -> endpoint_key;
+
+// What an endpoint said of itself in an answer.
+struct load_sample {
+  endpoint_key endpoint = 0;
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  // How long ago it said so.
+  duration age{};
+
+  auto operator<=>(const load_sample&) const = default;
+};
+
+// Bounds of what is told.
+struct board_options {
+  // A change by at least this many requests is told at once,
+  std::uint32_t least_change = 2;
+  // a smaller one only this long after the last sample that was told.
+  duration refresh = 400ms;
+  // A sample of this age says nothing any more.
+  duration lifetime = 4s;
+  // Samples in one message. At 16 bytes each, a message stays under 2.1 KB.
+  std::size_t most_told = 128;
+
+  auto operator<=>(const board_options&) const = default;
+};
+
+// The newest sample of each endpoint, in the order in which they changed.
+class load_board {
+ public:
+  using sequence = std::uint64_t;
+
+  // Samples that changed after a point, and the point up to which that is all.
+  struct news {
+    std::vector<load_sample> samples;
+    sequence up_to = 0;
+  };
+
+  explicit load_board(board_options options = {}) : options_(options) {}
+
+  // Takes in a sample unless a newer one of its endpoint is known.
+  auto Put(const load_sample& sample, instant now) -> void;
+
+  // The samples that changed after a point, the newest first and no more than
+  // fit a message. A point of another run of the board counts as none.
+  [[nodiscard]] auto NewsSince(sequence known, instant now) const -> news;
+
+  [[nodiscard]] auto size() const -> std::size_t { return entries_.size(); }
+
+ private:
+  struct entry {
+    load_sample sample;
+    instant taken_at;
+    // What was told last: its sum of requests, when, and its place in the
+    // order.
+    std::uint32_t told_sum = 0;
+    instant told_at;
+    sequence told_as = 0;
+  };
+
+  auto Forget(instant now) -> void;
+
+  board_options options_;
+  std::unordered_map<endpoint_key, entry> entries_;
+  std::map<sequence, endpoint_key> order_;
+  sequence last_ = 0;
+  instant forget_at_{};
+};
+
+}  // namespace daisywind::history
+
+#endif  // DAISYWIND_HISTORY_LOAD_BOARD_H_
--- a/source/core/history/messages.h
+++ b/source/core/history/messages.h
@@ -10,6 +10,7 @@
 
 #include "common/kv_types.h"
 #include "history/fact_table.h"
+#include "history/load_board.h"
 #include "history/types.h"
 #include "history/view.h"
 
@@ -23,6 +24,10 @@
   turn_id parent;
   std::uint32_t reserved_tokens = 0;
   bool wants_chain = false;
+  // What the sender has heard of endpoints since it last sent to this member.
+  std::vector<load_sample> loads = {};
+  // Set when the sender wants what others have told after this point.
+  std::optional<load_board::sequence> loads_known = std::nullopt;
 
   auto operator<=>(const begin_request&) const = default;
 };
@@ -32,6 +37,9 @@
   bool is_complete = false;
   turn_chain chain;
   std::vector<spending> spent;
+  std::vector<load_sample> loads = {};
+  // The point up to which the loads are all; zero when none were asked for.
+  load_board::sequence loads_up_to = 0;
 
   auto operator<=>(const begin_reply&) const = default;
 };
--- /dev/null
+++ b/source/core/history_client/load_exchange.cc
@@ -0,0 +1,54 @@
+#include "history_client/load_exchange.h"
+
+#include <utility>
+
+namespace daisywind::history {
+namespace {
+
+// Younger news are not worth their bytes: an endpoint's own figures lag as
+// much.
+constexpr auto kAskInterval = duration(100ms);
+
+// The receiver decides what is worth passing on.
+auto OwnOptions() -> board_options {
+  auto options = board_options{};
+  options.least_change = 0;
+  return options;
+}
+
+}  // namespace
+
+load_exchange::load_exchange(load_handler on_load)
+    : on_load_(std::move(on_load)), own_(OwnOptions()) {}
+
+auto load_exchange::Note(const load_sample& sample, instant now) -> void {
+  own_.Put(sample, now);
+}
+
+auto load_exchange::AddTo(begin_request& request,
+                          const member& to,
+                          bool is_nearest,
+                          instant now) -> void {
+  auto& state = members_[to.address];
+  auto news = own_.NewsSince(state.told, now);
+  request.loads = std::move(news.samples);
+  state.told = news.up_to;
+  if (is_nearest && on_load_ && now >= ask_at_) {
+    request.loads_known = state.known;
+    ask_at_ = now + kAskInterval;
+  }
+}
+
+auto load_exchange::Take(const begin_reply& reply,
+                         const member& from,
+                         instant now) -> void {
+  if (reply.loads_up_to == 0) {
+    return;
+  }
+  members_[from.address].known = reply.loads_up_to;
+  for (const auto& sample : reply.loads) {
+    on_load_(sample, now - sample.age);
+  }
+}
+
+}  // namespace daisywind::history
--- a/source/core/history_client/turn_keeper.cc
+++ b/source/core/history_client/turn_keeper.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "common/logging.h"
+#include "common/process_clock.h"
 
 namespace daisywind::history {
 namespace {
@@ -23,7 +24,8 @@
 class turn_keeper::round : public std::enable_shared_from_this<round> {
  public:
   // Makes the request to the member of the given position.
-  using request_maker = std::function<message_body(std::size_t position)>;
+  using request_maker =
+      std::function<message_body(std::size_t position, const member& to)>;
   // Takes in a reply. Returns false when it does not count.
   using reply_taker =
       std::function<bool(const member& from, message_body& reply)>;
@@ -79,7 +81,7 @@
     const auto position = next_++;
     const auto& to = members_[position];
     ++waiting_;
-    keeper_.Client(to)->Ask(view_, make_(position),
+    keeper_.Client(to)->Ask(view_, make_(position, to),
                             keeper_.options_.ask_timeout,
                             [self = shared_from_this(),
                              position](std::optional<message_body> reply) {
@@ -126,10 +128,16 @@
 
 turn_keeper::turn_keeper(asio::io_context& context,
                          keeper_options options,
-                         contact_handler on_contact)
+                         contact_handler on_contact,
+                         load_handler on_load)
     : context_(context),
       options_(std::move(options)),
-      on_contact_(std::move(on_contact)) {}
+      on_contact_(std::move(on_contact)),
+      loads_(std::move(on_load)) {}
+
+auto turn_keeper::NoteLoad(const load_sample& sample) -> void {
+  loads_.Note(sample, Now());
+}
 
 auto turn_keeper::SetContact(bool is_in_contact) -> void {
   if (is_in_contact == is_in_contact_) {
@@ -166,7 +174,10 @@
   const auto sizes = QuorumSizes(view_, options_.tolerated);
   auto answering = std::size_t{0};
   const auto asks = std::make_shared<round>(
-      *this, [&](std::size_t) -> message_body { return adopt_request{view_}; },
+      *this,
+      [&](std::size_t, const member&) -> message_body {
+        return adopt_request{view_};
+      },
       [&](const member&, message_body&) {
         ++answering;
         return true;
@@ -235,15 +246,22 @@
     auto chain = chain_decision(request.parent, sizes);
     const auto asks = std::make_shared<round>(
         *this,
-        [&](std::size_t position) -> message_body {
-          return begin_request{request.program, request.turn, request.parent,
-                               request.reserved_tokens, position == 0};
+        [&](std::size_t position, const member& to) -> message_body {
+          auto body = begin_request{};
+          body.program = request.program;
+          body.turn = request.turn;
+          body.parent = request.parent;
+          body.reserved_tokens = request.reserved_tokens;
+          body.wants_chain = position == 0;
+          loads_.AddTo(body, to, position == 0, Now());
+          return body;
         },
         [&](const member& from, message_body& reply) {
           auto* begun = std::get_if<begin_reply>(&reply);
           if (begun == nullptr) {
             return false;
           }
+          loads_.Take(*begun, from, Now());
           budget.Add(from.vm, begun->is_complete, begun->spent);
           chain.Add(from.vm, begun->is_complete, std::move(begun->chain));
           return begun->is_complete;
@@ -293,7 +311,9 @@
     const auto target = chain.target();
     const auto asks = std::make_shared<round>(
         *this,
-        [&](std::size_t) -> message_body { return read_request{target}; },
+        [&](std::size_t, const member&) -> message_body {
+          return read_request{target};
+        },
         [&](const member& from, message_body& reply) {
           auto* read = std::get_if<read_reply>(&reply);
           // Once another member has led further back, this one is asked again.
@@ -325,7 +345,9 @@
     auto copies = std::size_t{0};
     const auto asks = std::make_shared<round>(
         *this,
-        [&](std::size_t) -> message_body { return record_request{{fact}}; },
+        [&](std::size_t, const member&) -> message_body {
+          return record_request{{fact}};
+        },
         [&](const member&, message_body& reply) {
           const auto* recorded = std::get_if<record_reply>(&reply);
           if (recorded == nullptr || !recorded->is_durable) {
--- a/source/core/history_client/turn_keeper.h
+++ b/source/core/history_client/turn_keeper.h
@@ -19,6 +19,7 @@
 #include "history/quorum.h"
 #include "history/types.h"
 #include "history/view.h"
+#include "history_client/load_exchange.h"
 #include "history_client/member_client.h"
 
 namespace daisywind::history {
@@ -76,7 +77,8 @@
  public:
   turn_keeper(boost::asio::io_context& context,
               keeper_options options,
-              contact_handler on_contact = nullptr);
+              contact_handler on_contact = nullptr,
+              load_handler on_load = nullptr);
 
   // Takes a view into force unless an equal or newer one is.
   auto Adopt(const view& newest) -> void;
@@ -87,6 +89,10 @@
   // callers can go elsewhere at once.
   [[nodiscard]] auto IsInContact() const -> bool { return is_in_contact_; }
 
+  // Tells other VMs, along with the next turns, what an endpoint has said of
+  // its load.
+  auto NoteLoad(const load_sample& sample) -> void;
+
   // Reserves a turn and reads its chain.
   auto Begin(turn_begin request, duration patience)
       -> boost::asio::awaitable<begin_result>;
@@ -117,6 +123,7 @@
   std::chrono::steady_clock::time_point regained_at_{};
   view view_;
   std::map<std::string, std::shared_ptr<member_client>> clients_;
+  load_exchange loads_;
 };
 
 }  // namespace daisywind::history
--- a/source/core/history_wire/codec.cc
+++ b/source/core/history_wire/codec.cc
@@ -2,7 +2,10 @@
 
 #include <history_generated.h>
 
+#include <algorithm>
+#include <chrono>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <utility>
 #include <variant>
@@ -158,6 +161,35 @@
           CopyAll(from.chain)};
 }
 
+auto Copy(const std::vector<load_sample>& from)
+    -> std::vector<fbs::LoadSample> {
+  constexpr auto kMost = std::numeric_limits<std::uint16_t>::max();
+  const auto clamp = [](auto value) {
+    return static_cast<std::uint16_t>(
+        std::clamp<std::int64_t>(static_cast<std::int64_t>(value), 0, kMost));
+  };
+  auto to = std::vector<fbs::LoadSample>{};
+  to.reserve(from.size());
+  for (const auto& item : from) {
+    const auto age =
+        std::chrono::duration_cast<std::chrono::milliseconds>(item.age);
+    to.emplace_back(item.endpoint, clamp(age.count()), clamp(item.running),
+                    clamp(item.waiting));
+  }
+  return to;
+}
+
+auto Copy(const std::vector<fbs::LoadSample>& from)
+    -> std::vector<load_sample> {
+  auto to = std::vector<load_sample>{};
+  to.reserve(from.size());
+  for (const auto& item : from) {
+    to.push_back({item.endpoint(), item.running(), item.waiting(),
+                  std::chrono::milliseconds(item.age_ms())});
+  }
+  return to;
+}
+
 // One overload a message for each direction.
 auto ToObject(const begin_request& from) -> fbs::BeginRequestT {
   auto to = fbs::BeginRequestT{};
@@ -166,13 +198,20 @@
   to.parent = from.parent.value;
   to.reserved_tokens = from.reserved_tokens;
   to.wants_chain = from.wants_chain;
+  to.loads = Copy(from.loads);
+  to.wants_loads = from.loads_known.has_value();
+  to.loads_known = from.loads_known.value_or(0);
   return to;
 }
 
 auto FromObject(fbs::BeginRequestT& from) -> begin_request {
-  return {program_name(std::move(from.program)), turn_id(std::move(from.turn)),
-          turn_id(std::move(from.parent)), from.reserved_tokens,
-          from.wants_chain};
+  return {program_name(std::move(from.program)),
+          turn_id(std::move(from.turn)),
+          turn_id(std::move(from.parent)),
+          from.reserved_tokens,
+          from.wants_chain,
+          Copy(from.loads),
+          from.wants_loads ? std::optional(from.loads_known) : std::nullopt};
 }
 
 auto ToObject(const begin_reply& from) -> fbs::BeginReplyT {
@@ -185,11 +224,17 @@
     object->tokens = item.tokens;
     to.spending.push_back(std::move(object));
   }
+  to.loads = Copy(from.loads);
+  to.loads_up_to = from.loads_up_to;
   return to;
 }
 
 auto FromObject(fbs::BeginReplyT& from) -> begin_reply {
-  auto to = begin_reply{from.is_complete, ChainFrom(from), {}};
+  auto to = begin_reply{from.is_complete,
+                        ChainFrom(from),
+                        {},
+                        Copy(from.loads),
+                        from.loads_up_to};
   to.spent.reserve(from.spending.size());
   for (auto& item : from.spending) {
     to.spent.push_back({turn_id(std::move(item->turn)), item->tokens});
--- a/source/core/journal/journal_node.cc
+++ b/source/core/journal/journal_node.cc
@@ -211,6 +211,7 @@
   if (!effect.reply) {
     return;
   }
+  ExchangeLoads(request->body, *effect.reply);
   if (std::holds_alternative<history::stale_view>(*effect.reply)) {
     ++counters_.stale_requests;
   }
@@ -244,6 +245,24 @@
           });
 }
 
+auto journal_node::ExchangeLoads(const history::message_body& request,
+                                 history::message_body& reply) -> void {
+  const auto* begin = std::get_if<history::begin_request>(&request);
+  if (begin == nullptr) {
+    return;
+  }
+  const auto now = Now();
+  for (const auto& sample : begin->loads) {
+    loads_.Put(sample, now);
+  }
+  auto* begun = std::get_if<history::begin_reply>(&reply);
+  if (begun != nullptr && begin->loads_known) {
+    auto news = loads_.NewsSince(*begin->loads_known, now);
+    begun->loads = std::move(news.samples);
+    begun->loads_up_to = news.up_to;
+  }
+}
+
 auto journal_node::Persist(std::vector<history::turn_fact> facts,
                            append_handler done) -> void {
   facts.insert(facts.end(), std::make_move_iterator(owed_.begin()),
--- a/source/core/journal/journal_node.h
+++ b/source/core/journal/journal_node.h
@@ -77,6 +77,10 @@
   auto LoadRecords() -> void;
   auto Serve(const std::shared_ptr<net::frame_channel>& channel)
       -> net::channel_handlers;
+  // Takes in the loads of endpoints that come with a request, and adds those
+  // that it asks for to the reply.
+  auto ExchangeLoads(const history::message_body& request,
+                     history::message_body& reply) -> void;
   auto OnFrame(const std::weak_ptr<net::frame_channel>& channel,
                std::string_view frame) -> void;
   auto ForgetOldFacts() -> boost::asio::awaitable<void>;
@@ -89,6 +93,8 @@
   std::int64_t retention_ms_;
   history::member self_;
   history::holder holder_;
+  // Not on the disk: after a restart it fills again within a second.
+  history::load_board loads_;
   disk_log log_;
   store_mirror mirror_;
   kv::revision persisted_mirror_ = 0;
--- a/source/unit_tests/dispatch/endpoint_table_test.cc
+++ b/source/unit_tests/dispatch/endpoint_table_test.cc
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include "common/digest.h"
+
 namespace daisywind::dispatch {
 namespace {
 
@@ -112,6 +114,24 @@
         doctest::Approx(5));
 }
 
+TEST_CASE("what others have heard counts unless something newer is known") {
+  auto table = endpoint_table({});
+  const auto id = endpoint_id("a");
+  const auto key = PlacementHash(id.value);
+  table.Put(Endpoint("a"), kStart);
+  const auto load = [&](instant now) {
+    return table.ExpectedLoad(*table.Find(id), 0, now);
+  };
+  table.OnSharedReport(key, 9, 1, kStart - 1ms);
+  CHECK_FALSE(table.Find(id)->report);
+  table.OnSharedReport(key, 6, 1, kStart + 1s);
+  CHECK(load(kStart + 1s) == doctest::Approx(7));
+  table.OnReport(id, {2, 0, 4}, kStart + 2s);
+  table.OnSharedReport(key, 6, 1, kStart + 1900ms);
+  CHECK(load(kStart + 2s) == doctest::Approx(2));
+  table.OnSharedReport(PlacementHash("unknown"), 6, 1, kStart + 3s);
+}
+
 TEST_CASE("failures pause an endpoint longer each time, an answer ends that") {
   auto table = endpoint_table({});
   const auto id = endpoint_id("a");
--- /dev/null
+++ b/source/unit_tests/history/load_board_test.cc
@@ -0,0 +1,70 @@
+#include "history/load_board.h"
+
+#include <doctest/doctest.h>
+
+namespace daisywind::history {
+namespace {
+
+constexpr auto kStart = instant(100s);
+
+TEST_CASE("each reader gets what changed since it last asked") {
+  auto board = load_board();
+  board.Put({1, 3, 0, 0ms}, kStart);
+  board.Put({2, 5, 1, 0ms}, kStart);
+  const auto all = board.NewsSince(0, kStart);
+  CHECK(all.samples.size() == 2);
+  CHECK(board.NewsSince(all.up_to, kStart).samples.empty());
+  board.Put({1, 9, 0, 0ms}, kStart + 10ms);
+  const auto later = board.NewsSince(all.up_to, kStart + 30ms);
+  REQUIRE(later.samples.size() == 1);
+  CHECK(later.samples[0] == load_sample{1, 9, 0, 20ms});
+}
+
+TEST_CASE("a small change is told only after a while") {
+  auto board = load_board();
+  board.Put({1, 3, 0, 0ms}, kStart);
+  const auto known = board.NewsSince(0, kStart).up_to;
+  board.Put({1, 4, 0, 0ms}, kStart + 10ms);
+  CHECK(board.NewsSince(known, kStart + 10ms).samples.empty());
+  board.Put({1, 4, 0, 0ms}, kStart + 400ms);
+  CHECK(board.NewsSince(known, kStart + 400ms).samples.size() == 1);
+}
+
+TEST_CASE("a sample that took long does not replace a newer one") {
+  auto board = load_board();
+  board.Put({1, 3, 0, 0ms}, kStart);
+  board.Put({1, 9, 0, 50ms}, kStart + 20ms);
+  const auto told = board.NewsSince(0, kStart + 20ms);
+  REQUIRE(told.samples.size() == 1);
+  CHECK(told.samples[0].running == 3);
+}
+
+TEST_CASE("old samples are not told and are forgotten") {
+  auto board = load_board();
+  board.Put({1, 3, 0, 0ms}, kStart);
+  CHECK(board.NewsSince(0, kStart + 5s).samples.empty());
+  board.Put({2, 3, 0, 0ms}, kStart + 10s);
+  CHECK(board.size() == 1);
+}
+
+TEST_CASE("a reader that knows another run of the board gets everything") {
+  auto board = load_board();
+  board.Put({1, 3, 0, 0ms}, kStart);
+  CHECK(board.NewsSince(700, kStart).samples.size() == 1);
+}
+
+TEST_CASE("a message is bounded and holds the newest") {
+  auto options = board_options{};
+  options.most_told = 2;
+  auto board = load_board(options);
+  for (auto i = endpoint_key{1}; i <= 5; ++i) {
+    board.Put({i, 3, 0, 0ms}, kStart);
+  }
+  const auto told = board.NewsSince(0, kStart);
+  REQUIRE(told.samples.size() == 2);
+  CHECK(told.samples[0].endpoint == 5);
+  CHECK(told.samples[1].endpoint == 4);
+}
+
+}  // namespace
+}  // namespace daisywind::history
--- /dev/null
+++ b/source/unit_tests/history_client/load_exchange_test.cc
@@ -0,0 +1,71 @@
+#include "history_client/load_exchange.h"
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+namespace daisywind::history {
+namespace {
+
+constexpr auto kStart = instant(100s);
+
+auto Member(const char* address) -> member {
+  auto item = member{};
+  item.address = address;
+  return item;
+}
+
+struct heard_load {
+  load_sample sample;
+  instant taken_at;
+};
+
+struct fixture {
+  auto Request(const member& to, bool is_nearest, instant now)
+      -> begin_request {
+    auto request = begin_request{};
+    exchange.AddTo(request, to, is_nearest, now);
+    return request;
+  }
+
+  member near = Member("10.0.0.1:1");
+  member far = Member("10.0.0.2:1");
+  std::vector<heard_load> heard;
+  load_exchange exchange{[this](const load_sample& sample, instant taken_at) {
+    heard.push_back({sample, taken_at});
+  }};
+};
+
+TEST_CASE_FIXTURE(fixture, "each member is told each sample once") {
+  exchange.Note({1, 3, 0, 0ms}, kStart);
+  CHECK(Request(near, true, kStart + 5ms).loads ==
+        std::vector<load_sample>{{1, 3, 0, 5ms}});
+  CHECK(Request(near, true, kStart + 6ms).loads.empty());
+  CHECK(Request(far, false, kStart + 7ms).loads.size() == 1);
+  exchange.Note({1, 3, 0, 0ms}, kStart + 10ms);
+  CHECK(Request(near, true, kStart + 11ms).loads.size() == 1);
+}
+
+TEST_CASE_FIXTURE(fixture,
+                  "news are asked of the nearest, ten times a second") {
+  CHECK_FALSE(Request(far, false, kStart).loads_known);
+  CHECK(Request(near, true, kStart).loads_known == 0U);
+  CHECK_FALSE(Request(near, true, kStart + 99ms).loads_known);
+  CHECK(Request(near, true, kStart + 100ms).loads_known == 0U);
+}
+
+TEST_CASE_FIXTURE(fixture,
+                  "the news are handed over and asked for from there") {
+  auto reply = begin_reply{};
+  reply.loads = {{4, 7, 1, 30ms}};
+  reply.loads_up_to = 12;
+  exchange.Take(reply, near, kStart);
+  REQUIRE(heard.size() == 1);
+  CHECK(heard[0].sample.running == 7);
+  CHECK(heard[0].taken_at == kStart - 30ms);
+  CHECK(Request(near, true, kStart).loads_known == 12U);
+  CHECK(Request(far, true, kStart + 1s).loads_known == 0U);
+}
+
+}  // namespace
+}  // namespace daisywind::history
--- a/source/unit_tests/history_wire/codec_test.cc
+++ b/source/unit_tests/history_wire/codec_test.cc
@@ -36,7 +36,15 @@
 auto AllBodies() -> std::vector<message_body> {
   return {
       begin_request{program_name("p"), turn_id("t"), turn_id("s"), 50, true},
+      begin_request{program_name("p"),
+                    turn_id("t"),
+                    turn_id("s"),
+                    50,
+                    true,
+                    {{7, 3, 2, 120ms}},
+                    11},
       begin_reply{true, Chain(), {{turn_id("y"), 3}}},
+      begin_reply{true, Chain(), {}, {{7, 3, 2, 120ms}, {8, 0, 0, 0ms}}, 12},
       record_request{{Fact(), Bare()}},
       record_reply{true},
       read_request{turn_id("t")},
