Choose the best of a few drawn endpoints

Now a choice is made among the engine that has the chain, two drawn in the own failure domain, two in the region and one elsewhere.

The test replays the pattern (VMs that know the same loads); without drawing every choice falls on one engine.

--- a/source/core/dispatch/placement.cc
+++ b/source/core/dispatch/placement.cc
@@ -1,7 +1,8 @@
 #include "dispatch/placement.h"
 
 #include <algorithm>
-#include <cmath>
+#include <array>
+#include <cstdint>
 #include <utility>
 
 namespace daisywind::dispatch {
@@ -16,16 +17,30 @@
       static_cast<duration::rep>(static_cast<double>(unit.count()) * factor));
 }
 
-auto Distance(const endpoint& entry,
-              const location& here,
-              const placement_options& options) -> duration {
+// How far an endpoint is, as an index into groups of endpoints.
+enum class distance : std::uint8_t { kDomain, kRegion, kElsewhere };
+
+auto DistanceOf(const endpoint& entry, const location& here) -> distance {
   if (entry.failure_domain == here.failure_domain) {
-    return 0ms;
+    return distance::kDomain;
   }
   const auto region = here.regions.find(entry.failure_domain);
   const auto is_near =
       region != here.regions.end() && region->second == here.region;
-  return is_near ? options.other_domain_cost : options.other_region_cost;
+  return is_near ? distance::kRegion : distance::kElsewhere;
+}
+
+auto DistanceCost(distance value, const placement_options& options)
+    -> duration {
+  switch (value) {
+    case distance::kDomain:
+      return 0ms;
+    case distance::kRegion:
+      return options.other_domain_cost;
+    case distance::kElsewhere:
+      break;
+  }
+  return options.other_region_cost;
 }
 
 auto EngineCost(double load,
@@ -59,6 +74,60 @@
   return endpoints.MissingTokens(id, request.prompt);
 }
 
+// Endpoints that may take the request.
+using candidate_list = std::vector<const endpoint_state*>;
+
+// Those that are not paused, or all when all are.
+auto Usable(const endpoint_table& endpoints,
+            const placement_request& request,
+            instant now) -> candidate_list {
+  auto usable = candidate_list{};
+  auto paused = candidate_list{};
+  for (const auto& id : endpoints.OfService(request.service)) {
+    const auto* state = endpoints.Find(id);
+    if (state->entry.is_draining || request.excluded.contains(id)) {
+      continue;
+    }
+    (state->paused_until > now ? paused : usable).push_back(state);
+  }
+  return usable.empty() ? paused : usable;
+}
+
+// Moves a few that are drawn at random to the front and drops the rest.
+auto Draw(candidate_list& from, std::size_t count, random_source& random)
+    -> void {
+  const auto kept = std::min(count, from.size());
+  for (auto i = std::size_t{0}; i < kept; ++i) {
+    std::swap(from[i], from[i + random.Below(from.size() - i)]);
+  }
+  from.resize(kept);
+}
+
+auto DrawCandidates(const candidate_list& usable,
+                    const placement_request& request,
+                    const location& here,
+                    const placement_options& options,
+                    random_source& random) -> candidate_list {
+  auto drawn = candidate_list{};
+  auto groups = std::array<candidate_list, 3>{};
+  for (const auto* state : usable) {
+    if (state->entry.id == request.last_endpoint) {
+      drawn.push_back(state);
+    } else {
+      groups.at(static_cast<std::size_t>(DistanceOf(state->entry, here)))
+          .push_back(state);
+    }
+  }
+  const auto counts = std::array<std::size_t, 3>{options.drawn_in_domain,
+                                                 options.drawn_in_region,
+                                                 options.drawn_elsewhere};
+  for (auto i = std::size_t{0}; i < groups.size(); ++i) {
+    Draw(groups.at(i), counts.at(i), random);
+    drawn.insert(drawn.end(), groups.at(i).begin(), groups.at(i).end());
+  }
+  return drawn;
+}
+
 }  // namespace
 
 auto Place(const endpoint_table& endpoints,
@@ -68,38 +137,30 @@
            instant now,
            random_source& random) -> std::optional<placement_choice> {
   auto best = std::optional<placement_choice>{};
-  auto is_best_paused = true;
   auto equals = std::uint64_t{0};
   const auto mean_others = endpoints.MeanOthers(request.service, now);
-  for (const auto& id : endpoints.OfService(request.service)) {
-    const auto* state = endpoints.Find(id);
-    if (state->entry.is_draining || request.excluded.contains(id)) {
-      continue;
-    }
+  const auto usable = Usable(endpoints, request, now);
+  for (const auto* state :
+       DrawCandidates(usable, request, here, options, random)) {
+    const auto& id = state->entry.id;
     const auto load = endpoints.ExpectedLoad(*state, mean_others, now);
     const auto missing = Missing(endpoints, id, request);
     const auto cost =
-        Distance(state->entry, here, options) +
+        DistanceCost(DistanceOf(state->entry, here), options) +
         (request.is_engine ? EngineCost(load, missing, options)
                            : PlainCost(load, state->entry.slots, options));
-    const auto is_paused = state->paused_until > now;
     auto choice = placement_choice{id, cost, load, missing, std::nullopt};
     if (state->report) {
       choice.report_age = now - state->reported_at;
     }
-    const auto is_better = !best || (is_best_paused && !is_paused) ||
-                           (is_best_paused == is_paused &&
-                            cost + options.equal_within < best->cost);
-    if (is_better) {
+    if (!best || cost + options.equal_within < best->cost) {
       best = std::move(choice);
-      is_best_paused = is_paused;
       equals = 1;
       continue;
     }
-    const auto is_equal = is_best_paused == is_paused &&
-                          cost <= best->cost + options.equal_within;
     // Each of the equals is kept with the same chance.
-    if (is_equal && random.Below(++equals) == 0) {
+    if (cost <= best->cost + options.equal_within &&
+        random.Below(++equals) == 0) {
       best = std::move(choice);
     }
   }
--- a/source/core/dispatch/placement.h
+++ b/source/core/dispatch/placement.h
@@ -3,6 +3,7 @@
 #define DAISYWIND_DISPATCH_PLACEMENT_H_
 
 #include <compare>
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <set>
@@ -42,6 +43,13 @@
   duration other_region_cost = 50ms;
   // Endpoints that are as good as the best up to this share one choice.
   duration equal_within = 1ms;
+  // Endpoints drawn for one choice in the failure domain, elsewhere in the
+  // region and in other regions. VMs that all know the same loads would else
+  // all choose the same endpoint until its next report; the best of two drawn
+  // is enough to keep the load even.
+  std::size_t drawn_in_domain = 2;
+  std::size_t drawn_in_region = 2;
+  std::size_t drawn_elsewhere = 1;
 
   auto operator<=>(const placement_options&) const = default;
 };
@@ -69,8 +77,9 @@
   auto operator<=>(const placement_choice&) const = default;
 };
 
-// Chooses the endpoint of the least expected cost, or nothing when none may be
-// used. Endpoints that are paused are used only when all are.
+// Chooses the endpoint of the least expected cost among the one that has read
+// the prompt and some that are drawn, or nothing when none may be used.
+// Endpoints that are paused are used only when all are.
 auto Place(const endpoint_table& endpoints,
            const placement_request& request,
            const location& here,
--- a/source/unit_tests/dispatch/placement_test.cc
+++ b/source/unit_tests/dispatch/placement_test.cc
@@ -138,6 +138,26 @@
   }
 }
 
+// Many VMs that know the same loads, in the time before the next reports: the
+// engine that seemed best must not get what was meant for all.
+TEST_CASE_FIXTURE(fixture, "VMs that know the same loads choose differently") {
+  request.is_engine = true;
+  request.prompt_tokens = 1000;
+  constexpr auto kEngines = 36;
+  for (auto i = 0; i < kEngines; ++i) {
+    const auto id = Add(("e" + std::to_string(i)).c_str(), "near");
+    table.OnReport(id, {i == 0 ? 2U : 6U, 0, 16}, kNow);
+  }
+  auto counts = std::map<std::string, int>{};
+  constexpr auto kRequests = 100 * kEngines;
+  for (auto i = 0; i < kRequests; ++i) {
+    ++counts[Chosen()];
+  }
+  // Twice its share, as it is drawn in every eighteenth choice.
+  CHECK(counts["e0"] > kRequests / kEngines);
+  CHECK(counts["e0"] < 3 * kRequests / kEngines);
+}
+
 TEST_CASE_FIXTURE(fixture, "a shared part that an engine has read draws it") {
   request.is_engine = true;
   request.prompt = {{prompt_part_id("shared"), 2560},
