Count what each engine kept of a chain, token by token

The front took a part that an engine had read once for wholly cached, so an engine that had run the first turn of a session looked as good as that of the latest, and at the latest engine it counted the whole last part (up to 4,400 tokens) as missing.

Now a part's memory holds its length, a turn's fact the tokens that its engine read, and a turn is placed by what each engine of its chain has kept.

The tests ("the engine of the latest turn goes before earlier", "a part that has grown") replay the growth; the types they use did not exist before, so they were not run against the old code.

--- a/source/core/dispatch/endpoint_table.cc
+++ b/source/core/dispatch/endpoint_table.cc
@@ -23,21 +23,24 @@
 
 }  // namespace
 
-auto part_memory::Add(const prompt_part_id& part) -> void {
-  if (const auto found = places_.find(part); found != places_.end()) {
+auto part_memory::Add(const prompt_part& part) -> void {
+  if (const auto found = places_.find(part.id); found != places_.end()) {
+    auto& known = *found->second;
+    known.tokens = std::max(known.tokens, part.tokens);
     order_.splice(order_.begin(), order_, found->second);
     return;
   }
   order_.push_front(part);
-  places_.emplace(part, order_.begin());
+  places_.emplace(part.id, order_.begin());
   if (order_.size() > capacity_) {
-    places_.erase(order_.back());
+    places_.erase(order_.back().id);
     order_.pop_back();
   }
 }
 
-auto part_memory::Has(const prompt_part_id& part) const -> bool {
-  return places_.contains(part);
+auto part_memory::TokensOf(const prompt_part_id& part) const -> std::uint32_t {
+  const auto found = places_.find(part);
+  return found == places_.end() ? 0 : found->second->tokens;
 }
 
 auto endpoint_table::Put(const endpoint& entry, instant now) -> void {
@@ -196,7 +199,7 @@
     -> void {
   if (const auto found = states_.find(id); found != states_.end()) {
     for (const auto& part : parts) {
-      found->second.parts.Add(part.id);
+      found->second.parts.Add(part);
     }
   }
 }
@@ -205,11 +208,14 @@
                                    const std::vector<prompt_part>& parts) const
     -> std::uint64_t {
   const auto found = states_.find(id);
-  auto is_cached = found != states_.end();
+  auto is_whole = found != states_.end();
   auto missing = std::uint64_t{0};
   for (const auto& part : parts) {
-    is_cached = is_cached && found->second.parts.Has(part.id);
-    missing += is_cached ? 0 : part.tokens;
+    const auto kept =
+        is_whole ? std::min(part.tokens, found->second.parts.TokensOf(part.id))
+                 : 0;
+    missing += part.tokens - kept;
+    is_whole = kept == part.tokens;
   }
   return missing;
 }
--- a/source/core/dispatch/endpoint_table.h
+++ b/source/core/dispatch/endpoint_table.h
@@ -69,19 +69,21 @@
   instant registered_at{};
 };
 
-// Remembers the parts that were last used, up to a bound.
+// Remembers the parts that were last used, up to a bound, and how long they
+// were: a session's part grows from turn to turn.
 class part_memory {
  public:
   explicit part_memory(std::size_t capacity) : capacity_(capacity) {}
 
-  auto Add(const prompt_part_id& part) -> void;
-  [[nodiscard]] auto Has(const prompt_part_id& part) const -> bool;
+  auto Add(const prompt_part& part) -> void;
+  // Zero for a part that is not remembered.
+  [[nodiscard]] auto TokensOf(const prompt_part_id& part) const
+      -> std::uint32_t;
 
  private:
   std::size_t capacity_;
-  std::list<prompt_part_id> order_;
-  std::unordered_map<prompt_part_id, std::list<prompt_part_id>::iterator>
-      places_;
+  std::list<prompt_part> order_;
+  std::unordered_map<prompt_part_id, std::list<prompt_part>::iterator> places_;
 };
 
 // Endpoints by id and by service. Times are injected.
@@ -120,7 +122,7 @@
                     const std::vector<prompt_part>& parts) -> void;
 
   // Tokens of a prompt that an endpoint has to read, as far as is known. A part
-  // counts as cached only behind cached parts.
+  // counts as cached only behind wholly cached parts.
   [[nodiscard]] auto MissingTokens(const endpoint_id& id,
                                    const std::vector<prompt_part>& parts) const
       -> std::uint64_t;
--- a/source/core/dispatch/placement.cc
+++ b/source/core/dispatch/placement.cc
@@ -65,13 +65,16 @@
   if (!request.is_engine) {
     return 0;
   }
-  if (request.prompt.empty()) {
-    return request.last_endpoint == id ? 0 : request.prompt_tokens;
+  const auto of_parts = request.prompt.empty()
+                            ? request.prompt_tokens
+                            : endpoints.MissingTokens(id, request.prompt);
+  const auto kept = request.kept_tokens.find(id);
+  if (kept == request.kept_tokens.end()) {
+    return of_parts;
   }
-  if (request.last_endpoint == id) {
-    return request.prompt.back().tokens;
-  }
-  return endpoints.MissingTokens(id, request.prompt);
+  const auto of_chain =
+      request.prompt_tokens - std::min(request.prompt_tokens, kept->second);
+  return std::min(of_parts, of_chain);
 }
 
 // Endpoints that may take the request.
@@ -111,7 +114,7 @@
   auto drawn = candidate_list{};
   auto groups = std::array<candidate_list, 3>{};
   for (const auto* state : usable) {
-    if (state->entry.id == request.last_endpoint) {
+    if (request.kept_tokens.contains(state->entry.id)) {
       drawn.push_back(state);
     } else {
       groups.at(static_cast<std::size_t>(DistanceOf(state->entry, here)))
--- a/source/core/dispatch/placement.h
+++ b/source/core/dispatch/placement.h
@@ -4,6 +4,7 @@
 
 #include <compare>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -60,8 +61,9 @@
   bool is_engine = false;
   std::vector<prompt_part> prompt;
   std::uint64_t prompt_tokens = 0;
-  // The endpoint that has read all of the prompt but its newest part.
-  endpoint_id last_endpoint;
+  // Tokens of the prompt that endpoints have kept of earlier turns of the
+  // chain.
+  std::map<endpoint_id, std::uint64_t> kept_tokens;
   std::set<endpoint_id> excluded;
 };
 
@@ -77,8 +79,8 @@
   auto operator<=>(const placement_choice&) const = default;
 };
 
-// Chooses the endpoint of the least expected cost among the one that has read
-// the prompt and some that are drawn, or nothing when none may be used.
+// Chooses the endpoint of the least expected cost among those that have read
+// earlier turns and some that are drawn, or nothing when none may be used.
 // Endpoints that are paused are used only when all are.
 auto Place(const endpoint_table& endpoints,
            const placement_request& request,
--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -346,6 +346,12 @@
   if (is_whole) {
     node_.known().endpoints().OnSign(endpoint, attempt_sign::kAnswered, Now());
   }
+  if (is_whole && !call_.prompt.empty()) {
+    // What was generated stays behind the prompt's last part.
+    auto& last = call_.prompt.back();
+    last.tokens += events_ * (engine_ ? engine_->event_tokens : 0);
+    node_.known().endpoints().OnPromptRead(endpoint, call_.prompt);
+  }
   if (is_whole && is_turn_) {
     is_whole = co_await RecordTurn(endpoint);
   }
--- a/source/core/front/turn_flow.cc
+++ b/source/core/front/turn_flow.cc
@@ -1,5 +1,7 @@
 // The part of a request's way that only turns of agent programs go.
+#include <algorithm>
 #include <boost/asio.hpp>
+#include <cstdint>
 #include <utility>
 
 #include "common/logging.h"
@@ -95,8 +97,11 @@
     auto placement = dispatch::placement_request{};
     placement.prompt = call_.prompt;
     placement.prompt_tokens = call_.prompt_tokens;
-    if (!begun.chain.empty()) {
-      placement.last_endpoint = begun.chain.back().content->endpoint;
+    for (const auto& turn : begun.chain) {
+      const auto kept = std::uint64_t{turn.content->prompt_tokens} +
+                        turn.settled_tokens.value_or(0);
+      auto& most = placement.kept_tokens[turn.content->endpoint];
+      most = std::max(most, kept);
     }
     co_await Dispatch(body, std::move(placement));
   }
@@ -108,9 +113,9 @@
 auto request_flow::RecordTurn(const endpoint_id& endpoint)
     -> asio::awaitable<bool> {
   auto fact = Fact();
-  fact.content = history::turn_content{history::turn_id(call_.previous_turn),
-                                       exchange_.request().body,
-                                       std::move(output_), endpoint};
+  fact.content = history::turn_content{
+      history::turn_id(call_.previous_turn), exchange_.request().body,
+      std::move(output_), endpoint, call_.prompt_tokens};
   const auto is_recorded = co_await node_.turns().Record(
       std::move(fact), std::max(kRecordPatience, TimeLeft()));
   if (is_recorded) {
--- a/source/core/history/types.h
+++ b/source/core/history/types.h
@@ -33,6 +33,8 @@
   std::string output;
   // The endpoint that ran it, whose cache holds its chain.
   endpoint_id endpoint;
+  // Tokens that the endpoint read for it, the chain before included.
+  std::uint32_t prompt_tokens = 0;
 
   auto operator<=>(const turn_content&) const = default;
 };
--- a/source/core/history_wire/codec.cc
+++ b/source/core/history_wire/codec.cc
@@ -30,6 +30,7 @@
     to->content->input = from.content->input;
     to->content->output = from.content->output;
     to->content->endpoint = from.content->endpoint.value;
+    to->content->prompt_tokens = from.content->prompt_tokens;
   }
   return to;
 }
@@ -47,7 +48,8 @@
     to.content = turn_content{turn_id(std::move(from.content->parent)),
                               std::move(from.content->input),
                               std::move(from.content->output),
-                              endpoint_id(std::move(from.content->endpoint))};
+                              endpoint_id(std::move(from.content->endpoint)),
+                              from.content->prompt_tokens};
   }
   return to;
 }
@@ -69,7 +71,8 @@
   if (const auto* content = from.content()) {
     to.content = turn_content{turn_id(Text(content->parent())),
                               Text(content->input()), Text(content->output()),
-                              endpoint_id(Text(content->endpoint()))};
+                              endpoint_id(Text(content->endpoint())),
+                              content->prompt_tokens()};
   }
   return to;
 }
--- a/source/unit_tests/dispatch/endpoint_table_test.cc
+++ b/source/unit_tests/dispatch/endpoint_table_test.cc
@@ -160,15 +160,27 @@
                                  {prompt_part_id("x"), 100}}) == 100);
 }
 
+TEST_CASE("a part that has grown is cached as far as it was read") {
+  auto table = endpoint_table({});
+  const auto id = endpoint_id("a");
+  table.Put(Endpoint("a"), kStart);
+  table.OnPromptRead(id, {{prompt_part_id("x"), 100}});
+  CHECK(table.MissingTokens(
+            id, {{prompt_part_id("x"), 150}, {prompt_part_id("y"), 10}}) == 60);
+  table.OnPromptRead(id, {{prompt_part_id("x"), 150}});
+  table.OnPromptRead(id, {{prompt_part_id("x"), 100}});
+  CHECK(table.MissingTokens(id, {{prompt_part_id("x"), 150}}) == 0);
+}
+
 TEST_CASE("the parts that were used longest ago are forgotten first") {
   auto memory = part_memory(2);
-  memory.Add(prompt_part_id("x"));
-  memory.Add(prompt_part_id("y"));
-  memory.Add(prompt_part_id("x"));
-  memory.Add(prompt_part_id("z"));
-  CHECK(memory.Has(prompt_part_id("x")));
-  CHECK_FALSE(memory.Has(prompt_part_id("y")));
-  CHECK(memory.Has(prompt_part_id("z")));
+  memory.Add({prompt_part_id("x"), 1});
+  memory.Add({prompt_part_id("y"), 2});
+  memory.Add({prompt_part_id("x"), 1});
+  memory.Add({prompt_part_id("z"), 3});
+  CHECK(memory.TokensOf(prompt_part_id("x")) == 1);
+  CHECK(memory.TokensOf(prompt_part_id("y")) == 0);
+  CHECK(memory.TokensOf(prompt_part_id("z")) == 3);
 }
 
 }  // namespace
--- a/source/unit_tests/dispatch/placement_test.cc
+++ b/source/unit_tests/dispatch/placement_test.cc
@@ -103,18 +103,41 @@
   request.prompt_tokens = 4000;
   const auto last = Add("a", "near");
   Add("b", "near");
-  request.last_endpoint = last;
+  request.kept_tokens[last] = 3500;
   for (auto i = 0; i < 10; ++i) {
     CHECK(Chosen() == "a");
   }
 }
 
+// A session's part keeps its id and grows. An engine that ran an early turn has
+// little of it.
+TEST_CASE_FIXTURE(fixture,
+                  "the engine of the latest turn goes before earlier") {
+  request.is_engine = true;
+  const auto part = [](std::uint32_t tokens) {
+    return std::vector<prompt_part>{{prompt_part_id("shared"), 2560},
+                                    {prompt_part_id("session"), tokens}};
+  };
+  const auto early = Add("early", "near");
+  const auto late = Add("late", "near");
+  table.OnPromptRead(early, part(500));
+  request.prompt = part(4400);
+  request.prompt_tokens = 6960;
+  // The latest turn came in through another VM.
+  request.kept_tokens[late] = 6500;
+  for (auto i = 0; i < 10; ++i) {
+    CHECK(Chosen() == "late");
+  }
+  request.kept_tokens.clear();
+  CHECK(table.MissingTokens(early, request.prompt) == 3900);
+}
+
 TEST_CASE_FIXTURE(fixture, "a loaded engine is left when reading is cheaper") {
   request.is_engine = true;
   request.prompt_tokens = 1000;
   const auto last = Add("a", "near");
   Add("b", "near");
-  request.last_endpoint = last;
+  request.kept_tokens[last] = 1000;
   for (auto i = 0; i < 20; ++i) {
     table.OnSent(last);
   }
@@ -132,7 +155,7 @@
   }
   Add("e", "near");
   table.OnReport(last, {14, 0, 16}, kNow);
-  request.last_endpoint = last;
+  request.kept_tokens[last] = 2000;
   for (auto i = 0; i < 10; ++i) {
     CHECK(Chosen() == "a");
   }
--- a/source/unit_tests/history_wire/codec_test.cc
+++ b/source/unit_tests/history_wire/codec_test.cc
@@ -13,7 +13,7 @@
           50,
           20U,
           turn_content{turn_id("s"), std::string("in\0put", 6), "output\n",
-                       endpoint_id("e")},
+                       endpoint_id("e"), 3500},
           1'700'000'000'000};
 }
 
