Hand over only one's own facts when leaving, and only the copies needed

What it thought the others lacked was every fact on fewer than four of the lists, its own included, so also every fact of the running load that it never had (three copies are all there are), and it offered each to every member that lacked it, one batch of 32 after the other.

Now a pure function says what each member is owed: of one's own facts, as many copies as make three on others, spread over the members that lack them. The simulated faults use the same function.

Tests: view_test ("a VM that leaves hands over what it has"; the function is new, so there is no run against the old code), faults_test.

--- a/source/core/history/view.cc
+++ b/source/core/history/view.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 namespace daisywind::history {
@@ -124,4 +125,28 @@
   return missing;
 }
 
+auto CopiesOwed(const std::vector<std::uint64_t>& own,
+                const std::vector<std::vector<std::uint64_t>>& lists,
+                std::size_t copies) -> std::vector<std::vector<std::uint64_t>> {
+  auto known = std::vector<std::unordered_set<std::uint64_t>>{};
+  for (const auto& list : lists) {
+    known.emplace_back(list.begin(), list.end());
+  }
+  auto owed = std::vector<std::vector<std::uint64_t>>(lists.size());
+  for (const auto hash : own) {
+    auto lacking = std::vector<std::size_t>{};
+    for (auto i = std::size_t{0}; i < known.size(); ++i) {
+      if (!known[i].contains(hash)) {
+        lacking.push_back(i);
+      }
+    }
+    const auto having = lists.size() - lacking.size();
+    const auto wanted = copies > having ? copies - having : 0;
+    for (auto i = std::size_t{0}; i < std::min(wanted, lacking.size()); ++i) {
+      owed[lacking[(hash + i) % lacking.size()]].push_back(hash);
+    }
+  }
+  return owed;
+}
+
 }  // namespace daisywind::history
--- a/source/core/history/view.h
+++ b/source/core/history/view.h
@@ -83,6 +83,13 @@
 auto UnderReplicated(const std::vector<std::vector<std::uint64_t>>& lists,
                      std::size_t copies) -> std::vector<std::uint64_t>;
 
+// What each of some members still has to get, in their order, so that every
+// fact of one's own is on at least so many of them. A fact goes to no more
+// members than that takes, and different facts to different ones.
+auto CopiesOwed(const std::vector<std::uint64_t>& own,
+                const std::vector<std::vector<std::uint64_t>>& lists,
+                std::size_t copies) -> std::vector<std::vector<std::uint64_t>>;
+
 }  // namespace daisywind::history
 
 #endif  // DAISYWIND_HISTORY_VIEW_H_
--- a/source/core/journal/seat_keeper.cc
+++ b/source/core/journal/seat_keeper.cc
@@ -401,14 +401,11 @@
   for (const auto& item : lists) {
     all.push_back(item.hashes);
   }
-  // A fact that only this VM has is on no list.
-  all.push_back(node_.state().facts().Hashes());
-  const auto missing = history::UnderReplicated(all, options_.tolerated + 2);
-  for (const auto& item : lists) {
-    const auto has =
-        std::set<history::fact_hash>(item.hashes.begin(), item.hashes.end());
-    auto owed = missing;
-    std::erase_if(owed, [&](auto hash) { return has.contains(hash); });
+  const auto owed_to = history::CopiesOwed(node_.state().facts().Hashes(), all,
+                                           options_.tolerated + 1);
+  for (auto i = std::size_t{0}; i < lists.size(); ++i) {
+    const auto& item = lists[i];
+    const auto& owed = owed_to[i];
     for (auto at = std::size_t{0}; at < owed.size(); at += kBatch) {
       const auto last = std::min(at + kBatch, owed.size());
       const auto batch = std::vector<history::fact_hash>(
--- a/source/unit_tests/history/faults_test.cc
+++ b/source/unit_tests/history/faults_test.cc
@@ -253,16 +253,16 @@
       return;
     }
     auto& vm = Vm(*leaving_);
-    auto lists =
-        std::vector<std::vector<fact_hash>>{vm.state->facts().Hashes()};
+    auto lists = std::vector<std::vector<fact_hash>>{};
     for (const auto& item : stored_.members) {
       Vm(item.vm).state->Adopt(stored_);
       lists.push_back(Vm(item.vm).state->facts().Hashes());
     }
-    const auto missing = UnderReplicated(lists, kTolerated + 2);
-    for (const auto& item : stored_.members) {
-      auto& to = Vm(item.vm);
-      const auto fresh = to.state->TakeIn(vm.state->facts().OfHashes(missing));
+    const auto owed =
+        CopiesOwed(vm.state->facts().Hashes(), lists, kTolerated + 1);
+    for (auto i = std::size_t{0}; i < owed.size(); ++i) {
+      auto& to = Vm(stored_.members[i].vm);
+      const auto fresh = to.state->TakeIn(vm.state->facts().OfHashes(owed[i]));
       to.disk.insert(to.disk.end(), fresh.begin(), fresh.end());
     }
     const auto index = static_cast<std::size_t>(&vm - vms_.data());
--- a/source/unit_tests/history/view_test.cc
+++ b/source/unit_tests/history/view_test.cc
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <map>
+
 namespace daisywind::history {
 namespace {
 
@@ -117,5 +120,34 @@
   CHECK(UnderReplicated({}, 2).empty());
 }
 
+TEST_CASE("a VM that leaves hands over what it has, as often as is needed") {
+  // On three members, on two, on one and on none; the fifth is not its own.
+  const auto lists =
+      std::vector<std::vector<std::uint64_t>>{{1, 2, 5}, {1, 2, 3, 5}, {1}, {}};
+  const auto owed = CopiesOwed({1, 2, 3, 4}, lists, 3);
+  REQUIRE(owed.size() == lists.size());
+  auto copies = std::map<std::uint64_t, std::size_t>{};
+  for (auto i = std::size_t{0}; i < lists.size(); ++i) {
+    for (const auto hash : lists[i]) {
+      ++copies[hash];
+    }
+    for (const auto hash : owed[i]) {
+      CHECK(std::find(lists[i].begin(), lists[i].end(), hash) ==
+            lists[i].end());
+      ++copies[hash];
+    }
+  }
+  for (const auto hash : {1, 2, 3, 4}) {
+    CHECK(copies[hash] == 3);
+  }
+  CHECK(copies[5] == 2);
+}
+
+TEST_CASE("with too few members each gets everything") {
+  const auto owed = CopiesOwed({7, 8}, {{}, {8}}, 3);
+  CHECK(owed[0].size() == 2);
+  CHECK(owed[1] == std::vector<std::uint64_t>{7});
+}
+
 }  // namespace
 }  // namespace daisywind::history
