Fetch changes of the store as rarely as their bound allows

A front now leaves a fifth of the time in which changes are to be in force (the smaller of those for configurations and for leaving endpoints, settings `changes.*`; at least 100 ms, at most 1 s).

--- a/source/core/front/directory.cc
+++ b/source/core/front/directory.cc
@@ -22,7 +22,7 @@
       watch_(context,
              store,
              "",
-             {},
+             options.watch,
              {[this](const kv::listing& all) {
                 OnSnapshot(all.items, IsInDoubt(Now()));
                 revision_ = std::max(revision_, all.revision_at);
--- a/source/core/front/directory.h
+++ b/source/core/front/directory.h
@@ -24,8 +24,9 @@
   std::function<void()> on_configuration;
 };
 
-// Bounds of the trust in what the store says.
+// Bounds of the trust in what the store says, and how often it is asked.
 struct directory_options {
+  kv::watch_options watch;
   // After the store was out of reach, entries may be missing that come back.
   duration doubt_after_contact = 2s;
   // So many entries of a service gone at once hint at leases that ran out in an
--- a/source/core/front/front_node.cc
+++ b/source/core/front/front_node.cc
@@ -43,6 +43,20 @@
   return options;
 }
 
+// Each call to the store has its price, so changes are fetched together. A
+// fifth of the time in which they are to be in force leaves room for a slow
+// store.
+auto DirectoryOptions(const settings& values) -> directory_options {
+  constexpr auto kShare = 5;
+  constexpr auto kShortest = std::chrono::milliseconds(100);
+  constexpr auto kLongest = std::chrono::milliseconds(1000);
+  const auto bound = std::chrono::milliseconds(
+      std::min(values.Get(kInForceMs), values.Get(kDrainedMs)));
+  auto options = directory_options{};
+  options.watch.coalesce = std::clamp(bound / kShare, kShortest, kLongest);
+  return options;
+}
+
 auto Listen(net::http_server& server, const std::string& address) -> bool {
   const auto parsed = net::ParseSocketAddress(address);
   return parsed && server.Listen(*parsed) != 0;
@@ -73,7 +87,7 @@
       directory_(context,
                  platform.store,
                  platform.directory,
-                 {},
+                 DirectoryOptions(values),
                  {[this](const history::view& newest) { turns_.Adopt(newest); },
                   [this] { ApplyLimits(); }}),
       backup_(context, directory_, turns_, values.GetList(kJournalSeeds), {}),
--- a/source/core/front/front_settings.cc
+++ b/source/core/front/front_settings.cc
@@ -13,6 +13,8 @@
           Declare(kStoreAddress),
           DeclareList(kJournalSeeds),
           Declare(kToleratedLosses),
+          Declare(kInForceMs),
+          Declare(kDrainedMs),
           Declare(kMaxConnections),
           Declare(kGraceSeconds),
           Declare(kLeaveMs),
--- a/source/core/kv/store_watch.h
+++ b/source/core/kv/store_watch.h
@@ -29,8 +29,7 @@
 struct watch_options {
   // How long the store may keep one call waiting.
   duration wait = 10s;
-  // Changes that come in quick succession are fetched together: each call has
-  // its price, and changes have 2.5 s to be in force (users' sheets).
+  // Changes that come in quick succession are fetched together.
   duration coalesce = 300ms;
   // Pause after a failure, doubled up to the longest one.
   duration first_retry = 100ms;
