Leave silent endpoints in time, and count them as failing

Now silence counts as a failure without a pause (the endpoint may just be loaded), is told to other fronts, and a request that may be repeated is tried elsewhere after twice its objective. Event 2003, which was declared but never written, now says that an endpoint has failed, with the request, the score and the pause.

Tests: request_flow_test ("leaves an endpoint that stays silent"), retry_rules_test, endpoint_table_test.

--- a/source/core/dispatch/endpoint_table.cc
+++ b/source/core/dispatch/endpoint_table.cc
@@ -210,6 +210,11 @@
     state.failures = 0;
     return;
   }
+  if (sign == attempt_sign::kSilent) {
+    // It may just be loaded, which pausing would make worse elsewhere.
+    CountFailure(state, now);
+    return;
+  }
   if (sign == attempt_sign::kFull) {
     state.paused_until =
         std::max(state.paused_until, now + options_.full_pause);
--- a/source/core/dispatch/endpoint_table.h
+++ b/source/core/dispatch/endpoint_table.h
@@ -28,6 +28,8 @@
   kNotThere,
   // It could not be reached or broke off.
   kFailed,
+  // It had not begun to answer when the request was over.
+  kSilent,
 };
 
 // Bounds of what is remembered of endpoints.
--- a/source/core/dispatch/retry_rules.cc
+++ b/source/core/dispatch/retry_rules.cc
@@ -1,7 +1,21 @@
 #include "dispatch/retry_rules.h"
 
+#include <algorithm>
+
 namespace daisywind::dispatch {
 
+auto Patience(const route& on,
+              const attempt_history& so_far,
+              duration time_left,
+              const retry_options& options) -> duration {
+  const auto may_repeat = on.kind == route_kind::kIdempotent &&
+                          so_far.runs + 1 < on.max_attempts &&
+                          so_far.attempts + 1 < options.max_attempts;
+  return may_repeat
+             ? std::min(options.silent_objectives * on.objective, time_left)
+             : time_left;
+}
+
 auto NextStep(const route& on,
               const attempt_history& so_far,
               attempt_end last,
--- a/source/core/dispatch/retry_rules.h
+++ b/source/core/dispatch/retry_rules.h
@@ -43,10 +43,21 @@
   std::uint32_t max_attempts = 5;
   // Less time than this is not worth another attempt.
   duration least_time = 20ms;
+  // A request that may be repeated waits at one endpoint for so many times its
+  // objective: by then its answer is late already.
+  std::int64_t silent_objectives = 2;
 
   auto operator<=>(const retry_options&) const = default;
 };
 
+// How long an attempt is left without the beginning of an answer. An endpoint
+// that stays silent, while its health looks good, would keep a request that may
+// be repeated until it is too late.
+auto Patience(const route& on,
+              const attempt_history& so_far,
+              duration time_left,
+              const retry_options& options) -> duration;
+
 auto NextStep(const route& on,
               const attempt_history& so_far,
               attempt_end last,
--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -204,7 +204,11 @@
   request.body = body;
   auto options = net::http_options{};
   options.connect_timeout = std::min(kConnectTimeout, TimeLeft());
-  options.head_timeout = TimeLeft() + 1s;
+  // The watchdog ends the attempt at the request's deadline, so the client's
+  // own time-out comes later.
+  const auto patience =
+      dispatch::Patience(*route_, attempts_, TimeLeft(), node_.retries());
+  options.head_timeout = patience < TimeLeft() ? patience : TimeLeft() + 1s;
   options.idle_timeout = TimeLeft() + 1s;
   options.resend_on_stale = false;
   options.max_body_bytes = kMaxWholeBytes;
@@ -234,9 +238,11 @@
     end = opened.outcome == net::http_outcome::kNotSent
               ? attempt_end::kNotRun
               : attempt_end::kMayHaveRun;
-    // A request that was called off tells nothing of its endpoint.
-    if (!IsOver()) {
-      NoteFailure(choice.endpoint);
+    // A caller that leaves tells nothing of the endpoint.
+    if (!is_caller_gone_) {
+      const auto is_silent = is_timed_out_ || Now() - sent_at >= patience;
+      NoteFailure(choice.endpoint,
+                  is_silent ? attempt_sign::kSilent : attempt_sign::kFailed);
     }
   }
   sending_ = nullptr;
@@ -290,7 +296,7 @@
   }
   if (!co_await PassWhole(opened)) {
     if (!IsOver()) {
-      NoteFailure(endpoint);
+      NoteFailure(endpoint, attempt_sign::kFailed);
     }
     co_return attempt_end::kMayHaveRun;
   }
@@ -342,7 +348,7 @@
   }
   auto is_whole = opened.body->IsWhole() && !IsOver();
   if (!is_whole && !IsOver()) {
-    NoteFailure(endpoint);
+    NoteFailure(endpoint, attempt_sign::kFailed);
   }
   if (is_whole) {
     node_.known().endpoints().OnSign(endpoint, attempt_sign::kAnswered, Now());
@@ -378,9 +384,24 @@
                   std::nullopt);
 }
 
-auto request_flow::NoteFailure(const endpoint_id& endpoint) -> void {
-  node_.known().endpoints().OnSign(endpoint, attempt_sign::kFailed, Now());
+auto request_flow::NoteFailure(const endpoint_id& endpoint, attempt_sign sign)
+    -> void {
+  const auto now = Now();
+  auto& endpoints = node_.known().endpoints();
+  endpoints.OnSign(endpoint, sign, now);
   node_.turns().NoteFailure(endpoint);
+  const auto* state = endpoints.Find(endpoint);
+  if (state == nullptr) {
+    return;
+  }
+  Log(log_events::kEndpointSetAside,
+      {{"endpoint", std::string_view(endpoint.value)},
+       {"request", std::string_view(call_.request_id)},
+       {"silent", sign == attempt_sign::kSilent},
+       {"failures_in_a_row", std::int64_t{state->failures}},
+       {"score", endpoints.FailureScore(*state, now)},
+       {"paused_ms",
+        Milliseconds(std::max(state->paused_until - now, duration(0)))}});
 }
 
 auto request_flow::Refuse(refusal_reason reason,
--- a/source/unit_tests/dispatch/endpoint_table_test.cc
+++ b/source/unit_tests/dispatch/endpoint_table_test.cc
@@ -167,6 +167,15 @@
   CHECK(table.Find(id)->paused_until == kStart + 8250ms);
 }
 
+TEST_CASE("silence counts as a failure but does not pause") {
+  auto table = endpoint_table({});
+  const auto id = endpoint_id("a");
+  table.Put(Endpoint("a"), kStart);
+  table.OnSign(id, attempt_sign::kSilent, kStart + 1s);
+  CHECK(table.FailureScore(*table.Find(id), kStart + 1s) == doctest::Approx(1));
+  CHECK(table.Find(id)->paused_until < kStart + 1s);
+}
+
 TEST_CASE("a part counts as cached only behind cached parts") {
   auto table = endpoint_table({});
   const auto id = endpoint_id("a");
--- a/source/unit_tests/dispatch/retry_rules_test.cc
+++ b/source/unit_tests/dispatch/retry_rules_test.cc
@@ -38,6 +38,19 @@
                  attempt_end::kNotRun, 1s, {}) == next_step::kFail);
 }
 
+// Endpoints that look healthy and never answer.
+TEST_CASE(
+    "what may be repeated does not wait for a silent endpoint to the end") {
+  auto on = Route(route_kind::kIdempotent, 2);
+  on.objective = 300ms;
+  CHECK(Patience(on, {0, 0}, 1500ms, {}) == 600ms);
+  CHECK(Patience(on, {0, 0}, 400ms, {}) == 400ms);
+  // The last attempt has all the time that is left.
+  CHECK(Patience(on, {1, 1}, 900ms, {}) == 900ms);
+  on.kind = route_kind::kOnce;
+  CHECK(Patience(on, {0, 0}, 1500ms, {}) == 1500ms);
+}
+
 TEST_CASE("no attempt is begun without time for it") {
   CHECK(NextStep(Route(route_kind::kOnce, 1), {1, 0}, attempt_end::kNotRun, 5ms,
                  {}) == next_step::kRefuse);
--- a/source/unit_tests/front/request_flow_test.cc
+++ b/source/unit_tests/front/request_flow_test.cc
@@ -140,6 +140,26 @@
   CHECK(runs == 1);
 }
 
+TEST_CASE("an idempotent request leaves an endpoint that stays silent") {
+  auto site = test_site();
+  auto silent = 0;
+  auto runs = 0;
+  site.AddEndpoint("a",
+                   [&](net::http_exchange& exchange) -> asio::awaitable<void> {
+                     ++silent;
+                     co_await exchange.WaitForClose();
+                   });
+  site.AddEndpoint("b", Answering(runs));
+  site.Configure();
+  // Whichever endpoint is drawn first, the answer comes in time.
+  constexpr auto kRequests = 8;
+  for (auto i = 0; i < kRequests; ++i) {
+    CHECK(site.Send("again", "r" + std::to_string(i)).response.status == 200);
+  }
+  CHECK(runs == kRequests);
+  CHECK(silent > 0);
+}
+
 TEST_CASE("a caller that leaves ends its attempt and no other is begun") {
   auto site = test_site();
   auto runs = 0;
