Do not take a failure without a known load for an idle endpoint

Found in reading the diff: a front that failed at an endpoint whose load it had not heard of told the others a load of zero, just taken, so the failing endpoint drew their requests. Such a sample is now too old to say anything of the load; the failure alone counts. Test: load_board_test, "a failure without a known load says nothing of the load" (fails before: 0 == 9).

--- a/source/unit_tests/history/load_board_test.cc
+++ b/source/unit_tests/history/load_board_test.cc
@@ -55,6 +55,23 @@
   CHECK(board.NewsSince(known, kStart + 100ms).samples.size() == 1);
 }
 
+TEST_CASE("a failure without a known load says nothing of the load") {
+  auto board = load_board();
+  board.PutFailure(1, kStart);
+  const auto told = board.NewsSince(0, kStart + 50ms);
+  REQUIRE(told.samples.size() == 1);
+  CHECK(told.samples[0].failed_age == 50ms);
+  CHECK(told.samples[0].age >= 4s);
+  // Passed on, it still replaces no load that is known.
+  auto other = load_board();
+  other.Put({1, 9, 0, 0ms}, kStart);
+  other.Put(told.samples[0], kStart + 100ms);
+  const auto passed = other.NewsSince(0, kStart + 100ms);
+  REQUIRE(passed.samples.size() == 1);
+  CHECK(passed.samples[0].running == 9);
+  CHECK(passed.samples[0].failed_age == 50ms);
+}
+
 TEST_CASE("old samples are not told and are forgotten") {
   auto board = load_board();
   board.Put({1, 3, 0, 0ms}, kStart);
