--- a/source/core/dispatch/endpoint_table.cc
+++ b/source/core/dispatch/endpoint_table.cc
@@ -4,8 +4,6 @@
 #include <cmath>
 #include <utility>
 
-#include "common/digest.h"
-
 namespace daisywind::dispatch {
 namespace {
 
@@ -61,10 +59,11 @@
   auto state = endpoint_state{};
   state.entry = entry;
   state.registered_at = now;
-  states_.emplace(entry.id, slot{std::move(state),
-                                 part_memory(options_.parts_per_endpoint)});
-  by_service_[entry.service].push_back(entry.id);
-  by_key_.insert_or_assign(PlacementHash(entry.id.value), entry.id);
+  const auto [added, is_new] = states_.emplace(
+      entry.id,
+      slot{std::move(state), part_memory(options_.parts_per_endpoint)});
+  by_service_[entry.service].push_back(&added->second.state);
+  by_key_.insert_or_assign(KeyOf(entry.id), entry.id);
 }
 
 auto endpoint_table::Remove(const endpoint_id& id,
@@ -99,12 +98,13 @@
 
 auto endpoint_table::Erase(const endpoint_id& id) -> void {
   const auto found = states_.find(id);
-  const auto service = found->second.state.entry.service;
-  std::erase(by_service_[service], id);
-  if (by_service_[service].empty()) {
+  const auto& state = found->second.state;
+  const auto service = by_service_.find(state.entry.service);
+  std::erase(service->second, &state);
+  if (service->second.empty()) {
     by_service_.erase(service);
   }
-  by_key_.erase(PlacementHash(id.value));
+  by_key_.erase(KeyOf(id));
   states_.erase(found);
 }
 
@@ -115,7 +115,7 @@
 }
 
 auto endpoint_table::OfService(const service_id& id) const
-    -> const std::vector<endpoint_id>& {
+    -> const std::vector<const endpoint_state*>& {
   const auto found = by_service_.find(id);
   return found == by_service_.end() ? none_ : found->second;
 }
@@ -153,7 +153,7 @@
   TakeReport(found->second.state, report, now);
 }
 
-auto endpoint_table::OnSharedReport(std::uint64_t key,
+auto endpoint_table::OnSharedReport(endpoint_key key,
                                     std::uint32_t running,
                                     std::uint32_t waiting,
                                     instant taken_at) -> void {
@@ -169,7 +169,7 @@
   TakeReport(state, {running, waiting, state.entry.slots}, taken_at);
 }
 
-auto endpoint_table::OnSharedFailure(std::uint64_t key, instant failed_at)
+auto endpoint_table::OnSharedFailure(endpoint_key key, instant failed_at)
     -> void {
   const auto id = by_key_.find(key);
   if (id == by_key_.end()) {
@@ -259,10 +259,9 @@
     -> double {
   auto sum = 0.0;
   auto count = 0.0;
-  for (const auto& id : OfService(service)) {
-    const auto& state = states_.at(id).state;
-    if (state.report && now - state.reported_at <= options_.report_lifetime) {
-      sum += state.others;
+  for (const auto* state : OfService(service)) {
+    if (state->report && now - state->reported_at <= options_.report_lifetime) {
+      sum += state->others;
       count += 1.0;
     }
   }
--- a/source/core/dispatch/endpoint_table.h
+++ b/source/core/dispatch/endpoint_table.h
@@ -12,6 +12,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "common/endpoint_key.h"
 #include "common/ids.h"
 #include "common/time.h"
 #include "dispatch/types.h"
@@ -112,7 +113,7 @@
 
   [[nodiscard]] auto Find(const endpoint_id& id) const -> const endpoint_state*;
   [[nodiscard]] auto OfService(const service_id& id) const
-      -> const std::vector<endpoint_id>&;
+      -> const std::vector<const endpoint_state*>&;
   [[nodiscard]] auto Ids() const -> std::vector<endpoint_id>;
   [[nodiscard]] auto size() const -> std::size_t { return states_.size(); }
 
@@ -121,12 +122,12 @@
   auto OnReport(const endpoint_id& id, const load_report& report, instant now)
       -> void;
   // Takes in what an endpoint has said to another VM.
-  auto OnSharedReport(std::uint64_t key,
+  auto OnSharedReport(endpoint_key key,
                       std::uint32_t running,
                       std::uint32_t waiting,
                       instant taken_at) -> void;
   // Takes in that an endpoint has failed a request of another VM.
-  auto OnSharedFailure(std::uint64_t key, instant failed_at) -> void;
+  auto OnSharedFailure(endpoint_key key, instant failed_at) -> void;
   auto OnSign(const endpoint_id& id, attempt_sign sign, instant now) -> void;
 
   // Remembers that an endpoint has read a prompt.
@@ -164,11 +165,13 @@
   auto CountFailure(endpoint_state& state, instant failed_at) const -> void;
 
   endpoint_options options_;
+  // Its elements stay where they are, so the other tables refer to them.
   std::unordered_map<endpoint_id, slot> states_;
-  std::unordered_map<service_id, std::vector<endpoint_id>> by_service_;
+  std::unordered_map<service_id, std::vector<const endpoint_state*>>
+      by_service_;
   // By the hash under which VMs tell each other of endpoints.
-  std::unordered_map<std::uint64_t, endpoint_id> by_key_;
-  std::vector<endpoint_id> none_;
+  std::unordered_map<endpoint_key, endpoint_id> by_key_;
+  std::vector<const endpoint_state*> none_;
 };
 
 }  // namespace daisywind::dispatch
--- a/source/core/dispatch/placement.cc
+++ b/source/core/dispatch/placement.cc
@@ -86,9 +86,9 @@
             instant now) -> candidate_list {
   auto usable = candidate_list{};
   auto paused = candidate_list{};
-  for (const auto& id : endpoints.OfService(request.service)) {
-    const auto* state = endpoints.Find(id);
-    if (state->entry.is_draining || request.excluded.contains(id)) {
+  for (const auto* state : endpoints.OfService(request.service)) {
+    if (state->entry.is_draining ||
+        request.excluded.contains(state->entry.id)) {
       continue;
     }
     (state->paused_until > now ? paused : usable).push_back(state);
--- a/source/core/front/dialect.cc
+++ b/source/core/front/dialect.cc
@@ -24,8 +24,6 @@
       return "no_answer";
     case refusal_reason::kTimeout:
       return "timeout";
-    case refusal_reason::kStopping:
-      return "stopping";
   }
   return "unknown";
 }
--- a/source/core/front/dialect.h
+++ b/source/core/front/dialect.h
@@ -53,7 +53,6 @@
   // It may have run.
   kNoAnswer,
   kTimeout,
-  kStopping,
 };
 
 // The name of a reason in logs and metrics.
--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <utility>
 
+#include "common/endpoint_key.h"
 #include "common/logging.h"
 #include "common/process_clock.h"
 #include "net/sse.h"
@@ -273,7 +274,7 @@
   const auto answer = node_.requests().ReadAnswer(opened.head);
   if (answer.load) {
     endpoints.OnReport(endpoint, *answer.load, Now());
-    node_.turns().NoteLoad({history::KeyOf(endpoint), answer.load->running,
+    node_.turns().NoteLoad({KeyOf(endpoint), answer.load->running,
                             answer.load->waiting, duration(0)});
   }
   if (answer.is_not_run) {
--- a/source/core/history/load_board.cc
+++ b/source/core/history/load_board.cc
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "common/digest.h"
-
 namespace daisywind::history {
 namespace {
 
@@ -21,10 +19,6 @@
 
 }  // namespace
 
-auto KeyOf(const endpoint_id& id) -> endpoint_key {
-  return PlacementHash(id.value);
-}
-
 auto load_board::Put(const load_sample& sample, instant now) -> void {
   if (now >= forget_at_) {
     Forget(now);
--- a/source/core/history/load_board.h
+++ b/source/core/history/load_board.h
@@ -11,16 +11,11 @@
 #include <unordered_map>
 #include <vector>
 
-#include "common/ids.h"
+#include "common/endpoint_key.h"
 #include "common/time.h"
 
 namespace daisywind::history {
 
-// Stands for an endpoint's id, so that a sample stays small.
-using endpoint_key = std::uint64_t;
-
-auto KeyOf(const endpoint_id& id) -> endpoint_key;
-
 // What an endpoint said of itself in an answer, and when it last failed to give
 // one.
 struct load_sample {
--- a/source/core/net/http_client.cc
+++ b/source/core/net/http_client.cc
@@ -381,10 +381,6 @@
       is_pooled};
 }
 
-auto http_client::Forget(const socket_address& address) -> void {
-  state_->idle.erase(address);
-}
-
 auto http_client::OpenedConnections() const -> std::uint64_t {
   return state_->opened_connections;
 }
--- a/source/core/net/http_client.h
+++ b/source/core/net/http_client.h
@@ -126,9 +126,6 @@
   auto Open(socket_address address, http_request request, http_options options)
       -> boost::asio::awaitable<http_stream_result>;
 
-  // Closes the idle connections to one address.
-  auto Forget(const socket_address& address) -> void;
-
   // Connections opened so far.
   [[nodiscard]] auto OpenedConnections() const -> std::uint64_t;
 
--- a/source/core/net/http_types.cc
+++ b/source/core/net/http_types.cc
@@ -1,7 +1,6 @@
 #include "net/http_types.h"
 
 #include <algorithm>
-#include <cctype>
 #include <charconv>
 #include <utility>
 
@@ -10,13 +9,6 @@
 
 constexpr auto kHexBase = 16;
 
-auto EqualsIgnoringCase(std::string_view a, std::string_view b) -> bool {
-  return std::equal(a.begin(), a.end(), b.begin(), b.end(),
-                    [](unsigned char x, unsigned char y) {
-                      return std::tolower(x) == std::tolower(y);
-                    });
-}
-
 auto PercentDecode(std::string_view text) -> std::string {
   auto out = std::string{};
   for (auto i = std::size_t{0}; i < text.size(); ++i) {
@@ -36,12 +28,20 @@
 
 }  // namespace
 
+auto IsSameHeader(std::string_view a, std::string_view b) -> bool {
+  const auto lower = [](char letter) {
+    return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter + 32)
+                                          : letter;
+  };
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                    [&](char x, char y) { return lower(x) == lower(y); });
+}
+
 auto FindHeader(const http_headers& headers, std::string_view name)
     -> std::string_view {
-  const auto found =
-      std::find_if(headers.begin(), headers.end(), [&](const auto& header) {
-        return EqualsIgnoringCase(header.name, name);
-      });
+  const auto found = std::find_if(
+      headers.begin(), headers.end(),
+      [&](const auto& header) { return IsSameHeader(header.name, name); });
   return found == headers.end() ? std::string_view{} : found->value;
 }
 
--- a/source/core/net/http_types.h
+++ b/source/core/net/http_types.h
@@ -21,6 +21,9 @@
 
 using http_headers = std::vector<http_header>;
 
+// Compares two names of header fields without regard to case.
+auto IsSameHeader(std::string_view a, std::string_view b) -> bool;
+
 // Finds a header field by its name without regard to case. Returns an empty
 // text when there is none.
 auto FindHeader(const http_headers& headers, std::string_view name)
--- a/source/unit_tests/dispatch/endpoint_table_test.cc
+++ b/source/unit_tests/dispatch/endpoint_table_test.cc
@@ -2,7 +2,7 @@
 
 #include <doctest/doctest.h>
 
-#include "common/digest.h"
+#include "common/endpoint_key.h"
 
 namespace daisywind::dispatch {
 namespace {
@@ -117,7 +117,7 @@
 TEST_CASE("what others have heard counts unless something newer is known") {
   auto table = endpoint_table({});
   const auto id = endpoint_id("a");
-  const auto key = PlacementHash(id.value);
+  const auto key = KeyOf(id);
   table.Put(Endpoint("a"), kStart);
   const auto load = [&](instant now) {
     return table.ExpectedLoad(*table.Find(id), 0, now);
@@ -129,13 +129,13 @@
   table.OnReport(id, {2, 0, 4}, kStart + 2s);
   table.OnSharedReport(key, 6, 1, kStart + 1900ms);
   CHECK(load(kStart + 2s) == doctest::Approx(2));
-  table.OnSharedReport(PlacementHash("unknown"), 6, 1, kStart + 3s);
+  table.OnSharedReport(KeyOf(endpoint_id("unknown")), 6, 1, kStart + 3s);
 }
 
 TEST_CASE("failures that others have seen count, each once and less later") {
   auto table = endpoint_table({});
   const auto id = endpoint_id("a");
-  const auto key = PlacementHash(id.value);
+  const auto key = KeyOf(id);
   table.Put(Endpoint("a"), kStart);
   const auto score = [&](instant now) {
     return table.FailureScore(*table.Find(id), now);
--- a/source/unit_tests/dispatch/placement_test.cc
+++ b/source/unit_tests/dispatch/placement_test.cc
@@ -4,7 +4,7 @@
 
 #include <map>
 
-#include "common/digest.h"
+#include "common/endpoint_key.h"
 
 namespace daisywind::dispatch {
 namespace {
@@ -110,7 +110,7 @@
   }
   CHECK(Chosen() == "grey");
   const auto failed_at = kNow - 500ms;
-  table.OnSharedFailure(PlacementHash(grey.value), failed_at);
+  table.OnSharedFailure(KeyOf(grey), failed_at);
   table.OnSign(grey, attempt_sign::kAnswered, kNow - 100ms);
   CHECK(Chosen() == "sound");
   request.may_repeat = true;
--- a/source/unit_tests/front/request_flow_test.cc
+++ b/source/unit_tests/front/request_flow_test.cc
@@ -44,6 +44,14 @@
   };
 }
 
+// Takes requests and never answers.
+auto Silent(int& requests) -> endpoint_handler {
+  return [&requests](net::http_exchange& exchange) -> asio::awaitable<void> {
+    ++requests;
+    co_await exchange.WaitForClose();
+  };
+}
+
 TEST_CASE("without a configuration every request is refused as not run") {
   auto site = test_site();
   const auto result = site.Send("once", "r");
@@ -128,11 +136,7 @@
 TEST_CASE("a request is answered at its route's timeout") {
   auto site = test_site();
   auto runs = 0;
-  site.AddEndpoint("a",
-                   [&](net::http_exchange& exchange) -> asio::awaitable<void> {
-                     ++runs;
-                     co_await exchange.WaitForClose();
-                   });
+  site.AddEndpoint("a", Silent(runs));
   site.Configure();
   const auto result = site.Send("once", "r");
   CHECK(result.response.status == 502);
@@ -144,11 +148,7 @@
   auto site = test_site();
   auto silent = 0;
   auto runs = 0;
-  site.AddEndpoint("a",
-                   [&](net::http_exchange& exchange) -> asio::awaitable<void> {
-                     ++silent;
-                     co_await exchange.WaitForClose();
-                   });
+  site.AddEndpoint("a", Silent(silent));
   site.AddEndpoint("b", Answering(runs));
   site.Configure();
   // Whichever endpoint is drawn first, the answer comes in time.
