Share the clients of journals, the pauses of a turn's rounds and key parsing

Behaviour is meant to stay as it is. - turn_keeper, seat_keeper and store_backup each kept a map of clients by address and made those that were missing: now member_clients, which also says whether a VM has failed. A client takes its address as text, which four places parsed. - turn_keeper made a timer to pause in four places and had the rule for the end of a round twice: now Pause and PauseAfter. - seat_keeper cut batches of facts and gathered lists twice: BatchAt, HashesOf. - directory cut the endpoint's id out of a key in four places: EndpointOf; its heard_at was read by nobody.

--- a/source/core/front/directory.cc
+++ b/source/core/front/directory.cc
@@ -72,13 +72,11 @@
 auto directory::OnSnapshot(const std::vector<kv::key_value>& items,
                            bool is_in_doubt) -> void {
   const auto now = Now();
-  heard_at_ = now;
   auto present = std::set<endpoint_id>{};
   for (const auto& item : items) {
     OnItem(item, now);
-    if (item.key.starts_with(codec_.endpoint_prefix())) {
-      present.insert(
-          endpoint_id(item.key.substr(codec_.endpoint_prefix().size())));
+    if (auto id = EndpointOf(item.key)) {
+      present.insert(std::move(*id));
     }
   }
   auto missing = endpoints_.Ids();
@@ -92,24 +90,28 @@
 
 auto directory::OnChanges(const std::vector<kv::key_change>& changes) -> void {
   const auto now = Now();
-  heard_at_ = now;
   const auto removed = static_cast<std::size_t>(std::count_if(
       changes.begin(), changes.end(), [&](const kv::key_change& change) {
-        return change.is_removed &&
-               change.item.key.starts_with(codec_.endpoint_prefix());
+        return change.is_removed && EndpointOf(change.item.key);
       }));
   const auto is_in_doubt = IsInDoubt(now) || IsBulkRemoval(removed);
   for (const auto& change : changes) {
     if (!change.is_removed) {
       OnItem(change.item, now);
-    } else if (change.item.key.starts_with(codec_.endpoint_prefix())) {
-      RemoveEndpoint(
-          endpoint_id(change.item.key.substr(codec_.endpoint_prefix().size())),
-          is_in_doubt, now);
+    } else if (const auto id = EndpointOf(change.item.key)) {
+      RemoveEndpoint(*id, is_in_doubt, now);
     }
   }
 }
 
+auto directory::EndpointOf(const std::string& key) const
+    -> std::optional<endpoint_id> {
+  const auto prefix = codec_.endpoint_prefix();
+  return key.starts_with(prefix)
+             ? std::optional<endpoint_id>(key.substr(prefix.size()))
+             : std::nullopt;
+}
+
 auto directory::IsBulkRemoval(std::size_t removed) const -> bool {
   constexpr auto kPercent = std::size_t{100};
   return removed >= options_.doubtful_count &&
@@ -119,8 +121,8 @@
 auto directory::OnItem(const kv::key_value& item, instant now) -> void {
   if (item.key == codec_.configuration_key()) {
     OnConfiguration(item);
-  } else if (item.key.starts_with(codec_.endpoint_prefix())) {
-    OnEndpoint(item, now);
+  } else if (const auto id = EndpointOf(item.key)) {
+    OnEndpoint(*id, item, now);
   } else if (item.key == history::kViewKey) {
     if (const auto newest = history::ParseView(item.value)) {
       handlers_.on_view(*newest);
@@ -151,8 +153,9 @@
   }
 }
 
-auto directory::OnEndpoint(const kv::key_value& item, instant now) -> void {
-  const auto id = endpoint_id(item.key.substr(codec_.endpoint_prefix().size()));
+auto directory::OnEndpoint(const endpoint_id& id,
+                           const kv::key_value& item,
+                           instant now) -> void {
   const auto entry = codec_.ReadEndpoint(id, item.value);
   if (!entry) {
     Log(log_events::kEntryIgnored,
--- a/source/core/front/directory.h
+++ b/source/core/front/directory.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -72,18 +73,19 @@
     return routes_.version() != 0;
   }
 
-  // When the store last answered.
-  [[nodiscard]] auto heard_at() const -> instant { return heard_at_; }
-
  private:
   auto OnSnapshot(const std::vector<kv::key_value>& items, bool is_in_doubt)
       -> void;
   auto OnChanges(const std::vector<kv::key_change>& changes) -> void;
   auto OnItem(const kv::key_value& item, instant now) -> void;
   auto OnConfiguration(const kv::key_value& item) -> void;
-  auto OnEndpoint(const kv::key_value& item, instant now) -> void;
+  auto OnEndpoint(const endpoint_id& id, const kv::key_value& item, instant now)
+      -> void;
   auto RemoveEndpoint(const endpoint_id& id, bool is_in_doubt, instant now)
       -> void;
+  // The endpoint whose entry has the key, if it is one.
+  [[nodiscard]] auto EndpointOf(const std::string& key) const
+      -> std::optional<endpoint_id>;
   [[nodiscard]] auto IsBulkRemoval(std::size_t removed) const -> bool;
   [[nodiscard]] auto IsInDoubt(instant now) const -> bool;
 
@@ -93,7 +95,6 @@
   dispatch::route_table routes_;
   dispatch::endpoint_table endpoints_;
   kv::store_watch watch_;
-  instant heard_at_{};
   kv::revision revision_ = 0;
   bool is_reachable_ = true;
   instant doubt_until_{};
--- a/source/core/front/store_backup.cc
+++ b/source/core/front/store_backup.cc
@@ -4,8 +4,6 @@
 #include <boost/asio.hpp>
 #include <utility>
 
-#include "net/http_types.h"
-
 namespace daisywind::front {
 
 namespace asio = boost::asio;
@@ -20,7 +18,8 @@
       turns_(turns),
       seeds_(std::move(seeds)),
       options_(options),
-      timer_(context) {}
+      timer_(context),
+      clients_(context) {}
 
 auto store_backup::Start() -> void {
   asio::co_spawn(context_, Run(), asio::detached);
@@ -41,20 +40,14 @@
       co_await AskAll();
     } else {
       // Connections to journals that are not needed any more.
-      clients_.clear();
+      clients_.Clear();
     }
   }
 }
 
 auto store_backup::AskAll() -> asio::awaitable<void> {
   for (const auto& address : Addresses()) {
-    auto& client = clients_[address];
-    if (client == nullptr) {
-      client = std::make_shared<history::member_client>(
-          context_,
-          net::ParseSocketAddress(address).value_or(net::socket_address{}));
-    }
-    const auto asked = client;
+    const auto asked = clients_.To(address);
     const auto reply = co_await asked->AskAndWait(
         0, history::copy_request{known_.revision_at()}, options_.ask_timeout);
     const auto* answer =
--- a/source/core/front/store_backup.h
+++ b/source/core/front/store_backup.h
@@ -5,8 +5,6 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <map>
-#include <memory>
 #include <string>
 #include <vector>
 
@@ -49,7 +47,7 @@
   std::vector<std::string> seeds_;
   backup_options options_;
   boost::asio::steady_timer timer_;
-  std::map<std::string, std::shared_ptr<history::member_client>> clients_;
+  history::member_clients clients_;
   bool is_stopped_ = false;
 };
 
--- a/source/core/history_client/member_client.cc
+++ b/source/core/history_client/member_client.cc
@@ -1,5 +1,6 @@
 #include "history_client/member_client.h"
 
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <map>
 #include <string_view>
@@ -7,6 +8,7 @@
 
 #include "history_wire/codec.h"
 #include "net/frame_channel.h"
+#include "net/http_types.h"
 
 namespace daisywind::history {
 namespace {
@@ -114,8 +116,10 @@
 };
 
 member_client::member_client(asio::io_context& context,
-                             net::socket_address address)
-    : state_(std::make_shared<state>(context, std::move(address))) {}
+                             const std::string& address)
+    : state_(std::make_shared<state>(
+          context,
+          net::ParseSocketAddress(address).value_or(net::socket_address{}))) {}
 
 member_client::~member_client() {
   if (state_->channel != nullptr) {
@@ -178,12 +182,30 @@
   co_return std::move(shared->reply);
 }
 
-auto member_client::address() const -> const net::socket_address& {
-  return state_->address;
-}
-
 auto member_client::failures() const -> std::uint32_t {
   return state_->failures;
 }
 
+auto member_clients::To(const std::string& address)
+    -> std::shared_ptr<member_client> {
+  auto& client = clients_[address];
+  if (client == nullptr) {
+    client = std::make_shared<member_client>(context_, address);
+  }
+  return client;
+}
+
+auto member_clients::HasFailed(const std::string& address) const -> bool {
+  const auto found = clients_.find(address);
+  return found != clients_.end() && found->second->failures() != 0;
+}
+
+auto member_clients::KeepMembersOf(const view& current) -> void {
+  std::erase_if(clients_, [&](const auto& item) {
+    return std::none_of(
+        current.members.begin(), current.members.end(),
+        [&](const member& of) { return of.address == item.first; });
+  });
+}
+
 }  // namespace daisywind::history
--- a/source/core/history_client/member_client.h
+++ b/source/core/history_client/member_client.h
@@ -6,12 +6,14 @@
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
+#include <string>
 
 #include "common/time.h"
 #include "history/messages.h"
-#include "net/http_types.h"
+#include "history/view.h"
 
 namespace daisywind::history {
 
@@ -23,7 +25,8 @@
  public:
   struct state;
 
-  member_client(boost::asio::io_context& context, net::socket_address address);
+  // The address is given as "ip:port".
+  member_client(boost::asio::io_context& context, const std::string& address);
   member_client(const member_client&) = delete;
   auto operator=(const member_client&) -> member_client& = delete;
   ~member_client();
@@ -38,8 +41,6 @@
   auto AskAndWait(view_number view, message_body body, duration timeout)
       -> boost::asio::awaitable<std::optional<message_body>>;
 
-  [[nodiscard]] auto address() const -> const net::socket_address&;
-
   // Failures since the last reply.
   [[nodiscard]] auto failures() const -> std::uint32_t;
 
@@ -47,6 +48,28 @@
   std::shared_ptr<state> state_;
 };
 
+// The clients of several VMs by address.
+class member_clients {
+ public:
+  explicit member_clients(boost::asio::io_context& context)
+      : context_(context) {}
+
+  // Makes the client that is not there yet.
+  auto To(const std::string& address) -> std::shared_ptr<member_client>;
+
+  // Whether a VM has failed since it last replied.
+  [[nodiscard]] auto HasFailed(const std::string& address) const -> bool;
+
+  // Closes connections to VMs that are not members.
+  auto KeepMembersOf(const view& current) -> void;
+
+  auto Clear() -> void { clients_.clear(); }
+
+ private:
+  boost::asio::io_context& context_;
+  std::map<std::string, std::shared_ptr<member_client>> clients_;
+};
+
 }  // namespace daisywind::history
 
 #endif  // DAISYWIND_HISTORY_CLIENT_MEMBER_CLIENT_H_
--- a/source/core/history_client/turn_keeper.cc
+++ b/source/core/history_client/turn_keeper.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <utility>
 
+#include "common/endpoint_key.h"
 #include "common/logging.h"
 #include "common/process_clock.h"
 
@@ -81,12 +82,12 @@
     const auto position = next_++;
     const auto& to = members_[position];
     ++waiting_;
-    keeper_.Client(to)->Ask(view_, make_(position, to),
-                            keeper_.options_.ask_timeout,
-                            [self = shared_from_this(),
-                             position](std::optional<message_body> reply) {
-                              self->OnReply(position, std::move(reply));
-                            });
+    keeper_.clients_.To(to.address)
+        ->Ask(view_, make_(position, to), keeper_.options_.ask_timeout,
+              [self = shared_from_this(),
+               position](std::optional<message_body> reply) {
+                self->OnReply(position, std::move(reply));
+              });
   }
 
   auto OnReply(std::size_t position, std::optional<message_body> reply)
@@ -133,6 +134,7 @@
     : context_(context),
       options_(std::move(options)),
       on_contact_(std::move(on_contact)),
+      clients_(context),
       loads_(std::move(on_load)) {}
 
 auto turn_keeper::NoteLoad(const load_sample& sample) -> void {
@@ -164,8 +166,7 @@
 
 auto turn_keeper::Probe() -> asio::awaitable<void> {
   while (!is_in_contact_) {
-    auto pause = asio::steady_timer(context_, options_.probe_interval);
-    co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_await Pause(options_.probe_interval);
     const auto sizes = QuorumSizes(view_, options_.tolerated);
     const auto answering = co_await CountAnswering();
     if (answering >= std::max(sizes.write, sizes.read)) {
@@ -198,11 +199,7 @@
     return;
   }
   view_ = newest;
-  std::erase_if(clients_, [&](const auto& item) {
-    return std::none_of(
-        view_.members.begin(), view_.members.end(),
-        [&](const member& of) { return of.address == item.first; });
-  });
+  clients_.KeepMembersOf(view_);
   Log(log_events::kViewInForce,
       {{"view", static_cast<std::int64_t>(view_.number)},
        {"members", static_cast<std::int64_t>(view_.members.size())}});
@@ -222,20 +219,21 @@
                    });
   // A member that has just failed is asked after those that have not.
   std::stable_partition(members.begin(), members.end(), [&](const member& of) {
-    const auto found = clients_.find(of.address);
-    return found == clients_.end() || found->second->failures() == 0;
+    return !clients_.HasFailed(of.address);
   });
   return members;
 }
 
-auto turn_keeper::Client(const member& of) -> std::shared_ptr<member_client> {
-  auto& client = clients_[of.address];
-  if (client == nullptr) {
-    client = std::make_shared<member_client>(
-        context_,
-        net::ParseSocketAddress(of.address).value_or(net::socket_address{}));
+auto turn_keeper::Pause(duration length) -> asio::awaitable<void> {
+  auto timer = asio::steady_timer(context_, length);
+  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+auto turn_keeper::PauseAfter(const round& asks, view_number asked_view)
+    -> asio::awaitable<void> {
+  if (!asks.IsStale() || view_.number == asked_view) {
+    co_await Pause(options_.retry_pause);
   }
-  return client;
 }
 
 auto turn_keeper::Begin(turn_begin request, duration patience)
@@ -299,11 +297,7 @@
         co_return result;
       }
     }
-    // A member may know that the view is stale before it knows the newer one.
-    if (!asks->IsStale() || view_.number == result.view) {
-      auto pause = asio::steady_timer(context_, options_.retry_pause);
-      co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
-    }
+    co_await PauseAfter(*asks, result.view);
   }
   co_return result;
 }
@@ -334,8 +328,7 @@
     co_await asks->Run(1, until);
     asks->End();
     if (chain.state() == decision_state::kOpen && chain.target() == target) {
-      auto pause = asio::steady_timer(context_, options_.retry_pause);
-      co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
+      co_await Pause(options_.retry_pause);
     }
   }
 }
@@ -366,10 +359,7 @@
     if (copies >= sizes.write && !view_.members.empty()) {
       co_return true;
     }
-    if (!asks->IsStale() || view_.number == asked_view) {
-      auto pause = asio::steady_timer(context_, options_.retry_pause);
-      co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
-    }
+    co_await PauseAfter(*asks, asked_view);
   }
   co_return false;
 }
--- a/source/core/history_client/turn_keeper.h
+++ b/source/core/history_client/turn_keeper.h
@@ -8,10 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <map>
-#include <memory>
 #include <optional>
-#include <string>
 #include <vector>
 
 #include "common/ids.h"
@@ -110,9 +107,13 @@
   class round;
 
   [[nodiscard]] auto MembersByDistance() const -> std::vector<member>;
-  auto Client(const member& of) -> std::shared_ptr<member_client>;
   auto ReadChain(chain_decision& chain, duration patience)
       -> boost::asio::awaitable<void>;
+  auto Pause(duration length) -> boost::asio::awaitable<void>;
+  // Waits until another round is worth it: at once when the view has changed. A
+  // member may know that a view is stale before it knows the newer one.
+  auto PauseAfter(const round& asks, view_number asked_view)
+      -> boost::asio::awaitable<void>;
   auto SetContact(bool is_in_contact) -> void;
   auto Probe() -> boost::asio::awaitable<void>;
   auto CountAnswering() -> boost::asio::awaitable<std::size_t>;
@@ -124,7 +125,7 @@
   bool is_in_contact_ = true;
   std::chrono::steady_clock::time_point regained_at_{};
   view view_;
-  std::map<std::string, std::shared_ptr<member_client>> clients_;
+  member_clients clients_;
   load_exchange loads_;
 };
 
--- a/source/core/journal/seat_keeper.cc
+++ b/source/core/journal/seat_keeper.cc
@@ -9,13 +9,23 @@
 #include "history/messages.h"
 #include "history_wire/view_json.h"
 #include "journal/journal_node.h"
-#include "net/http_types.h"
 
 namespace daisywind::journal {
 namespace {
 
 namespace asio = boost::asio;
 
+using hash_list = std::vector<history::fact_hash>;
+
+// Facts in one message.
+constexpr auto kBatch = std::size_t{32};
+
+auto BatchAt(const hash_list& all, std::size_t begin) -> hash_list {
+  const auto first = all.begin() + static_cast<std::ptrdiff_t>(begin);
+  const auto size = std::min(kBatch, all.size() - begin);
+  return {first, first + static_cast<std::ptrdiff_t>(size)};
+}
+
 }  // namespace
 
 seat_keeper::seat_keeper(asio::io_context& context,
@@ -33,7 +43,8 @@
              {[this](const kv::listing& all) { OnSnapshot(all); },
               [this](const kv::change_list& list) { OnChanges(list); },
               [](bool) {}}),
-      timer_(context) {}
+      timer_(context),
+      clients_(context) {}
 
 auto seat_keeper::Start() -> void {
   watch_.Start();
@@ -218,8 +229,10 @@
     -> asio::awaitable<std::vector<answering_member>> {
   auto answering = std::vector<answering_member>{};
   for (const auto& item : Others()) {
-    const auto reply = co_await Client(item)->AskAndWait(
-        stored_.number, history::adopt_request{stored_}, options_.ask_timeout);
+    const auto reply =
+        co_await clients_.To(item.address)
+            ->AskAndWait(stored_.number, history::adopt_request{stored_},
+                         options_.ask_timeout);
     if (const auto* adopted =
             reply ? std::get_if<history::adopt_reply>(&*reply) : nullptr) {
       answering.push_back({item, adopted->is_complete});
@@ -276,8 +289,9 @@
     -> asio::awaitable<std::vector<fact_list>> {
   auto lists = std::vector<fact_list>{};
   for (const auto& item : from) {
-    auto reply = co_await Client(item.who)->AskAndWait(
-        stored_.number, history::list_request{}, 3 * options_.ask_timeout);
+    auto reply = co_await clients_.To(item.who.address)
+                     ->AskAndWait(stored_.number, history::list_request{},
+                                  3 * options_.ask_timeout);
     auto* list = reply ? std::get_if<history::list_reply>(&*reply) : nullptr;
     if (list == nullptr) {
       Log(log_events::kPullFailed,
@@ -289,15 +303,21 @@
   co_return lists;
 }
 
-// Reads the facts that are on fewer of the others than a write needs. All other
-// facts are safe without this copy, and any read still meets one of theirs.
-auto seat_keeper::Pull(const std::vector<fact_list>& lists)
-    -> asio::awaitable<bool> {
+auto seat_keeper::HashesOf(const std::vector<fact_list>& lists)
+    -> std::vector<std::vector<history::fact_hash>> {
   auto all = std::vector<std::vector<history::fact_hash>>{};
   for (const auto& item : lists) {
     all.push_back(item.hashes);
   }
-  const auto missing = history::UnderReplicated(all, options_.tolerated + 1);
+  return all;
+}
+
+// Reads the facts that are on fewer of the others than a write needs. All other
+// facts are safe without this copy, and any read still meets one of theirs.
+auto seat_keeper::Pull(const std::vector<fact_list>& lists)
+    -> asio::awaitable<bool> {
+  const auto missing =
+      history::UnderReplicated(HashesOf(lists), options_.tolerated + 1);
   const auto mine = node_.state().facts().Hashes();
   auto taken = std::set<history::fact_hash>(mine.begin(), mine.end());
   for (const auto& item : lists) {
@@ -330,18 +350,10 @@
 
 auto seat_keeper::PullBatches(std::shared_ptr<pull_work> work)
     -> asio::awaitable<void> {
-  constexpr auto kBatch = std::size_t{32};
-  auto client = history::member_client(
-      context_, net::ParseSocketAddress(work->from.address)
-                    .value_or(net::socket_address{}));
+  auto client = history::member_client(context_, work->from.address);
   while (work->next < work->wanted.size() && !work->has_failed) {
-    const auto begin = work->next;
-    const auto end = std::min(begin + kBatch, work->wanted.size());
-    work->next = end;
-    auto request = history::pull_request{};
-    request.hashes.assign(
-        work->wanted.begin() + static_cast<std::ptrdiff_t>(begin),
-        work->wanted.begin() + static_cast<std::ptrdiff_t>(end));
+    auto request = history::pull_request{BatchAt(work->wanted, work->next)};
+    work->next += request.hashes.size();
     auto reply = co_await client.AskAndWait(stored_.number, std::move(request),
                                             3 * options_.ask_timeout);
     auto* pulled = reply ? std::get_if<history::pull_reply>(&*reply) : nullptr;
@@ -396,25 +408,19 @@
   if (lists.size() != Others().size()) {
     co_return false;
   }
-  constexpr auto kBatch = std::size_t{32};
-  auto all = std::vector<std::vector<history::fact_hash>>{};
-  for (const auto& item : lists) {
-    all.push_back(item.hashes);
-  }
-  const auto owed_to = history::CopiesOwed(node_.state().facts().Hashes(), all,
-                                           options_.tolerated + 1);
+  const auto owed_to = history::CopiesOwed(
+      node_.state().facts().Hashes(), HashesOf(lists), options_.tolerated + 1);
   for (auto i = std::size_t{0}; i < lists.size(); ++i) {
     const auto& item = lists[i];
     const auto& owed = owed_to[i];
     for (auto at = std::size_t{0}; at < owed.size(); at += kBatch) {
-      const auto last = std::min(at + kBatch, owed.size());
-      const auto batch = std::vector<history::fact_hash>(
-          owed.begin() + static_cast<std::ptrdiff_t>(at),
-          owed.begin() + static_cast<std::ptrdiff_t>(last));
-      const auto reply = co_await Client(item.who)->AskAndWait(
-          stored_.number,
-          history::record_request{node_.state().facts().OfHashes(batch)},
-          3 * options_.ask_timeout);
+      const auto batch = BatchAt(owed, at);
+      const auto reply =
+          co_await clients_.To(item.who.address)
+              ->AskAndWait(stored_.number,
+                           history::record_request{
+                               node_.state().facts().OfHashes(batch)},
+                           3 * options_.ask_timeout);
       const auto* recorded =
           reply ? std::get_if<history::record_reply>(&*reply) : nullptr;
       if (recorded == nullptr || !recorded->is_durable) {
@@ -452,15 +458,4 @@
   co_await timer_.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
-auto seat_keeper::Client(const history::member& of)
-    -> std::shared_ptr<history::member_client> {
-  auto& client = clients_[of.address];
-  if (client == nullptr) {
-    client = std::make_shared<history::member_client>(
-        context_,
-        net::ParseSocketAddress(of.address).value_or(net::socket_address{}));
-  }
-  return client;
-}
-
 }  // namespace daisywind::journal
--- a/source/core/journal/seat_keeper.h
+++ b/source/core/journal/seat_keeper.h
@@ -97,6 +97,8 @@
   auto AnnounceView() -> boost::asio::awaitable<std::vector<answering_member>>;
   auto ReadLists(const std::vector<answering_member>& from)
       -> boost::asio::awaitable<std::vector<fact_list>>;
+  static auto HashesOf(const std::vector<fact_list>& lists)
+      -> std::vector<std::vector<history::fact_hash>>;
   auto Pull(const std::vector<fact_list>& lists)
       -> boost::asio::awaitable<bool>;
   auto PullBatches(std::shared_ptr<pull_work> work)
@@ -107,8 +109,6 @@
   auto AreMembersComplete() -> boost::asio::awaitable<bool>;
   auto WriteStatus(const std::string& value) -> boost::asio::awaitable<bool>;
   auto Pause(duration length) -> boost::asio::awaitable<void>;
-  auto Client(const history::member& of)
-      -> std::shared_ptr<history::member_client>;
   [[nodiscard]] auto HasSeat() const -> bool;
   [[nodiscard]] auto Others() const -> std::vector<history::member>;
 
@@ -128,7 +128,7 @@
   std::vector<vm_id> complete_;
   // Since when members do not answer.
   std::map<vm_id, instant> silent_since_;
-  std::map<std::string, std::shared_ptr<history::member_client>> clients_;
+  history::member_clients clients_;
   // Since when too few complete members answer, although all answer.
   std::optional<instant> stuck_since_;
   bool is_stopped_ = false;
