--- a/source/core/process/process_main.cc
+++ b/source/core/process/process_main.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "common/logging.h"
+#include "common/vm_settings.h"
 
 namespace daisywind::process {
 namespace {
@@ -111,6 +112,14 @@
   }
 }
 
+auto StartLog(std::string_view program, const settings& values) -> void {
+  StartBoundedLogging(LevelFromText(values.Get(vm_settings::kLogLevel)));
+  const auto vm = values.Get(vm_settings::kVm);
+  Log(log_events::kProcessStarted, {{"vm", std::string_view(vm)},
+                                    {"program", program},
+                                    {"version", DAISYWIND_VERSION}});
+}
+
 auto LevelFromText(std::string_view text) -> log_level {
   for (const auto level :
        {log_level::kDebug, log_level::kWarning, log_level::kError}) {
--- a/source/core/process/process_main.h
+++ b/source/core/process/process_main.h
@@ -29,6 +29,9 @@
 // Parses the command line, reads and checks the settings, and runs the program.
 auto Main(const program& what, int argc, char** argv) -> int;
 
+// Starts bounded logging and says that a program has started on a VM.
+auto StartLog(std::string_view program, const settings& values) -> void;
+
 // The severity of a name, or information for any other text.
 auto LevelFromText(std::string_view text) -> log_level;
 
--- a/source/core/process/signals.cc
+++ b/source/core/process/signals.cc
@@ -1,11 +1,25 @@
 #include "process/signals.h"
 
+#include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <utility>
 
 #include "common/logging.h"
 
 namespace daisywind::process {
+namespace {
+
+// Waits for signals as long as it exists.
+class signals {
+ public:
+  signals(boost::asio::io_context& context, signal_handlers handlers);
+
+ private:
+  auto Wait() -> void;
+
+  boost::asio::signal_set set_;
+  signal_handlers handlers_;
+};
 
 signals::signals(boost::asio::io_context& context, signal_handlers handlers)
     : set_(context, SIGTERM, SIGINT), handlers_(std::move(handlers)) {
@@ -21,7 +35,9 @@
       return;
     }
     if (number == SIGHUP) {
-      handlers_.on_reload();
+      if (handlers_.reload()) {
+        Log(log_events::kSettingsReloaded);
+      }
     } else {
       Log(log_events::kProcessStopping, {{"signal", std::int64_t{number}}});
       handlers_.on_stop();
@@ -30,4 +46,13 @@
   });
 }
 
+}  // namespace
+
+auto RunUntilStopped(boost::asio::io_context& context, signal_handlers handlers)
+    -> void {
+  const auto on_signal = signals(context, std::move(handlers));
+  context.run();
+  Log(log_events::kProcessStopped);
+}
+
 }  // namespace daisywind::process
--- a/source/core/process/signals.h
+++ b/source/core/process/signals.h
@@ -3,8 +3,10 @@
 #define DAISYWIND_PROCESS_SIGNALS_H_
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <functional>
+#include <optional>
+
+#include "common/settings.h"
 
 namespace daisywind::process {
 
@@ -12,21 +14,15 @@
 struct signal_handlers {
   // SIGTERM and SIGINT.
   std::function<void()> on_stop;
-  // SIGHUP.
-  std::function<void()> on_reload;
+  // SIGHUP: reads the settings again, or returns nothing when they are not
+  // valid.
+  std::function<std::optional<settings>()> reload;
 };
 
-// Waits for signals as long as it exists.
-class signals {
- public:
-  signals(boost::asio::io_context& context, signal_handlers handlers);
-
- private:
-  auto Wait() -> void;
-
-  boost::asio::signal_set set_;
-  signal_handlers handlers_;
-};
+// Runs the context until it is stopped, which on_stop leads to, and handles
+// signals meanwhile.
+auto RunUntilStopped(boost::asio::io_context& context, signal_handlers handlers)
+    -> void;
 
 }  // namespace daisywind::process
 
--- a/source/daisywind_front/main.cc
+++ b/source/daisywind_front/main.cc
@@ -18,11 +18,7 @@
 
 auto Run(const settings& values,
          const std::function<std::optional<settings>()>& reload) -> int {
-  StartBoundedLogging(process::LevelFromText(values.Get(kLogLevel)));
-  const auto vm = values.Get(kVm);
-  Log(log_events::kProcessStarted, {{"vm", std::string_view(vm)},
-                                    {"program", "daisywind-front"},
-                                    {"version", DAISYWIND_VERSION}});
+  process::StartLog("daisywind-front", values);
   auto context = boost::asio::io_context(1);
   const auto requests = platform::http_dialect();
   const auto documents = platform::directory_json();
@@ -36,15 +32,8 @@
     FlushLogs();
     return EXIT_FAILURE;
   }
-  const auto on_signal =
-      process::signals(context, {[&] { node.Stop([&] { context.stop(); }); },
-                                 [&] {
-                                   if (reload()) {
-                                     Log(log_events::kSettingsReloaded);
-                                   }
-                                 }});
-  context.run();
-  Log(log_events::kProcessStopped);
+  process::RunUntilStopped(
+      context, {[&] { node.Stop([&] { context.stop(); }); }, reload});
   FlushLogs();
   return EXIT_SUCCESS;
 }
--- a/source/daisywind_gateway/main.cc
+++ b/source/daisywind_gateway/main.cc
@@ -27,15 +27,8 @@
   const auto vm = values.Get(kVm);
   Log(log_events::kProcessStarted,
       {{"vm", std::string_view(vm)}, {"version", DAISYWIND_VERSION}});
-  const auto on_signal =
-      process::signals(context, {[&] { self.Stop([&] { context.stop(); }); },
-                                 [&] {
-                                   if (reload()) {
-                                     Log(log_events::kSettingsReloaded);
-                                   }
-                                 }});
-  context.run();
-  Log(log_events::kProcessStopped);
+  process::RunUntilStopped(
+      context, {[&] { self.Stop([&] { context.stop(); }); }, reload});
   return EXIT_SUCCESS;
 }
 
--- a/source/daisywind_journal/main.cc
+++ b/source/daisywind_journal/main.cc
@@ -33,11 +33,7 @@
 
 auto Run(const settings& values,
          const std::function<std::optional<settings>()>& reload) -> int {
-  StartBoundedLogging(process::LevelFromText(values.Get(kLogLevel)));
-  const auto vm = values.Get(kVm);
-  Log(log_events::kProcessStarted, {{"vm", std::string_view(vm)},
-                                    {"program", "daisywind-journal"},
-                                    {"version", DAISYWIND_VERSION}});
+  process::StartLog("daisywind-journal", values);
   auto context = boost::asio::io_context(1);
   auto store =
       platform::store_client(context,
@@ -65,18 +61,11 @@
   }
   auto timer = boost::asio::steady_timer(context);
   FlushRegularly(timer);
-  const auto on_signal =
-      process::signals(context, {[&] {
-                                   node.Stop();
-                                   context.stop();
-                                 },
-                                 [&] {
-                                   if (reload()) {
-                                     Log(log_events::kSettingsReloaded);
-                                   }
-                                 }});
-  context.run();
-  Log(log_events::kProcessStopped);
+  process::RunUntilStopped(context, {[&] {
+                                       node.Stop();
+                                       context.stop();
+                                     },
+                                     reload});
   FlushLogs();
   return EXIT_SUCCESS;
 }
