Split the parts of messages from the codec of messages

history_wire/codec.cc had 515 lines and two jobs: what facts, views, copies of the store and loads look like on the wire, and the messages made of them. The parts are now in parts.cc, unchanged.

--- a/source/core/history_wire/codec.cc
+++ b/source/core/history_wire/codec.cc
@@ -3,148 +3,19 @@
 #include <history_generated.h>
 
 #include <algorithm>
-#include <chrono>
 #include <cstdint>
-#include <limits>
 #include <memory>
 #include <utility>
 #include <variant>
 
+#include "history_wire/parts.h"
+
 namespace daisywind::history {
 namespace {
 
 // FlatBuffers aligns its buffers to this many bytes.
 constexpr auto kAlignment = std::size_t{8};
 
-auto Copy(const turn_fact& from) -> std::unique_ptr<fbs::FactT> {
-  auto to = std::make_unique<fbs::FactT>();
-  to->program = from.program.value;
-  to->turn = from.turn.value;
-  to->reserved_tokens = from.reserved_tokens;
-  to->has_settled = from.settled_tokens.has_value();
-  to->settled_tokens = from.settled_tokens.value_or(0);
-  to->recorded_ms = from.recorded_ms;
-  if (from.content) {
-    to->content = std::make_unique<fbs::ContentT>();
-    to->content->parent = from.content->parent.value;
-    to->content->input = from.content->input;
-    to->content->output = from.content->output;
-    to->content->endpoint = from.content->endpoint.value;
-    to->content->prompt_tokens = from.content->prompt_tokens;
-  }
-  return to;
-}
-
-auto Copy(fbs::FactT& from) -> turn_fact {
-  auto to = turn_fact{};
-  to.program = program_name(std::move(from.program));
-  to.turn = turn_id(std::move(from.turn));
-  to.reserved_tokens = from.reserved_tokens;
-  if (from.has_settled) {
-    to.settled_tokens = from.settled_tokens;
-  }
-  to.recorded_ms = from.recorded_ms;
-  if (from.content != nullptr) {
-    to.content = turn_content{turn_id(std::move(from.content->parent)),
-                              std::move(from.content->input),
-                              std::move(from.content->output),
-                              endpoint_id(std::move(from.content->endpoint)),
-                              from.content->prompt_tokens};
-  }
-  return to;
-}
-
-auto Text(const flatbuffers::String* from) -> std::string {
-  return from == nullptr ? std::string{} : from->str();
-}
-
-// Reads a fact in place, which is faster than by way of an object.
-auto Read(const fbs::Fact& from) -> turn_fact {
-  auto to = turn_fact{};
-  to.program = program_name(Text(from.program()));
-  to.turn = turn_id(Text(from.turn()));
-  to.reserved_tokens = from.reserved_tokens();
-  if (from.has_settled()) {
-    to.settled_tokens = from.settled_tokens();
-  }
-  to.recorded_ms = from.recorded_ms();
-  if (const auto* content = from.content()) {
-    to.content = turn_content{turn_id(Text(content->parent())),
-                              Text(content->input()), Text(content->output()),
-                              endpoint_id(Text(content->endpoint())),
-                              content->prompt_tokens()};
-  }
-  return to;
-}
-
-using fact_objects = std::vector<std::unique_ptr<fbs::FactT>>;
-
-auto CopyAll(const std::vector<turn_fact>& from) -> fact_objects {
-  auto to = fact_objects{};
-  to.reserve(from.size());
-  for (const auto& fact : from) {
-    to.push_back(Copy(fact));
-  }
-  return to;
-}
-
-auto CopyAll(fact_objects& from) -> std::vector<turn_fact> {
-  auto to = std::vector<turn_fact>{};
-  to.reserve(from.size());
-  for (auto& fact : from) {
-    to.push_back(Copy(*fact));
-  }
-  return to;
-}
-
-auto Copy(const view& from) -> std::unique_ptr<fbs::ViewT> {
-  auto to = std::make_unique<fbs::ViewT>();
-  to->number = from.number;
-  for (const auto& item : from.members) {
-    auto object = std::make_unique<fbs::MemberT>();
-    object->vm = item.vm.value;
-    object->disk = item.disk.value;
-    object->address = item.address;
-    object->failure_domain = item.failure_domain.value;
-    object->region = item.region.value;
-    to->members.push_back(std::move(object));
-  }
-  return to;
-}
-
-auto Copy(const fbs::ViewT& from) -> view {
-  auto to = view{};
-  to.number = from.number;
-  for (const auto& item : from.members) {
-    to.members.push_back({vm_id(item->vm), disk_id(item->disk), item->address,
-                          failure_domain_id(item->failure_domain),
-                          region_id(item->region)});
-  }
-  return to;
-}
-
-auto Copy(const store_copy& from) -> std::unique_ptr<fbs::StoreCopyT> {
-  auto to = std::make_unique<fbs::StoreCopyT>();
-  to->revision = from.revision_at;
-  for (const auto& item : from.items) {
-    auto object = std::make_unique<fbs::ItemT>();
-    object->key = item.key;
-    object->value = item.value;
-    object->created = item.create_revision;
-    object->changed = item.mod_revision;
-    to->items.push_back(std::move(object));
-  }
-  return to;
-}
-
-auto Copy(const fbs::StoreCopyT& from) -> store_copy {
-  auto to = store_copy{from.revision, {}};
-  for (const auto& item : from.items) {
-    to.items.push_back({item->key, item->value, item->created, item->changed});
-  }
-  return to;
-}
-
 auto StateFrom(std::uint8_t value) -> chain_state {
   return value <= static_cast<std::uint8_t>(chain_state::kMissing)
              ? static_cast<chain_state>(value)
@@ -164,47 +35,6 @@
           CopyAll(from.chain)};
 }
 
-// Says that an endpoint has not failed lately.
-constexpr auto kNotFailed = std::numeric_limits<std::uint16_t>::max();
-
-auto Milliseconds(duration value) -> std::int64_t {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
-}
-
-auto Copy(const std::vector<load_sample>& from)
-    -> std::vector<fbs::LoadSample> {
-  constexpr auto kMost = kNotFailed - 1;
-  const auto clamp = [](auto value) {
-    return static_cast<std::uint16_t>(
-        std::clamp<std::int64_t>(static_cast<std::int64_t>(value), 0, kMost));
-  };
-  auto to = std::vector<fbs::LoadSample>{};
-  to.reserve(from.size());
-  for (const auto& item : from) {
-    to.emplace_back(
-        item.endpoint, clamp(Milliseconds(item.age)), clamp(item.running),
-        clamp(item.waiting),
-        item.failed_age ? clamp(Milliseconds(*item.failed_age)) : kNotFailed);
-  }
-  return to;
-}
-
-auto Copy(const std::vector<fbs::LoadSample>& from)
-    -> std::vector<load_sample> {
-  auto to = std::vector<load_sample>{};
-  to.reserve(from.size());
-  for (const auto& item : from) {
-    const auto failed_age =
-        item.failed_ms() == kNotFailed
-            ? std::nullopt
-            : std::optional<duration>(
-                  std::chrono::milliseconds(item.failed_ms()));
-    to.push_back({item.endpoint(), item.running(), item.waiting(),
-                  std::chrono::milliseconds(item.age_ms()), failed_age});
-  }
-  return to;
-}
-
 // One overload a message for each direction.
 auto ToObject(const begin_request& from) -> fbs::BeginRequestT {
   auto to = fbs::BeginRequestT{};
