Log which configuration decided a request and how old its source was

The hypotheses on outdated configurations could not be told apart: 2103 showed the version at the end of a request instead of the one that selected its route, 2001 did not say what delivered a configuration, and nothing showed the age of the front's knowledge of the store or a late event loop.

No decision changes.

--- a/source/core/common/log_events.h
+++ b/source/core/common/log_events.h
@@ -54,6 +54,9 @@
 inline constexpr auto kLogLinesDropped =
     log_event{1005, log_subsystem::kCommon, log_level::kWarning,
               "log lines dropped, log reader too slow"};
+inline constexpr auto kEventLoopLate =
+    log_event{1006, log_subsystem::kCommon, log_level::kWarning,
+              "event loop late, input processed with a delay"};
 inline constexpr auto kListenFailed =
     log_event{1101, log_subsystem::kNet, log_level::kError,
               "listening on address failed"};
--- a/source/core/front/directory.cc
+++ b/source/core/front/directory.cc
@@ -1,6 +1,8 @@
 #include "front/directory.h"
 
 #include <algorithm>
+#include <array>
+#include <chrono>
 #include <set>
 #include <string_view>
 #include <utility>
@@ -10,6 +12,20 @@
 #include "history_wire/view_json.h"
 
 namespace daisywind::front {
+namespace {
+
+// By directory::item_source.
+constexpr auto kItemSourceNames =
+    std::to_array<std::string_view>({"listing", "watch", "copy"});
+// Logged in place of a time that does not apply.
+constexpr auto kNoTime = -1.0;
+
+auto Milliseconds(duration value) -> double {
+  return std::chrono::duration<double, std::milli>(value).count();
+}
+
+}  // namespace
+
 directory::directory(boost::asio::io_context& context,
                      kv::store& store,
                      const directory_codec& codec,
@@ -24,7 +40,8 @@
              "",
              options.watch,
              {[this](const kv::listing& all) {
-                OnSnapshot(all.items, AreRemovalsUncertain(Now()));
+                OnSnapshot(all.items, item_source::kListing,
+                           AreRemovalsUncertain(Now()));
                 revision_ = std::max(revision_, all.revision_at);
               },
               [this](const kv::change_list& list) {
@@ -48,7 +65,7 @@
        {"before", revision_},
        {"items", static_cast<std::int64_t>(copy.items.size())}});
   revision_ = copy.revision_at;
-  OnSnapshot(copy.items, true);
+  OnSnapshot(copy.items, item_source::kCopy, true);
 }
 
 auto directory::Start() -> void {
@@ -70,12 +87,19 @@
   return now < removals_uncertain_until_;
 }
 
+auto directory::StoreAge(instant now) const -> std::optional<duration> {
+  const auto answered_at = watch_.answered_at();
+  return answered_at ? std::optional<duration>(now - *answered_at)
+                     : std::nullopt;
+}
+
 auto directory::OnSnapshot(const std::vector<kv::key_value>& items,
+                           item_source source,
                            bool is_removal_uncertain) -> void {
   const auto now = Now();
   auto present = std::set<endpoint_id>{};
   for (const auto& item : items) {
-    OnItem(item, now);
+    OnItem(item, source, now);
     if (auto id = EndpointIdFromKey(item.key)) {
       present.insert(std::move(*id));
     }
@@ -99,7 +123,7 @@
       AreRemovalsUncertain(now) || IsBulkRemoval(removed);
   for (const auto& change : changes) {
     if (!change.is_removed) {
-      OnItem(change.item, now);
+      OnItem(change.item, item_source::kWatch, now);
     } else if (const auto id = EndpointIdFromKey(change.item.key)) {
       RemoveEndpoint(*id, is_removal_uncertain, now);
     }
@@ -121,9 +145,11 @@
              options_.bulk_removal_percent * endpoints_.size();
 }
 
-auto directory::OnItem(const kv::key_value& item, instant now) -> void {
+auto directory::OnItem(const kv::key_value& item,
+                       item_source source,
+                       instant now) -> void {
   if (item.key == codec_.configuration_key()) {
-    OnConfiguration(item);
+    OnConfiguration(item, source);
   } else if (const auto id = EndpointIdFromKey(item.key)) {
     OnEndpoint(*id, item, now);
   } else if (item.key == history::kViewKey) {
@@ -137,7 +163,8 @@
   }
 }
 
-auto directory::OnConfiguration(const kv::key_value& item) -> void {
+auto directory::OnConfiguration(const kv::key_value& item, item_source source)
+    -> void {
   const auto newest = codec_.ReadConfiguration(item.value);
   if (!newest) {
     Log(log_events::kEntryIgnored, {{"key", std::string_view(item.key)},
@@ -151,7 +178,11 @@
        {"before", static_cast<std::int64_t>(before)},
        {"revision", item.mod_revision},
        {"routes", static_cast<std::int64_t>(newest->routes.size())},
-       {"installed", is_newer}});
+       {"installed", is_newer},
+       {"source", kItemSourceNames.at(static_cast<std::size_t>(source))},
+       {"call_ms", source == item_source::kCopy
+                       ? kNoTime
+                       : Milliseconds(watch_.last_call_duration())}});
   if (is_newer) {
     handlers_.on_configuration();
   }
--- a/source/core/front/directory.h
+++ b/source/core/front/directory.h
@@ -4,6 +4,7 @@
 #define DAISYWIND_FRONT_DIRECTORY_H_
 
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -63,6 +64,10 @@
   // The newest store revision received, from the store or from a copy.
   [[nodiscard]] auto revision_at() const -> kv::revision { return revision_; }
 
+  // Time since the store last answered completely; empty before its first
+  // answer.
+  [[nodiscard]] auto StoreAge(instant now) const -> std::optional<duration>;
+
   // False while the store is unreachable.
   [[nodiscard]] auto IsStoreReachable() const -> bool { return is_reachable_; }
 
@@ -82,11 +87,16 @@
   }
 
  private:
+  // Where items of the store come from, for the log.
+  enum class item_source : std::uint8_t { kListing, kWatch, kCopy };
+
   auto OnSnapshot(const std::vector<kv::key_value>& items,
+                  item_source source,
                   bool is_removal_uncertain) -> void;
   auto OnChanges(const std::vector<kv::key_change>& changes) -> void;
-  auto OnItem(const kv::key_value& item, instant now) -> void;
-  auto OnConfiguration(const kv::key_value& item) -> void;
+  auto OnItem(const kv::key_value& item, item_source source, instant now)
+      -> void;
+  auto OnConfiguration(const kv::key_value& item, item_source source) -> void;
   auto OnEndpoint(const endpoint_id& id, const kv::key_value& item, instant now)
       -> void;
   auto RemoveEndpoint(const endpoint_id& id,
--- a/source/core/front/front_node.cc
+++ b/source/core/front/front_node.cc
@@ -16,6 +16,8 @@
 namespace asio = boost::asio;
 
 constexpr auto kTickInterval = std::chrono::milliseconds(100);
+// A delay of the event loop that callers notice.
+constexpr auto kLateTick = duration(200ms);
 // Part of the grace period that is left for the process to exit after the last
 // response.
 constexpr auto kGraceReserve = std::chrono::milliseconds(700);
@@ -182,8 +184,15 @@
     directory_.Tick(Now());
     UpdateReadiness();
     FlushLogs();
+    const auto due = Now() + kTickInterval;
     timer_.expires_after(kTickInterval);
     co_await timer_.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (const auto late = Now() - due; late >= kLateTick && !is_stopping_) {
+      Log(log_events::kEventLoopLate,
+          {{"late_ms", std::chrono::duration<double, std::milli>(late).count()},
+           {"requests",
+            static_cast<std::int64_t>(callers_.ActiveRequestCount())}});
+    }
   }
 }
 
--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -44,14 +44,21 @@
   return end == attempt_result::kNotRun ? "not_run" : "may_have_run";
 }
 
+// Milliseconds since the store last answered, for the log; -1 before its first
+// answer.
+auto StoreAgeMs(const std::optional<duration>& age) -> double {
+  return age ? Milliseconds(*age) : -1.0;
+}
+
 auto LogRefusal(const dispatch::call& call,
                 refusal_reason reason,
-                version_number version) -> void {
+                const directory& from) -> void {
   Log(log_events::kRequestRefused,
       {{"request", std::string_view(call.request_id)},
        {"program", std::string_view(call.program)},
        {"reason", ReasonName(reason)},
-       {"version", static_cast<std::int64_t>(version)}});
+       {"version", static_cast<std::int64_t>(from.routes().version())},
+       {"store_age_ms", StoreAgeMs(from.StoreAge(Now()))}});
 }
 
 }  // namespace
@@ -74,7 +81,7 @@
     }
   }
   if (reason) {
-    LogRefusal(*call, *reason, service_directory.routes().version());
+    LogRefusal(*call, *reason, service_directory);
     node.metrics_registry().Count(
         "daisywind_front_refusals_total",
         {{"reason", std::string(ReasonName(*reason))}});
@@ -98,7 +105,9 @@
       exchange_(exchange),
       call_(std::move(call)),
       route_(std::move(matched_route)),
+      version_(node.service_directory().routes().version()),
       started_at_(Now()),
+      store_age_(node.service_directory().StoreAge(started_at_)),
       deadline_timer_(node.context()) {
   const auto& key = call_.session.empty() ? call_.request_id : call_.session;
   service_ = dispatch::PickService(*route_, key);
@@ -447,8 +456,8 @@
       {{"request", std::string_view(call_.request_id)},
        {"program", std::string_view(call_.program)},
        {"route", std::string_view(route_->id.value)},
-       {"version", static_cast<std::int64_t>(
-                       node_.service_directory().routes().version())},
+       {"version", static_cast<std::int64_t>(version_)},
+       {"store_age_ms", StoreAgeMs(store_age_)},
        {"status", std::int64_t{summary_.status}},
        {"outcome", summary_.outcome},
        {"attempts", std::int64_t{attempts_.attempts}},
--- a/source/core/front/request_flow.h
+++ b/source/core/front/request_flow.h
@@ -99,10 +99,14 @@
   net::http_exchange& exchange_;
   dispatch::call call_;
   std::shared_ptr<const dispatch::route> route_;
+  // Version of the configuration that selected the route.
+  version_number version_ = 0;
   dispatch::service_id service_;
   // Set when the endpoints of the service are model replicas.
   std::optional<dispatch::engine_profile> engine_;
   instant started_at_;
+  // Time since the store's last answer when the request arrived.
+  std::optional<duration> store_age_;
   instant deadline_;
   boost::asio::steady_timer deadline_timer_;
   std::shared_ptr<net::http_cancellation> cancellation_;
--- a/source/core/kv/store_watch.cc
+++ b/source/core/kv/store_watch.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "common/logging.h"
+#include "common/process_clock.h"
 
 namespace daisywind::kv {
 
@@ -53,6 +54,7 @@
 }
 
 auto store_watch::Refresh() -> asio::awaitable<bool> {
+  const auto called_at = Now();
   auto result = co_await source_.List(prefix_);
   if (is_stopped_) {
     co_return false;
@@ -61,6 +63,7 @@
   if (!result.value) {
     co_return false;
   }
+  OnAnswer(called_at);
   next_ = result.value->revision_at;
   needs_refresh_ = false;
   handlers_.on_snapshot(*result.value);
@@ -68,6 +71,7 @@
 }
 
 auto store_watch::Follow() -> asio::awaitable<bool> {
+  const auto called_at = Now();
   auto result = co_await source_.WaitForChanges(prefix_, next_, options_.wait);
   if (is_stopped_) {
     co_return false;
@@ -85,6 +89,7 @@
                         : std::string_view(result.error)}});
     co_return true;
   }
+  OnAnswer(called_at);
   next_ = std::max(next_, result.value->next);
   if (!result.value->changes.empty()) {
     handlers_.on_changes(*result.value);
@@ -93,6 +98,11 @@
   co_return true;
 }
 
+auto store_watch::OnAnswer(instant called_at) -> void {
+  answered_at_ = Now();
+  last_call_duration_ = *answered_at_ - called_at;
+}
+
 auto store_watch::Pause(duration length) -> asio::awaitable<void> {
   timer_.expires_after(length);
   co_await timer_.async_wait(asio::as_tuple(asio::use_awaitable));
--- a/source/core/kv/store_watch.h
+++ b/source/core/kv/store_watch.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,7 +51,20 @@
   auto Start() -> void;
   auto Stop() -> void;
 
+  // When the newest complete response of the store arrived; empty before the
+  // first one.
+  [[nodiscard]] auto answered_at() const -> std::optional<instant> {
+    return answered_at_;
+  }
+
+  // How long the call that got this response took.
+  [[nodiscard]] auto last_call_duration() const -> duration {
+    return last_call_duration_;
+  }
+
  private:
+  // Notes the time of a complete response to a call.
+  auto OnAnswer(instant called_at) -> void;
   auto Run() -> boost::asio::awaitable<void>;
   auto Refresh() -> boost::asio::awaitable<bool>;
   auto Follow() -> boost::asio::awaitable<bool>;
@@ -64,6 +78,8 @@
   watch_handlers handlers_;
   boost::asio::steady_timer timer_;
   revision next_ = 0;
+  std::optional<instant> answered_at_;
+  duration last_call_duration_{};
   bool needs_refresh_ = true;
   bool is_reachable_ = true;
   bool is_stopped_ = false;
--- a/source/unit_tests/front/directory_test.cc
+++ b/source/unit_tests/front/directory_test.cc
@@ -4,6 +4,7 @@
 
 #include <boost/asio.hpp>
 #include <chrono>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,16 @@
     context.run_for(std::chrono::milliseconds(20));
   }
 
+  // Returns whether the condition holds within 30 s, which allows for a busy
+  // machine.
+  auto RunUntil(const std::function<bool()>& condition) -> bool {
+    const auto end = Now() + 30s;
+    while (!condition() && Now() < end) {
+      Run();
+    }
+    return condition();
+  }
+
   auto HasEndpoint(const char* id) -> bool {
     return service_directory.endpoints().Find(endpoint_id(id)) != nullptr;
   }
@@ -70,6 +81,18 @@
   CHECK(configurations == 1);
 }
 
+TEST_CASE_FIXTURE(directory_fixture,
+                  "the store's age counts from its newest answer") {
+  store.SetDown(true);
+  Run();
+  CHECK_FALSE(service_directory.StoreAge(Now()));
+  store.SetDown(false);
+  REQUIRE(RunUntil([this] { return service_directory.IsStoreReachable(); }));
+  const auto age = service_directory.StoreAge(Now());
+  REQUIRE(age);
+  CHECK(service_directory.StoreAge(Now() + 5s) >= *age + 5s);
+}
+
 TEST_CASE_FIXTURE(directory_fixture, "an invalid endpoint entry is ignored") {
   store.Put("endpoints/a", "nonsense");
   store.Put("endpoints/b", "127.0.0.1:2");
