Bound how long a watch of the store is believed to report every change

Cause: the store failed to wake the call for changes that followed the listing after it had dropped its history, and a watch took the silence of one call, up to 10 s and 1.5 s more for the response, for "no change". Any time limit for configurations was shorter than that. The same held for draining endpoints, which come by the same watch, and for the journals, whose copies of the store fronts take while they cannot reach it.

Change: the wait of a call follows from the time limit: limit less the pause between changes less a second for the response. So a change is known in time when a call fails to report it, and also when a call gets no response at all. Fronts and journals derive it by the same function from changes.in_force_ms.

--- a/source/core/common/vm_settings.h
+++ b/source/core/common/vm_settings.h
@@ -16,6 +16,9 @@
     "listen.metrics", "", "address for metrics, as ip:port; empty for none"};
 inline constexpr auto kStoreAddress = string_setting{
     "store.address", "", "the platform's store, as ip:port", 0, 0, true};
+inline constexpr auto kInForceMs = integer_setting{
+    "changes.in_force_ms", 2'500,
+    "time in which a configuration is to be in force", 100, 600'000};
 inline constexpr auto kToleratedDiskLosses = integer_setting{
     "tolerate.disks", 1, "disks that may be lost at once", 0, 5};
 inline constexpr auto kLogLevel = string_setting{
--- a/source/core/front/front_node.cc
+++ b/source/core/front/front_node.cc
@@ -49,18 +49,10 @@
   return options;
 }
 
-// The platform charges for each call to the store, so changes are fetched in
-// batches. An interval of a fifth of the time within which changes must be in
-// force leaves room for a slow store.
 auto DirectoryOptions(const settings& values) -> directory_options {
-  constexpr auto kIntervalsPerTimeLimit = 5;
-  constexpr auto kMinInterval = std::chrono::milliseconds(100);
-  constexpr auto kMaxInterval = std::chrono::milliseconds(1000);
-  const auto time_limit = std::chrono::milliseconds(
-      std::min(values.Get(kInForceMs), values.Get(kDrainedMs)));
   auto options = directory_options{};
-  options.watch.coalesce = std::clamp(time_limit / kIntervalsPerTimeLimit,
-                                      kMinInterval, kMaxInterval);
+  options.watch = kv::WatchOptionsFor(std::chrono::milliseconds(
+      std::min(values.Get(kInForceMs), values.Get(kDrainedMs))));
   return options;
 }
 
--- a/source/core/front/front_settings.h
+++ b/source/core/front/front_settings.h
@@ -20,9 +20,6 @@
 inline constexpr auto kJournalSeeds = list_setting{
     "journals.seeds", "",
     "addresses of some journals, each as ip:port, for when the store is away"};
-inline constexpr auto kInForceMs = integer_setting{
-    "changes.in_force_ms", 2'500,
-    "time in which a configuration is to be in force", 100, 600'000};
 inline constexpr auto kDrainedMs = integer_setting{
     "changes.drained_ms", 2'500,
     "time in which a leaving endpoint is to get no more requests", 100,
--- a/source/core/journal/journal_settings.cc
+++ b/source/core/journal/journal_settings.cc
@@ -11,6 +11,7 @@
           Declare(kSeedAddress),
           Declare(kMetricsAddress),
           Declare(kStoreAddress),
+          Declare(kInForceMs),
           Declare(kDataFolder),
           Declare(kToleratedDiskLosses),
           Declare(kRetentionMs),
--- a/source/core/journal/view_manager.h
+++ b/source/core/journal/view_manager.h
@@ -38,6 +38,8 @@
   // Number of disks that may be lost at the same time without losing facts.
   std::size_t tolerated_losses = 1;
   retire_keys retire;
+  // Timing of the watch of the store.
+  kv::watch_options watch;
   // A member that has been unreachable for this long may be replaced.
   duration replace_after = 1500ms;
   // Time between two steps of the manager.
--- a/source/core/kv/store.h
+++ b/source/core/kv/store.h
@@ -48,6 +48,10 @@
   std::string error;
 };
 
+// A call for changes fails when it gets no response within its wait and this
+// time. Covers the round trip to a slow store.
+inline constexpr auto kResponseAllowance = duration(1s);
+
 // Client of the platform's store.
 class store {
  public:
@@ -71,6 +75,7 @@
       -> boost::asio::awaitable<store_result<bool>> = 0;
 
   // Waits up to `wait` for changes under a prefix after a revision (long poll).
+  // Takes kResponseAllowance longer at most.
   virtual auto WaitForChanges(std::string prefix, revision after, duration wait)
       -> boost::asio::awaitable<store_result<change_list>> = 0;
 };
--- a/source/core/kv/store_watch.cc
+++ b/source/core/kv/store_watch.cc
@@ -14,6 +14,18 @@
 
 namespace asio = boost::asio;
 
+auto WatchOptionsFor(duration time_limit) -> watch_options {
+  constexpr auto kMinInterval = duration(100ms);
+  constexpr auto kMaxCoalesce = duration(1s);
+  auto options = watch_options{};
+  options.coalesce = std::clamp(time_limit / 5, kMinInterval, kMaxCoalesce);
+  // The platform charges for each call, so a call takes all the time that the
+  // pause before it and the allowance for its response leave.
+  options.wait = std::max(time_limit - options.coalesce - kResponseAllowance,
+                          options.coalesce);
+  return options;
+}
+
 store_watch::store_watch(asio::io_context& context,
                          store& source,
                          std::string prefix,
--- a/source/core/kv/store_watch.h
+++ b/source/core/kv/store_watch.h
@@ -29,8 +29,10 @@
 
 // Timing of a watch.
 struct watch_options {
-  // How long the store may hold one call until there are changes.
-  duration wait = 10s;
+  // How long the store may hold one call until there are changes. A call that
+  // reports nothing does not prove that nothing has changed: the store may fail
+  // to wake it, as when it drops its history.
+  duration wait = 1s;
   // Pause after changes, so that changes in quick succession are fetched
   // together.
   duration coalesce = 300ms;
@@ -39,6 +41,11 @@
   duration max_backoff = 1s;
 };
 
+// Returns the options of a watch that learns of a change within `time_limit`
+// even if a call for changes fails to report it or gets no response. Time
+// limits below 2 s can't be kept in the latter case.
+auto WatchOptionsFor(duration time_limit) -> watch_options;
+
 // Watches one prefix from Start until Stop.
 class store_watch {
  public:
--- a/source/testing/fake_store.cc
+++ b/source/testing/fake_store.cc
@@ -1,5 +1,6 @@
 #include "testing/fake_store.h"
 
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <chrono>
 #include <memory>
@@ -85,6 +86,7 @@
                                 kv::revision after,
                                 duration wait)
     -> asio::awaitable<kv::store_result<kv::change_list>> {
+  longest_wait_ = std::max(longest_wait_, wait);
   const auto until = std::chrono::steady_clock::now() + wait;
   while (true) {
     if (is_down_) {
--- a/source/testing/fake_store.h
+++ b/source/testing/fake_store.h
@@ -46,6 +46,9 @@
 
   [[nodiscard]] auto lists() const -> int { return lists_; }
 
+  // The longest wait that a client has requested in a call for changes.
+  [[nodiscard]] auto longest_wait() const -> duration { return longest_wait_; }
+
  private:
   struct change {
     kv::key_change what;
@@ -63,6 +66,7 @@
   bool is_down_ = false;
   bool loses_next_answer_ = false;
   int lists_ = 0;
+  duration longest_wait_{};
 };
 
 }  // namespace daisywind::testing
--- a/source/unit_tests/front/request_flow_test.cc
+++ b/source/unit_tests/front/request_flow_test.cc
@@ -28,6 +28,9 @@
   };
 }
 
+// Default of the setting changes.in_force_ms.
+constexpr auto kDefaultInForce = duration(2500ms);
+
 // Counts a run and aborts the connection without a response.
 auto AbortingEndpoint(int& runs) -> endpoint_handler {
   return [&runs](net::http_exchange& exchange) -> asio::awaitable<void> {
@@ -61,6 +64,13 @@
   CHECK(result.response.body == "no_configuration");
 }
 
+TEST_CASE("no call for changes outlasts the time limit for configurations") {
+  auto harness = front_harness();
+  harness.Configure();
+  REQUIRE(harness.RunUntil([&] { return harness.store.longest_wait() > 0s; }));
+  CHECK(harness.store.longest_wait() < kDefaultInForce);
+}
+
 TEST_CASE("a request without a route is refused") {
   auto harness = front_harness();
   harness.Configure();
--- a/source/unit_tests/journal/journal_node_test.cc
+++ b/source/unit_tests/journal/journal_node_test.cc
@@ -23,6 +23,8 @@
 namespace asio = boost::asio;
 namespace fs = std::filesystem;
 
+// Default of the setting changes.in_force_ms.
+constexpr auto kDefaultInForce = duration(2500ms);
 // Maximum duration of one step of a test; generous, for a busy machine.
 constexpr auto kStepTimeout = std::chrono::seconds(60);
 
@@ -208,6 +210,13 @@
   CHECK(cluster.IsSettled({"vm1", "vm2", "vm3"}));
 }
 
+TEST_CASE("no call for changes outlasts the time limit for configurations") {
+  auto cluster = journal_cluster();
+  cluster.StartThree();
+  CHECK(cluster.store.longest_wait() > 0s);
+  CHECK(cluster.store.longest_wait() < kDefaultInForce);
+}
+
 TEST_CASE("a view change whose reply is lost is detected by reading it back") {
   auto cluster = journal_cluster();
   cluster.store.LoseNextAnswer();
--- /dev/null
+++ b/source/unit_tests/kv/store_watch_test.cc
@@ -0,0 +1,99 @@
+#include "kv/store_watch.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace daisywind::kv {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr auto kListedRevision = revision{5};
+constexpr auto kChangedRevision = revision{6};
+
+// A store in which a key changes right after the first listing and whose first
+// call for changes fails to report that: it ends without changes, or without a
+// response. `elapsed` is the time that the calls for changes have taken.
+class forgetful_store : public store {
+ public:
+  explicit forgetful_store(bool responds) : responds_(responds) {}
+
+  auto Read(std::string)
+      -> asio::awaitable<store_result<std::optional<key_value>>> override {
+    co_return store_result<std::optional<key_value>>{};
+  }
+
+  auto List(std::string) -> asio::awaitable<store_result<listing>> override {
+    const auto at = calls_ == 0 ? kListedRevision : kChangedRevision;
+    co_return store_result<listing>{outcome::kAnswered, listing{{}, at}, ""};
+  }
+
+  auto Write(txn_request) -> asio::awaitable<store_result<bool>> override {
+    co_return store_result<bool>{};
+  }
+
+  auto WaitForChanges(std::string, revision, duration wait)
+      -> asio::awaitable<store_result<change_list>> override {
+    auto result = store_result<change_list>{
+        outcome::kAnswered, change_list{{}, kListedRevision, false}, ""};
+    if (calls_++ > 0) {
+      result.value->next = kChangedRevision;
+      result.value->changes = {
+          {{"key", "value", kChangedRevision, kChangedRevision}, false}};
+    } else if (responds_) {
+      elapsed += wait;
+    } else {
+      elapsed += wait + kResponseAllowance;
+      result = {outcome::kUnknown, std::nullopt, "no response"};
+    }
+    co_return result;
+  }
+
+  duration elapsed{};
+
+ private:
+  bool responds_;
+  int calls_ = 0;
+};
+
+// Runs a watch until it has learned of the change. Returns the longest time
+// that this can take.
+auto TimeToLearnOfChange(duration time_limit, bool responds) -> duration {
+  auto context = asio::io_context{1};
+  auto source = forgetful_store(responds);
+  const auto options = WatchOptionsFor(time_limit);
+  auto is_known = false;
+  auto watch =
+      store_watch(context, source, "", options,
+                  {[&](const listing& all) {
+                     is_known |= all.revision_at > kListedRevision;
+                   },
+                   [&](const change_list&) { is_known = true; }, [](bool) {}});
+  watch.Start();
+  while (!is_known && context.run_one() > 0) {
+  }
+  watch.Stop();
+  context.run();
+  REQUIRE(is_known);
+  // The change may be made at the start of a pause.
+  return options.coalesce + source.elapsed;
+}
+
+TEST_CASE("a change that a call does not report is known within the limit") {
+  for (const auto limit : {duration(1s), duration(2500ms), duration(14s)}) {
+    CHECK(TimeToLearnOfChange(limit, true) <= limit);
+  }
+}
+
+TEST_CASE("a change is known within the limit although a call is unanswered") {
+  for (const auto limit : {duration(2s), duration(2500ms), duration(14s)}) {
+    CHECK(TimeToLearnOfChange(limit, false) <= limit);
+  }
+}
+
+}  // namespace
+}  // namespace daisywind::kv
