Keep a watch's position when a call reports no changes

The position now moves only with reported changes. A store that keeps history for a shorter time than nothing changes answers that its history is lost, which leads to a listing.

--- a/source/core/kv/store_watch.cc
+++ b/source/core/kv/store_watch.cc
@@ -102,8 +102,10 @@
     co_return true;
   }
   OnAnswer(called_at);
-  next_ = std::max(next_, result.value->next);
+  // Without changes the position stays: the store may have passed a change that
+  // it failed to report.
   if (!result.value->changes.empty()) {
+    next_ = std::max(next_, result.value->next);
     handlers_.on_changes(*result.value);
     co_await Pause(options_.coalesce);
   }
--- a/source/unit_tests/kv/store_watch_test.cc
+++ b/source/unit_tests/kv/store_watch_test.cc
@@ -14,10 +14,13 @@
 
 constexpr auto kListedRevision = revision{5};
 constexpr auto kChangedRevision = revision{6};
+// Ends a test whose watch never asks for the change.
+constexpr auto kMaxCalls = 100;
 
 // A store in which a key changes right after the first listing and whose first
-// call for changes fails to report that: it ends without changes, or without a
-// response. `elapsed` is the time that the calls for changes have taken.
+// call for changes fails to report that: it ends without changes but with the
+// newest revision, or without a response. `elapsed` is the time that the calls
+// for changes have taken.
 class forgetful_store : public store {
  public:
   explicit forgetful_store(bool responds) : responds_(responds) {}
@@ -36,12 +39,13 @@
     co_return store_result<bool>{};
   }
 
-  auto WaitForChanges(std::string, revision, duration wait)
+  auto WaitForChanges(std::string, revision after, duration wait)
       -> asio::awaitable<store_result<change_list>> override {
+    co_await asio::post(asio::use_awaitable);
     auto result = store_result<change_list>{
-        outcome::kAnswered, change_list{{}, kListedRevision, false}, ""};
-    if (calls_++ > 0) {
-      result.value->next = kChangedRevision;
+        outcome::kAnswered, change_list{{}, kChangedRevision, false}, ""};
+    const auto is_reported = after < kChangedRevision || calls_ > kMaxCalls;
+    if (calls_++ > 0 && is_reported) {
       result.value->changes = {
           {{"key", "value", kChangedRevision, kChangedRevision}, false}};
     } else if (responds_) {
@@ -76,11 +80,12 @@
   watch.Start();
   while (!is_known && context.run_one() > 0) {
   }
-  watch.Stop();
-  context.run();
   REQUIRE(is_known);
   // The change may be made at the start of a pause.
-  return options.coalesce + source.elapsed;
+  const auto time = options.coalesce + source.elapsed;
+  watch.Stop();
+  context.run();
+  return time;
 }
 
 TEST_CASE("a change that a call does not report is known within the limit") {
