Pause between listings while the store refuses calls for changes

A failed call for changes led to a listing at once, and a successful listing ended the row of failures.

Only an answered call for changes ends the row now. The first failure is still followed by a listing at once.

--- a/source/core/kv/store_watch.cc
+++ b/source/core/kv/store_watch.cc
@@ -48,20 +48,22 @@
 }
 
 auto store_watch::Run() -> asio::awaitable<void> {
-  auto backoff = options_.initial_backoff;
+  auto backoff = duration(0);
   while (!is_stopped_) {
+    const auto is_refresh = needs_refresh_;
     auto is_answered = false;
-    if (needs_refresh_) {
+    if (is_refresh) {
       is_answered = co_await Refresh();
     } else {
       is_answered = co_await Follow();
     }
-    if (is_answered) {
-      backoff = options_.initial_backoff;
-      continue;
+    if (!is_answered) {
+      co_await Pause(backoff);
+      backoff = std::clamp(2 * backoff, options_.initial_backoff,
+                           options_.max_backoff);
+    } else if (!is_refresh) {
+      backoff = duration(0);
     }
-    co_await Pause(backoff);
-    backoff = std::min(2 * backoff, options_.max_backoff);
   }
 }
 
@@ -99,7 +101,7 @@
          {"reason", result.value
                         ? std::string_view("change history no longer available")
                         : std::string_view(result.error)}});
-    co_return true;
+    co_return false;
   }
   OnAnswer(called_at);
   // Without changes the position stays: the store may have passed a change that
--- a/source/core/kv/store_watch.h
+++ b/source/core/kv/store_watch.h
@@ -36,7 +36,9 @@
   // Pause after changes, so that changes in quick succession are fetched
   // together.
   duration coalesce = 300ms;
-  // Pause after a failure; doubles with each further one, up to max_backoff.
+  // Pause after the second failure in a row; doubles with each further one, up
+  // to max_backoff. A successful listing does not end the row, so that a store
+  // which refuses only calls for changes is not sent listings without pause.
   duration initial_backoff = 100ms;
   duration max_backoff = 1s;
 };
--- a/source/unit_tests/kv/store_watch_test.cc
+++ b/source/unit_tests/kv/store_watch_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <boost/asio.hpp>
+#include <chrono>
 #include <string>
 #include <utility>
 #include <vector>
@@ -64,6 +65,27 @@
   int calls_ = 0;
 };
 
+// Answers listings, but no call for changes.
+class unwatchable_store : public forgetful_store {
+ public:
+  unwatchable_store() : forgetful_store(true) {}
+
+  auto List(std::string prefix)
+      -> asio::awaitable<store_result<listing>> override {
+    ++lists;
+    co_return co_await forgetful_store::List(std::move(prefix));
+  }
+
+  auto WaitForChanges(std::string, revision, duration)
+      -> asio::awaitable<store_result<change_list>> override {
+    co_await asio::post(asio::use_awaitable);
+    co_return store_result<change_list>{outcome::kRefused, std::nullopt,
+                                        "refused"};
+  }
+
+  int lists = 0;
+};
+
 // Runs a watch until it has learned of the change. Returns the longest time
 // that this can take.
 auto TimeToLearnOfChange(duration time_limit, bool responds) -> duration {
@@ -100,5 +122,21 @@
   }
 }
 
+TEST_CASE("a store that refuses calls for changes is not flooded with lists") {
+  // The pauses up to the tenth listing add up to more than five seconds.
+  constexpr auto kMaxLists = 10;
+  auto context = asio::io_context{1};
+  auto source = unwatchable_store{};
+  auto watch = store_watch(
+      context, source, "", watch_options{},
+      {[](const listing&) {}, [](const change_list&) {}, [](bool) {}});
+  watch.Start();
+  context.run_for(std::chrono::milliseconds(200));
+  CHECK(source.lists < kMaxLists);
+  watch.Stop();
+  context.restart();
+  context.run();
+}
+
 }  // namespace
 }  // namespace daisywind::kv
