Apply the head time-out to skipped responses as well

What callers would see: a request that could be sent to another endpoint waits until its own deadline. A response to another request is skipped before the one to this request; each read of its body had a time-out of its own, so a body without end was read until the request's deadline or the size limit, however short the head time-out.

The head time-out now bounds the whole time to the head of the matching response. It is checked before each read too, since a read of bytes that have arrived does not wait.

--- a/source/core/net/http_client.cc
+++ b/source/core/net/http_client.cc
@@ -196,10 +196,11 @@
   // Reads the head of the response to this request and skips the responses to
   // other requests before it.
   auto ReadHead() -> asio::awaitable<beast::error_code> {
+    read_until_ = std::chrono::steady_clock::now() + options_.head_timeout;
     for (auto skipped = 0; skipped <= kMaxSkippedResponses; ++skipped) {
       parser_.emplace();
       parser_->body_limit(options_.max_body_bytes);
-      connection_->stream.expires_after(options_.head_timeout);
+      connection_->stream.expires_at(read_until_);
       const auto [error, size] = co_await http::async_read_header(
           connection_->stream, connection_->buffer, *parser_, kAsTuple);
       if (error) {
@@ -209,6 +210,7 @@
       if (!options_.matches_request || options_.matches_request(head_)) {
         connection_->keep_alive_timeout =
             KeepAliveTimeout(head_, client_->pool.max_idle);
+        read_until_ = std::chrono::steady_clock::time_point::max();
         co_return error;
       }
       if (!co_await SkipBody()) {
@@ -242,10 +244,18 @@
  private:
   auto ReadPart() -> asio::awaitable<std::optional<std::string>> {
     while (!is_cancelled_ && !has_failed_ && !parser_->is_done()) {
+      const auto now = std::chrono::steady_clock::now();
+      // Checked here as well, because bytes that have already arrived are read
+      // without waiting.
+      if (now >= read_until_) {
+        has_failed_ = true;
+        break;
+      }
       auto space = std::array<char, kPartBytes>{};
       parser_->get().body().data = space.data();
       parser_->get().body().size = space.size();
-      connection_->stream.expires_after(options_.idle_timeout);
+      connection_->stream.expires_at(
+          std::min(now + options_.idle_timeout, read_until_));
       const auto [error, size] = co_await http::async_read_some(
           connection_->stream, connection_->buffer, *parser_, kAsTuple);
       if (error && error != http::error::need_buffer) {
@@ -290,6 +300,9 @@
   http_options options_;
   std::optional<http::response_parser<http::buffer_body>> parser_;
   http_response head_;
+  // No read waits past this time.
+  std::chrono::steady_clock::time_point read_until_ =
+      std::chrono::steady_clock::time_point::max();
   bool has_failed_ = false;
   bool is_cancelled_ = false;
 };
--- a/source/core/net/http_client.h
+++ b/source/core/net/http_client.h
@@ -47,7 +47,8 @@
 // Time-outs, limits and connection handling of one request.
 struct http_options {
   duration connect_timeout = 2s;
-  // Maximum time from sending the request to receiving the response head.
+  // Maximum time from sending the request to receiving the response head,
+  // including responses to other requests that are skipped before it.
   duration head_timeout = 30s;
   // Maximum time between two parts of the body.
   duration idle_timeout = 30s;
--- a/source/unit_tests/net/http_test.cc
+++ b/source/unit_tests/net/http_test.cc
@@ -3,6 +3,8 @@
 #include <boost/asio.hpp>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "net/http_client.h"
 #include "net/http_server.h"
@@ -81,6 +83,52 @@
   http_client client;
 };
 
+// A server whose response never ends: after `start` it sends `piece` again and
+// again until the client closes the connection or kMaxPieces were sent.
+class endless_server {
+ public:
+  static constexpr auto kMaxPieces = 2000;
+
+  endless_server(asio::io_context& context,
+                 std::string start,
+                 std::string piece)
+      : acceptor_(context, {asio::ip::address_v4::loopback(), 0}),
+        start_(std::move(start)),
+        piece_(std::move(piece)) {
+    asio::co_spawn(context, Serve(), asio::detached);
+  }
+
+  [[nodiscard]] auto port() const -> std::uint16_t {
+    return acceptor_.local_endpoint().port();
+  }
+  [[nodiscard]] auto pieces() const -> int { return pieces_; }
+
+ private:
+  auto Serve() -> asio::awaitable<void> {
+    constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
+    auto socket = co_await acceptor_.async_accept(asio::use_awaitable);
+    auto request = std::string{};
+    co_await asio::async_read_until(socket, asio::dynamic_buffer(request),
+                                    "\r\n\r\n", kAsTuple);
+    co_await asio::async_write(socket, asio::buffer(start_), kAsTuple);
+    auto timer = asio::steady_timer(acceptor_.get_executor());
+    auto has_failed = false;
+    while (!has_failed && pieces_ < kMaxPieces) {
+      ++pieces_;
+      const auto [error, size] =
+          co_await asio::async_write(socket, asio::buffer(piece_), kAsTuple);
+      has_failed = error.failed();
+      timer.expires_after(std::chrono::milliseconds(1));
+      co_await timer.async_wait(kAsTuple);
+    }
+  }
+
+  tcp::acceptor acceptor_;
+  std::string start_;
+  std::string piece_;
+  int pieces_ = 0;
+};
+
 }  // namespace
 
 TEST_CASE("a second request reuses the connection of the first") {
@@ -144,4 +192,36 @@
   CHECK(net.Send({"POST", "/", {}, "{}"}).response.status == 200);
 }
 
+TEST_CASE("a response head without end fails at the head time-out") {
+  const auto chunked = std::string(
+      "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n");
+  const auto cases = std::vector<std::pair<std::string, std::string>>{
+      // A header that never ends.
+      {"HTTP/1.1 200 OK\r\nA: ", "a"},
+      // Bytes that are no response.
+      {"", "?"},
+      // The body of a response to another request.
+      {chunked, "1\r\nx\r\n"},
+      {chunked, "1000\r\n" + std::string(0x1000, 'x') + "\r\n"},
+      // Responses to other requests.
+      {"", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 0\r\n\r\n"}};
+  for (const auto& [start, piece] : cases) {
+    auto context = asio::io_context{};
+    auto server = endless_server(context, start, piece);
+    auto client = http_client(context);
+    auto options = http_options{};
+    options.head_timeout = 100ms;
+    options.matches_request = [](const http_response& head) {
+      return head.Header("Id") == "mine";
+    };
+    auto result = http_result{};
+    RunUntilDone(context, [&]() -> asio::awaitable<void> {
+      result = co_await client.Send({"127.0.0.1", server.port()},
+                                    {"GET", "/", {}, ""}, options);
+    }());
+    CHECK(result.outcome == http_outcome::kNoAnswer);
+    CHECK(server.pieces() < endless_server::kMaxPieces);
+  }
+}
+
 }  // namespace daisywind::net
