Limit the time of whole responses in short calls

http_options has a total time-out now, which the clients of both key-value stores and the short calls of the gateway set to the time-out of the call.

--- a/source/core/gateway/json_calls.cc
+++ b/source/core/gateway/json_calls.cc
@@ -16,6 +16,7 @@
   options.connect_timeout = timeout;
   options.head_timeout = timeout;
   options.idle_timeout = timeout;
+  options.total_timeout = timeout;
   options.max_body_bytes = kMaxAnswerBytes;
   return options;
 }
--- a/source/core/kv/client.cc
+++ b/source/core/kv/client.cc
@@ -126,6 +126,7 @@
   options.connect_timeout = options_.connect_timeout;
   options.head_timeout = options_.call_timeout;
   options.idle_timeout = options_.call_timeout;
+  options.total_timeout = options_.call_timeout;
   options.use_fresh_connection = needs_fresh_connection;
   auto sent =
       co_await http_.Send(std::move(address), std::move(request), options);
--- a/source/core/net/http_client.cc
+++ b/source/core/net/http_client.cc
@@ -196,7 +196,12 @@
   // Reads the head of the response to this request and skips the responses to
   // other requests before it.
   auto ReadHead() -> asio::awaitable<beast::error_code> {
-    read_until_ = std::chrono::steady_clock::now() + options_.head_timeout;
+    const auto now = std::chrono::steady_clock::now();
+    auto response_until = std::chrono::steady_clock::time_point::max();
+    if (options_.total_timeout) {
+      response_until = now + *options_.total_timeout;
+    }
+    read_until_ = std::min(now + options_.head_timeout, response_until);
     for (auto skipped = 0; skipped <= kMaxSkippedResponses; ++skipped) {
       parser_.emplace();
       parser_->body_limit(options_.max_body_bytes);
@@ -210,7 +215,7 @@
       if (!options_.matches_request || options_.matches_request(head_)) {
         connection_->keep_alive_timeout =
             KeepAliveTimeout(head_, client_->pool.max_idle);
-        read_until_ = std::chrono::steady_clock::time_point::max();
+        read_until_ = response_until;
         co_return error;
       }
       if (!co_await SkipBody()) {
--- a/source/core/net/http_client.h
+++ b/source/core/net/http_client.h
@@ -52,6 +52,9 @@
   duration head_timeout = 30s;
   // Maximum time between two parts of the body.
   duration idle_timeout = 30s;
+  // Maximum time from sending the request to the end of the response; unlimited
+  // if empty.
+  std::optional<duration> total_timeout;
   std::size_t max_body_bytes = std::size_t{16} * 1024 * 1024;
   // Opens a new connection. The server may have closed a pooled connection, in
   // which case the outcome of the request is unknown, so non-idempotent
--- a/source/unit_tests/net/http_test.cc
+++ b/source/unit_tests/net/http_test.cc
@@ -192,6 +192,28 @@
   CHECK(net.Send({"POST", "/", {}, "{}"}).response.status == 200);
 }
 
+TEST_CASE("a response body without end fails at the total time-out") {
+  const auto head = std::string("HTTP/1.1 200 OK\r\n");
+  const auto cases = std::vector<std::pair<std::string, std::string>>{
+      {head + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+      {head + "Content-Length: 100000\r\n\r\n", "x"},
+      {head + "\r\n", "x"}};
+  for (const auto& [start, piece] : cases) {
+    auto context = asio::io_context{};
+    auto server = endless_server(context, start, piece);
+    auto client = http_client(context);
+    auto options = http_options{};
+    options.total_timeout = 100ms;
+    auto result = http_result{};
+    RunUntilDone(context, [&]() -> asio::awaitable<void> {
+      result = co_await client.Send({"127.0.0.1", server.port()},
+                                    {"GET", "/", {}, ""}, options);
+    }());
+    CHECK(result.outcome == http_outcome::kNoAnswer);
+    CHECK(server.pieces() < endless_server::kMaxPieces);
+  }
+}
+
 TEST_CASE("a response head without end fails at the head time-out") {
   const auto chunked = std::string(
       "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n");
