Stop waiting for a refusal that does not end

What callers would see: 503 at their deadline although another endpoint was free. The rest of a response that says "not run" was read to its end, to keep the connection, before the next endpoint was tried; a body without end took all the time that the request had.

It gets 50 ms now; then the connection is closed.

--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -22,6 +22,8 @@
 // After this time another endpoint is tried. The round trip to the farthest
 // endpoint takes 40 ms.
 constexpr auto kConnectTimeout = duration(400ms);
+// Time for the rest of a refusal to arrive, which is sent along with its head.
+constexpr auto kDiscardTimeout = duration(50ms);
 // A front without a configuration waits for the platform's store, which may be
 // unreachable for seconds.
 constexpr auto kUnconfiguredRetry = duration(1s);
@@ -297,9 +299,7 @@
                                  ? health_signal::kWrongEndpoint
                                  : health_signal::kFull,
                              Now());
-    // Reading the rest of the body keeps the connection reusable.
-    while (co_await opened.body->Next()) {
-    }
+    co_await opened.body->Discard(kDiscardTimeout);
     co_return attempt_result::kNotRun;
   }
   summary_.first_byte = Now() - started_at_;
--- a/source/core/net/http_client.cc
+++ b/source/core/net/http_client.cc
@@ -235,6 +235,13 @@
     co_return part;
   }
 
+  auto Discard(duration limit) -> asio::awaitable<void> override {
+    read_until_ =
+        std::min(read_until_, std::chrono::steady_clock::now() + limit);
+    while (co_await Next()) {
+    }
+  }
+
   [[nodiscard]] auto IsComplete() const -> bool override {
     return parser_->is_done() && !has_failed_;
   }
--- a/source/core/net/http_client.h
+++ b/source/core/net/http_client.h
@@ -97,6 +97,10 @@
   // IsComplete tells the two apart.
   virtual auto Next() -> boost::asio::awaitable<std::optional<std::string>> = 0;
 
+  // Reads the rest of the body and drops it, so that the connection can be used
+  // again. Closes the connection if the body has not ended after `limit`.
+  virtual auto Discard(duration limit) -> boost::asio::awaitable<void> = 0;
+
   // True when the complete body was read.
   [[nodiscard]] virtual auto IsComplete() const -> bool = 0;
 
--- a/source/unit_tests/front/request_flow_test.cc
+++ b/source/unit_tests/front/request_flow_test.cc
@@ -111,6 +111,33 @@
   CHECK(runs == 8);
 }
 
+TEST_CASE("a refusal without end does not delay the next attempt") {
+  // Enough that some are sent to the refusing endpoint first.
+  constexpr auto kRequests = 8;
+  auto harness = front_harness();
+  auto refusals = 0;
+  harness.AddEndpoint(
+      "a", [&](net::http_exchange& exchange) -> asio::awaitable<void> {
+        ++refusals;
+        auto timer = asio::steady_timer(co_await asio::this_coro::executor);
+        co_await exchange.StartStream(
+            {503, {{"Id", RequestIdOf(exchange)}, {"Not-Run", "1"}}, ""});
+        while (co_await exchange.WriteChunk("x")) {
+          timer.expires_after(std::chrono::milliseconds(1));
+          co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        }
+        exchange.Abort();
+      });
+  auto runs = 0;
+  harness.AddEndpoint("b", RespondingEndpoint(runs));
+  harness.Configure();
+  for (auto i = 0; i < kRequests; ++i) {
+    CHECK(harness.Send("once", "r" + std::to_string(i)).response.status == 200);
+  }
+  CHECK(refusals > 0);
+  CHECK(runs == kRequests);
+}
+
 TEST_CASE("a request that no endpoint has run is refused as not run") {
   auto harness = front_harness();
   auto refusals = 0;
