Log the rate limits that endpoints name and fronts know

Nothing showed which limit a front knew for an endpoint, since when and from whom, so that fronts which ignore a limit could not be told from fronts that keep to it one by one and exceed it together. No decision changes.

--- a/source/core/common/log_events.h
+++ b/source/core/common/log_events.h
@@ -130,6 +130,9 @@
 inline constexpr auto kViewInForce =
     log_event{2005, log_subsystem::kFront, log_level::kInfo,
               "journal view in use changed"};
+inline constexpr auto kRateLimitChanged =
+    log_event{2006, log_subsystem::kFront, log_level::kInfo,
+              "request rate limit of an endpoint changed"};
 inline constexpr auto kRequestRefused =
     log_event{2101, log_subsystem::kFront, log_level::kInfo,
               "request refused without being executed"};
--- a/source/core/dispatch/endpoint_table.cc
+++ b/source/core/dispatch/endpoint_table.cc
@@ -233,6 +233,16 @@
   state.paused_until = std::max(state.paused_until, now + pause);
 }
 
+auto endpoint_table::SetRateLimit(const endpoint_id& id,
+                                  std::optional<double> per_second) -> bool {
+  const auto found = states_.find(id);
+  if (found == states_.end() || found->second.state.rate_limit == per_second) {
+    return false;
+  }
+  found->second.state.rate_limit = per_second;
+  return true;
+}
+
 auto endpoint_table::OnPromptProcessed(const endpoint_id& id,
                                        const std::vector<prompt_part>& parts)
     -> void {
--- a/source/core/dispatch/endpoint_table.h
+++ b/source/core/dispatch/endpoint_table.h
@@ -80,6 +80,8 @@
   // its age, as of failed_at.
   double failure_score = 0;
   instant failed_at{};
+  // Requests per second that it takes from all VMs together, if it limits them.
+  std::optional<double> rate_limit;
   // When the endpoint is dropped unless its entry comes back; set only while
   // the entry is missing.
   std::optional<instant> expires_at;
@@ -139,6 +141,10 @@
   auto OnSharedFailure(endpoint_key key, instant failed_at) -> void;
   auto OnHealthSignal(const endpoint_id& id, health_signal signal, instant now)
       -> void;
+  // Sets the rate that an endpoint takes from all VMs together, or removes it.
+  // Returns whether that is a change.
+  auto SetRateLimit(const endpoint_id& id, std::optional<double> per_second)
+      -> bool;
 
   // Records that an endpoint has processed a prompt, whose parts are then taken
   // to be in its prefix cache.
--- a/source/core/dispatch/placement.cc
+++ b/source/core/dispatch/placement.cc
@@ -163,8 +163,8 @@
         DistanceCost(DistanceOf(state->entry, here), options) +
         (request.is_engine ? EngineCost(load, missing_tokens, options)
                            : PlainCost(load, state->entry.slots, options));
-    auto choice =
-        placement_choice{id, cost, load, missing_tokens, std::nullopt};
+    auto choice = placement_choice{
+        id, cost, load, missing_tokens, state->rate_limit, std::nullopt};
     if (state->report) {
       choice.report_age = now - state->reported_at;
     }
--- a/source/core/dispatch/placement.h
+++ b/source/core/dispatch/placement.h
@@ -83,6 +83,8 @@
   duration cost{};
   double load = 0;
   std::uint64_t missing_tokens = 0;
+  // The endpoint's rate limit for all VMs together, if it names one.
+  std::optional<double> rate_limit;
   // Age of the endpoint's load report, if there is one.
   std::optional<duration> report_age;
 
--- a/source/core/front/platform_codecs.h
+++ b/source/core/front/platform_codecs.h
@@ -37,6 +37,9 @@
   // The address belongs to another endpoint than the one that was named.
   bool is_misdirected = false;
   std::optional<dispatch::load_report> load;
+  // Requests per second that the endpoint takes from all VMs together; empty
+  // when it names no limit.
+  std::optional<double> rate_limit;
 
   auto operator<=>(const response_metadata&) const = default;
 };
--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -24,6 +24,8 @@
 constexpr auto kConnectTimeout = duration(400ms);
 // Time for the rest of a refusal to arrive, which is sent along with its head.
 constexpr auto kDiscardTimeout = duration(50ms);
+// Logged in place of the rate limit of an endpoint that names none.
+constexpr auto kNoLimit = -1.0;
 // A front without a configuration waits for the platform's store, which may be
 // unreachable for seconds.
 constexpr auto kUnconfiguredRetry = duration(1s);
@@ -293,6 +295,13 @@
     node_.turns().ReportLoad({KeyOf(endpoint), metadata.load->running,
                               metadata.load->waiting, duration(0)});
   }
+  if (!metadata.is_misdirected &&
+      endpoints.SetRateLimit(endpoint, metadata.rate_limit)) {
+    Log(log_events::kRateLimitChanged,
+        {{"endpoint", std::string_view(endpoint.value)},
+         {"per_second", metadata.rate_limit.value_or(kNoLimit)},
+         {"request", std::string_view(call_.request_id)}});
+  }
   if (metadata.is_not_run) {
     endpoints.OnHealthSignal(endpoint,
                              metadata.is_misdirected
@@ -467,6 +476,7 @@
        {"load_age_ms",
         choice.report_age ? Milliseconds(*choice.report_age) : -1.0},
        {"missing_tokens", static_cast<std::int64_t>(choice.missing_tokens)},
+       {"rate_limit", choice.rate_limit.value_or(kNoLimit)},
        {"reused", summary_.is_reused},
        {"first_byte_ms",
         summary_.first_byte ? Milliseconds(*summary_.first_byte) : -1.0},
