Let the journals pass on rate limits and the fronts that share them

Preparation for fronts that keep to a limit together; no decision changes yet.

A limit is for all VMs together, so a front has to know the limits that others have seen and how many VMs a limit is divided among. A request tells it that the front is alive and what it has seen; the reply has the whole state only when its version differs from the one that the front has.

--- a/source/core/history/messages.h
+++ b/source/core/history/messages.h
@@ -10,6 +10,7 @@
 
 #include "common/kv_types.h"
 #include "history/fact_table.h"
+#include "history/limit_registry.h"
 #include "history/load_change_feed.h"
 #include "history/types.h"
 #include "history/view.h"
@@ -159,7 +160,9 @@
                                   pull_reply,
                                   stale_view,
                                   copy_request,
-                                  copy_reply>;
+                                  copy_reply,
+                                  limits_request,
+                                  limits_reply>;
 
 // One frame. A reply carries the id of its request.
 struct message {
--- a/source/core/history_wire/codec.cc
+++ b/source/core/history_wire/codec.cc
@@ -224,6 +224,43 @@
   return to;
 }
 
+auto ToObject(const limits_request& from) -> fbs::LimitsRequestT {
+  auto to = fbs::LimitsRequestT{};
+  to.sender = Convert(from.sender);
+  to.limits = Convert(from.limits);
+  to.known_version = from.known_version;
+  return to;
+}
+
+auto FromObject(const fbs::LimitsRequestT& from) -> limits_request {
+  return {Convert(*from.sender), Convert(from.limits), from.known_version};
+}
+
+auto ToObject(const limits_reply& from) -> fbs::LimitsReplyT {
+  auto to = fbs::LimitsReplyT{};
+  to.version = from.version;
+  to.has_state = from.state.has_value();
+  if (from.state) {
+    for (const auto& sender : from.state->senders) {
+      to.senders.push_back(Convert(sender));
+    }
+    to.limits = Convert(from.state->limits);
+  }
+  return to;
+}
+
+auto FromObject(const fbs::LimitsReplyT& from) -> limits_reply {
+  auto to = limits_reply{from.version, std::nullopt};
+  if (from.has_state) {
+    to.state.emplace();
+    for (const auto& sender : from.senders) {
+      to.state->senders.push_back(Convert(*sender));
+    }
+    to.state->limits = Convert(from.limits);
+  }
+  return to;
+}
+
 auto BodyFrom(fbs::BodyUnion& from) -> std::optional<message_body> {
   switch (from.type) {
     case fbs::Body_BeginRequest:
@@ -256,6 +293,10 @@
       return FromObject(*from.AsCopyRequest());
     case fbs::Body_CopyReply:
       return FromObject(*from.AsCopyReply());
+    case fbs::Body_LimitsRequest:
+      return FromObject(*from.AsLimitsRequest());
+    case fbs::Body_LimitsReply:
+      return FromObject(*from.AsLimitsReply());
     case fbs::Body_NONE:
       break;
   }
--- a/source/core/history_wire/parts.cc
+++ b/source/core/history_wire/parts.cc
@@ -17,6 +17,9 @@
 // Value of failed_ms for an endpoint without a recent failure.
 constexpr auto kNotFailed = std::numeric_limits<std::uint16_t>::max();
 
+// Value of per_second for an endpoint without a rate limit.
+constexpr auto kNoLimit = -1.0;
+
 auto Milliseconds(duration value) -> std::int64_t {
   return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
 }
@@ -146,6 +149,49 @@
   return to;
 }
 
+auto Convert(const vm_location& from) -> std::unique_ptr<fbs::SenderT> {
+  auto to = std::make_unique<fbs::SenderT>();
+  to->vm = from.vm.value;
+  to->failure_domain = from.failure_domain.value;
+  to->region = from.region.value;
+  return to;
+}
+
+auto Convert(const fbs::SenderT& from) -> vm_location {
+  return {vm_id(from.vm), failure_domain_id(from.failure_domain),
+          region_id(from.region)};
+}
+
+auto Convert(const std::vector<rate_limit_sample>& from)
+    -> std::vector<fbs::LimitSample> {
+  constexpr auto kMaxAge =
+      std::int64_t{std::numeric_limits<std::uint32_t>::max()};
+  auto to = std::vector<fbs::LimitSample>{};
+  to.reserve(from.size());
+  for (const auto& item : from) {
+    const auto age =
+        std::clamp<std::int64_t>(Milliseconds(item.age), 0, kMaxAge);
+    to.emplace_back(item.endpoint, item.per_second.value_or(kNoLimit),
+                    static_cast<std::uint32_t>(age));
+  }
+  return to;
+}
+
+auto Convert(const std::vector<fbs::LimitSample>& from)
+    -> std::vector<rate_limit_sample> {
+  auto to = std::vector<rate_limit_sample>{};
+  to.reserve(from.size());
+  for (const auto& item : from) {
+    // Not a number compares as no limit as well.
+    const auto per_second = item.per_second() >= 0
+                                ? std::optional(item.per_second())
+                                : std::nullopt;
+    to.push_back({item.endpoint(), per_second,
+                  std::chrono::milliseconds(item.age_ms())});
+  }
+  return to;
+}
+
 auto Convert(const std::vector<load_sample>& from)
     -> std::vector<fbs::LoadSample> {
   constexpr auto kMaxValue = kNotFailed - 1;
--- a/source/core/journal/journal_node.cc
+++ b/source/core/journal/journal_node.cc
@@ -211,6 +211,14 @@
     }
     return;
   }
+  if (const auto* limits =
+          std::get_if<history::limits_request>(&request->body)) {
+    if (const auto open = channel.lock()) {
+      open->Send(history::EncodeMessage({request->id, replica_.current().number,
+                                         limits_.Handle(*limits, Now())}));
+    }
+    return;
+  }
   auto effect = replica_.Handle(*request, UnixMs());
   if (!effect.reply) {
     return;
--- a/source/core/journal/journal_node.h
+++ b/source/core/journal/journal_node.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "common/random.h"
 #include "common/settings.h"
 #include "history/fact_replica.h"
 #include "history/messages.h"
@@ -96,6 +97,7 @@
   history::fact_replica replica_;
   // Not kept on disk, because it fills again within a second of a restart.
   history::load_change_feed loads_;
+  history::limit_registry limits_{SystemSeed()};
   disk_log log_;
   store_mirror mirror_;
   kv::revision persisted_mirror_revision_ = 0;
--- a/source/unit_tests/history_wire/codec_test.cc
+++ b/source/unit_tests/history_wire/codec_test.cc
@@ -57,6 +57,13 @@
       pull_request{{1, 2, 3}},
       pull_reply{{Fact()}},
       stale_view{View()},
+      limits_request{{vm_id("v"), failure_domain_id("d"), region_id("r")},
+                     {{7, 2.5, 120ms}, {8, std::nullopt, 0ms}},
+                     11},
+      limits_reply{12, std::nullopt},
+      limits_reply{12, limit_state{{{vm_id("v"), failure_domain_id("d"),
+                                     region_id("r")}},
+                                   {{7, 0.0, 31s}}}},
       copy_request{5},
       copy_reply{store_copy{9, {{"k", "v", 3, 4}}}},
       copy_reply{}};
