Keep all fronts together within the rate limits of endpoints

What endpoints saw: one that takes 1 request a second got 33 in 4 s, where 11 are allowed (LIMIT), from the seven fronts that it had told so.

Cause: requests were placed by load, cache and failures alone; nothing read the limit that an endpoint names. The class of fault is wider: a limit for all VMs needs them to divide it.

Each share is a quota of one request at a time that starts empty; placement leaves an endpoint without quota out, for first attempts, retries and chains that return to their cache alike, and every send takes from the quota in one place. What is beyond all limits is refused at once, with the time until its own next quota, at most 500 ms. No probes are sent.

--- a/source/core/common/log_events.h
+++ b/source/core/common/log_events.h
@@ -133,6 +133,9 @@
 inline constexpr auto kRateLimitChanged =
     log_event{2006, log_subsystem::kFront, log_level::kInfo,
               "request rate limit of an endpoint changed"};
+inline constexpr auto kRateLimitNamed =
+    log_event{2007, log_subsystem::kFront, log_level::kInfo,
+              "response names a new request rate limit"};
 inline constexpr auto kRequestRefused =
     log_event{2101, log_subsystem::kFront, log_level::kInfo,
               "request refused without being executed"};
--- a/source/core/dispatch/endpoint_table.cc
+++ b/source/core/dispatch/endpoint_table.cc
@@ -7,6 +7,12 @@
 namespace daisywind::dispatch {
 namespace {
 
+// Requests that a quota allows at a time.
+auto Available(const request_quota& quota, instant now) -> double {
+  const auto age = std::chrono::duration<double>(now - quota.updated_at);
+  return std::min(1.0, quota.available + quota.per_second * age.count());
+}
+
 auto ApplyReport(endpoint_state& state,
                  const load_report& report,
                  instant taken_at) -> void {
@@ -131,9 +137,14 @@
   return ids;
 }
 
-auto endpoint_table::OnRequestSent(const endpoint_id& id) -> void {
+auto endpoint_table::OnRequestSent(const endpoint_id& id, instant now) -> void {
   if (const auto found = states_.find(id); found != states_.end()) {
-    ++found->second.state.in_flight;
+    auto& state = found->second.state;
+    ++state.in_flight;
+    if (state.quota) {
+      state.quota->available = Available(*state.quota, now) - 1.0;
+      state.quota->updated_at = now;
+    }
   }
 }
 
@@ -234,15 +245,52 @@
 }
 
 auto endpoint_table::SetRateLimit(const endpoint_id& id,
-                                  std::optional<double> per_second) -> bool {
+                                  std::optional<double> per_second,
+                                  double share,
+                                  instant now) -> bool {
   const auto found = states_.find(id);
-  if (found == states_.end() || found->second.state.rate_limit == per_second) {
+  if (found == states_.end()) {
     return false;
   }
-  found->second.state.rate_limit = per_second;
+  auto& state = found->second.state;
+  const auto quota_rate =
+      per_second ? std::optional(*per_second * share) : std::nullopt;
+  const auto current_rate =
+      state.quota ? std::optional(state.quota->per_second) : std::nullopt;
+  if (state.rate_limit == per_second && current_rate == quota_rate) {
+    return false;
+  }
+  state.rate_limit = per_second;
+  if (quota_rate) {
+    const auto available = state.quota ? Available(*state.quota, now) : 0.0;
+    state.quota = request_quota{*quota_rate, available, now};
+  } else {
+    state.quota.reset();
+  }
   return true;
 }
 
+auto endpoint_table::HasQuota(const endpoint_state& state, instant now) const
+    -> bool {
+  return !state.quota || Available(*state.quota, now) >= 1.0;
+}
+
+auto endpoint_table::NextQuota(const service_id& service, instant now) const
+    -> std::optional<duration> {
+  auto next = std::optional<duration>{};
+  for (const auto* state : OfService(service)) {
+    if (!state->quota || state->quota->per_second <= 0 ||
+        state->entry.is_draining) {
+      continue;
+    }
+    const auto missing = 1.0 - Available(*state->quota, now);
+    const auto wait = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(missing / state->quota->per_second));
+    next = std::min(next.value_or(wait), wait);
+  }
+  return next;
+}
+
 auto endpoint_table::OnPromptProcessed(const endpoint_id& id,
                                        const std::vector<prompt_part>& parts)
     -> void {
--- a/source/core/dispatch/endpoint_table.h
+++ b/source/core/dispatch/endpoint_table.h
@@ -63,6 +63,17 @@
   auto operator<=>(const endpoint_options&) const = default;
 };
 
+// How many requests this VM may send to an endpoint that limits their rate: one
+// at a time, and `per_second` in the long run.
+struct request_quota {
+  double per_second = 0;
+  // Requests that may be sent now, at most one, as of updated_at.
+  double available = 0;
+  instant updated_at{};
+
+  auto operator<=>(const request_quota&) const = default;
+};
+
 // An endpoint with its observed load and health.
 struct endpoint_state {
   endpoint entry;
@@ -82,6 +93,8 @@
   instant failed_at{};
   // Requests per second that it takes from all VMs together, if it limits them.
   std::optional<double> rate_limit;
+  // This VM's part of the rate limit; set together with it.
+  std::optional<request_quota> quota;
   // When the endpoint is dropped unless its entry comes back; set only while
   // the entry is missing.
   std::optional<instant> expires_at;
@@ -128,7 +141,8 @@
   [[nodiscard]] auto Ids() const -> std::vector<endpoint_id>;
   [[nodiscard]] auto size() const -> std::size_t { return states_.size(); }
 
-  auto OnRequestSent(const endpoint_id& id) -> void;
+  // Takes the request from the endpoint's quota.
+  auto OnRequestSent(const endpoint_id& id, instant now) -> void;
   auto OnRequestEnded(const endpoint_id& id) -> void;
   auto OnReport(const endpoint_id& id, const load_report& report, instant now)
       -> void;
@@ -141,11 +155,23 @@
   auto OnSharedFailure(endpoint_key key, instant failed_at) -> void;
   auto OnHealthSignal(const endpoint_id& id, health_signal signal, instant now)
       -> void;
-  // Sets the rate that an endpoint takes from all VMs together, or removes it.
-  // Returns whether that is a change.
-  auto SetRateLimit(const endpoint_id& id, std::optional<double> per_second)
+  // Sets the rate that an endpoint takes from all VMs together and the part of
+  // it that this VM may use, 0 to 1, or removes both. A new quota starts with
+  // nothing available. Returns whether that is a change.
+  auto SetRateLimit(const endpoint_id& id,
+                    std::optional<double> per_second,
+                    double share,
+                    instant now) -> bool;
+
+  // Whether the quota, if there is one, allows a request to be sent now.
+  [[nodiscard]] auto HasQuota(const endpoint_state& state, instant now) const
       -> bool;
 
+  // Time until the next request may be sent to any endpoint of a service whose
+  // quota does not allow one now; empty if there is no such endpoint.
+  [[nodiscard]] auto NextQuota(const service_id& service, instant now) const
+      -> std::optional<duration>;
+
   // Records that an endpoint has processed a prompt, whose parts are then taken
   // to be in its prefix cache.
   auto OnPromptProcessed(const endpoint_id& id,
--- a/source/core/dispatch/placement.h
+++ b/source/core/dispatch/placement.h
@@ -93,8 +93,8 @@
 
 // Returns the endpoint with the lowest expected cost among those that ran
 // earlier turns of the chain and a random sample of the others, or nothing when
-// every endpoint of the service is draining or excluded. Paused endpoints are
-// considered only when all the remaining ones are paused.
+// every endpoint of the service is draining, excluded or at its rate limit.
+// Paused endpoints are considered only when all the remaining ones are paused.
 auto Place(const endpoint_table& endpoints,
            const placement_request& request,
            const location& here,
--- a/source/core/front/front_node.cc
+++ b/source/core/front/front_node.cc
@@ -90,6 +90,13 @@
                  {[this](const history::view& newest) { turns_.Adopt(newest); },
                   [this] { ApplyLimits(); }}),
       fallback_(context, directory_, turns_, values.GetList(kJournalSeeds), {}),
+      limits_(
+          context,
+          {vm_id(values.Get(kVm)), location_.failure_domain, location_.region},
+          directory_.endpoints(),
+          turns_,
+          location_,
+          {}),
       callers_(context,
                {},
                [this](net::http_exchange& exchange) -> asio::awaitable<void> {
@@ -130,6 +137,7 @@
   }
   directory_.Start();
   fallback_.Start();
+  limits_.Start();
   asio::co_spawn(context_, Tick(), asio::detached);
   return true;
 }
@@ -174,6 +182,7 @@
 auto front_node::Tick() -> asio::awaitable<void> {
   while (!is_stopping_) {
     directory_.Tick(Now());
+    limits_.Tick(Now());
     UpdateReadiness();
     FlushLogs();
     const auto due = Now() + kTickInterval;
@@ -241,6 +250,7 @@
   }
   directory_.Stop();
   fallback_.Stop();
+  limits_.Stop();
   on_stopped();
 }
 
--- a/source/core/front/front_node.h
+++ b/source/core/front/front_node.h
@@ -17,6 +17,7 @@
 #include "dispatch/placement.h"
 #include "dispatch/retry_rules.h"
 #include "front/directory.h"
+#include "front/limit_coordinator.h"
 #include "front/platform_codecs.h"
 #include "front/store_fallback.h"
 #include "history_client/turn_client.h"
@@ -58,6 +59,7 @@
   }
   [[nodiscard]] auto service_directory() -> directory& { return directory_; }
   [[nodiscard]] auto turns() -> history::turn_client& { return turns_; }
+  [[nodiscard]] auto limits() -> limit_coordinator& { return limits_; }
   [[nodiscard]] auto endpoint_client() -> net::http_client& {
     return endpoint_client_;
   }
@@ -93,6 +95,7 @@
   history::turn_client turns_;
   directory directory_;
   store_fallback fallback_;
+  limit_coordinator limits_;
   net::http_server callers_;
   net::http_server ready_;
   net::http_server metrics_server_;
--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -24,6 +24,10 @@
 constexpr auto kConnectTimeout = duration(400ms);
 // Time for the rest of a refusal to arrive, which is sent along with its head.
 constexpr auto kDiscardTimeout = duration(50ms);
+// Retry-After when no endpoint can be chosen, and the longest one when all that
+// could be are at their rate limits.
+constexpr auto kRetryAfterNoEndpoint = duration(200ms);
+constexpr auto kMaxRetryAfterQuota = duration(500ms);
 // Logged in place of the rate limit of an endpoint that names none.
 constexpr auto kNoLimit = -1.0;
 // A front without a configuration waits for the platform's store, which may be
@@ -177,7 +181,7 @@
     if (!choice) {
       // Endpoints that were full may have capacity again.
       if (placement.excluded.empty()) {
-        co_await Refuse(refusal_reason::kNoEndpoint, 200ms);
+        co_await RefuseUnplaced();
         co_return;
       }
       placement.excluded.clear();
@@ -243,8 +247,8 @@
   cancellation_ = std::make_shared<net::http_cancellation>();
   options.cancellation = cancellation_;
   ++attempts_.attempts;
-  endpoints.OnRequestSent(choice.endpoint);
   const auto sent_at = Now();
+  endpoints.OnRequestSent(choice.endpoint, sent_at);
   auto opened = co_await node_.endpoint_client().Open(
       address, std::move(request), std::move(options));
   summary_.is_reused = opened.is_reused;
@@ -295,12 +299,9 @@
     node_.turns().ReportLoad({KeyOf(endpoint), metadata.load->running,
                               metadata.load->waiting, duration(0)});
   }
-  if (!metadata.is_misdirected &&
-      endpoints.SetRateLimit(endpoint, metadata.rate_limit)) {
-    Log(log_events::kRateLimitChanged,
-        {{"endpoint", std::string_view(endpoint.value)},
-         {"per_second", metadata.rate_limit.value_or(kNoLimit)},
-         {"request", std::string_view(call_.request_id)}});
+  if (!metadata.is_misdirected) {
+    node_.limits().OnResponse(endpoint, metadata.rate_limit, call_.request_id,
+                              Now());
   }
   if (metadata.is_not_run) {
     endpoints.OnHealthSignal(endpoint,
@@ -400,6 +401,18 @@
   exchange_.Abort();
 }
 
+auto request_flow::RefuseUnplaced() -> asio::awaitable<void> {
+  const auto next_quota =
+      node_.service_directory().endpoints().NextQuota(service_, Now());
+  if (!next_quota) {
+    co_await Refuse(refusal_reason::kNoEndpoint, kRetryAfterNoEndpoint);
+    co_return;
+  }
+  // Another VM may have a part of the limits that is free earlier.
+  co_await Refuse(refusal_reason::kOverloaded,
+                  std::min(*next_quota, kMaxRetryAfterQuota));
+}
+
 auto request_flow::GiveUp() -> asio::awaitable<void> {
   if (is_caller_disconnected_) {
     summary_.outcome = "caller_gone";
--- a/source/unit_tests/dispatch/endpoint_table_test.cc
+++ b/source/unit_tests/dispatch/endpoint_table_test.cc
@@ -59,7 +59,7 @@
   table.Put(entry, kStart);
   const auto parts = std::vector<prompt_part>{{prompt_part_id("x"), 100}};
   table.OnPromptProcessed(entry.id, parts);
-  table.OnRequestSent(entry.id);
+  table.OnRequestSent(entry.id, kStart);
   CHECK(table.MissingTokens(entry.id, parts) == 0);
   entry.started_ms = 2;
   table.Put(entry, kStart);
@@ -75,7 +75,7 @@
   auto table = endpoint_table({});
   auto entry = Endpoint("a");
   table.Put(entry, kStart);
-  table.OnRequestSent(entry.id);
+  table.OnRequestSent(entry.id, kStart);
   entry.is_draining = true;
   table.Put(entry, kStart);
   CHECK(table.Find(entry.id)->entry.is_draining);
@@ -86,7 +86,7 @@
   auto table = endpoint_table({});
   const auto id = endpoint_id("a");
   table.Put(Endpoint("a"), kStart);
-  table.OnRequestSent(id);
+  table.OnRequestSent(id, kStart);
   table.OnReport(id, {3, 2, 4}, kStart);
   const auto load = [&](double mean, duration age) {
     return table.ExpectedLoad(*table.Find(id), mean, kStart + age);
@@ -210,5 +210,51 @@
   CHECK(cache.TokensOf(prompt_part_id("z")) == 3);
 }
 
+TEST_CASE("a quota starts empty and allows one request at a time") {
+  auto table = endpoint_table({});
+  table.Put(Endpoint("a"), kStart);
+  const auto& state = *table.Find(endpoint_id("a"));
+  CHECK(table.HasQuota(state, kStart));
+  CHECK(table.SetRateLimit(state.entry.id, 4.0, 0.5, kStart));
+  CHECK(state.rate_limit == 4.0);
+  CHECK_FALSE(table.HasQuota(state, kStart));
+  CHECK(table.NextQuota(service_id("s"), kStart) == 500ms);
+  CHECK(table.HasQuota(state, kStart + 500ms));
+  // It does not save up while it is not used.
+  table.OnRequestSent(state.entry.id, kStart + 60s);
+  CHECK_FALSE(table.HasQuota(state, kStart + 60s + 499ms));
+  CHECK(table.HasQuota(state, kStart + 60s + 500ms));
+}
+
+TEST_CASE("a new share keeps what the quota allows") {
+  auto table = endpoint_table({});
+  table.Put(Endpoint("a"), kStart);
+  const auto id = endpoint_id("a");
+  const auto& state = *table.Find(id);
+  table.SetRateLimit(id, 4.0, 0.5, kStart);
+  CHECK_FALSE(table.SetRateLimit(id, 4.0, 0.5, kStart + 250ms));
+  CHECK(table.SetRateLimit(id, 4.0, 1.0, kStart + 250ms));
+  CHECK_FALSE(table.HasQuota(state, kStart + 374ms));
+  CHECK(table.HasQuota(state, kStart + 375ms));
+  // Without a share nothing is added.
+  table.OnRequestSent(id, kStart + 375ms);
+  CHECK(table.SetRateLimit(id, 4.0, 0.0, kStart + 375ms));
+  CHECK_FALSE(table.HasQuota(state, kStart + 60s));
+  CHECK(table.NextQuota(service_id("s"), kStart) == std::nullopt);
+  CHECK(table.SetRateLimit(id, std::nullopt, 0.0, kStart + 60s));
+  CHECK(table.HasQuota(state, kStart + 60s));
+}
+
+TEST_CASE("a restart under the same id removes the rate limit") {
+  auto table = endpoint_table({});
+  auto entry = Endpoint("a");
+  table.Put(entry, kStart);
+  table.SetRateLimit(entry.id, 1.0, 0.0, kStart);
+  ++entry.started_ms;
+  table.Put(entry, kStart);
+  CHECK_FALSE(table.Find(entry.id)->rate_limit);
+  CHECK(table.HasQuota(*table.Find(entry.id), kStart));
+}
+
 }  // namespace
 }  // namespace daisywind::dispatch
--- a/source/unit_tests/dispatch/placement_test.cc
+++ b/source/unit_tests/dispatch/placement_test.cc
@@ -78,7 +78,7 @@
   Add("far", "far");
   CHECK(Chosen() == "near");
   for (auto i = 0; i < 3; ++i) {
-    table.OnRequestSent(near);
+    table.OnRequestSent(near, kNow);
   }
   CHECK(Chosen() == "beside");
 }
@@ -88,7 +88,7 @@
   const auto near = Add("near", "near");
   Add("far", "far");
   for (auto i = 0; i < 4; ++i) {
-    table.OnRequestSent(near);
+    table.OnRequestSent(near, kNow);
   }
   CHECK(Chosen() == "far");
 }
@@ -111,7 +111,7 @@
   const auto grey = Add("grey", "near");
   const auto sound = Add("sound", "near");
   for (auto i = 0; i < 4; ++i) {
-    table.OnRequestSent(sound);
+    table.OnRequestSent(sound, kNow);
   }
   CHECK(Chosen() == "grey");
   const auto failed_at = kNow - 500ms;
@@ -165,7 +165,7 @@
   Add("b", "near");
   request.cached_tokens[last] = 1000;
   for (auto i = 0; i < 20; ++i) {
-    table.OnRequestSent(last);
+    table.OnRequestSent(last, kNow);
   }
   CHECK(Chosen() == "b");
 }
@@ -222,5 +222,18 @@
   }
 }
 
+TEST_CASE_FIXTURE(fixture, "an endpoint at its rate limit is not chosen") {
+  const auto limited = Add("a", "near");
+  Add("b", "far");
+  // Not even when it has the chain of the request cached.
+  request.cached_tokens[limited] = 10'000;
+  table.SetRateLimit(limited, 2.0, 0.5, kNow - 500ms);
+  for (auto i = 0; i < 20; ++i) {
+    CHECK(Chosen() == "b");
+  }
+  request.excluded.insert(endpoint_id("b"));
+  CHECK(Chosen().empty());
+}
+
 }  // namespace
 }  // namespace daisywind::dispatch
--- a/source/unit_tests/front/front_harness.cc
+++ b/source/unit_tests/front/front_harness.cc
@@ -65,6 +65,9 @@
   to.status = from.status;
   to.request_id = std::string(from.Header("Id"));
   to.is_not_run = !from.Header("Not-Run").empty();
+  if (const auto limit = from.Header("Limit"); !limit.empty()) {
+    to.rate_limit = std::atof(std::string(limit).c_str());
+  }
   return to;
 }
 
--- a/source/unit_tests/front/request_flow_test.cc
+++ b/source/unit_tests/front/request_flow_test.cc
@@ -138,6 +138,41 @@
   CHECK(runs == kRequests);
 }
 
+TEST_CASE("an endpoint that names a rate limit is spared at once") {
+  constexpr auto kRequests = 20;
+  auto harness = front_harness();
+  auto limited_runs = 0;
+  harness.AddEndpoint(
+      "a", [&](net::http_exchange& exchange) -> asio::awaitable<void> {
+        ++limited_runs;
+        co_await exchange.Respond(
+            {200, {{"Id", RequestIdOf(exchange)}, {"Limit", "0.01"}}, ""});
+      });
+  auto runs = 0;
+  harness.AddEndpoint("b", RespondingEndpoint(runs));
+  harness.Configure();
+  for (auto i = 0; i < kRequests; ++i) {
+    CHECK(harness.Send("once", "r" + std::to_string(i)).response.status == 200);
+  }
+  CHECK(limited_runs == 1);
+  CHECK(runs == kRequests - 1);
+}
+
+TEST_CASE("requests beyond all rate limits are refused at once as not run") {
+  auto harness = front_harness();
+  auto runs = 0;
+  harness.AddEndpoint(
+      "a", [&](net::http_exchange& exchange) -> asio::awaitable<void> {
+        ++runs;
+        co_await exchange.Respond(
+            {200, {{"Id", RequestIdOf(exchange)}, {"Limit", "0"}}, ""});
+      });
+  harness.Configure();
+  CHECK(harness.Send("once", "r").response.status == 200);
+  CHECK(harness.Send("once", "s").response.status == 503);
+  CHECK(runs == 1);
+}
+
 TEST_CASE("a request that no endpoint has run is refused as not run") {
   auto harness = front_harness();
   auto refusals = 0;
