Bound the memory that responses without end take

Bytes without end from a few endpoints in trouble to some fifteen requests at once fill the 110 MB of a front, which is then killed with all its requests.

Held parts of all responses together now have 32 MB (limits.response_mb); the first 64 KB of each do not count, so that ordinary responses pass while others fill it. A response beyond that is broken off and counts as one that may have run (2109).

front_test failed without the bound: three responses were read to 8,454,144 bytes each instead of less than 2 MiB. 31 of 31 cases pass, with one more on responses that trickle without end, which passed before: they end at the route's time-out, and a stream does not look complete.

--- a/source/core/common/log_events.h
+++ b/source/core/common/log_events.h
@@ -157,6 +157,9 @@
               "journal quorum lost, turns refused"};
 inline constexpr auto kJournalQuorumRestored = log_event{
     2108, log_subsystem::kFront, log_level::kInfo, "journal quorum restored"};
+inline constexpr auto kResponseTooLarge =
+    log_event{2109, log_subsystem::kFront, log_level::kWarning,
+              "response broken off, memory for held responses used up"};
 inline constexpr auto kDiskLoaded =
     log_event{2201, log_subsystem::kJournal, log_level::kInfo,
               "records loaded from disk"};
--- a/source/core/front/front_node.cc
+++ b/source/core/front/front_node.cc
@@ -70,6 +70,8 @@
       platform_(platform),
       location_(LocationFrom(values)),
       random_(SystemSeed()),
+      response_memory_(static_cast<std::size_t>(values.Get(kResponseMemoryMb))
+                       << 20U),
       endpoint_client_(context),
       turns_(context,
              TurnClientOptions(values),
--- a/source/core/front/front_node.h
+++ b/source/core/front/front_node.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 
+#include "common/byte_budget.h"
 #include "common/metrics.h"
 #include "common/random.h"
 #include "common/settings.h"
@@ -60,6 +61,10 @@
   [[nodiscard]] auto service_directory() -> directory& { return directory_; }
   [[nodiscard]] auto turns() -> history::turn_client& { return turns_; }
   [[nodiscard]] auto limits() -> limit_coordinator& { return limits_; }
+  // Memory for parts of responses that are held until their end.
+  [[nodiscard]] auto response_memory() -> byte_budget& {
+    return response_memory_;
+  }
   [[nodiscard]] auto endpoint_client() -> net::http_client& {
     return endpoint_client_;
   }
@@ -91,6 +96,7 @@
   dispatch::retry_options retries_;
   random_source random_;
   metrics metrics_;
+  byte_budget response_memory_;
   net::http_client endpoint_client_;
   history::turn_client turns_;
   directory directory_;
--- a/source/core/front/front_settings.cc
+++ b/source/core/front/front_settings.cc
@@ -16,6 +16,7 @@
           Declare(kInForceMs),
           Declare(kDrainedMs),
           Declare(kMaxConnections),
+          Declare(kResponseMemoryMb),
           Declare(kGraceSeconds),
           Declare(kLeaveMs),
           Declare(kLogLevel)};
--- a/source/core/front/front_settings.h
+++ b/source/core/front/front_settings.h
@@ -26,6 +26,10 @@
     600'000};
 inline constexpr auto kMaxConnections = integer_setting{
     "limits.connections", 3000, "open connections of callers", 1, 100'000};
+inline constexpr auto kResponseMemoryMb = integer_setting{
+    "limits.response_mb", 32,
+    "memory for parts of responses that are held until their end, in MB", 1,
+    65'536};
 inline constexpr auto kGraceSeconds =
     number_setting{"stop.grace_s", 8.0,
                    "time after SIGTERM until the process is killed", 0, 600};
--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -48,6 +48,13 @@
   return std::chrono::duration<double, std::milli>(value).count();
 }
 
+// The part of a held response that counts towards the memory of all responses.
+// Ordinary responses do not, so that a few without end do not break them off.
+auto BudgetedBytes(std::size_t held) -> std::size_t {
+  constexpr auto kOrdinaryBytes = std::size_t{64} * 1024;
+  return held - std::min(held, kOrdinaryBytes);
+}
+
 auto AttemptResultName(attempt_result end) -> std::string_view {
   return end == attempt_result::kNotRun ? "not_run" : "may_have_run";
 }
@@ -127,6 +134,10 @@
                                      call_.deadline.value_or(route_->timeout));
 }
 
+request_flow::~request_flow() {
+  node_.response_memory().Return(BudgetedBytes(held_bytes_));
+}
+
 auto request_flow::Run() -> asio::awaitable<void> {
   WatchForCancellation();
   if (route_->stores_turns) {
@@ -334,6 +345,10 @@
     -> asio::awaitable<bool> {
   auto body = std::string{};
   while (auto part = co_await opened.body->Next()) {
+    if (!HoldBytes(part->size())) {
+      opened.body->Cancel();
+      co_return false;
+    }
     body += *part;
   }
   if (!opened.body->IsComplete()) {
@@ -361,6 +376,10 @@
       node_.requests().MakeCallerResponse(opened.head));
   while (auto part = co_await opened.body->Next()) {
     if (is_turn_) {
+      if (!HoldBytes(part->size())) {
+        opened.body->Cancel();
+        break;
+      }
       for (const auto& data : events.Feed(*part)) {
         output_ += data;
         output_ += '\n';
@@ -401,6 +420,20 @@
   exchange_.Abort();
 }
 
+auto request_flow::HoldBytes(std::size_t bytes) -> bool {
+  auto& memory = node_.response_memory();
+  const auto held_after = held_bytes_ + bytes;
+  if (memory.Take(BudgetedBytes(held_after) - BudgetedBytes(held_bytes_))) {
+    held_bytes_ = held_after;
+    return true;
+  }
+  Log(log_events::kResponseTooLarge,
+      {{"request", std::string_view(call_.request_id)},
+       {"bytes", static_cast<std::int64_t>(held_after)},
+       {"held_by_all", static_cast<std::int64_t>(memory.held())}});
+  return false;
+}
+
 auto request_flow::RefuseUnplaced() -> asio::awaitable<void> {
   const auto next_quota =
       node_.service_directory().endpoints().NextQuota(service_, Now());
--- a/source/core/front/request_flow.h
+++ b/source/core/front/request_flow.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -34,6 +35,9 @@
                net::http_exchange& exchange,
                dispatch::call call,
                std::shared_ptr<const dispatch::route> matched_route);
+  request_flow(const request_flow&) = delete;
+  auto operator=(const request_flow&) -> request_flow& = delete;
+  ~request_flow();
 
   auto Run() -> boost::asio::awaitable<void>;
 
@@ -73,6 +77,9 @@
   auto ForwardStream(net::http_stream_result& opened,
                      const endpoint_id& endpoint)
       -> boost::asio::awaitable<void>;
+  // Takes memory for the next part of a response that is held until its end.
+  // Returns false when the memory for such parts is used up.
+  auto HoldBytes(std::size_t bytes) -> bool;
   // Records the finished turn at the journals. Returns false when too few of
   // them stored it in time.
   auto RecordTurn(const endpoint_id& endpoint) -> boost::asio::awaitable<bool>;
@@ -121,6 +128,8 @@
   bool needs_settling_ = false;
   std::string output_;
   std::uint32_t events_ = 0;
+  // Size of the parts of the response that are held until its end.
+  std::size_t held_bytes_ = 0;
   // Why the request may be over before its response is.
   bool is_caller_disconnected_ = false;
   bool is_timed_out_ = false;
--- a/source/unit_tests/front/front_harness.cc
+++ b/source/unit_tests/front/front_harness.cc
@@ -115,14 +115,15 @@
   return to;
 }
 
-front_harness::front_harness()
+front_harness::front_harness(int response_mb)
     : store(context), front_port_(FreePort(context)) {
   auto values = settings(FrontSchema());
   const auto text =
       R"({"vm":"v","failure_domain":"d","region":"r","listen":{"callers":"127.0.0.1:)" +
       std::to_string(front_port_) + R"(","ready":"127.0.0.1:)" +
       std::to_string(FreePort(context)) +
-      R"("},"store":{"address":"127.0.0.1:1"}})";
+      R"("},"store":{"address":"127.0.0.1:1"},"limits":{"response_mb":)" +
+      std::to_string(response_mb) + "}}";
   const auto is_read = leaf::try_handle_all(
       [&]() -> leaf::result<bool> {
         BOOST_LEAF_CHECK(values.AddText("test", text));
--- a/source/unit_tests/front/front_harness.h
+++ b/source/unit_tests/front/front_harness.h
@@ -62,7 +62,8 @@
 
 class front_harness {
  public:
-  front_harness();
+  // `response_mb` is the memory for parts of responses that the front holds.
+  explicit front_harness(int response_mb = 32);
   front_harness(const front_harness&) = delete;
   auto operator=(const front_harness&) -> front_harness& = delete;
   ~front_harness();
--- a/source/unit_tests/front/request_flow_test.cc
+++ b/source/unit_tests/front/request_flow_test.cc
@@ -111,6 +111,51 @@
   CHECK(runs == 8);
 }
 
+// Sends a body that does not end until the front closes the connection, and
+// counts the pieces.
+auto EndlessEndpoint(int& pieces, std::string piece) -> endpoint_handler {
+  return [&pieces, piece = std::move(piece)](
+             net::http_exchange& exchange) -> asio::awaitable<void> {
+    auto timer = asio::steady_timer(co_await asio::this_coro::executor);
+    co_await exchange.StartStream({200, {{"Id", RequestIdOf(exchange)}}, ""});
+    while (co_await exchange.WriteChunk(piece)) {
+      ++pieces;
+      timer.expires_after(std::chrono::milliseconds(1));
+      co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    exchange.Abort();
+  };
+}
+
+TEST_CASE("a response without end ends at the time-out of its route") {
+  auto harness = front_harness();
+  auto pieces = 0;
+  harness.AddEndpoint("a", EndlessEndpoint(pieces, "x"));
+  harness.Configure();
+  const auto result = harness.Send("once", "r");
+  CHECK(result.response.status == 502);
+  CHECK(result.response.body == "timeout");
+  // The status of a stream has been sent; its end must not look complete.
+  CHECK(harness.Send("stream", "s").outcome == http_outcome::kNoAnswer);
+}
+
+TEST_CASE("responses without end do not use up the memory of the front") {
+  constexpr auto kMegabyte = std::size_t{1} << 20U;
+  constexpr auto kPiece = std::size_t{64} * 1024;
+  auto harness = front_harness(1);
+  auto pieces = 0;
+  harness.AddEndpoint("a", EndlessEndpoint(pieces, std::string(kPiece, 'x')));
+  harness.Configure();
+  for (auto i = 0; i < 3; ++i) {
+    pieces = 0;
+    const auto result = harness.Send("once", "r" + std::to_string(i));
+    CHECK(result.response.status == 502);
+    CHECK(result.response.body == "no_answer");
+    // Twice the memory, which allows for what the sockets hold.
+    CHECK(std::size_t(pieces) * kPiece <= 2 * kMegabyte);
+  }
+}
+
 TEST_CASE("a refusal without end does not delay the next attempt") {
   // Enough that some are sent to the refusing endpoint first.
   constexpr auto kRequests = 8;
