--- a/source/core/front/limit_coordinator.h
+++ b/source/core/front/limit_coordinator.h
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <optional>
 #include <string_view>
+#include <vector>
 
 #include "common/time.h"
 #include "common/vm_location.h"
--- a/source/unit_tests/front/limit_sharing_test.cc
+++ b/source/unit_tests/front/limit_sharing_test.cc
@@ -29,6 +29,11 @@
 constexpr auto kSettlingTime = 4s;
 constexpr auto kWindow = 4s;
 
+// The endpoint that names a limit.
+auto Limited() -> endpoint_id {
+  return endpoint_id("e");
+}
+
 class fleet {
  public:
   // Requests that each front would send without a limit.
@@ -56,7 +61,7 @@
                {},
                false});
     auto entry = dispatch::endpoint{};
-    entry.id = kEndpoint;
+    entry.id = Limited();
     entry.service = dispatch::service_id("s");
     entry.failure_domain = failure_domain_id(kDomains.front());
     item->endpoints.Put(entry, now_);
@@ -115,7 +120,6 @@
   static constexpr auto kMembers = 3;
   static constexpr auto kDomains =
       std::to_array<const char*>({"d0", "d1", "d2"});
-  inline static const auto kEndpoint = endpoint_id("e");
 
   struct sender {
     vm_location location;
@@ -129,7 +133,7 @@
   auto Advance(sender& front) -> void {
     while (!front.responses.empty() && front.responses.front() <= now_) {
       front.responses.pop_front();
-      if (front.exchange.Observe(KeyOf(kEndpoint), limit_, now_)) {
+      if (front.exchange.Observe(KeyOf(Limited()), limit_, now_)) {
         Apply(front);
       }
     }
@@ -138,10 +142,10 @@
       Exchange(front);
     }
     constexpr auto kStepsPerSecond = 100U;
-    const auto& state = *front.endpoints.Find(kEndpoint);
+    const auto& state = *front.endpoints.Find(Limited());
     if (random_.UniformBelow(kStepsPerSecond) < kAttemptsPerSecond &&
         front.endpoints.HasQuota(state, now_)) {
-      front.endpoints.OnRequestSent(kEndpoint, now_);
+      front.endpoints.OnRequestSent(Limited(), now_);
       front.responses.push_back(now_ + kResponseTime);
       sent_.push_back(now_);
     }
@@ -162,12 +166,12 @@
   }
 
   auto Apply(sender& front) -> void {
-    const auto& entry = front.endpoints.Find(kEndpoint)->entry;
+    const auto& entry = front.endpoints.Find(Limited())->entry;
     const auto share = dispatch::LimitShare(
-        {KeyOf(kEndpoint), entry.failure_domain, region_id("r")},
+        {KeyOf(Limited()), entry.failure_domain, region_id("r")},
         front.exchange.Senders(now_), front.location.vm);
     front.endpoints.SetRateLimit(
-        kEndpoint, front.exchange.LimitOf(KeyOf(kEndpoint)), share, now_);
+        Limited(), front.exchange.LimitOf(KeyOf(Limited())), share, now_);
   }
 
   double limit_;
