Do not promise that a request has not run when no endpoint is left

What callers would see: 503, which promises that a request has not run, for an idempotent request that may have. After an attempt that may have run, the request was refused as "no endpoint" when no endpoint could be chosen for the next one. That took the loss of all endpoints before; rate limits make it ordinary.

--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -435,6 +435,10 @@
 }
 
 auto request_flow::RefuseUnplaced() -> asio::awaitable<void> {
+  if (attempts_.runs > 0) {
+    co_await Refuse(refusal_reason::kNoAnswer, std::nullopt);
+    co_return;
+  }
   const auto next_quota =
       node_.service_directory().endpoints().NextQuota(service_, Now());
   if (!next_quota) {
--- a/source/core/front/request_flow.h
+++ b/source/core/front/request_flow.h
@@ -94,7 +94,7 @@
                      dispatch::health_signal signal) -> void;
   auto Refuse(refusal_reason reason, std::optional<duration> retry_after)
       -> boost::asio::awaitable<void>;
-  // Refuses a request for which no endpoint can be chosen.
+  // Ends a request for which no endpoint can be chosen.
   auto RefuseUnplaced() -> boost::asio::awaitable<void>;
   // Ends a request that is over before an endpoint has answered it.
   auto GiveUp() -> boost::asio::awaitable<void>;
--- a/source/unit_tests/front/request_flow_test.cc
+++ b/source/unit_tests/front/request_flow_test.cc
@@ -206,6 +206,24 @@
   CHECK(runs == kRequests - 1);
 }
 
+TEST_CASE("a request that may have run is not refused as not run at a limit") {
+  auto harness = front_harness();
+  auto runs = 0;
+  harness.AddEndpoint(
+      "a", [&](net::http_exchange& exchange) -> asio::awaitable<void> {
+        ++runs;
+        co_await exchange.StartStream(
+            {200, {{"Id", RequestIdOf(exchange)}, {"Limit", "0"}}, ""});
+        co_await exchange.WriteChunk("half of the ");
+        exchange.Abort();
+      });
+  harness.Configure();
+  const auto result = harness.Send("again", "r");
+  CHECK(runs == 1);
+  CHECK(result.response.status == 502);
+  CHECK(result.response.body == "no_answer");
+}
+
 TEST_CASE("requests beyond all rate limits are refused at once as not run") {
   auto harness = front_harness();
   auto runs = 0;
