Split the handling of responses from the flow of a request

request_flow.cc had grown to 537 lines and two jobs: placing and sending attempts, and reading what an endpoint responds.

--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -1,15 +1,12 @@
 #include "front/request_flow.h"
 
 #include <algorithm>
-#include <array>
 #include <boost/asio.hpp>
 #include <chrono>
 #include <utility>
 
-#include "common/endpoint_key.h"
 #include "common/logging.h"
 #include "common/process_clock.h"
-#include "net/sse.h"
 
 namespace daisywind::front {
 namespace {
@@ -22,8 +19,6 @@
 // After this time another endpoint is tried. The round trip to the farthest
 // endpoint takes 40 ms.
 constexpr auto kConnectTimeout = duration(400ms);
-// Time for the rest of a refusal to arrive, which is sent along with its head.
-constexpr auto kDiscardTimeout = duration(50ms);
 // Retry-After when no endpoint can be chosen, and the longest one when all that
 // could be are at their rate limits.
 constexpr auto kRetryAfterNoEndpoint = duration(200ms);
@@ -35,26 +30,11 @@
 constexpr auto kUnconfiguredRetry = duration(1s);
 // Largest response of a plain service. It is buffered before it is forwarded.
 constexpr auto kMaxBufferedBytes = std::size_t{8} * 1024 * 1024;
-constexpr auto kFirstNonSuccessStatus = 300U;
-// Statuses that guarantee the caller that its request has not run.
-constexpr auto kNotRunStatuses = std::to_array<unsigned>({408, 421, 429, 503});
-
-auto GuaranteesNotRun(unsigned status) -> bool {
-  return std::find(kNotRunStatuses.begin(), kNotRunStatuses.end(), status) !=
-         kNotRunStatuses.end();
-}
 
 auto Milliseconds(duration value) -> double {
   return std::chrono::duration<double, std::milli>(value).count();
 }
 
-// The part of a held response that counts towards the memory of all responses.
-// Ordinary responses do not, so that a few without end do not break them off.
-auto BudgetedBytes(std::size_t held) -> std::size_t {
-  constexpr auto kOrdinaryBytes = std::size_t{64} * 1024;
-  return held - std::min(held, kOrdinaryBytes);
-}
-
 auto AttemptResultName(attempt_result end) -> std::string_view {
   return end == attempt_result::kNotRun ? "not_run" : "may_have_run";
 }
@@ -134,10 +114,6 @@
                                      call_.deadline.value_or(route_->timeout));
 }
 
-request_flow::~request_flow() {
-  node_.response_memory().Return(BudgetedBytes(held_bytes_));
-}
-
 auto request_flow::Run() -> asio::awaitable<void> {
   WatchForCancellation();
   if (route_->stores_turns) {
@@ -300,140 +276,6 @@
   co_return end;
 }
 
-auto request_flow::HandleResponse(net::http_stream_result& opened,
-                                  const endpoint_id& endpoint)
-    -> asio::awaitable<std::optional<attempt_result>> {
-  auto& endpoints = node_.service_directory().endpoints();
-  const auto metadata = node_.requests().ReadResponse(opened.head);
-  if (metadata.load) {
-    endpoints.OnReport(endpoint, *metadata.load, Now());
-    node_.turns().ReportLoad({KeyOf(endpoint), metadata.load->running,
-                              metadata.load->waiting, duration(0)});
-  }
-  if (!metadata.is_misdirected) {
-    node_.limits().OnResponse(endpoint, metadata.rate_limit, call_.request_id,
-                              Now());
-  }
-  if (metadata.is_not_run) {
-    endpoints.OnHealthSignal(endpoint,
-                             metadata.is_misdirected
-                                 ? health_signal::kWrongEndpoint
-                                 : health_signal::kFull,
-                             Now());
-    co_await opened.body->Discard(kDiscardTimeout);
-    co_return attempt_result::kNotRun;
-  }
-  summary_.first_byte = Now() - started_at_;
-  const auto is_stream = route_->kind == route_kind::kStream &&
-                         metadata.status < kFirstNonSuccessStatus;
-  if (is_stream) {
-    endpoints.OnPromptProcessed(endpoint, call_.prompt);
-    co_await ForwardStream(opened, endpoint);
-    co_return std::nullopt;
-  }
-  if (!co_await ForwardBuffered(opened)) {
-    if (!IsOver()) {
-      RecordFailure(endpoint, health_signal::kFailed);
-    }
-    co_return attempt_result::kMayHaveRun;
-  }
-  endpoints.OnHealthSignal(endpoint, health_signal::kAnswered, Now());
-  co_return std::nullopt;
-}
-
-auto request_flow::ForwardBuffered(net::http_stream_result& opened)
-    -> asio::awaitable<bool> {
-  auto body = std::string{};
-  while (auto part = co_await opened.body->Next()) {
-    if (!HoldBytes(part->size())) {
-      opened.body->Cancel();
-      co_return false;
-    }
-    body += *part;
-  }
-  if (!opened.body->IsComplete()) {
-    co_return false;
-  }
-  // Such a status guarantees that the request has not run, but this endpoint
-  // did not guarantee it.
-  if (route_->kind != route_kind::kIdempotent &&
-      GuaranteesNotRun(opened.head.status)) {
-    co_return false;
-  }
-  auto forwarded = node_.requests().MakeCallerResponse(opened.head);
-  forwarded.body = std::move(body);
-  summary_.status = forwarded.status;
-  co_await exchange_.Respond(std::move(forwarded));
-  co_return true;
-}
-
-auto request_flow::ForwardStream(net::http_stream_result& opened,
-                                 const endpoint_id& endpoint)
-    -> asio::awaitable<void> {
-  auto events = net::sse_parser{};
-  summary_.status = opened.head.status;
-  exchange_.StartStreamWithFirstChunk(
-      node_.requests().MakeCallerResponse(opened.head));
-  while (auto part = co_await opened.body->Next()) {
-    if (is_turn_) {
-      if (!HoldBytes(part->size())) {
-        opened.body->Cancel();
-        break;
-      }
-      for (const auto& data : events.Feed(*part)) {
-        output_ += data;
-        output_ += '\n';
-        ++events_;
-      }
-    }
-    if (!co_await exchange_.WriteChunk(*part)) {
-      is_caller_disconnected_ = true;
-      opened.body->Cancel();
-      break;
-    }
-  }
-  auto is_complete = opened.body->IsComplete() && !IsOver();
-  if (!is_complete && !IsOver()) {
-    RecordFailure(endpoint, health_signal::kFailed);
-  }
-  if (is_complete) {
-    node_.service_directory().endpoints().OnHealthSignal(
-        endpoint, health_signal::kAnswered, Now());
-  }
-  if (is_complete && !call_.prompt.empty()) {
-    // The engine caches the generated tokens behind the prompt's last part.
-    auto& last = call_.prompt.back();
-    last.tokens += events_ * (engine_ ? engine_->event_tokens : 0);
-    node_.service_directory().endpoints().OnPromptProcessed(endpoint,
-                                                            call_.prompt);
-  }
-  if (is_complete && is_turn_) {
-    is_complete = co_await RecordTurn(endpoint);
-  }
-  if (is_complete) {
-    co_await exchange_.EndStream();
-    co_return;
-  }
-  summary_.outcome = is_caller_disconnected_ ? "caller_gone"
-                     : is_timed_out_         ? "timed_out"
-                                             : "broken_off";
-  exchange_.Abort();
-}
-
-auto request_flow::HoldBytes(std::size_t bytes) -> bool {
-  auto& memory = node_.response_memory();
-  const auto held_after = held_bytes_ + bytes;
-  if (memory.Take(BudgetedBytes(held_after) - BudgetedBytes(held_bytes_))) {
-    held_bytes_ = held_after;
-    return true;
-  }
-  Log(log_events::kResponseTooLarge,
-      {{"request", std::string_view(call_.request_id)},
-       {"bytes", static_cast<std::int64_t>(held_after)},
-       {"held_by_all", static_cast<std::int64_t>(memory.held())}});
-  return false;
-}
-
 auto request_flow::RefuseUnplaced() -> asio::awaitable<void> {
   if (attempts_.runs > 0) {
     co_await Refuse(refusal_reason::kNoAnswer, std::nullopt);
