Apply a newly named rate limit to its endpoint alone

A response that names a new limit recomputed the quotas of all endpoints on the path of its request: with many endpoints naming limits at once that is the square of their number. It now sets the one quota; replies of journals and the tick of 500 ms still update all. The formatting of times and the placeholders in the front's log lines stood in three files each; log_values.h has them once. Log texts and values are the same.

--- a/source/core/front/directory.cc
+++ b/source/core/front/directory.cc
@@ -2,13 +2,13 @@
 
 #include <algorithm>
 #include <array>
-#include <chrono>
 #include <set>
 #include <string_view>
 #include <utility>
 
 #include "common/logging.h"
 #include "common/process_clock.h"
+#include "front/log_values.h"
 #include "history_wire/view_json.h"
 
 namespace daisywind::front {
@@ -17,12 +17,6 @@
 // By directory::item_source.
 constexpr auto kItemSourceNames =
     std::to_array<std::string_view>({"listing", "watch", "copy"});
-// Logged in place of a time that does not apply.
-constexpr auto kNoTime = -1.0;
-
-auto Milliseconds(duration value) -> double {
-  return std::chrono::duration<double, std::milli>(value).count();
-}
 
 }  // namespace
 
--- a/source/core/front/front_node.cc
+++ b/source/core/front/front_node.cc
@@ -8,6 +8,7 @@
 #include "common/logging.h"
 #include "common/process_clock.h"
 #include "front/front_settings.h"
+#include "front/log_values.h"
 #include "front/request_flow.h"
 
 namespace daisywind::front {
@@ -192,7 +193,7 @@
     co_await timer_.async_wait(asio::as_tuple(asio::use_awaitable));
     if (const auto late = Now() - due; late >= kLateTick && !is_stopping_) {
       Log(log_events::kEventLoopLate,
-          {{"late_ms", std::chrono::duration<double, std::milli>(late).count()},
+          {{"late_ms", Milliseconds(late)},
            {"requests",
             static_cast<std::int64_t>(callers_.ActiveRequestCount())}});
     }
--- a/source/core/front/limit_coordinator.cc
+++ b/source/core/front/limit_coordinator.cc
@@ -9,17 +9,12 @@
 #include "common/logging.h"
 #include "common/process_clock.h"
 #include "dispatch/limit_share.h"
+#include "front/log_values.h"
 
 namespace daisywind::front {
-namespace {
 
 namespace asio = boost::asio;
 
-// Logged in place of the rate limit of an endpoint that names none.
-constexpr auto kNoLimit = -1.0;
-
-}  // namespace
-
 limit_coordinator::limit_coordinator(asio::io_context& context,
                                      vm_location self,
                                      dispatch::endpoint_table& endpoints,
@@ -56,7 +51,9 @@
       {{"endpoint", std::string_view(endpoint.value)},
        {"per_second", per_second.value_or(kNoLimit)},
        {"request", request}});
-  ApplyLimits(now);
+  if (const auto* state = endpoints_.Find(endpoint); state != nullptr) {
+    ApplyLimit(*state, exchange_.Senders(now), now);
+  }
   due_at_ = std::min(due_at_, sent_at_ + options_.min_interval);
   timer_.cancel();
 }
--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -7,6 +7,7 @@
 
 #include "common/logging.h"
 #include "common/process_clock.h"
+#include "front/log_values.h"
 
 namespace daisywind::front {
 namespace {
@@ -23,18 +24,12 @@
 // could be are at their rate limits.
 constexpr auto kRetryAfterNoEndpoint = duration(200ms);
 constexpr auto kMaxRetryAfterQuota = duration(500ms);
-// Logged in place of the rate limit of an endpoint that names none.
-constexpr auto kNoLimit = -1.0;
 // A front without a configuration waits for the platform's store, which may be
 // unreachable for seconds.
 constexpr auto kUnconfiguredRetry = duration(1s);
 // Largest response of a plain service. It is buffered before it is forwarded.
 constexpr auto kMaxBufferedBytes = std::size_t{8} * 1024 * 1024;
 
-auto Milliseconds(duration value) -> double {
-  return std::chrono::duration<double, std::milli>(value).count();
-}
-
 auto AttemptResultName(attempt_result end) -> std::string_view {
   return end == attempt_result::kNotRun ? "not_run" : "may_have_run";
 }
@@ -42,7 +37,7 @@
 // Milliseconds since the store last answered, for the log; -1 before its first
 // answer.
 auto StoreAgeMs(const std::optional<duration>& age) -> double {
-  return age ? Milliseconds(*age) : -1.0;
+  return age ? Milliseconds(*age) : kNoTime;
 }
 
 auto LogRefusal(const dispatch::call& call,
