Log how a response was framed and whether it ended between two events

The logs of the incident do not tell its hypotheses apart: event 2103 says neither what marked the end of the endpoint's response (a length, chunks, the end of the connection) nor whether the stream ended inside an event. It now has both, "framing" and "partial_event_bytes". No decision uses the new values yet.

--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -367,7 +367,10 @@
        {"reused", summary_.is_reused},
        {"first_byte_ms",
         summary_.first_byte ? Milliseconds(*summary_.first_byte) : -1.0},
+       {"framing", summary_.framing ? net::FramingName(*summary_.framing) : ""},
        {"events", std::int64_t{events_}},
+       {"partial_event_bytes",
+        static_cast<std::int64_t>(summary_.partial_event_bytes)},
        {"took_ms", Milliseconds(took)}});
 }
 
--- a/source/core/front/request_flow.h
+++ b/source/core/front/request_flow.h
@@ -48,6 +48,10 @@
     std::string_view outcome = "answered";
     std::optional<dispatch::placement_choice> choice;
     std::optional<duration> first_byte;
+    // Framing of the endpoint's response.
+    std::optional<net::body_framing> framing;
+    // Bytes after the last complete event of a stream.
+    std::size_t partial_event_bytes = 0;
     bool is_reused = false;
   };
 
--- a/source/core/front/response_flow.cc
+++ b/source/core/front/response_flow.cc
@@ -67,6 +67,7 @@
     co_return attempt_result::kNotRun;
   }
   summary_.first_byte = Now() - started_at_;
+  summary_.framing = opened.body->Framing();
   const auto is_stream = route_->kind == route_kind::kStream &&
                          metadata.status < kFirstNonSuccessStatus;
   if (is_stream) {
@@ -135,6 +136,7 @@
       break;
     }
   }
+  summary_.partial_event_bytes = opened.body->PartialEventBytes();
   auto is_complete = opened.body->IsComplete() && !IsOver();
   if (!is_complete && !IsOver()) {
     RecordFailure(endpoint, health_signal::kFailed);
--- a/source/core/net/http_client.cc
+++ b/source/core/net/http_client.cc
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "net/socket_options.h"
+#include "net/sse.h"
 
 namespace daisywind::net {
 namespace {
@@ -212,6 +213,8 @@
         co_return error;
       }
       head_ = ToResponseHead(parser_->get().base());
+      is_event_stream_ = IsEventStream(head_);
+      events_ = sse_scanner{};
       if (!options_.matches_request || options_.matches_request(head_)) {
         connection_->keep_alive_timeout =
             KeepAliveTimeout(head_, client_->pool.max_idle);
@@ -246,6 +249,18 @@
     return parser_->is_done() && !has_failed_;
   }
 
+  [[nodiscard]] auto Framing() const -> body_framing override {
+    if (parser_->chunked()) {
+      return body_framing::kChunks;
+    }
+    return parser_->need_eof() ? body_framing::kConnection
+                               : body_framing::kLength;
+  }
+
+  [[nodiscard]] auto PartialEventBytes() const -> std::size_t override {
+    return is_event_stream_ ? events_.PartialBytes() : 0;
+  }
+
   auto Cancel() -> void override {
     is_cancelled_ = true;
     if (connection_ != nullptr) {
@@ -276,12 +291,20 @@
       }
       const auto read = space.size() - parser_->get().body().size;
       if (read > 0) {
-        co_return std::string(space.data(), read);
+        auto part = std::string(space.data(), read);
+        ScanEvents(part);
+        co_return part;
       }
     }
     co_return std::nullopt;
   }
 
+  auto ScanEvents(std::string_view bytes) -> void {
+    while (is_event_stream_ && !bytes.empty()) {
+      bytes.remove_prefix(events_.Scan(bytes));
+    }
+  }
+
   // Returns true when another response may follow on the connection.
   auto SkipBody() -> asio::awaitable<bool> {
     while (co_await ReadPart()) {
@@ -312,6 +335,8 @@
   http_options options_;
   std::optional<http::response_parser<http::buffer_body>> parser_;
   http_response head_;
+  bool is_event_stream_ = false;
+  sse_scanner events_;
   // No read waits past this time.
   std::chrono::steady_clock::time_point read_until_ =
       std::chrono::steady_clock::time_point::max();
--- a/source/core/net/http_client.h
+++ b/source/core/net/http_client.h
@@ -104,6 +104,13 @@
   // True when the complete body was read.
   [[nodiscard]] virtual auto IsComplete() const -> bool = 0;
 
+  // What marks the end of the body.
+  [[nodiscard]] virtual auto Framing() const -> body_framing = 0;
+
+  // Bytes read after the last complete event of a stream of server-sent events;
+  // zero for other bodies.
+  [[nodiscard]] virtual auto PartialEventBytes() const -> std::size_t = 0;
+
   // Closes the connection at once. A pending Next returns nothing.
   virtual auto Cancel() -> void = 0;
 };
--- a/source/core/net/http_types.cc
+++ b/source/core/net/http_types.cc
@@ -26,9 +26,7 @@
   return out;
 }
 
-}  // namespace
-
-auto IsSameHeader(std::string_view a, std::string_view b) -> bool {
+auto EqualsIgnoringCase(std::string_view a, std::string_view b) -> bool {
   const auto lower = [](char letter) {
     return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter + 32)
                                           : letter;
@@ -37,6 +35,12 @@
                     [&](char x, char y) { return lower(x) == lower(y); });
 }
 
+}  // namespace
+
+auto IsSameHeader(std::string_view a, std::string_view b) -> bool {
+  return EqualsIgnoringCase(a, b);
+}
+
 auto FindHeader(const http_headers& headers, std::string_view name)
     -> std::string_view {
   const auto found = std::find_if(
@@ -69,6 +73,27 @@
   return std::nullopt;
 }
 
+auto FramingName(body_framing framing) -> std::string_view {
+  switch (framing) {
+    case body_framing::kLength:
+      return "length";
+    case body_framing::kChunks:
+      return "chunks";
+    case body_framing::kConnection:
+      return "connection";
+  }
+  return "unknown";
+}
+
+auto IsEventStream(const http_response& head) -> bool {
+  const auto value = head.Header("Content-Type");
+  auto type = value.substr(0, value.find(';'));
+  while (type.ends_with(' ')) {
+    type.remove_suffix(1);
+  }
+  return EqualsIgnoringCase(type, "text/event-stream");
+}
+
 auto JsonResponse(unsigned status, std::string body) -> http_response {
   return {status, {{"Content-Type", "application/json"}}, std::move(body)};
 }
--- a/source/core/net/http_types.h
+++ b/source/core/net/http_types.h
@@ -63,6 +63,20 @@
   }
 };
 
+// What marks the end of a response body.
+enum class body_framing : std::uint8_t {
+  kLength,
+  kChunks,
+  // The end of the connection.
+  kConnection,
+};
+
+// The name of a framing in logs.
+auto FramingName(body_framing framing) -> std::string_view;
+
+// Whether the body of a response is a stream of server-sent events.
+auto IsEventStream(const http_response& head) -> bool;
+
 // Returns a response with a JSON body.
 auto JsonResponse(unsigned status, std::string body) -> http_response;
 
--- a/source/core/net/sse.cc
+++ b/source/core/net/sse.cc
@@ -26,6 +26,37 @@
 
 }  // namespace
 
+auto sse_scanner::Scan(std::string_view bytes) -> std::size_t {
+  is_at_event_end_ = false;
+  auto scanned = std::size_t{0};
+  while (scanned < bytes.size() && !is_at_event_end_) {
+    const auto byte = bytes[scanned++];
+    const auto is_second_of_crlf = byte == '\n' && is_after_cr_;
+    is_after_cr_ = byte == '\r';
+    if (is_second_of_crlf) {
+      continue;
+    }
+    if (byte == '\n' || byte == '\r') {
+      EndLine();
+      continue;
+    }
+    is_comment_ = line_bytes_ == 0 ? byte == ':' : is_comment_;
+    ++line_bytes_;
+  }
+  return scanned;
+}
+
+auto sse_scanner::EndLine() -> void {
+  is_at_event_end_ = line_bytes_ == 0;
+  if (is_at_event_end_) {
+    event_bytes_ = 0;
+  } else if (!is_comment_) {
+    event_bytes_ += line_bytes_;
+  }
+  line_bytes_ = 0;
+  is_comment_ = false;
+}
+
 auto sse_parser::Feed(std::string_view bytes) -> std::vector<std::string> {
   auto events = std::vector<std::string>{};
   if (has_overflowed_) {
--- a/source/core/net/sse.h
+++ b/source/core/net/sse.h
@@ -9,6 +9,35 @@
 
 namespace daisywind::net {
 
+// Finds the ends of events in a byte stream without storing it. Lines end with
+// CR, LF or CRLF; an empty line ends an event.
+class sse_scanner {
+ public:
+  // Scans bytes up to the end of the first event that ends in them, or all of
+  // them if none does. Returns the number of bytes scanned.
+  auto Scan(std::string_view bytes) -> std::size_t;
+
+  // True when the last scan stopped at the end of an event.
+  [[nodiscard]] auto IsAtEventEnd() const -> bool { return is_at_event_end_; }
+
+  // Number of bytes of an event that has begun and not ended. Complete comment
+  // lines do not count, because they belong to no event.
+  [[nodiscard]] auto PartialBytes() const -> std::size_t {
+    return event_bytes_ + line_bytes_;
+  }
+
+ private:
+  auto EndLine() -> void;
+
+  // Bytes of the complete lines of the current event.
+  std::size_t event_bytes_ = 0;
+  // Bytes of the current line.
+  std::size_t line_bytes_ = 0;
+  bool is_comment_ = false;
+  bool is_after_cr_ = false;
+  bool is_at_event_end_ = false;
+};
+
 // Incremental parser that extracts the data of each complete event from a byte
 // stream. Other fields are ignored.
 class sse_parser {
--- a/source/unit_tests/net/http_types_test.cc
+++ b/source/unit_tests/net/http_types_test.cc
@@ -30,4 +30,14 @@
   }
 }
 
+TEST_CASE("a stream of server-sent events is known by its media type") {
+  for (const auto* type : {"text/event-stream", "Text/Event-Stream",
+                           "text/event-stream; charset=utf-8",
+                           "text/event-stream ;charset=utf-8"}) {
+    CHECK(IsEventStream({200, {{"Content-Type", type}}, ""}));
+  }
+  CHECK(!IsEventStream({200, {{"Content-Type", "text/plain"}}, ""}));
+  CHECK(!IsEventStream({200, {}, ""}));
+}
+
 }  // namespace daisywind::net
--- a/source/unit_tests/net/sse_test.cc
+++ b/source/unit_tests/net/sse_test.cc
@@ -2,6 +2,10 @@
 
 #include <doctest/doctest.h>
 
+#include <string_view>
+#include <utility>
+#include <vector>
+
 namespace daisywind::net {
 
 TEST_CASE("events split at any position are reassembled") {
@@ -29,4 +33,40 @@
   CHECK(parser.Feed("\n\n").empty());
 }
 
+TEST_CASE("bytes after the last complete event are counted") {
+  const auto cases = std::vector<std::pair<std::string_view, std::size_t>>{
+      {"", 0},
+      {"data: a\n\n", 0},
+      {"data: a\r\n\r\n", 0},
+      {"data: a\r\r", 0},
+      {"data: a\r\n\r", 0},
+      {"data: a\n\n\n", 0},
+      {"data: a\n\n: a comment\n", 0},
+      {"data: a\n", 7},
+      {"data: a\r\n", 7},
+      {"data: a\n\nda", 2},
+      {"data: a\n\nid: 2\ndata", 9},
+      {"data: a\n\n: a com", 7},
+      {"id: 2\n: a comment\n", 5},
+  };
+  for (const auto& item : cases) {
+    // One byte at a time, so that each possible split is covered.
+    auto scanner = sse_scanner{};
+    for (const auto& byte : item.first) {
+      scanner.Scan({&byte, 1});
+    }
+    CAPTURE(item.first);
+    CHECK(scanner.PartialBytes() == item.second);
+  }
+}
+
+TEST_CASE("a scan stops at the end of an event") {
+  auto scanner = sse_scanner{};
+  const auto text = std::string_view("data: a\n\ndata: b\n");
+  CHECK(scanner.Scan(text) == 9);
+  CHECK(scanner.IsAtEventEnd());
+  CHECK(scanner.Scan(text.substr(9)) == 8);
+  CHECK(!scanner.IsAtEventEnd());
+}
+
 }  // namespace daisywind::net
