--- a/source/unit_tests/front/front_harness.cc
+++ b/source/unit_tests/front/front_harness.cc
@@ -24,6 +24,18 @@
   return acceptor.local_endpoint().port();
 }
 
+auto SendAndClose(asio::ip::tcp::acceptor acceptor, std::string response)
+    -> asio::awaitable<void> {
+  constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
+  while (true) {
+    auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+    auto request = std::string{};
+    co_await asio::async_read_until(socket, asio::dynamic_buffer(request),
+                                    "\r\n\r\n", kAsTuple);
+    co_await asio::async_write(socket, asio::buffer(response), kAsTuple);
+  }
+}
+
 auto Route(const char* prefix, route_kind kind) -> dispatch::route {
   auto item = dispatch::route{};
   item.id = dispatch::route_id(prefix);
@@ -150,15 +162,31 @@
   const auto port = server->Listen({"127.0.0.1", 0});
   REQUIRE(port != 0);
   servers_.push_back(std::move(server));
+  Register(id, port);
+}
+
+auto front_harness::AddClosingEndpoint(const std::string& id,
+                                       std::string response) -> void {
+  auto acceptor =
+      asio::ip::tcp::acceptor(context, {asio::ip::address_v4::loopback(), 0});
+  const auto port = acceptor.local_endpoint().port();
+  asio::co_spawn(context,
+                 SendAndClose(std::move(acceptor), std::move(response)),
+                 asio::detached);
+  Register(id, port);
+}
+
+auto front_harness::Register(const std::string& id, std::uint16_t port)
+    -> void {
+  ++endpoints_;
   store.Put("endpoints/" + id, "127.0.0.1:" + std::to_string(port));
 }
 
 auto front_harness::Configure() -> void {
-  const auto endpoints = servers_.size();
   store.Put("configuration", "1");
   REQUIRE(RunUntil([&] {
     return node_->service_directory().IsConfigured() &&
-           node_->service_directory().endpoints().size() == endpoints;
+           node_->service_directory().endpoints().size() == endpoints_;
   }));
 }
 
--- a/source/unit_tests/front/front_harness.h
+++ b/source/unit_tests/front/front_harness.h
@@ -71,6 +71,10 @@
   // Starts an endpoint and registers it in the store.
   auto AddEndpoint(const std::string& id, endpoint_handler handler) -> void;
 
+  // Starts an endpoint that sends the same bytes in response to each request
+  // and closes the connection.
+  auto AddClosingEndpoint(const std::string& id, std::string response) -> void;
+
   // Stores the configuration and waits until the front has it and all
   // endpoints.
   auto Configure() -> void;
@@ -93,6 +97,7 @@
   testing::fake_store store;
 
  private:
+  auto Register(const std::string& id, std::uint16_t port) -> void;
   [[nodiscard]] static auto Request(const std::string& kind,
                                     const std::string& id) -> net::http_request;
 
@@ -100,6 +105,7 @@
   test_directory_codec directory_codec_;
   int front_port_ = 0;
   std::vector<std::unique_ptr<net::http_server>> servers_;
+  std::size_t endpoints_ = 0;
   std::unique_ptr<front_node> node_;
   std::unique_ptr<net::http_client> client_;
 };
--- a/source/unit_tests/front/request_flow_test.cc
+++ b/source/unit_tests/front/request_flow_test.cc
@@ -379,6 +379,29 @@
   CHECK(runs == 1);
 }
 
+TEST_CASE("a stream that ends inside an event does not look complete" *
+          doctest::should_fail()) {
+  const auto head =
+      std::string("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n");
+  for (const auto* body : {"data: one\n\ndata: tw", "data: one\n"}) {
+    auto harness = front_harness();
+    harness.AddClosingEndpoint("a", head + body);
+    harness.Configure();
+    CHECK(harness.Send("stream", "r").outcome == http_outcome::kNoAnswer);
+  }
+}
+
+TEST_CASE("a stream without a length that ends after an event is complete") {
+  auto harness = front_harness();
+  harness.AddClosingEndpoint("a",
+                             "HTTP/1.1 200 OK\r\nContent-Type: "
+                             "text/event-stream\r\n\r\ndata: one\n\n");
+  harness.Configure();
+  const auto result = harness.Send("stream", "r");
+  CHECK(result.outcome == http_outcome::kAnswered);
+  CHECK(result.response.body == "data: one\n\n");
+}
+
 TEST_CASE("a status that guarantees too much is not forwarded") {
   auto harness = front_harness();
   harness.AddEndpoint(
--- a/source/unit_tests/net/http_test.cc
+++ b/source/unit_tests/net/http_test.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio.hpp>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <utility>
 #include <vector>
@@ -129,6 +130,67 @@
   int pieces_ = 0;
 };
 
+// Sends the same bytes in response to each request and closes the connection.
+class closing_server {
+ public:
+  closing_server(asio::io_context& context, std::string response)
+      : acceptor_(context, {asio::ip::address_v4::loopback(), 0}),
+        response_(std::move(response)) {
+    asio::co_spawn(context, Serve(), asio::detached);
+  }
+
+  [[nodiscard]] auto port() const -> std::uint16_t {
+    return acceptor_.local_endpoint().port();
+  }
+
+ private:
+  auto Serve() -> asio::awaitable<void> {
+    constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
+    while (true) {
+      auto socket = co_await acceptor_.async_accept(asio::use_awaitable);
+      auto request = std::string{};
+      co_await asio::async_read_until(socket, asio::dynamic_buffer(request),
+                                      "\r\n\r\n", kAsTuple);
+      co_await asio::async_write(socket, asio::buffer(response_), kAsTuple);
+    }
+  }
+
+  tcp::acceptor acceptor_;
+  std::string response_;
+};
+
+// Returns the outcome of a request to a server that sends these bytes and
+// closes the connection.
+auto OutcomeOfClosedResponse(const std::string& response) -> http_outcome {
+  auto context = asio::io_context{};
+  const auto server = closing_server(context, response);
+  auto client = http_client(context);
+  auto result = http_result{};
+  RunUntilDone(context, [&]() -> asio::awaitable<void> {
+    result = co_await client.Send({"127.0.0.1", server.port()},
+                                  {"GET", "/", {}, ""}, {});
+  }());
+  return result.outcome;
+}
+
+// Renders a response head and a body under one framing.
+auto Framed(body_framing framing, std::string head, const std::string& body)
+    -> std::string {
+  auto size = std::ostringstream{};
+  size << std::hex << body.size();
+  switch (framing) {
+    case body_framing::kLength:
+      head += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+      return head + body;
+    case body_framing::kChunks:
+      head += "Transfer-Encoding: chunked\r\n\r\n" + size.str() + "\r\n";
+      return head + body + "\r\n0\r\n\r\n";
+    case body_framing::kConnection:
+      break;
+  }
+  return head + "\r\n" + body;
+}
+
 }  // namespace
 
 TEST_CASE("a second request reuses the connection of the first") {
@@ -246,4 +308,34 @@
   }
 }
 
+TEST_CASE("a stream that ends inside an event is incomplete" *
+          doctest::should_fail()) {
+  const auto head =
+      std::string("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n");
+  for (const auto framing : {body_framing::kLength, body_framing::kChunks,
+                             body_framing::kConnection}) {
+    CAPTURE(FramingName(framing));
+    for (const auto* body :
+         {"data: one\n\n", "data: one\r\n\r\n: a comment\r\n"}) {
+      CHECK(OutcomeOfClosedResponse(Framed(framing, head, body)) ==
+            http_outcome::kAnswered);
+    }
+    for (const auto* body :
+         {"data: one\n\ndata: tw", "data: one\n\ndata: two\n", "id: 1\n"}) {
+      CHECK(OutcomeOfClosedResponse(Framed(framing, head, body)) ==
+            http_outcome::kNoAnswer);
+    }
+  }
+}
+
+TEST_CASE("a body that is no event stream may end anywhere") {
+  const auto head =
+      std::string("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n");
+  for (const auto framing : {body_framing::kLength, body_framing::kChunks,
+                             body_framing::kConnection}) {
+    CHECK(OutcomeOfClosedResponse(Framed(framing, head, "data: one")) ==
+          http_outcome::kAnswered);
+  }
+}
+
 }  // namespace daisywind::net
