Read event streams whose lines end with CR

The parser of event streams dropped every CR, so a stream whose lines end with CR alone had no event: its turn would have been recorded without content. It now finds the ends of events with the scanner that also judges whether a stream is complete, so the two can't differ. A line ends with CR, LF or CRLF, as the format of event streams says.

--- a/source/core/net/sse.cc
+++ b/source/core/net/sse.cc
@@ -10,7 +10,8 @@
 auto ExtractData(std::string_view event) -> std::string {
   auto data = std::string{};
   while (!event.empty()) {
-    auto line = event.substr(0, event.find('\n'));
+    // The two bytes of a CRLF end a line and an empty one, which has no field.
+    auto line = event.substr(0, event.find_first_of("\r\n"));
     event.remove_prefix(std::min(event.size(), line.size() + 1));
     if (!line.starts_with(kDataField)) {
       continue;
@@ -50,8 +51,8 @@
   is_at_event_end_ = line_bytes_ == 0;
   if (is_at_event_end_) {
     event_bytes_ = 0;
-  } else if (!is_comment_) {
-    event_bytes_ += line_bytes_;
+  } else if (!is_comment_ || event_bytes_ > 0) {
+    event_bytes_ += line_bytes_ + 1;
   }
   line_bytes_ = 0;
   is_comment_ = false;
@@ -62,20 +63,21 @@
   if (has_overflowed_) {
     return events;
   }
-  std::copy_if(bytes.begin(), bytes.end(), std::back_inserter(pending_),
-               [](char c) { return c != '\r'; });
-  auto start = std::size_t{0};
-  for (auto end = pending_.find("\n\n"); end != std::string::npos;
-       end = pending_.find("\n\n", start)) {
-    auto data =
-        ExtractData(std::string_view(pending_).substr(start, end - start));
-    if (!data.empty()) {
-      events.push_back(std::move(data));
+  while (!bytes.empty()) {
+    const auto scanned = scanner_.Scan(bytes);
+    pending_ += bytes.substr(0, scanned);
+    bytes.remove_prefix(scanned);
+    if (scanner_.IsAtEventEnd()) {
+      auto data = ExtractData(pending_);
+      if (!data.empty()) {
+        events.push_back(std::move(data));
+      }
+    }
+    if (scanner_.PartialBytes() == 0) {
+      pending_.clear();
     }
-    start = end + 2;
   }
-  pending_.erase(0, start);
-  has_overflowed_ = pending_.size() > kMaxEventBytes;
+  has_overflowed_ = scanner_.PartialBytes() > kMaxEventBytes;
   return events;
 }
 
--- a/source/core/net/sse.h
+++ b/source/core/net/sse.h
@@ -20,8 +20,9 @@
   // True when the last scan stopped at the end of an event.
   [[nodiscard]] auto IsAtEventEnd() const -> bool { return is_at_event_end_; }
 
-  // Number of bytes of an event that has begun and not ended. Complete comment
-  // lines do not count, because they belong to no event.
+  // Number of bytes of an event that has begun and not ended, with one byte for
+  // the end of each line. Complete comment lines before its first field do not
+  // count, because they belong to no event.
   [[nodiscard]] auto PartialBytes() const -> std::size_t {
     return event_bytes_ + line_bytes_;
   }
@@ -53,6 +54,7 @@
   [[nodiscard]] auto HasOverflowed() const -> bool { return has_overflowed_; }
 
  private:
+  sse_scanner scanner_;
   std::string pending_;
   bool has_overflowed_ = false;
 };
