Count a stream with an oversized event as incomplete

The parser of event streams stops at an event beyond 1 MiB and reports no further ones, but the front went on forwarding and recorded the turn without the rest of its content. The http client, which judges whether a stream is complete, now fails at such an event.

--- a/source/core/net/http_client.cc
+++ b/source/core/net/http_client.cc
@@ -294,6 +294,10 @@
       if (read > 0) {
         auto part = std::string(space.data(), read);
         ScanEvents(part);
+        if (PartialEventBytes() > sse_parser::kMaxEventBytes) {
+          has_failed_ = true;
+          break;
+        }
         co_return part;
       }
     }
--- a/source/unit_tests/net/http_test.cc
+++ b/source/unit_tests/net/http_test.cc
@@ -9,6 +9,7 @@
 
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "net/sse.h"
 
 namespace daisywind::net {
 namespace {
@@ -328,6 +329,15 @@
   }
 }
 
+TEST_CASE("a stream with an event beyond the maximum size is incomplete") {
+  const auto head =
+      std::string("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n");
+  const auto big = std::string(2 * sse_parser::kMaxEventBytes, 'x');
+  CHECK(OutcomeOfClosedResponse(
+            Framed(body_framing::kLength, head, "data: " + big + "\n\n")) ==
+        http_outcome::kNoAnswer);
+}
+
 TEST_CASE("a body that is shorter than its framing says is incomplete") {
   const auto head = std::string("HTTP/1.1 200 OK\r\n");
   for (const auto framing : {body_framing::kLength, body_framing::kChunks}) {
