Count a stream without any event as broken off if its connection ended it

An endpoint that dies after the head of a response without a length or chunks looked like one that streams nothing: the caller got an empty stream with a regular end and the turn was recorded as empty. A stream of events that ends with its connection now needs at least one event to be complete. With a length or chunks an empty stream still is complete, because its server said so.

--- a/source/core/net/http_client.cc
+++ b/source/core/net/http_client.cc
@@ -216,6 +216,7 @@
       is_event_stream_ = IsEventStream(head_) ||
                          (options_.expects_events && IsSuccess(head_.status));
       events_ = sse_scanner{};
+      has_event_ = false;
       if (!options_.matches_request || options_.matches_request(head_)) {
         connection_->keep_alive_timeout =
             KeepAliveTimeout(head_, client_->pool.max_idle);
@@ -247,7 +248,7 @@
   }
 
   [[nodiscard]] auto IsComplete() const -> bool override {
-    return IsMessageComplete() && PartialEventBytes() == 0;
+    return IsMessageComplete() && !IsBrokenOffStream();
   }
 
   [[nodiscard]] auto Framing() const -> body_framing override {
@@ -309,9 +310,18 @@
     return parser_->is_done() && !has_failed_;
   }
 
+  // Whether a stream ended inside an event, or before its first one where
+  // nothing but the end of the connection marks its end.
+  [[nodiscard]] auto IsBrokenOffStream() const -> bool {
+    const auto is_without_events =
+        !has_event_ && Framing() == body_framing::kConnection;
+    return is_event_stream_ && (PartialEventBytes() > 0 || is_without_events);
+  }
+
   auto ScanEvents(std::string_view bytes) -> void {
     while (is_event_stream_ && !bytes.empty()) {
       bytes.remove_prefix(events_.Scan(bytes));
+      has_event_ = has_event_ || events_.IsAtEventEnd();
     }
   }
 
@@ -347,6 +357,7 @@
   http_response head_;
   bool is_event_stream_ = false;
   sse_scanner events_;
+  bool has_event_ = false;
   // No read waits past this time.
   std::chrono::steady_clock::time_point read_until_ =
       std::chrono::steady_clock::time_point::max();
--- a/source/unit_tests/net/http_test.cc
+++ b/source/unit_tests/net/http_test.cc
@@ -370,4 +370,16 @@
   }
 }
 
+TEST_CASE(
+    "a stream that ends with its connection before any event is incomplete") {
+  const auto head =
+      std::string("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n");
+  for (const auto* body : {"", ": a comment\n"}) {
+    CHECK(OutcomeOfClosedResponse(Framed(body_framing::kConnection, head,
+                                         body)) == http_outcome::kNoAnswer);
+    CHECK(OutcomeOfClosedResponse(Framed(body_framing::kLength, head, body)) ==
+          http_outcome::kAnswered);
+  }
+}
+
 }  // namespace daisywind::net
