Take no load from a list of metrics that lacks it

The gateway read an engine's load from its metrics page: a page that ended before the gauges, an error page or a cut number gave a load of zero or a smaller one, so an engine whose answer broke off looked idle and got the next calls. The gauges are now read from complete lines of a successful response only; without them the last known load stays.

Found by looking for the cause of truncated streams in daisywind-gateway; suspected only, nothing reports it.

--- a/source/core/gateway/endpoint_poller.cc
+++ b/source/core/gateway/endpoint_poller.cc
@@ -10,6 +10,7 @@
 #include "common/json.h"
 #include "common/process_clock.h"
 #include "gateway/json_calls.h"
+#include "gateway/metrics_text.h"
 
 namespace daisywind::gateway {
 namespace {
@@ -22,27 +23,10 @@
 // Limits the polling cost of one VM independently of the number of endpoints
 // that it watches.
 constexpr auto kMaxReadsPerSecond = std::int64_t{128};
+constexpr auto kOk = 200U;
 constexpr std::string_view kRunningGauge = "vllm:num_requests_running";
 constexpr std::string_view kWaitingGauge = "vllm:num_requests_waiting";
 
-// Returns the first sample of a gauge in the Prometheus text format, or zero
-// when there is none.
-auto ReadGauge(std::string_view text, std::string_view name) -> std::uint32_t {
-  while (!text.empty()) {
-    const auto line = text.substr(0, text.find('\n'));
-    text.remove_prefix(std::min(text.size(), line.size() + 1));
-    const auto space = line.rfind(' ');
-    if (!line.starts_with(name) || space == std::string_view::npos) {
-      continue;
-    }
-    const auto digits = line.substr(space + 1);
-    auto value = 0.0;
-    std::from_chars(digits.data(), digits.data() + digits.size(), value);
-    return value > 0 ? static_cast<std::uint32_t>(value) : 0U;
-  }
-  return 0;
-}
-
 auto ToCacheEventKind(std::string_view type) -> policy::cache_event_kind {
   if (type == "removed") {
     return policy::cache_event_kind::kRemoved;
@@ -141,10 +125,14 @@
   if (answer.outcome != net::http_outcome::kAnswered) {
     co_return answer.outcome == net::http_outcome::kNoAnswer;
   }
-  const auto report = policy::load_report{
-      endpoint, requested_at, ReadGauge(answer.response.body, kRunningGauge),
-      ReadGauge(answer.response.body, kWaitingGauge)};
-  scheduler_.OnLoadReport(report, Now());
+  const auto running = ReadGauge(answer.response.body, kRunningGauge);
+  const auto waiting = ReadGauge(answer.response.body, kWaitingGauge);
+  // Without both, the last known load stays.
+  if (answer.response.status == kOk && running && waiting) {
+    const auto report =
+        policy::load_report{endpoint, requested_at, *running, *waiting};
+    scheduler_.OnLoadReport(report, Now());
+  }
   co_return true;
 }
 
