--- a/source/core/common/log_events.h
+++ b/source/core/common/log_events.h
@@ -136,6 +136,9 @@
 inline constexpr auto kRateLimitNamed =
     log_event{2007, log_subsystem::kFront, log_level::kInfo,
               "response names a new request rate limit"};
+inline constexpr auto kPathStateChanged =
+    log_event{2008, log_subsystem::kFront, log_level::kWarning,
+              "path to the endpoints changed"};
 inline constexpr auto kRequestRefused =
     log_event{2101, log_subsystem::kFront, log_level::kInfo,
               "request refused without being executed"};
--- a/source/core/control/admin_client.cc
+++ b/source/core/control/admin_client.cc
@@ -21,7 +21,7 @@
   auto options = net::http_options{};
   options.head_timeout = timeout;
   options.idle_timeout = timeout;
-  options.use_fresh_connection = true;
+  options.connection = net::connection_use::kNew;
   auto address = addresses_[current_];
   auto result =
       co_await http_.Send(std::move(address), std::move(request), options);
--- a/source/core/front/front_node.cc
+++ b/source/core/front/front_node.cc
@@ -92,6 +92,7 @@
                  DirectoryOptions(values),
                  {[this](const history::view& newest) { turns_.Adopt(newest); },
                   [this] { ApplyLimits(); }}),
+      paths_(directory_.endpoints()),
       fallback_(context, directory_, turns_, values.GetList(kJournalSeeds), {}),
       limits_(
           context,
@@ -186,6 +187,7 @@
   while (!is_stopping_) {
     directory_.Tick(Now());
     limits_.Tick(Now());
+    paths_.Tick(Now());
     UpdateReadiness();
     FlushLogs();
     const auto due = Now() + kTickInterval;
--- a/source/core/front/front_node.h
+++ b/source/core/front/front_node.h
@@ -18,6 +18,7 @@
 #include "dispatch/placement.h"
 #include "dispatch/retry_rules.h"
 #include "front/directory.h"
+#include "front/endpoint_paths.h"
 #include "front/limit_coordinator.h"
 #include "front/platform_codecs.h"
 #include "front/store_fallback.h"
@@ -65,6 +66,7 @@
   [[nodiscard]] auto response_memory() -> byte_budget& {
     return response_memory_;
   }
+  [[nodiscard]] auto paths() -> endpoint_paths& { return paths_; }
   [[nodiscard]] auto endpoint_client() -> net::http_client& {
     return endpoint_client_;
   }
@@ -100,6 +102,7 @@
   net::http_client endpoint_client_;
   history::turn_client turns_;
   directory directory_;
+  endpoint_paths paths_;
   store_fallback fallback_;
   limit_coordinator limits_;
   net::http_server callers_;
--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -232,6 +232,8 @@
   ++attempts_.attempts;
   const auto sent_at = Now();
   endpoints.OnRequestSent(choice.endpoint, sent_at);
+  node_.paths().Observe(choice.endpoint, options);
+  node_.paths().OnRequestSent(choice.endpoint);
   auto opened = co_await node_.endpoint_client().Open(
       address, std::move(request), std::move(options));
   summary_.is_reused = opened.is_reused;
@@ -253,6 +255,7 @@
   }
   cancellation_ = nullptr;
   endpoints.OnRequestEnded(choice.endpoint);
+  node_.paths().OnRequestEnded(choice.endpoint);
   if (end == attempt_result::kMayHaveRun) {
     ++attempts_.runs;
   }
--- a/source/core/gateway/attempt_runner.cc
+++ b/source/core/gateway/attempt_runner.cc
@@ -144,7 +144,8 @@
   auto options = net::http_options{};
   options.head_timeout = self->request.timeout;
   options.idle_timeout = self->request.idle_timeout;
-  options.use_fresh_connection = !self->request.is_idempotent;
+  options.connection = self->request.is_idempotent ? net::connection_use::kAny
+                                                   : net::connection_use::kNew;
   auto opened = co_await client.Open(self->request.address,
                                      self->request.request, options);
   auto result = attempt_result{};
--- a/source/core/kv/client.cc
+++ b/source/core/kv/client.cc
@@ -96,7 +96,7 @@
   options.connect_timeout = options_.connect_timeout;
   options.head_timeout = options_.call_timeout;
   options.idle_timeout = options_.watch_idle_timeout;
-  options.use_fresh_connection = true;
+  options.connection = net::connection_use::kNew;
   auto opened =
       co_await http_.Open(std::move(address), std::move(request), options);
   auto head = net::http_result{opened.outcome, std::move(opened.head),
@@ -127,7 +127,8 @@
   options.head_timeout = options_.call_timeout;
   options.idle_timeout = options_.call_timeout;
   options.total_timeout = options_.call_timeout;
-  options.use_fresh_connection = needs_fresh_connection;
+  options.connection = needs_fresh_connection ? net::connection_use::kNew
+                                              : net::connection_use::kAny;
   auto sent =
       co_await http_.Send(std::move(address), std::move(request), options);
   result.outcome = OutcomeOf(sent);
--- a/source/core/net/http_client.cc
+++ b/source/core/net/http_client.cc
@@ -149,6 +149,16 @@
     return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
   }
 
+  // Drops idle connections that can't carry a request.
+  auto HasUsable(const socket_address& address) -> bool {
+    auto candidate = TakePooled(address);
+    if (candidate == nullptr) {
+      return false;
+    }
+    idle[address].push_back(std::move(candidate));
+    return true;
+  }
+
   auto ReturnConnection(const socket_address& address,
                         connection_ptr connection) -> void {
     auto& list = idle[address];
@@ -218,6 +228,7 @@
       events_ = sse_scanner{};
       has_event_ = false;
       if (!options_.matches_request || options_.matches_request(head_)) {
+        NotifyReceived();
         connection_->keep_alive_timeout =
             KeepAliveTimeout(head_, client_->pool.max_idle);
         read_until_ = response_until;
@@ -293,6 +304,7 @@
       }
       const auto read = space.size() - parser_->get().body().size;
       if (read > 0) {
+        NotifyReceived();
         auto part = std::string(space.data(), read);
         ScanEvents(part);
         if (PartialEventBytes() > sse_parser::kMaxEventBytes) {
@@ -305,6 +317,12 @@
     co_return std::nullopt;
   }
 
+  auto NotifyReceived() -> void {
+    if (options_.on_received) {
+      options_.on_received();
+    }
+  }
+
   // Whether the message has ended as its framing says.
   [[nodiscard]] auto IsMessageComplete() const -> bool {
     return parser_->is_done() && !has_failed_;
@@ -365,10 +383,16 @@
   bool is_cancelled_ = false;
 };
 
-auto Connect(client_state client,
-             const socket_address& address,
-             const http_options& options) -> asio::awaitable<connection_ptr> {
-  auto error = beast::error_code{};
+auto IsCancelled(const http_options& options) -> bool {
+  return options.cancellation != nullptr && options.cancellation->IsCancelled();
+}
+
+// Opens a connection. Sets the error, and returns null, when that fails.
+auto OpenConnection(client_state client,
+                    const socket_address& address,
+                    const http_options& options,
+                    beast::error_code& error)
+    -> asio::awaitable<connection_ptr> {
   const auto ip = asio::ip::make_address(address.host, error);
   if (error) {
     co_return nullptr;
@@ -380,7 +404,11 @@
   connection->stream.expires_after(options.connect_timeout);
   const auto [connect_error] = co_await connection->stream.async_connect(
       tcp::endpoint(ip, address.port), kAsTuple);
-  if (connect_error) {
+  error = connect_error;
+  if (options.on_connected && !IsCancelled(options)) {
+    options.on_connected(!error);
+  }
+  if (error) {
     co_return nullptr;
   }
   ++client->opened_connections;
@@ -407,10 +435,6 @@
       });
 }
 
-auto IsCancelled(const http_options& options) -> bool {
-  return options.cancellation != nullptr && options.cancellation->IsCancelled();
-}
-
 }  // namespace
 
 http_client::http_client(asio::io_context& context, http_pool_options pool)
@@ -423,17 +447,23 @@
                        http_options options)
     -> asio::awaitable<http_stream_result> {
   auto client = state_;
-  auto connection =
-      options.use_fresh_connection ? nullptr : client->TakePooled(address);
+  auto connection = options.connection == connection_use::kNew
+                        ? nullptr
+                        : client->TakePooled(address);
   const auto is_pooled = connection != nullptr;
-  if (!is_pooled) {
-    connection = co_await Connect(client, address, options);
+  auto connect_error = beast::error_code{};
+  if (!is_pooled && options.connection != connection_use::kIdle) {
+    connection =
+        co_await OpenConnection(client, address, options, connect_error);
   }
   if (connection == nullptr || IsCancelled(options)) {
-    co_return http_stream_result{http_outcome::kNotSent,
-                                 {},
-                                 nullptr,
-                                 "connect failed or request cancelled"};
+    co_return http_stream_result{
+        http_outcome::kNotSent,
+        {},
+        nullptr,
+        IsCancelled(options) ? "cancelled before it was sent"
+        : connect_error      ? "connect: " + connect_error.message()
+                             : "no idle connection"};
   }
   if (options.cancellation != nullptr) {
     options.cancellation->SetHook([connection] { connection->Close(); });
@@ -448,7 +478,7 @@
                                  std::move(body), "", is_pooled};
   }
   if (is_pooled && options.resend_on_stale && !IsCancelled(options)) {
-    options.use_fresh_connection = true;
+    options.connection = connection_use::kNew;
     co_return co_await Open(std::move(address), std::move(request),
                             std::move(options));
   }
@@ -462,6 +492,29 @@
       is_pooled};
 }
 
+auto http_client::Connect(socket_address address, duration timeout)
+    -> asio::awaitable<bool> {
+  auto client = state_;
+  auto options = http_options{};
+  options.connect_timeout = timeout;
+  auto error = beast::error_code{};
+  auto connection = co_await OpenConnection(client, address, options, error);
+  if (connection == nullptr) {
+    co_return false;
+  }
+  connection->keep_alive_timeout = client->pool.max_idle;
+  client->ReturnConnection(address, std::move(connection));
+  co_return true;
+}
+
+auto http_client::HasIdleConnection(const socket_address& address) -> bool {
+  return state_->HasUsable(address);
+}
+
+auto http_client::CloseIdleConnections() -> void {
+  state_->idle.clear();
+}
+
 auto http_client::OpenedConnections() const -> std::uint64_t {
   return state_->opened_connections;
 }
--- a/source/core/net/http_client.h
+++ b/source/core/net/http_client.h
@@ -44,6 +44,17 @@
   bool is_cancelled_ = false;
 };
 
+// Which connection carries a request.
+enum class connection_use : std::uint8_t {
+  // An idle one if there is one, a new one otherwise.
+  kAny,
+  // A new one. The server may have closed an idle one, in which case the
+  // outcome of the request is unknown.
+  kNew,
+  // An idle one. Without one the request is not sent.
+  kIdle,
+};
+
 // Time-outs, limits and connection handling of one request.
 struct http_options {
   duration connect_timeout = 2s;
@@ -59,10 +70,9 @@
   // Whether a successful response is a stream of server-sent events even if its
   // media type does not say so.
   bool expects_events = false;
-  // Opens a new connection. The server may have closed a pooled connection, in
-  // which case the outcome of the request is unknown, so non-idempotent
-  // requests set this.
-  bool use_fresh_connection = false;
+  // Non-idempotent requests to a server that closes idle connections without
+  // notice set kNew.
+  connection_use connection = connection_use::kAny;
   // Whether a request that failed on a pooled connection is sent again on a new
   // one. Must be false for a request that may be executed at most once.
   bool resend_on_stale = true;
@@ -70,6 +80,11 @@
   // response to another. Responses that do not match are skipped.
   std::function<bool(const http_response& head)> matches_request;
   std::shared_ptr<http_cancellation> cancellation;
+  // Called after an attempt to open a connection, with whether it succeeded.
+  // Not called when the request was cancelled meanwhile.
+  std::function<void(bool is_connected)> on_connected;
+  // Called whenever a part of a response has arrived.
+  std::function<void()> on_received;
 };
 
 // Limits of the connection pool of a client.
@@ -151,6 +166,16 @@
   auto Open(socket_address address, http_request request, http_options options)
       -> boost::asio::awaitable<http_stream_result>;
 
+  // Opens a connection for later use. Returns whether that succeeded.
+  auto Connect(socket_address address, duration timeout)
+      -> boost::asio::awaitable<bool>;
+
+  // Whether an idle connection to an address can carry a request.
+  [[nodiscard]] auto HasIdleConnection(const socket_address& address) -> bool;
+
+  // Closes all idle connections.
+  auto CloseIdleConnections() -> void;
+
   // Number of connections opened so far.
   [[nodiscard]] auto OpenedConnections() const -> std::uint64_t;
 
--- a/source/unit_tests/gateway/deployment_fixture.cc
+++ b/source/unit_tests/gateway/deployment_fixture.cc
@@ -82,7 +82,7 @@
     -> asio::awaitable<net::http_response> {
   auto address = net::socket_address{kLoopback, port};
   auto options = net::http_options{};
-  options.use_fresh_connection = true;
+  options.connection = net::connection_use::kNew;
   auto result =
       co_await client_.Send(std::move(address), std::move(request), options);
   co_return std::move(result.response);
--- a/source/unit_tests/standin/roles_test.cc
+++ b/source/unit_tests/standin/roles_test.cc
@@ -40,7 +40,7 @@
     auto result = net::http_result{};
     // Over a pooled connection the client would retry a lost request.
     auto send_options = net::http_options{};
-    send_options.use_fresh_connection = true;
+    send_options.connection = net::connection_use::kNew;
     Run([&]() -> asio::awaitable<void> {
       result = co_await client.Send(Address(), request, send_options);
     }());
