--- a/source/core/history_wire/codec.cc
+++ b/source/core/history_wire/codec.cc
@@ -8,14 +8,12 @@
 #include <utility>
 #include <variant>
 
+#include "common/aligned_bytes.h"
 #include "history_wire/parts.h"
 
 namespace daisywind::history {
 namespace {
 
-// Alignment that FlatBuffers requires of a buffer, in bytes.
-constexpr auto kAlignment = std::size_t{8};
-
 auto ChainStateFrom(std::uint8_t value) -> chain_state {
   return value <= static_cast<std::uint8_t>(chain_state::kMissing)
              ? static_cast<chain_state>(value)
@@ -308,22 +306,6 @@
   return {begin, begin + builder.GetSize()};
 }
 
-// A copy of a buffer at an aligned address, as the verifier requires.
-class aligned_bytes {
- public:
-  explicit aligned_bytes(std::string_view from)
-      : words_((from.size() + kAlignment - 1) / kAlignment) {
-    std::copy(from.begin(), from.end(), reinterpret_cast<char*>(words_.data()));
-  }
-
-  [[nodiscard]] auto data() const -> const std::uint8_t* {
-    return reinterpret_cast<const std::uint8_t*>(words_.data());
-  }
-
- private:
-  std::vector<std::uint64_t> words_;
-};
-
 }  // namespace
 
 auto EncodeMessage(const message& from) -> std::string {
