--- a/source/core/net/frame_channel.cc
+++ b/source/core/net/frame_channel.cc
@@ -202,6 +202,10 @@
   return !state_->is_closed;
 }
 
+auto frame_channel::IsConnected() const -> bool {
+  return state_->is_connected;
+}
+
 struct channel_server::state : std::enable_shared_from_this<state> {
   state(asio::io_context& io,
         std::size_t limit,
--- a/source/core/net/frame_channel.h
+++ b/source/core/net/frame_channel.h
@@ -55,6 +55,9 @@
 
   [[nodiscard]] auto IsOpen() const -> bool;
 
+  // Whether the connection was established, even if it has closed since.
+  [[nodiscard]] auto IsConnected() const -> bool;
+
  private:
   std::shared_ptr<state> state_;
 };
