Let the journals tell fronts which of them reach endpoints

The exchange of rate limits already tells each front which fronts are alive. It now also carries where a front makes attempts for others and whether it reaches endpoints. The newest reply counts per VM, since members may differ. Shares of limits still end 2 s after the last reply; for finding a relay a list serves for 30 s, because a relay that is gone is noticed when it is used. Old messages decode as VMs that do not relay.

--- a/source/core/history/limit_registry.cc
+++ b/source/core/history/limit_registry.cc
@@ -16,11 +16,11 @@
   return reply;
 }
 
-auto limit_registry::AddSender(const vm_location& location, instant now)
+auto limit_registry::AddSender(const sender_state& sender, instant now)
     -> void {
-  auto& entry = senders_[location.vm];
-  if (entry.location != location) {
-    entry.location = location;
+  auto& entry = senders_[sender.location.vm];
+  if (entry.state != sender) {
+    entry.state = sender;
     ++version_;
   }
   entry.heard_at = now;
@@ -62,7 +62,7 @@
   auto state = limit_state{};
   state.senders.reserve(senders_.size());
   for (const auto& [vm, entry] : senders_) {
-    state.senders.push_back(entry.location);
+    state.senders.push_back(entry.state);
   }
   state.limits.reserve(limits_.size());
   for (const auto& [endpoint, entry] : limits_) {
--- a/source/core/history/limit_registry.h
+++ b/source/core/history/limit_registry.h
@@ -1,6 +1,7 @@
 // What the members tell the VMs that send requests to endpoints so that
 // together they keep to the rate limits that endpoints name: which VMs these
-// are, and the limits that any of them has seen. Does no I/O and reads no
+// are, and the limits that any of them has seen. It also lets a VM that reaches
+// no endpoint find one that does. Does no I/O and reads no
 // clock.
 #ifndef DAISYWIND_HISTORY_LIMIT_REGISTRY_H_
 #define DAISYWIND_HISTORY_LIMIT_REGISTRY_H_
@@ -9,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -19,6 +21,16 @@
 
 namespace daisywind::history {
 
+// A VM that sends requests to endpoints.
+struct sender_state {
+  vm_location location;
+  // Where it makes attempts for other VMs, as "ip:port"; empty if it does not.
+  std::string relay_address;
+  bool reaches_endpoints = true;
+
+  auto operator<=>(const sender_state&) const = default;
+};
+
 // The rate limit that an endpoint has named in a response.
 struct rate_limit_sample {
   endpoint_key endpoint = 0;
@@ -33,8 +45,7 @@
 
 // Everything that a member knows.
 struct limit_state {
-  // The VMs that send requests to endpoints.
-  std::vector<vm_location> senders;
+  std::vector<sender_state> senders;
   std::vector<rate_limit_sample> limits;
 
   auto operator<=>(const limit_state&) const = default;
@@ -43,7 +54,7 @@
 // Tells a member that the sender is alive and which limits it has seen since
 // its last request to this member, and asks for the member's state.
 struct limits_request {
-  vm_location sender;
+  sender_state sender;
   std::vector<rate_limit_sample> limits;
   // Version of the member's state that the sender has.
   std::uint64_t known_version = 0;
@@ -83,7 +94,7 @@
 
  private:
   struct sender_entry {
-    vm_location location;
+    sender_state state;
     instant heard_at;
   };
   struct limit_entry {
@@ -91,7 +102,7 @@
     instant observed_at;
   };
 
-  auto AddSender(const vm_location& location, instant now) -> void;
+  auto AddSender(const sender_state& sender, instant now) -> void;
   auto AddSample(const rate_limit_sample& sample, instant now) -> void;
   auto RemoveExpired(instant now) -> void;
   [[nodiscard]] auto State(instant now) const -> limit_state;
--- a/source/core/history_client/limit_exchange.cc
+++ b/source/core/history_client/limit_exchange.cc
@@ -1,7 +1,9 @@
 #include "history_client/limit_exchange.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
+#include <utility>
 
 namespace daisywind::history {
 
@@ -77,12 +79,46 @@
   auto all = std::set<vm_location>{};
   for (const auto& [address, state] : members_) {
     if (now - state.replied_at <= options_.reply_lifetime) {
-      all.insert(state.senders.begin(), state.senders.end());
+      for (const auto& sender : state.senders) {
+        all.insert(sender.location);
+      }
     }
   }
   return {all.begin(), all.end()};
 }
 
+auto limit_exchange::SetSelf(std::string relay_address, bool reaches_endpoints)
+    -> void {
+  self_.relay_address = std::move(relay_address);
+  self_.reaches_endpoints = reaches_endpoints;
+}
+
+auto limit_exchange::SenderStates(instant now) const
+    -> std::vector<sender_state> {
+  struct said_state {
+    sender_state state;
+    instant said_at;
+  };
+  auto newest = std::map<vm_id, said_state>{};
+  for (const auto& [address, member] : members_) {
+    if (now - member.replied_at > options_.relay_lifetime) {
+      continue;
+    }
+    for (const auto& sender : member.senders) {
+      auto& known = newest[sender.location.vm];
+      if (member.replied_at >= known.said_at) {
+        known = {sender, member.replied_at};
+      }
+    }
+  }
+  auto all = std::vector<sender_state>{};
+  all.reserve(newest.size());
+  for (auto& [vm, item] : newest) {
+    all.push_back(std::move(item.state));
+  }
+  return all;
+}
+
 auto limit_exchange::DropMissing(
     const std::unordered_set<endpoint_key>& endpoints,
     instant now) -> void {
--- a/source/core/history_client/limit_exchange.h
+++ b/source/core/history_client/limit_exchange.h
@@ -23,6 +23,9 @@
   // shorter than the time after which members drop a silent VM, so that a VM
   // without contact stops using its share before others take it over.
   duration reply_lifetime = 2s;
+  // A member's list of senders serves for this long after its last reply to
+  // find relays: one that is gone is noticed when it is used.
+  duration relay_lifetime = 30s;
   // Age up to which a sample of a missing endpoint is recent.
   duration missing_lifetime = 60s;
 };
@@ -30,7 +33,10 @@
 class limit_exchange {
  public:
   explicit limit_exchange(vm_location self, limit_exchange_options options = {})
-      : self_(std::move(self)), options_(options) {}
+      : self_{std::move(self), {}, true}, options_(options) {}
+
+  // Sets what the next requests say about this VM.
+  auto SetSelf(std::string relay_address, bool reaches_endpoints) -> void;
 
   // Records the limit that an endpoint named in a response to this VM, or that
   // it named none. Returns whether that is news.
@@ -61,6 +67,11 @@
   // have replied lately, sorted; empty without such a reply.
   [[nodiscard]] auto Senders(instant now) const -> std::vector<vm_location>;
 
+  // What the members have said last of each VM that sends requests to
+  // endpoints.
+  [[nodiscard]] auto SenderStates(instant now) const
+      -> std::vector<sender_state>;
+
   // Drops what was known of endpoints that are not among those given, except
   // for recent samples: an endpoint may be missing for a short time.
   auto DropMissing(const std::unordered_set<endpoint_key>& endpoints,
@@ -75,13 +86,13 @@
   };
   struct member_state {
     std::uint64_t version = 0;
-    std::vector<vm_location> senders;
+    std::vector<sender_state> senders;
     instant replied_at{};
     // The member has the samples that were observed up to this time.
     instant confirmed_up_to{};
   };
 
-  vm_location self_;
+  sender_state self_;
   limit_exchange_options options_;
   std::unordered_map<endpoint_key, known_limit> limits_;
   // Keyed by address.
--- a/source/core/history_wire/parts.cc
+++ b/source/core/history_wire/parts.cc
@@ -149,17 +149,21 @@
   return to;
 }
 
-auto Convert(const vm_location& from) -> std::unique_ptr<fbs::SenderT> {
+auto Convert(const sender_state& from) -> std::unique_ptr<fbs::SenderT> {
   auto to = std::make_unique<fbs::SenderT>();
-  to->vm = from.vm.value;
-  to->failure_domain = from.failure_domain.value;
-  to->region = from.region.value;
+  to->vm = from.location.vm.value;
+  to->failure_domain = from.location.failure_domain.value;
+  to->region = from.location.region.value;
+  to->relay_address = from.relay_address;
+  to->is_cut_off = !from.reaches_endpoints;
   return to;
 }
 
-auto Convert(const fbs::SenderT& from) -> vm_location {
-  return {vm_id(from.vm), failure_domain_id(from.failure_domain),
-          region_id(from.region)};
+auto Convert(const fbs::SenderT& from) -> sender_state {
+  return {{vm_id(from.vm), failure_domain_id(from.failure_domain),
+           region_id(from.region)},
+          from.relay_address,
+          !from.is_cut_off};
 }
 
 auto Convert(const std::vector<rate_limit_sample>& from)
--- a/source/core/history_wire/parts.h
+++ b/source/core/history_wire/parts.h
@@ -29,8 +29,8 @@
 auto Convert(const fbs::ViewT& from) -> view;
 auto Convert(const store_copy& from) -> std::unique_ptr<fbs::StoreCopyT>;
 auto Convert(const fbs::StoreCopyT& from) -> store_copy;
-auto Convert(const vm_location& from) -> std::unique_ptr<fbs::SenderT>;
-auto Convert(const fbs::SenderT& from) -> vm_location;
+auto Convert(const sender_state& from) -> std::unique_ptr<fbs::SenderT>;
+auto Convert(const fbs::SenderT& from) -> sender_state;
 auto Convert(const std::vector<rate_limit_sample>& from)
     -> std::vector<fbs::LimitSample>;
 auto Convert(const std::vector<fbs::LimitSample>& from)
--- a/source/unit_tests/history/limit_registry_test.cc
+++ b/source/unit_tests/history/limit_registry_test.cc
@@ -9,8 +9,8 @@
 constexpr auto kFirstVersion = std::uint64_t{7};
 constexpr auto kEndpoint = endpoint_key{1};
 
-auto Sender(const char* vm) -> vm_location {
-  return {vm_id(vm), failure_domain_id("d"), region_id("r")};
+auto Sender(const char* vm) -> sender_state {
+  return {{vm_id(vm), failure_domain_id("d"), region_id("r")}, "", true};
 }
 
 TEST_CASE("a sender gets the state only when its version differs") {
--- a/source/unit_tests/history_client/limit_exchange_test.cc
+++ b/source/unit_tests/history_client/limit_exchange_test.cc
@@ -71,6 +71,32 @@
   CHECK(a.exchange.MakeRequest("other", kNow + 2s).limits.size() == 1);
 }
 
+TEST_CASE("a VM learns which others reach endpoints, from the newest reply") {
+  auto first = limit_registry(7);
+  auto second = limit_registry(8);
+  auto a = fixture("a");
+  auto b = fixture("b");
+  a.exchange.SetSelf("10.0.0.1:80", true);
+  a.Exchange(first, "1", kNow);
+  a.Exchange(second, "2", kNow);
+  b.Exchange(first, "1", kNow);
+  b.Exchange(second, "2", kNow);
+  const auto self = sender_state{Sender("b"), "", true};
+  CHECK(b.exchange.SenderStates(kNow) ==
+        std::vector{sender_state{Sender("a"), "10.0.0.1:80", true}, self});
+  // The first member does not hear of the change.
+  a.exchange.SetSelf("10.0.0.1:80", false);
+  a.Exchange(second, "2", kNow + 1s);
+  b.Exchange(first, "1", kNow + 1s);
+  b.Exchange(second, "2", kNow + 2s);
+  CHECK(b.exchange.SenderStates(kNow + 2s) ==
+        std::vector{sender_state{Sender("a"), "10.0.0.1:80", false}, self});
+  // Without replies relays are known longer than shares count.
+  CHECK(b.exchange.Senders(kNow + 10s).empty());
+  CHECK(b.exchange.SenderStates(kNow + 10s).size() == 2);
+  CHECK(b.exchange.SenderStates(kNow + 60s).empty());
+}
+
 TEST_CASE("without replies no senders are known") {
   auto member = limit_registry(7);
   auto a = fixture("a");
