Serve the requests of a front that reaches no endpoint through another front

Callers of a front that was cut off from all endpoints waited for five attempts of 400 ms at endpoints that could not be reached, and were then refused; the fronts beside it served all theirs.

Cause: a front took each registered endpoint for one that it can reach. Pauses and failure scores judge one endpoint at a time, and no request learned from the one before.

A front now acts on what it can use. While open connections may be dead, a request takes a new one, whose handshake shows that the endpoint is there before a byte is sent. While new ones fail, only open ones are used. With neither, another front makes the attempts: the nearest that says it reaches endpoints, chosen from what the journals tell; the endpoint is placed from that front's place. Turns, retries and the guarantee of one run stay at the front that answers the caller. Without any path the request is refused at once as not run, and the front is not ready. A cut front probes two endpoints every 250 ms and goes back to its own connections at the first that opens. Failures that it sees meanwhile count against no endpoint, here or at other fronts.

Not done: taking a cut front out of the rotation while another serves for it. Its callers' open connections stay with it anyway, and where most fronts of a failure domain are cut the balancer uses all of them.

--- a/source/core/common/log_events.cc
+++ b/source/core/common/log_events.cc
@@ -51,7 +51,9 @@
     kMismatchedResponse,
     kJournalQuorumLost,
     kJournalQuorumRestored,
+
     kResponseTooLarge,
+    kRelayedAttemptEnded,
     kDiskLoaded,
     kDiskWriteFailed,
     kViewMembershipChanged,
--- a/source/core/common/log_events.h
+++ b/source/core/common/log_events.h
@@ -163,6 +163,9 @@
 inline constexpr auto kResponseTooLarge =
     log_event{2109, log_subsystem::kFront, log_level::kWarning,
               "response broken off, memory for held responses used up"};
+inline constexpr auto kRelayedAttemptEnded =
+    log_event{2110, log_subsystem::kFront, log_level::kInfo,
+              "attempt on behalf of another front ended"};
 inline constexpr auto kDiskLoaded =
     log_event{2201, log_subsystem::kJournal, log_level::kInfo,
               "records loaded from disk"};
--- a/source/core/front/front_node.cc
+++ b/source/core/front/front_node.cc
@@ -7,6 +7,7 @@
 
 #include "common/logging.h"
 #include "common/process_clock.h"
+#include "front/attempt_options.h"
 #include "front/front_settings.h"
 #include "front/log_values.h"
 #include "front/request_flow.h"
@@ -41,6 +42,17 @@
   return location_of_vm;
 }
 
+auto SelfFrom(const settings& values) -> vm_location {
+  return {vm_id(values.Get(kVm)), failure_domain_id(values.Get(kFailureDomain)),
+          region_id(values.Get(kRegion))};
+}
+
+auto RelayChannelOptions() -> net::channel_options {
+  auto options = net::channel_options{};
+  options.connect_timeout = kConnectTimeout;
+  return options;
+}
+
 auto TurnClientOptions(const settings& values) -> history::turn_client_options {
   auto options = history::turn_client_options{};
   options.failure_domain = failure_domain_id(values.Get(kFailureDomain));
@@ -92,15 +104,27 @@
                  DirectoryOptions(values),
                  {[this](const history::view& newest) { turns_.Adopt(newest); },
                   [this] { ApplyLimits(); }}),
-      paths_(directory_.endpoints()),
+      paths_(context,
+             SelfFrom(values),
+             directory_.endpoints(),
+             endpoint_client_,
+             [this] { limits_.SetSelf(relay_address_, paths_.IsOpen()); }),
+      relays_(context, RelayChannelOptions()),
+      relay_service_(context,
+                     platform.requests,
+                     directory_.endpoints(),
+                     paths_,
+                     endpoint_client_),
       fallback_(context, directory_, turns_, values.GetList(kJournalSeeds), {}),
-      limits_(
-          context,
-          {vm_id(values.Get(kVm)), location_.failure_domain, location_.region},
-          directory_.endpoints(),
-          turns_,
-          location_,
-          {}),
+      limits_(context,
+              SelfFrom(values),
+              directory_.endpoints(),
+              turns_,
+              location_,
+              [this](std::vector<history::sender_state> senders) {
+                paths_.SetFronts(std::move(senders));
+              },
+              {}),
       callers_(context,
                {},
                [this](net::http_exchange& exchange) -> asio::awaitable<void> {
@@ -120,6 +144,7 @@
       caller_address_(values.Get(kCallerAddress)),
       ready_address_(values.Get(kReadyAddress)),
       metrics_address_(values.Get(kMetricsAddress)),
+      relay_address_(values.Get(kRelayAddress)),
       max_connections_(static_cast<std::size_t>(values.Get(kMaxConnections))),
       grace_(std::chrono::duration_cast<duration>(
           std::chrono::duration<double>(values.Get(kGraceSeconds)))),
@@ -139,13 +164,23 @@
   if (!metrics_address_.empty() && !Listen(metrics_server_, metrics_address_)) {
     return false;
   }
+  if (!relay_address_.empty() && !ListenForRelays()) {
+    return false;
+  }
   directory_.Start();
   fallback_.Start();
+  paths_.Start();
+  limits_.SetSelf(relay_address_, /*reaches_endpoints=*/true);
   limits_.Start();
   asio::co_spawn(context_, Tick(), asio::detached);
   return true;
 }
 
+auto front_node::ListenForRelays() -> bool {
+  const auto address = net::ParseSocketAddress(relay_address_);
+  return address && relay_service_.server().Listen(*address) != 0;
+}
+
 auto front_node::ApplyLimits() -> void {
   const auto& configured = directory_.routes().limits();
   auto limits = net::http_limits{};
@@ -203,10 +238,10 @@
 }
 
 auto front_node::UpdateReadiness() -> void {
-  // Without a quorum of journals no turn can begin, so callers are better
-  // served by another front.
-  const auto is_ready =
-      directory_.IsConfigured() && turns_.HasQuorum() && !is_stopping_;
+  // Without a quorum of journals no turn can begin, and without a path no
+  // request can be served, so callers are better served by another front.
+  const auto is_ready = directory_.IsConfigured() && turns_.HasQuorum() &&
+                        paths_.IsUsable() && !is_stopping_;
   if (is_ready == is_ready_) {
     return;
   }
@@ -218,9 +253,17 @@
        {"view", static_cast<std::int64_t>(turns_.current().number)}});
 }
 
-auto front_node::Place(const dispatch::placement_request& request)
+auto front_node::Place(const dispatch::placement_request& request,
+                       const std::optional<history::sender_state>& relay)
     -> std::optional<dispatch::placement_choice> {
-  return dispatch::Place(directory_.endpoints(), request, location_, placement_,
+  if (!relay) {
+    return dispatch::Place(directory_.endpoints(), request, location_,
+                           placement_, Now(), random_);
+  }
+  auto from = location_;
+  from.failure_domain = relay->location.failure_domain;
+  from.region = relay->location.region;
+  return dispatch::Place(directory_.endpoints(), request, from, placement_,
                          Now(), random_);
 }
 
@@ -230,6 +273,7 @@
   }
   is_stopping_ = true;
   UpdateReadiness();
+  relay_service_.server().Drain();
   callers_.CloseAfterResponses();
   asio::co_spawn(context_, DrainAndStop(std::move(on_stopped)), asio::detached);
 }
@@ -248,14 +292,18 @@
   }
   callers_.StopAccepting();
   callers_.CloseIdle();
-  while (callers_.ActiveRequestCount() > 0 &&
-         Now() - stopping_since < grace_ - kGraceReserve) {
+  const auto is_busy = [this] {
+    return callers_.ActiveRequestCount() > 0 ||
+           relay_service_.server().ActiveCount() > 0;
+  };
+  while (is_busy() && Now() - stopping_since < grace_ - kGraceReserve) {
     co_await wait(kDrainPollInterval);
     FlushLogs();
   }
   directory_.Stop();
   fallback_.Stop();
   limits_.Stop();
+  paths_.Stop();
   on_stopped();
 }
 
--- a/source/core/front/front_node.h
+++ b/source/core/front/front_node.h
@@ -21,11 +21,13 @@
 #include "front/endpoint_paths.h"
 #include "front/limit_coordinator.h"
 #include "front/platform_codecs.h"
+#include "front/relay_service.h"
 #include "front/store_fallback.h"
 #include "history_client/turn_client.h"
 #include "kv/store.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "relay/relay_client.h"
 
 namespace daisywind::front {
 
@@ -67,6 +69,8 @@
     return response_memory_;
   }
   [[nodiscard]] auto paths() -> endpoint_paths& { return paths_; }
+  // Makes attempts through other fronts.
+  [[nodiscard]] auto relays() -> relay::relay_client& { return relays_; }
   [[nodiscard]] auto endpoint_client() -> net::http_client& {
     return endpoint_client_;
   }
@@ -76,9 +80,10 @@
   }
   [[nodiscard]] auto IsStopping() const -> bool { return is_stopping_; }
 
-  // Chooses an endpoint from the current tables. Returns nothing when none
-  // may be used.
-  auto Place(const dispatch::placement_request& request)
+  // Chooses an endpoint from the current tables, for an attempt from this VM or
+  // from the given one. Returns nothing when none may be used.
+  auto Place(const dispatch::placement_request& request,
+             const std::optional<history::sender_state>& relay)
       -> std::optional<dispatch::placement_choice>;
 
  private:
@@ -88,6 +93,7 @@
   auto Tick() -> boost::asio::awaitable<void>;
   auto DrainAndStop(std::function<void()> on_stopped)
       -> boost::asio::awaitable<void>;
+  auto ListenForRelays() -> bool;
   auto ApplyLimits() -> void;
   auto UpdateReadiness() -> void;
 
@@ -103,6 +109,8 @@
   history::turn_client turns_;
   directory directory_;
   endpoint_paths paths_;
+  relay::relay_client relays_;
+  relay_service relay_service_;
   store_fallback fallback_;
   limit_coordinator limits_;
   net::http_server callers_;
@@ -112,6 +120,7 @@
   std::string caller_address_;
   std::string ready_address_;
   std::string metrics_address_;
+  std::string relay_address_;
   std::size_t max_connections_;
   duration grace_;
   duration drain_delay_;
--- a/source/core/front/front_settings.cc
+++ b/source/core/front/front_settings.cc
@@ -10,6 +10,7 @@
           Declare(kCallerAddress),
           Declare(kReadyAddress),
           Declare(kMetricsAddress),
+          Declare(kRelayAddress),
           Declare(kStoreAddress),
           DeclareList(kJournalSeeds),
           Declare(kToleratedDiskLosses),
--- a/source/core/front/front_settings.h
+++ b/source/core/front/front_settings.h
@@ -17,6 +17,9 @@
     "listen.callers", "", "address for callers, as ip:port", 0, 0, true};
 inline constexpr auto kReadyAddress = string_setting{
     "listen.ready", "", "address for readiness, as ip:port", 0, 0, true};
+inline constexpr auto kRelayAddress = string_setting{
+    "listen.relay", "",
+    "address for attempts of fronts that reach no endpoint, as ip:port"};
 inline constexpr auto kJournalSeeds = list_setting{
     "journals.seeds", "",
     "addresses of some journals, each as ip:port, for when the store is away"};
--- a/source/core/front/limit_coordinator.cc
+++ b/source/core/front/limit_coordinator.cc
@@ -20,12 +20,14 @@
                                      dispatch::endpoint_table& endpoints,
                                      history::turn_client& turns,
                                      const dispatch::location& here,
+                                     senders_handler on_senders,
                                      limit_coordinator_options options)
     : context_(context),
       self_(std::move(self)),
       endpoints_(endpoints),
       turns_(turns),
       here_(here),
+      on_senders_(std::move(on_senders)),
       options_(options),
       exchange_(self_),
       timer_(context),
@@ -40,6 +42,13 @@
   timer_.cancel();
 }
 
+auto limit_coordinator::SetSelf(std::string relay_address,
+                                bool reaches_endpoints) -> void {
+  exchange_.SetSelf(std::move(relay_address), reaches_endpoints);
+  due_at_ = std::min(due_at_, sent_at_ + options_.min_interval);
+  timer_.cancel();
+}
+
 auto limit_coordinator::OnResponse(const endpoint_id& endpoint,
                                    std::optional<double> per_second,
                                    std::string_view request,
@@ -89,10 +98,13 @@
              now](std::optional<history::message_body> reply) {
               const auto* received =
                   reply ? std::get_if<history::limits_reply>(&*reply) : nullptr;
-              if (received != nullptr &&
-                  exchange_.ProcessReply(address, *received, now, Now())) {
+              if (received == nullptr) {
+                return;
+              }
+              if (exchange_.ProcessReply(address, *received, now, Now())) {
                 ApplyLimits(Now());
               }
+              on_senders_(exchange_.SenderStates(Now()));
             });
   }
 }
--- a/source/core/front/limit_coordinator.h
+++ b/source/core/front/limit_coordinator.h
@@ -7,7 +7,9 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -34,6 +36,11 @@
   duration apply_interval = 500ms;
 };
 
+// Called with the VMs that send requests to endpoints after each reply of a
+// journal.
+using senders_handler =
+    std::function<void(std::vector<history::sender_state> senders)>;
+
 // The endpoint table, the turn client and the location must outlive it.
 class limit_coordinator {
  public:
@@ -42,11 +49,16 @@
                     dispatch::endpoint_table& endpoints,
                     history::turn_client& turns,
                     const dispatch::location& here,
+                    senders_handler on_senders,
                     limit_coordinator_options options);
 
   auto Start() -> void;
   auto Stop() -> void;
 
+  // Tells the journals where this VM makes attempts for others, and whether it
+  // reaches endpoints.
+  auto SetSelf(std::string relay_address, bool reaches_endpoints) -> void;
+
   // A response of an endpoint to this VM names a limit, or none. `request` is
   // the id of its request.
   auto OnResponse(const endpoint_id& endpoint,
@@ -70,6 +82,7 @@
   dispatch::endpoint_table& endpoints_;
   history::turn_client& turns_;
   const dispatch::location& here_;
+  senders_handler on_senders_;
   limit_coordinator_options options_;
   history::limit_exchange exchange_;
   boost::asio::steady_timer timer_;
--- /dev/null
+++ b/source/core/front/relay_service.cc
@@ -0,0 +1,123 @@
+#include "front/relay_service.h"
+
+#include <boost/asio.hpp>
+#include <utility>
+
+#include "common/logging.h"
+#include "common/process_clock.h"
+#include "front/attempt_options.h"
+#include "front/log_values.h"
+
+namespace daisywind::front {
+namespace {
+
+namespace asio = boost::asio;
+using dispatch::health_signal;
+
+// Connections of other fronts.
+constexpr auto kMaxConnections = std::size_t{1024};
+
+auto NotSent(std::string error) -> relay::response_end {
+  return {net::http_outcome::kNotSent, false, 0, std::move(error)};
+}
+
+auto OutcomeName(const relay::response_end& end) -> std::string_view {
+  switch (end.outcome) {
+    case net::http_outcome::kAnswered:
+      return end.is_complete ? "answered" : "broken_off";
+    case net::http_outcome::kNotSent:
+      return "not_sent";
+    case net::http_outcome::kNoAnswer:
+      break;
+  }
+  return "no_answer";
+}
+
+}  // namespace
+
+relay_service::relay_service(asio::io_context& context,
+                             const request_codec& requests,
+                             dispatch::endpoint_table& endpoints,
+                             endpoint_paths& paths,
+                             net::http_client& client)
+    : requests_(requests),
+      endpoints_(endpoints),
+      paths_(paths),
+      client_(client),
+      server_(context,
+              kMaxConnections,
+              [this](std::shared_ptr<relay::relay_exchange> exchange) {
+                return Serve(std::move(exchange));
+              }) {}
+
+auto relay_service::Serve(std::shared_ptr<relay::relay_exchange> exchange)
+    -> asio::awaitable<void> {
+  const auto started_at = Now();
+  const auto end = co_await Forward(*exchange);
+  exchange->SendEnd(end);
+  const auto& request = exchange->request();
+  Log(log_events::kRelayedAttemptEnded,
+      {{"request", std::string_view(request.request_id)},
+       {"endpoint", std::string_view(request.endpoint.value)},
+       {"outcome", OutcomeName(end)},
+       {"error", std::string_view(end.error)},
+       {"cancelled", exchange->cancellation()->IsCancelled()},
+       {"took_ms", Milliseconds(Now() - started_at)}});
+}
+
+auto relay_service::Forward(relay::relay_exchange& exchange)
+    -> asio::awaitable<relay::response_end> {
+  auto& request = exchange.request();
+  const auto id = request.endpoint;
+  const auto* state = endpoints_.Find(id);
+  if (state == nullptr || state->entry.is_draining) {
+    co_return NotSent("endpoint is not registered or draining");
+  }
+  if (!paths_.IsOpen()) {
+    co_return NotSent("the relay does not reach endpoints");
+  }
+  if (!endpoints_.HasQuota(*state, Now())) {
+    co_return NotSent("the endpoint's rate limit is reached");
+  }
+  const auto address = net::ParseSocketAddress(state->entry.address)
+                           .value_or(net::socket_address{});
+  auto options = net::http_options{};
+  options.connect_timeout = std::min(kConnectTimeout, request.head_timeout);
+  options.head_timeout = request.head_timeout;
+  options.resend_on_stale = false;
+  options.max_body_bytes = kMaxResponseBytes;
+  options.expects_events = request.expects_events;
+  options.matches_request = MatchesRequest(requests_, request.request_id);
+  options.cancellation = exchange.cancellation();
+  paths_.Observe(id, options);
+  endpoints_.OnRequestSent(id, Now());
+  paths_.OnRequestSent(id);
+  auto opened = co_await client_.Open(address, std::move(request.request),
+                                      std::move(options));
+  auto end = relay::response_end{opened.outcome, false, 0, opened.error};
+  if (opened.outcome == net::http_outcome::kAnswered) {
+    if (const auto load = requests_.ReadResponse(opened.head).load) {
+      endpoints_.OnReport(id, *load, Now());
+    }
+    auto is_sent = exchange.SendHead({opened.head, opened.body->Framing()});
+    while (is_sent) {
+      auto part = co_await opened.body->Next();
+      if (!part) {
+        break;
+      }
+      is_sent = exchange.SendPart(std::move(*part));
+    }
+    end.is_complete = is_sent && opened.body->IsComplete();
+    end.partial_event_bytes = opened.body->PartialEventBytes();
+  }
+  endpoints_.OnRequestEnded(id);
+  paths_.OnRequestEnded(id);
+  if (end.is_complete) {
+    endpoints_.OnHealthSignal(id, health_signal::kAnswered, Now());
+  } else if (!exchange.cancellation()->IsCancelled()) {
+    endpoints_.OnHealthSignal(id, health_signal::kFailed, Now());
+  }
+  co_return end;
+}
+
+}  // namespace daisywind::front
--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -7,6 +7,7 @@
 
 #include "common/logging.h"
 #include "common/process_clock.h"
+#include "front/attempt_options.h"
 #include "front/log_values.h"
 
 namespace daisywind::front {
@@ -17,9 +18,6 @@
 using dispatch::health_signal;
 using dispatch::route_kind;
 
-// After this time another endpoint is tried. The round trip to the farthest
-// endpoint takes 40 ms.
-constexpr auto kConnectTimeout = duration(400ms);
 // Retry-After when no endpoint can be chosen, and the longest one when all that
 // could be are at their rate limits.
 constexpr auto kRetryAfterNoEndpoint = duration(200ms);
@@ -27,8 +25,6 @@
 // A front without a configuration waits for the platform's store, which may be
 // unreachable for seconds.
 constexpr auto kUnconfiguredRetry = duration(1s);
-// Largest response of a plain service. It is buffered before it is forwarded.
-constexpr auto kMaxBufferedBytes = std::size_t{8} * 1024 * 1024;
 
 auto AttemptResultName(attempt_result end) -> std::string_view {
   return end == attempt_result::kNotRun ? "not_run" : "may_have_run";
@@ -159,7 +155,10 @@
   placement.is_engine = engine_.has_value();
   placement.may_repeat = route_->kind == route_kind::kIdempotent;
   while (!IsOver()) {
-    const auto choice = node_.Place(placement);
+    const auto relay = node_.paths().IsClosed()
+                           ? node_.paths().PickRelay(unreachable_relays_)
+                           : std::nullopt;
+    const auto choice = node_.Place(placement, relay);
     if (!choice) {
       // Endpoints that were full may have capacity again.
       if (placement.excluded.empty()) {
@@ -170,7 +169,12 @@
     }
     if (choice) {
       summary_.choice = choice;
-      const auto end = co_await Attempt(body, *choice);
+      const auto path = ChoosePath(*choice, relay);
+      if (!path) {
+        co_await RefuseUnplaced();
+        co_return;
+      }
+      const auto end = co_await Attempt(body, *choice, *path);
       if (!end) {
         co_return;
       }
@@ -193,13 +197,23 @@
   co_await GiveUp();
 }
 
-auto request_flow::Attempt(const std::string& body,
-                           const dispatch::placement_choice& choice)
-    -> asio::awaitable<std::optional<attempt_result>> {
-  auto& endpoints = node_.service_directory().endpoints();
-  const auto* state = endpoints.Find(choice.endpoint);
+auto request_flow::ChoosePath(const dispatch::placement_choice& choice,
+                              std::optional<history::sender_state> relay)
+    -> std::optional<attempt_path> {
+  if (relay) {
+    return attempt_path{std::move(relay), net::connection_use::kAny};
+  }
+  const auto* state =
+      node_.service_directory().endpoints().Find(choice.endpoint);
   const auto address = net::ParseSocketAddress(state->entry.address)
                            .value_or(net::socket_address{});
+  return node_.paths().Choose(address, unreachable_relays_);
+}
+
+auto request_flow::Attempt(const std::string& body,
+                           const dispatch::placement_choice& choice,
+                           const attempt_path& path)
+    -> asio::awaitable<std::optional<attempt_result>> {
   auto request = node_.requests().MakeEndpointRequest(
       exchange_.request(), {choice.endpoint, TimeLeft(), Urgency()});
   request.body = body;
@@ -214,28 +228,20 @@
       first_byte_timeout < TimeLeft() ? first_byte_timeout : TimeLeft() + 1s;
   options.idle_timeout = TimeLeft() + 1s;
   options.resend_on_stale = false;
-  options.max_body_bytes = kMaxBufferedBytes;
+  options.max_body_bytes = kMaxResponseBytes;
   options.expects_events = route_->kind == route_kind::kStream;
-  options.matches_request = [this](const net::http_response& head) {
-    const auto metadata = node_.requests().ReadResponse(head);
-    const auto is_match =
-        metadata.request_id.empty() || metadata.request_id == call_.request_id;
-    if (!is_match) {
-      Log(log_events::kMismatchedResponse,
-          {{"request", std::string_view(call_.request_id)},
-           {"answered", std::string_view(metadata.request_id)}});
-    }
-    return is_match;
-  };
+  options.matches_request = MatchesRequest(node_.requests(), call_.request_id);
   cancellation_ = std::make_shared<net::http_cancellation>();
   options.cancellation = cancellation_;
   ++attempts_.attempts;
   const auto sent_at = Now();
-  endpoints.OnRequestSent(choice.endpoint, sent_at);
-  node_.paths().Observe(choice.endpoint, options);
-  node_.paths().OnRequestSent(choice.endpoint);
-  auto opened = co_await node_.endpoint_client().Open(
-      address, std::move(request), std::move(options));
+  summary_.relay = path.relay ? path.relay->location.vm : vm_id();
+  auto opened =
+      path.relay
+          ? co_await SendThroughRelay(choice, *path.relay, std::move(request),
+                                      std::move(options))
+          : co_await SendDirectly(choice, path, std::move(request),
+                                  std::move(options));
   summary_.is_reused = opened.is_reused;
   auto end = std::optional<attempt_result>{};
   if (opened.outcome == net::http_outcome::kAnswered) {
@@ -244,8 +250,9 @@
     end = opened.outcome == net::http_outcome::kNotSent
               ? attempt_result::kNotRun
               : attempt_result::kMayHaveRun;
-    // A disconnected caller is no evidence against the endpoint.
-    if (!is_caller_disconnected_) {
+    // A disconnected caller is no evidence against the endpoint, and a relay
+    // records the failures that it sees.
+    if (!is_caller_disconnected_ && !path.relay) {
       const auto is_unresponsive =
           is_timed_out_ || Now() - sent_at >= first_byte_timeout;
       RecordFailure(choice.endpoint, is_unresponsive
@@ -254,8 +261,10 @@
     }
   }
   cancellation_ = nullptr;
-  endpoints.OnRequestEnded(choice.endpoint);
-  node_.paths().OnRequestEnded(choice.endpoint);
+  if (!path.relay) {
+    node_.service_directory().endpoints().OnRequestEnded(choice.endpoint);
+    node_.paths().OnRequestEnded(choice.endpoint);
+  }
   if (end == attempt_result::kMayHaveRun) {
     ++attempts_.runs;
   }
@@ -263,6 +272,7 @@
     Log(log_events::kAttemptEnded,
         {{"request", std::string_view(call_.request_id)},
          {"endpoint", std::string_view(choice.endpoint.value)},
+         {"relay", std::string_view(summary_.relay.value)},
          {"attempt", std::int64_t{attempts_.attempts}},
          {"end", AttemptResultName(*end)},
          {"status", std::int64_t{opened.head.status}},
@@ -275,6 +285,40 @@
   co_return end;
 }
 
+auto request_flow::SendDirectly(const dispatch::placement_choice& choice,
+                                const attempt_path& path,
+                                net::http_request request,
+                                net::http_options options)
+    -> asio::awaitable<net::http_stream_result> {
+  auto& endpoints = node_.service_directory().endpoints();
+  const auto* state = endpoints.Find(choice.endpoint);
+  auto address = net::ParseSocketAddress(state->entry.address)
+                     .value_or(net::socket_address{});
+  options.connection = path.connection;
+  node_.paths().Observe(choice.endpoint, options);
+  endpoints.OnRequestSent(choice.endpoint, Now());
+  node_.paths().OnRequestSent(choice.endpoint);
+  co_return co_await node_.endpoint_client().Open(
+      std::move(address), std::move(request), std::move(options));
+}
+
+auto request_flow::SendThroughRelay(const dispatch::placement_choice& choice,
+                                    const history::sender_state& relay,
+                                    net::http_request request,
+                                    net::http_options options)
+    -> asio::awaitable<net::http_stream_result> {
+  auto message = relay::attempt_request{
+      choice.endpoint, call_.request_id, std::move(request),
+      options.head_timeout, options.expects_events};
+  auto result = co_await node_.relays().Open(
+      relay.relay_address, std::move(message), std::move(options));
+  if (result.is_relay_unreachable) {
+    unreachable_relays_.insert(relay.location.vm);
+    node_.paths().OnRelayFailed(relay.location.vm);
+  }
+  co_return std::move(result.response);
+}
+
 auto request_flow::RefuseUnplaced() -> asio::awaitable<void> {
   if (attempts_.runs > 0) {
     co_await Refuse(refusal_reason::kNoAnswer, std::nullopt);
@@ -305,6 +349,10 @@
 
 auto request_flow::RecordFailure(const endpoint_id& endpoint,
                                  health_signal signal) -> void {
+  // Without an open path of this VM, its failures say nothing about endpoints.
+  if (!node_.paths().IsOpen()) {
+    return;
+  }
   const auto now = Now();
   auto& endpoints = node_.service_directory().endpoints();
   endpoints.OnHealthSignal(endpoint, signal, now);
@@ -363,6 +411,7 @@
        {"attempts", std::int64_t{attempts_.attempts}},
        {"may_have_run", std::int64_t{attempts_.runs}},
        {"endpoint", std::string_view(choice.endpoint.value)},
+       {"relay", std::string_view(summary_.relay.value)},
        {"load", choice.load},
        {"load_age_ms",
         choice.report_age ? Milliseconds(*choice.report_age) : -1.0},
--- a/source/core/front/request_flow.h
+++ b/source/core/front/request_flow.h
@@ -47,6 +47,8 @@
     unsigned status = 0;
     std::string_view outcome = "answered";
     std::optional<dispatch::placement_choice> choice;
+    // The front that made the last attempt for this one, if any.
+    vm_id relay;
     std::optional<duration> first_byte;
     // Framing of the endpoint's response.
     std::optional<net::body_framing> framing;
@@ -69,8 +71,25 @@
   // Sends the request to one endpoint. Returns nothing when the request is
   // over: its response was forwarded, or its stream was aborted.
   auto Attempt(const std::string& body,
-               const dispatch::placement_choice& choice)
+               const dispatch::placement_choice& choice,
+               const attempt_path& path)
       -> boost::asio::awaitable<std::optional<dispatch::attempt_result>>;
+  // Sends it from this VM, or through a relay.
+  auto SendDirectly(const dispatch::placement_choice& choice,
+                    const attempt_path& path,
+                    net::http_request request,
+                    net::http_options options)
+      -> boost::asio::awaitable<net::http_stream_result>;
+  auto SendThroughRelay(const dispatch::placement_choice& choice,
+                        const history::sender_state& relay,
+                        net::http_request request,
+                        net::http_options options)
+      -> boost::asio::awaitable<net::http_stream_result>;
+  // Chooses how to reach an endpoint that was placed for the given relay, or
+  // for this VM. Returns nothing when no path leads to it.
+  auto ChoosePath(const dispatch::placement_choice& choice,
+                  std::optional<history::sender_state> relay)
+      -> std::optional<attempt_path>;
   auto HandleResponse(net::http_stream_result& opened,
                       const endpoint_id& endpoint)
       -> boost::asio::awaitable<std::optional<dispatch::attempt_result>>;
@@ -124,6 +143,8 @@
   boost::asio::steady_timer deadline_timer_;
   std::shared_ptr<net::http_cancellation> cancellation_;
   dispatch::attempt_history attempts_;
+  // Relays that could not be reached.
+  std::set<vm_id> unreachable_relays_;
   summary summary_;
   // State of a turn. `output_` and `events_` are what was streamed so far.
   bool is_turn_ = false;
--- a/source/unit_tests/front/front_harness.cc
+++ b/source/unit_tests/front/front_harness.cc
@@ -127,13 +127,18 @@
   return to;
 }
 
-front_harness::front_harness(int response_mb)
-    : store(context), front_port_(FreePort(context)) {
+front_harness::front_harness(int response_mb,
+                             std::shared_ptr<asio::io_context> shared)
+    : shared_context_(std::move(shared)),
+      context(*shared_context_),
+      store(context),
+      front_port_(FreePort(context)),
+      relay_address_("127.0.0.1:" + std::to_string(FreePort(context))) {
   auto values = settings(FrontSchema());
   const auto text =
       R"({"vm":"v","failure_domain":"d","region":"r","listen":{"callers":"127.0.0.1:)" +
       std::to_string(front_port_) + R"(","ready":"127.0.0.1:)" +
-      std::to_string(FreePort(context)) +
+      std::to_string(FreePort(context)) + R"(","relay":")" + relay_address_ +
       R"("},"store":{"address":"127.0.0.1:1"},"limits":{"response_mb":)" +
       std::to_string(response_mb) + "}}";
   const auto is_read = leaf::try_handle_all(
@@ -176,6 +181,19 @@
   Register(id, port);
 }
 
+auto front_harness::AddUnreachableEndpoint(const std::string& id) -> void {
+  Register(id, static_cast<std::uint16_t>(FreePort(context)));
+}
+
+auto front_harness::SetFronts(const std::vector<std::string>& relay_addresses)
+    -> void {
+  auto fronts = std::vector<history::sender_state>{};
+  for (const auto& address : relay_addresses) {
+    fronts.push_back({{vm_id(address), {}, {}}, address, true});
+  }
+  node_->paths().SetFronts(std::move(fronts));
+}
+
 auto front_harness::Register(const std::string& id, std::uint16_t port)
     -> void {
   ++endpoints_;
--- a/source/unit_tests/front/front_harness.h
+++ b/source/unit_tests/front/front_harness.h
@@ -63,7 +63,10 @@
 class front_harness {
  public:
   // `response_mb` is the memory for parts of responses that the front holds.
-  explicit front_harness(int response_mb = 32);
+  // Harnesses that share a context run together.
+  explicit front_harness(int response_mb = 32,
+                         std::shared_ptr<boost::asio::io_context> shared =
+                             std::make_shared<boost::asio::io_context>(1));
   front_harness(const front_harness&) = delete;
   auto operator=(const front_harness&) -> front_harness& = delete;
   ~front_harness();
@@ -75,6 +78,16 @@
   // and closes the connection.
   auto AddClosingEndpoint(const std::string& id, std::string response) -> void;
 
+  // Registers an endpoint at an address that refuses connections.
+  auto AddUnreachableEndpoint(const std::string& id) -> void;
+
+  // Lets the front know others through which it can make attempts.
+  auto SetFronts(const std::vector<std::string>& relay_addresses) -> void;
+  [[nodiscard]] auto relay_address() const -> const std::string& {
+    return relay_address_;
+  }
+  [[nodiscard]] auto node() -> front_node& { return *node_; }
+
   // Stores the configuration and waits until the front has it and all
   // endpoints.
   auto Configure() -> void;
@@ -93,7 +106,11 @@
   // whether the condition holds.
   auto RunUntil(const std::function<bool()>& condition) -> bool;
 
-  boost::asio::io_context context{1};
+ private:
+  std::shared_ptr<boost::asio::io_context> shared_context_;
+
+ public:
+  boost::asio::io_context& context;
   testing::fake_store store;
 
  private:
@@ -104,6 +121,7 @@
   test_request_codec request_codec_;
   test_directory_codec directory_codec_;
   int front_port_ = 0;
+  std::string relay_address_;
   std::vector<std::unique_ptr<net::http_server>> servers_;
   std::size_t endpoints_ = 0;
   std::unique_ptr<front_node> node_;
--- a/source/unit_tests/front/request_flow_test.cc
+++ b/source/unit_tests/front/request_flow_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <array>
 #include <boost/asio.hpp>
 #include <memory>
 #include <string>
@@ -401,6 +402,124 @@
   CHECK(result.response.body == "data: one\n\n");
 }
 
+// A front that reaches no endpoint and one that reaches all of them. The
+// endpoints have the same ids at both.
+struct cut_off_fixture {
+  cut_off_fixture() {
+    for (const auto* id : kEndpoints) {
+      cut_off.AddUnreachableEndpoint(id);
+    }
+  }
+
+  auto AddEndpoints(const endpoint_handler& handler) -> void {
+    for (const auto* id : kEndpoints) {
+      sound.AddEndpoint(id, handler);
+    }
+    cut_off.Configure();
+    sound.Configure();
+  }
+
+  static constexpr auto kEndpoints =
+      std::to_array<const char*>({"a", "b", "c", "d"});
+
+  std::shared_ptr<asio::io_context> context =
+      std::make_shared<asio::io_context>(1);
+  front_harness cut_off{32, context};
+  front_harness sound{32, context};
+};
+
+TEST_CASE("a front that reaches no endpoint is served by another front") {
+  constexpr auto kRequests = 8;
+  auto fixture = cut_off_fixture();
+  auto runs = 0;
+  fixture.AddEndpoints(RespondingEndpoint(runs));
+  fixture.cut_off.SetFronts({fixture.sound.relay_address()});
+  for (auto i = 0; i < kRequests; ++i) {
+    const auto id = "r" + std::to_string(i);
+    const auto result = fixture.cut_off.Send(i % 2 == 0 ? "once" : "again", id);
+    CHECK(result.response.status == 200);
+    CHECK(result.response.body == "answer to " + id);
+  }
+  CHECK(runs == kRequests);
+}
+
+TEST_CASE("a stream through another front keeps its events and its end") {
+  auto fixture = cut_off_fixture();
+  auto is_broken_off = false;
+  fixture.AddEndpoints([&](net::http_exchange& exchange)
+                           -> asio::awaitable<void> {
+    co_await exchange.StartStream({200, {{"Id", RequestIdOf(exchange)}}, ""});
+    co_await exchange.WriteChunk("data: one\n\n");
+    if (is_broken_off) {
+      exchange.Abort();
+      co_return;
+    }
+    co_await exchange.WriteChunk("data: two\n\n");
+    co_await exchange.EndStream();
+  });
+  fixture.cut_off.SetFronts({fixture.sound.relay_address()});
+  const auto whole = fixture.cut_off.Send("stream", "r1");
+  CHECK(whole.outcome == http_outcome::kAnswered);
+  CHECK(whole.response.body == "data: one\n\ndata: two\n\n");
+  is_broken_off = true;
+  CHECK(fixture.cut_off.Send("stream", "r2").outcome ==
+        http_outcome::kNoAnswer);
+}
+
+TEST_CASE("a request that another front has sent is not sent again") {
+  auto fixture = cut_off_fixture();
+  auto runs = 0;
+  fixture.AddEndpoints(AbortingEndpoint(runs));
+  fixture.cut_off.SetFronts({fixture.sound.relay_address()});
+  const auto result = fixture.cut_off.Send("once", "r");
+  CHECK(result.response.status == 502);
+  CHECK(result.response.body == "no_answer");
+  CHECK(runs == 1);
+}
+
+TEST_CASE("a front that can't be reached is passed over") {
+  auto fixture = cut_off_fixture();
+  auto runs = 0;
+  fixture.AddEndpoints(RespondingEndpoint(runs));
+  fixture.cut_off.SetFronts({"127.0.0.1:1", fixture.sound.relay_address()});
+  for (auto i = 0; i < 4; ++i) {
+    const auto id = "r" + std::to_string(i);
+    CHECK(fixture.cut_off.Send("once", id).response.status == 200);
+  }
+  CHECK(runs == 4);
+}
+
+TEST_CASE("a front without a path to any endpoint refuses at once") {
+  auto fixture = cut_off_fixture();
+  auto runs = 0;
+  fixture.AddEndpoints(RespondingEndpoint(runs));
+  for (auto i = 0; i < 3; ++i) {
+    const auto result = fixture.cut_off.Send("once", "r" + std::to_string(i));
+    CHECK(result.response.status == 503);
+    CHECK(result.response.body == "no_endpoint");
+  }
+  CHECK(!fixture.cut_off.node().paths().IsUsable());
+  CHECK(runs == 0);
+}
+
+TEST_CASE("a front makes its own attempts once it reaches endpoints again") {
+  auto fixture = cut_off_fixture();
+  auto relayed = 0;
+  fixture.AddEndpoints(RespondingEndpoint(relayed));
+  fixture.cut_off.SetFronts({fixture.sound.relay_address()});
+  CHECK(fixture.cut_off.Send("once", "r").response.status == 200);
+  CHECK(fixture.cut_off.node().paths().IsClosed());
+  auto own = 0;
+  for (const auto* id : cut_off_fixture::kEndpoints) {
+    fixture.cut_off.AddEndpoint(id, RespondingEndpoint(own));
+  }
+  CHECK(fixture.cut_off.RunUntil(
+      [&] { return fixture.cut_off.node().paths().IsOpen(); }));
+  CHECK(fixture.cut_off.Send("once", "s").response.status == 200);
+  CHECK(relayed == 1);
+  CHECK(own == 1);
+}
+
 TEST_CASE("a status that guarantees too much is not forwarded") {
   auto harness = front_harness();
   harness.AddEndpoint(
