Pass over relays that reach no endpoint themselves

Fronts that are cut off at the same moment know each other as relays until the journals have told them, up to a second. A request then tried several endpoints through such fronts and was refused. A stopping front withdraws its relay address at once.

--- a/source/core/front/front_node.cc
+++ b/source/core/front/front_node.cc
@@ -274,6 +274,7 @@
   is_stopping_ = true;
   UpdateReadiness();
   relay_service_.server().Drain();
+  limits_.SetSelf(/*relay_address=*/"", /*reaches_endpoints=*/false);
   callers_.CloseAfterResponses();
   asio::co_spawn(context_, DrainAndStop(std::move(on_stopped)), asio::detached);
 }
--- a/source/core/front/relay_service.cc
+++ b/source/core/front/relay_service.cc
@@ -18,7 +18,10 @@
 constexpr auto kMaxConnections = std::size_t{1024};
 
 auto NotSent(std::string error) -> relay::response_end {
-  return {net::http_outcome::kNotSent, false, 0, std::move(error)};
+  auto end = relay::response_end{};
+  end.outcome = net::http_outcome::kNotSent;
+  end.error = std::move(error);
+  return end;
 }
 
 auto OutcomeName(const relay::response_end& end) -> std::string_view {
@@ -74,7 +77,9 @@
     co_return NotSent("endpoint is not registered or draining");
   }
   if (!paths_.IsOpen()) {
-    co_return NotSent("the relay does not reach endpoints");
+    auto end = NotSent("the relay does not reach endpoints");
+    end.is_relay_unusable = true;
+    co_return end;
   }
   if (!endpoints_.HasQuota(*state, Now())) {
     co_return NotSent("the endpoint's rate limit is reached");
@@ -94,7 +99,9 @@
   paths_.OnRequestSent(id);
   auto opened = co_await client_.Open(address, std::move(request.request),
                                       std::move(options));
-  auto end = relay::response_end{opened.outcome, false, 0, opened.error};
+  auto end = relay::response_end{};
+  end.outcome = opened.outcome;
+  end.error = opened.error;
   if (opened.outcome == net::http_outcome::kAnswered) {
     if (const auto load = requests_.ReadResponse(opened.head).load) {
       endpoints_.OnReport(id, *load, Now());
--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -156,7 +156,7 @@
   placement.may_repeat = route_->kind == route_kind::kIdempotent;
   while (!IsOver()) {
     const auto relay = node_.paths().IsClosed()
-                           ? node_.paths().PickRelay(unreachable_relays_)
+                           ? node_.paths().PickRelay(unusable_relays_)
                            : std::nullopt;
     const auto choice = node_.Place(placement, relay);
     if (!choice) {
@@ -207,7 +207,7 @@
       node_.service_directory().endpoints().Find(choice.endpoint);
   const auto address = net::ParseSocketAddress(state->entry.address)
                            .value_or(net::socket_address{});
-  return node_.paths().Choose(address, unreachable_relays_);
+  return node_.paths().Choose(address, unusable_relays_);
 }
 
 auto request_flow::Attempt(const std::string& body,
@@ -312,8 +312,8 @@
       options.head_timeout, options.expects_events};
   auto result = co_await node_.relays().Open(
       relay.relay_address, std::move(message), std::move(options));
-  if (result.is_relay_unreachable) {
-    unreachable_relays_.insert(relay.location.vm);
+  if (result.is_relay_unusable) {
+    unusable_relays_.insert(relay.location.vm);
     node_.paths().OnRelayFailed(relay.location.vm);
   }
   co_return std::move(result.response);
--- a/source/core/front/request_flow.h
+++ b/source/core/front/request_flow.h
@@ -143,8 +143,8 @@
   boost::asio::steady_timer deadline_timer_;
   std::shared_ptr<net::http_cancellation> cancellation_;
   dispatch::attempt_history attempts_;
-  // Relays that could not be reached.
-  std::set<vm_id> unreachable_relays_;
+  // Relays that could not be reached or reached no endpoint.
+  std::set<vm_id> unusable_relays_;
   summary summary_;
   // State of a turn. `output_` and `events_` are what was streamed so far.
   bool is_turn_ = false;
--- a/source/core/relay/codec.cc
+++ b/source/core/relay/codec.cc
@@ -101,6 +101,7 @@
   to.is_complete = from.is_complete;
   to.partial_event_bytes = from.partial_event_bytes;
   to.error = from.error;
+  to.is_relay_unusable = from.is_relay_unusable;
   return to;
 }
 
@@ -110,7 +111,7 @@
   }
   return response_end{static_cast<net::http_outcome>(from.outcome),
                       from.is_complete, from.partial_event_bytes,
-                      std::move(from.error)};
+                      std::move(from.error), from.is_relay_unusable};
 }
 
 auto BodyFrom(fbs::BodyUnion& from) -> std::optional<message_body> {
--- a/source/core/relay/messages.h
+++ b/source/core/relay/messages.h
@@ -60,6 +60,8 @@
   bool is_complete = false;
   std::uint64_t partial_event_bytes = 0;
   std::string error;
+  // Whether the relay can make no attempt at any endpoint for now.
+  bool is_relay_unusable = false;
 
   auto operator<=>(const response_end&) const = default;
 };
--- a/source/core/relay/relay_client.cc
+++ b/source/core/relay/relay_client.cc
@@ -38,7 +38,6 @@
   std::size_t buffered_bytes = 0;
   std::size_t max_buffered_bytes = 0;
   std::optional<response_end> end;
-  bool is_relay_unreachable = false;
 };
 
 // The connection to one relay.
@@ -101,8 +100,7 @@
     const auto outcome = channel->IsConnected() ? net::http_outcome::kNoAnswer
                                                 : net::http_outcome::kNotSent;
     for (const auto& [id, attempt] : std::exchange(attempts, {})) {
-      attempt->is_relay_unreachable = true;
-      attempt->End({outcome, false, 0, "connection to the relay failed"});
+      attempt->End({outcome, false, 0, "connection to the relay failed", true});
     }
   }
 
@@ -186,9 +184,10 @@
   bool is_cancelled_ = false;
 };
 
-auto Failure(net::http_outcome outcome, std::string error, bool is_unreachable)
-    -> relay_result {
-  return {{outcome, {}, nullptr, std::move(error)}, is_unreachable};
+auto Failure(net::http_outcome outcome,
+             std::string error,
+             bool is_relay_unusable) -> relay_result {
+  return {{outcome, {}, nullptr, std::move(error)}, is_relay_unusable};
 }
 
 }  // namespace
@@ -255,7 +254,7 @@
   }
   if (!attempt->head) {
     co_return Failure(attempt->end->outcome, attempt->end->error,
-                      attempt->is_relay_unreachable);
+                      attempt->end->is_relay_unusable);
   }
   auto head = std::move(attempt->head->head);
   auto body =
--- a/source/core/relay/relay_client.h
+++ b/source/core/relay/relay_client.h
@@ -16,8 +16,9 @@
 // Result of an attempt through a relay.
 struct relay_result {
   net::http_stream_result response;
-  // Whether the relay could not be reached, so that another one may serve.
-  bool is_relay_unreachable = false;
+  // Whether the relay could not be reached or makes no attempts for now, so
+  // that another one may serve.
+  bool is_relay_unusable = false;
 };
 
 // Keeps one connection to each relay that was used.
--- a/source/core/relay/relay_server.cc
+++ b/source/core/relay/relay_server.cc
@@ -130,8 +130,8 @@
     auto attempt =
         std::make_shared<exchange>(link, received->id, std::move(*request));
     if (is_draining) {
-      attempt->SendEnd(
-          {net::http_outcome::kNotSent, false, 0, "the relay is stopping"});
+      attempt->SendEnd({net::http_outcome::kNotSent, false, 0,
+                        "the relay is stopping", true});
       return;
     }
     asio::co_spawn(context, Serve(shared_from_this(), std::move(attempt)),
--- a/source/unit_tests/front/request_flow_test.cc
+++ b/source/unit_tests/front/request_flow_test.cc
@@ -489,6 +489,26 @@
   CHECK(runs == 4);
 }
 
+TEST_CASE("a front that reaches no endpoint itself is passed over") {
+  auto fixture = cut_off_fixture();
+  auto runs = 0;
+  auto other = front_harness(32, fixture.context);
+  for (const auto* id : cut_off_fixture::kEndpoints) {
+    other.AddUnreachableEndpoint(id);
+  }
+  other.Configure();
+  CHECK(other.Send("once", "r").response.status == 503);
+  fixture.AddEndpoints(RespondingEndpoint(runs));
+  fixture.cut_off.SetFronts(
+      {other.relay_address(), fixture.sound.relay_address()});
+  constexpr auto kRequests = 8;
+  for (auto i = 0; i < kRequests; ++i) {
+    const auto id = "r" + std::to_string(i);
+    CHECK(fixture.cut_off.Send("once", id).response.status == 200);
+  }
+  CHECK(runs == kRequests);
+}
+
 TEST_CASE("a front without a path to any endpoint refuses at once") {
   auto fixture = cut_off_fixture();
   auto runs = 0;
--- a/source/unit_tests/relay/codec_test.cc
+++ b/source/unit_tests/relay/codec_test.cc
@@ -18,8 +18,8 @@
       attempt_cancel{},
       response_head{{200, {{"Id", "r1"}}, ""}, net::body_framing::kConnection},
       response_part{std::string("\0\xff", 2)},
-      response_end{net::http_outcome::kNotSent, false, 3, "why"},
-      response_end{net::http_outcome::kAnswered, true, 0, ""}};
+      response_end{net::http_outcome::kNotSent, false, 3, "why", true},
+      response_end{net::http_outcome::kAnswered, true, 0, "", false}};
 }
 
 TEST_CASE("every message is decoded as it was encoded") {
--- a/source/unit_tests/relay/relay_test.cc
+++ b/source/unit_tests/relay/relay_test.cc
@@ -125,7 +125,7 @@
   auto net = fixture(RespondWith({}));
   const auto received = net.Send("127.0.0.1:1");
   CHECK(received.result.response.outcome == http_outcome::kNotSent);
-  CHECK(received.result.is_relay_unreachable);
+  CHECK(received.result.is_relay_unusable);
 }
 
 TEST_CASE("a request may have run when its relay is lost") {
@@ -146,7 +146,7 @@
   net.server.Close();
   REQUIRE(net.RunUntil([&] { return received.has_value(); }));
   CHECK(received->result.response.outcome == http_outcome::kNoAnswer);
-  CHECK(received->result.is_relay_unreachable);
+  CHECK(received->result.is_relay_unusable);
 }
 
 TEST_CASE("the relay's word that nothing was sent is passed on") {
@@ -158,10 +158,11 @@
   auto received = net.Send(net.Address());
   CHECK(received.result.response.outcome == http_outcome::kNotSent);
   CHECK(received.result.response.error == "no path");
-  CHECK(!received.result.is_relay_unreachable);
+  CHECK(!received.result.is_relay_unusable);
   net.server.Drain();
   received = net.Send(net.Address());
   CHECK(received.result.response.outcome == http_outcome::kNotSent);
+  CHECK(received.result.is_relay_unusable);
 }
 
 TEST_CASE("a cancelled attempt is cancelled at the relay") {
@@ -185,7 +186,7 @@
   options.cancellation->Cancel();
   REQUIRE(net.RunUntil([&] { return received && cancelled == 1; }));
   CHECK(received->result.response.outcome == http_outcome::kNoAnswer);
-  CHECK(!received->result.is_relay_unreachable);
+  CHECK(!received->result.is_relay_unusable);
   // A time-out cancels as well.
   CHECK(net.Send(net.Address(), 50ms).result.response.outcome ==
         http_outcome::kNoAnswer);
