Give each server of the front's tests a port of its own

front_test failed once: a front of the test could not listen on its address. The harness let the system choose a port, closed it and used it later; with two fronts in a test, eight ports are drawn, and the system may give one twice or to a connection of the test itself.

--- a/source/unit_tests/front/front_harness.cc
+++ b/source/unit_tests/front/front_harness.cc
@@ -6,6 +6,7 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <utility>
 
+#include "common/random.h"
 #include "front/front_settings.h"
 
 namespace daisywind::front {
@@ -18,10 +19,24 @@
 constexpr auto kStepTimeout = std::chrono::seconds(30);
 constexpr auto kTestTimeout = duration(1500ms);
 
+// Returns a port that no other user of this program gets: outside the range
+// from which the system takes the ports of outgoing connections, and never the
+// same one twice.
 auto FreePort(asio::io_context& context) -> int {
-  const auto acceptor = asio::ip::tcp::acceptor(
-      context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-  return acceptor.local_endpoint().port();
+  constexpr auto kFirstPort = 10'000;
+  constexpr auto kPorts = 20'000;
+  static auto next_port =
+      static_cast<int>(random_source(SystemSeed()).UniformBelow(kPorts));
+  while (true) {
+    const auto port =
+        static_cast<std::uint16_t>(kFirstPort + next_port++ % kPorts);
+    auto socket = asio::ip::tcp::socket(context, asio::ip::tcp::v4());
+    auto error = boost::system::error_code{};
+    socket.bind({asio::ip::address_v4::loopback(), port}, error);
+    if (!error) {
+      return port;
+    }
+  }
 }
 
 auto SendAndClose(asio::ip::tcp::acceptor acceptor, std::string response)
@@ -182,7 +197,10 @@
 }
 
 auto front_harness::AddUnreachableEndpoint(const std::string& id) -> void {
-  Register(id, static_cast<std::uint16_t>(FreePort(context)));
+  // Connections to a socket that does not listen are refused.
+  auto& socket = unreachable_.emplace_back(context, asio::ip::tcp::v4());
+  socket.bind({asio::ip::address_v4::loopback(), 0});
+  Register(id, socket.local_endpoint().port());
 }
 
 auto front_harness::SetFronts(const std::vector<std::string>& relay_addresses)
--- a/source/unit_tests/front/front_harness.h
+++ b/source/unit_tests/front/front_harness.h
@@ -4,6 +4,7 @@
 #define DAISYWIND_UNIT_TESTS_FRONT_FRONT_HARNESS_H_
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 #include <functional>
 #include <map>
@@ -123,6 +124,8 @@
   int front_port_ = 0;
   std::string relay_address_;
   std::vector<std::unique_ptr<net::http_server>> servers_;
+  // Hold the ports of unreachable endpoints.
+  std::vector<boost::asio::ip::tcp::socket> unreachable_;
   std::size_t endpoints_ = 0;
   std::unique_ptr<front_node> node_;
   std::unique_ptr<net::http_client> client_;
