Keep what a front says of its relay in step with its state

A front that was stopping announced its relay again when its path changed meanwhile. One whose open connections were in doubt announced that it reaches no endpoint and refused attempts, although new connections work; each false alarm would have cost a full list to all fronts. It now says whether it can connect, and a relay uses the kind of connection that works for it, as for its own requests. Connections to relays are closed when the own path is open again.

--- a/source/core/front/endpoint_paths.cc
+++ b/source/core/front/endpoint_paths.cc
@@ -81,6 +81,11 @@
   return Update() == path_state::kOpen;
 }
 
+auto endpoint_paths::CanConnect() -> bool {
+  const auto state = Update();
+  return state == path_state::kOpen || state == path_state::kSilent;
+}
+
 auto endpoint_paths::IsClosed() -> bool {
   return Update() == path_state::kClosed;
 }
--- a/source/core/front/endpoint_paths.h
+++ b/source/core/front/endpoint_paths.h
@@ -48,7 +48,7 @@
 // The endpoint table and the client must outlive it.
 class endpoint_paths {
  public:
-  // `on_change` is called when this VM begins or ceases to reach endpoints.
+  // `on_change` is called after each change of the path state.
   endpoint_paths(boost::asio::io_context& context,
                  vm_location self,
                  const dispatch::endpoint_table& endpoints,
@@ -73,6 +73,8 @@
 
   // Whether endpoints can be reached with any connection.
   [[nodiscard]] auto IsOpen() -> bool;
+  // Whether new connections to endpoints can be expected to succeed.
+  [[nodiscard]] auto CanConnect() -> bool;
   // Whether no endpoint can be reached without a relay.
   [[nodiscard]] auto IsClosed() -> bool;
   // Whether an attempt can be made at all.
--- a/source/core/front/front_node.cc
+++ b/source/core/front/front_node.cc
@@ -108,7 +108,7 @@
              SelfFrom(values),
              directory_.endpoints(),
              endpoint_client_,
-             [this] { limits_.SetSelf(relay_address_, paths_.IsOpen()); }),
+             [this] { OnPathChanged(); }),
       relays_(context, RelayChannelOptions()),
       relay_service_(context,
                      platform.requests,
@@ -170,7 +170,7 @@
   directory_.Start();
   fallback_.Start();
   paths_.Start();
-  limits_.SetSelf(relay_address_, /*reaches_endpoints=*/true);
+  AnnounceRelay();
   limits_.Start();
   asio::co_spawn(context_, Tick(), asio::detached);
   return true;
@@ -181,6 +181,18 @@
   return address && relay_service_.server().Listen(*address) != 0;
 }
 
+auto front_node::AnnounceRelay() -> void {
+  limits_.SetSelf(is_stopping_ ? std::string() : relay_address_,
+                  paths_.CanConnect());
+}
+
+auto front_node::OnPathChanged() -> void {
+  AnnounceRelay();
+  if (paths_.IsOpen()) {
+    relays_.CloseIdle();
+  }
+}
+
 auto front_node::ApplyLimits() -> void {
   const auto& configured = directory_.routes().limits();
   auto limits = net::http_limits{};
@@ -274,7 +286,7 @@
   is_stopping_ = true;
   UpdateReadiness();
   relay_service_.server().Drain();
-  limits_.SetSelf(/*relay_address=*/"", /*reaches_endpoints=*/false);
+  AnnounceRelay();
   callers_.CloseAfterResponses();
   asio::co_spawn(context_, DrainAndStop(std::move(on_stopped)), asio::detached);
 }
--- a/source/core/front/front_node.h
+++ b/source/core/front/front_node.h
@@ -94,6 +94,9 @@
   auto DrainAndStop(std::function<void()> on_stopped)
       -> boost::asio::awaitable<void>;
   auto ListenForRelays() -> bool;
+  // Tells the other fronts whether this one makes attempts for them.
+  auto AnnounceRelay() -> void;
+  auto OnPathChanged() -> void;
   auto ApplyLimits() -> void;
   auto UpdateReadiness() -> void;
 
--- a/source/core/front/relay_service.cc
+++ b/source/core/front/relay_service.cc
@@ -76,7 +76,11 @@
   if (state == nullptr || state->entry.is_draining) {
     co_return NotSent("endpoint is not registered or draining");
   }
-  if (!paths_.IsOpen()) {
+  const auto address = net::ParseSocketAddress(state->entry.address)
+                           .value_or(net::socket_address{});
+  const auto path = paths_.Choose(address, {});
+  // An attempt is not relayed twice.
+  if (!path || path->relay) {
     auto end = NotSent("the relay does not reach endpoints");
     end.is_relay_unusable = true;
     co_return end;
@@ -84,9 +88,8 @@
   if (!endpoints_.HasQuota(*state, Now())) {
     co_return NotSent("the endpoint's rate limit is reached");
   }
-  const auto address = net::ParseSocketAddress(state->entry.address)
-                           .value_or(net::socket_address{});
   auto options = net::http_options{};
+  options.connection = path->connection;
   options.connect_timeout = std::min(kConnectTimeout, request.head_timeout);
   options.head_timeout = request.head_timeout;
   options.resend_on_stale = false;
