--- a/source/core/net/http_client.cc
+++ b/source/core/net/http_client.cc
@@ -1,20 +1,15 @@
 #include "net/http_client.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <array>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <cerrno>
 #include <charconv>
 #include <chrono>
-#include <map>
 #include <utility>
-#include <vector>
 
-#include "net/socket_options.h"
+#include "net/http_connection_pool.h"
 #include "net/sse.h"
 
 namespace daisywind::net {
@@ -29,29 +24,6 @@
 // Responses to other requests that are skipped before the connection is closed.
 constexpr auto kMaxSkippedResponses = 3;
 
-// One connection. A write may still be in progress when the response arrives.
-struct pooled_connection {
-  explicit pooled_connection(asio::io_context& context) : stream(context) {}
-
-  auto Close() -> void {
-    // Closing with unread bytes resets the connection, which also tells the
-    // server that the client no longer waits for the response.
-    stream.close();
-  }
-
-  beast::tcp_stream stream;
-  beast::flat_buffer buffer;
-  std::string outgoing;
-  std::size_t bytes_written = 0;
-  bool is_written = true;
-  bool has_write_failed = false;
-  std::chrono::steady_clock::time_point idle_since;
-  // How long the connection may stay idle and still be reused.
-  duration keep_alive_timeout{};
-};
-
-using connection_ptr = std::shared_ptr<pooled_connection>;
-
 // Renders a request to text. A Beast serializer would need its message to stay
 // alive until the write has ended.
 auto RenderRequest(const socket_address& address, const http_request& from)
@@ -121,76 +93,17 @@
   }
 }
 
-struct http_client::state {
-  state(asio::io_context& io, http_pool_options pool_options)
-      : context(io), pool(pool_options) {}
-
-  auto TakePooled(const socket_address& address) -> connection_ptr {
-    const auto found = idle.find(address);
-    const auto now = std::chrono::steady_clock::now();
-    while (found != idle.end() && !found->second.empty()) {
-      auto candidate = std::move(found->second.back());
-      found->second.pop_back();
-      if (now - candidate->idle_since < candidate->keep_alive_timeout &&
-          HasNoUnreadBytes(*candidate)) {
-        return candidate;
-      }
-      candidate->Close();
-    }
-    return nullptr;
-  }
-
-  // A readable idle connection was closed by the server or carries a response
-  // to no request.
-  static auto HasNoUnreadBytes(pooled_connection& connection) -> bool {
-    auto byte = char{};
-    const auto size = ::recv(connection.stream.socket().native_handle(), &byte,
-                             1, MSG_PEEK | MSG_DONTWAIT);
-    return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-  }
-
-  // Drops idle connections that can't carry a request.
-  auto HasUsable(const socket_address& address) -> bool {
-    auto candidate = TakePooled(address);
-    if (candidate == nullptr) {
-      return false;
-    }
-    idle[address].push_back(std::move(candidate));
-    return true;
-  }
-
-  auto ReturnConnection(const socket_address& address,
-                        connection_ptr connection) -> void {
-    auto& list = idle[address];
-    const auto is_usable = connection->buffer.size() == 0 &&
-                           connection->is_written &&
-                           list.size() < pool.max_idle_connections_per_address;
-    if (!is_usable) {
-      connection->Close();
-      return;
-    }
-    connection->stream.expires_never();
-    connection->idle_since = std::chrono::steady_clock::now();
-    list.push_back(std::move(connection));
-  }
-
-  asio::io_context& context;
-  http_pool_options pool;
-  std::uint64_t opened_connections = 0;
-  std::map<socket_address, std::vector<connection_ptr>> idle;
-};
-
 namespace {
 
-using client_state = std::shared_ptr<http_client::state>;
+using pool_ptr = std::shared_ptr<http_connection_pool>;
 
 class body_stream : public http_body_stream {
  public:
-  body_stream(client_state client,
+  body_stream(pool_ptr pool,
               socket_address address,
               connection_ptr connection,
               http_options options)
-      : client_(std::move(client)),
+      : pool_(std::move(pool)),
         address_(std::move(address)),
         connection_(std::move(connection)),
         options_(std::move(options)) {}
@@ -230,7 +143,7 @@
       if (!options_.matches_request || options_.matches_request(head_)) {
         NotifyReceived();
         connection_->keep_alive_timeout =
-            KeepAliveTimeout(head_, client_->pool.max_idle);
+            KeepAliveTimeout(head_, pool_->options().max_idle);
         read_until_ = response_until;
         co_return error;
       }
@@ -362,12 +275,12 @@
       connection->Close();
       return;
     }
-    client_->ReturnConnection(address_, std::move(connection));
+    pool_->Return(address_, std::move(connection));
   }
 
   static constexpr std::size_t kPartBytes = 8192;
 
-  client_state client_;
+  pool_ptr pool_;
   socket_address address_;
   connection_ptr connection_;
   http_options options_;
@@ -383,39 +296,6 @@
   bool is_cancelled_ = false;
 };
 
-auto IsCancelled(const http_options& options) -> bool {
-  return options.cancellation != nullptr && options.cancellation->IsCancelled();
-}
-
-// Opens a connection. Sets the error, and returns null, when that fails.
-auto OpenConnection(client_state client,
-                    const socket_address& address,
-                    const http_options& options,
-                    beast::error_code& error)
-    -> asio::awaitable<connection_ptr> {
-  const auto ip = asio::ip::make_address(address.host, error);
-  if (error) {
-    co_return nullptr;
-  }
-  auto connection = std::make_shared<pooled_connection>(client->context);
-  if (options.cancellation != nullptr) {
-    options.cancellation->SetHook([connection] { connection->Close(); });
-  }
-  connection->stream.expires_after(options.connect_timeout);
-  const auto [connect_error] = co_await connection->stream.async_connect(
-      tcp::endpoint(ip, address.port), kAsTuple);
-  error = connect_error;
-  if (options.on_connected && !IsCancelled(options)) {
-    options.on_connected(!error);
-  }
-  if (error) {
-    co_return nullptr;
-  }
-  ++client->opened_connections;
-  DetectDeadPeer(connection->stream.socket(), client->pool.dead_peer_timeout);
-  co_return connection;
-}
-
 // Starts to write a request. A server may respond before it has read the whole
 // request, so reading the response does not wait for the end of the write.
 auto StartWrite(const connection_ptr& connection,
@@ -438,7 +318,7 @@
 }  // namespace
 
 http_client::http_client(asio::io_context& context, http_pool_options pool)
-    : state_(std::make_shared<state>(context, pool)) {}
+    : pool_(std::make_shared<http_connection_pool>(context, pool)) {}
 
 http_client::~http_client() = default;
 
@@ -446,15 +326,14 @@
                        http_request request,
                        http_options options)
     -> asio::awaitable<http_stream_result> {
-  auto client = state_;
+  auto pool = pool_;
   auto connection = options.connection == connection_use::kNew
                         ? nullptr
-                        : client->TakePooled(address);
+                        : pool->Take(address);
   const auto is_pooled = connection != nullptr;
   auto connect_error = beast::error_code{};
   if (!is_pooled && options.connection != connection_use::kIdle) {
-    connection =
-        co_await OpenConnection(client, address, options, connect_error);
+    connection = co_await pool->Open(address, options, connect_error);
   }
   if (connection == nullptr || IsCancelled(options)) {
     co_return http_stream_result{
@@ -469,8 +348,7 @@
     options.cancellation->SetHook([connection] { connection->Close(); });
   }
   StartWrite(connection, RenderRequest(address, request), options.head_timeout);
-  auto body =
-      std::make_unique<body_stream>(client, address, connection, options);
+  auto body = std::make_unique<body_stream>(pool, address, connection, options);
   const auto error = co_await body->ReadHead();
   if (!error) {
     auto head = body->TakeHead();
@@ -494,29 +372,29 @@
 
 auto http_client::Connect(socket_address address, duration timeout)
     -> asio::awaitable<bool> {
-  auto client = state_;
+  auto pool = pool_;
   auto options = http_options{};
   options.connect_timeout = timeout;
   auto error = beast::error_code{};
-  auto connection = co_await OpenConnection(client, address, options, error);
+  auto connection = co_await pool->Open(address, options, error);
   if (connection == nullptr) {
     co_return false;
   }
-  connection->keep_alive_timeout = client->pool.max_idle;
-  client->ReturnConnection(address, std::move(connection));
+  connection->keep_alive_timeout = pool->options().max_idle;
+  pool->Return(address, std::move(connection));
   co_return true;
 }
 
 auto http_client::HasIdleConnection(const socket_address& address) -> bool {
-  return state_->HasUsable(address);
+  return pool_->HasUsable(address);
 }
 
 auto http_client::CloseIdleConnections() -> void {
-  state_->idle.clear();
+  pool_->Clear();
 }
 
 auto http_client::OpenedConnections() const -> std::uint64_t {
-  return state_->opened_connections;
+  return pool_->OpenedConnections();
 }
 
 auto http_client::Send(socket_address address,
--- a/source/core/net/http_client.h
+++ b/source/core/net/http_client.h
@@ -146,12 +146,12 @@
   bool is_reused = false;
 };
 
+class http_connection_pool;
+
 // Sends requests over pooled connections. Not thread-safe: everything runs on
 // the given context.
 class http_client {
  public:
-  struct state;
-
   explicit http_client(boost::asio::io_context& context,
                        http_pool_options pool = {});
   http_client(const http_client&) = delete;
@@ -180,7 +180,7 @@
   [[nodiscard]] auto OpenedConnections() const -> std::uint64_t;
 
  private:
-  std::shared_ptr<state> state_;
+  std::shared_ptr<http_connection_pool> pool_;
 };
 
 }  // namespace daisywind::net
