--- a/source/unit_tests/relay/relay_test.cc
+++ b/source/unit_tests/relay/relay_test.cc
@@ -87,7 +87,7 @@
   relay_client client{context};
 };
 
-auto RespondWith(response_end end) -> relay_handler {
+auto RespondWith(const response_end& end) -> relay_handler {
   return [end](std::shared_ptr<relay_exchange> exchange)
              -> asio::awaitable<void> {
     exchange->SendHead({{200, {{"Id", "r"}}, ""}, net::body_framing::kChunks});
