--- a/source/core/dispatch/path_monitor.h
+++ b/source/core/dispatch/path_monitor.h
@@ -45,7 +45,8 @@
   auto operator<=>(const path_monitor_options&) const = default;
 };
 
-// Reads no clock: callers pass the time.
+// Derives the path state from what requests and probes show. Reads no clock:
+// callers pass the time.
 class path_monitor {
  public:
   explicit path_monitor(path_monitor_options options = {})
@@ -59,16 +60,17 @@
   // Bytes of a response have arrived.
   auto OnReceived(instant now) -> void;
 
-  // A new connection to the endpoint was established, or failed. `endpoints` is
+  // A new connection to an endpoint was established, or failed. `endpoints` is
   // the number of endpoints that this VM knows: if there are few, the failure
   // of each of them counts.
   auto OnConnected(instant now) -> void;
   auto OnConnectFailed(const endpoint_id& endpoint, std::size_t endpoints)
       -> void;
 
+  // The state at a time. Silence that it finds lasts until something arrives.
   [[nodiscard]] auto State(instant now) -> path_state;
 
-  // Time since a byte or a connection came from any endpoint.
+  // When a byte or a new connection last came from any endpoint.
   [[nodiscard]] auto LastReceived() const -> std::optional<instant> {
     return received_at_;
   }
