--- a/source/core/common/bounded_log.cc
+++ b/source/core/common/bounded_log.cc
@@ -70,7 +70,7 @@
 }  // namespace
 
 auto RenderLogLine(const log_event& event,
-                   std::initializer_list<log_field> fields,
+                   std::span<const log_field> fields,
                    std::string_view time) -> std::string {
   auto line = std::string(R"({"time":)");
   AppendJsonString(line, time);
@@ -102,8 +102,8 @@
   is_active_ = true;
 }
 
-auto bounded_log::Add(const log_event& event,
-                      std::initializer_list<log_field> fields) -> void {
+auto bounded_log::Add(const log_event& event, std::span<const log_field> fields)
+    -> void {
   if (event.level < threshold_) {
     return;
   }
@@ -142,10 +142,10 @@
 auto bounded_log::Flush() -> void {
   const auto lock = std::lock_guard(mutex_);
   if (dropped_ > reported_dropped_) {
-    pending_ += RenderLogLine(
-        log_events::kLogLinesDropped,
-        {{"lines", static_cast<std::int64_t>(dropped_ - reported_dropped_)}},
-        FormatCurrentTime());
+    const auto fields = std::to_array<log_field>(
+        {{"lines", static_cast<std::int64_t>(dropped_ - reported_dropped_)}});
+    pending_ += RenderLogLine(log_events::kLogLinesDropped, fields,
+                              FormatCurrentTime());
     pending_ += '\n';
     reported_dropped_ = dropped_;
   }
--- a/source/core/common/bounded_log.h
+++ b/source/core/common/bounded_log.h
@@ -5,8 +5,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <ctime>
-#include <initializer_list>
 #include <mutex>
+#include <span>
 #include <string>
 
 #include "common/logging.h"
@@ -16,7 +16,7 @@
 // Renders one event as a JSON object without a line end. `time` is its first
 // member.
 auto RenderLogLine(const log_event& event,
-                   std::initializer_list<log_field> fields,
+                   std::span<const log_field> fields,
                    std::string_view time) -> std::string;
 
 // Buffers lines up to a fixed size, so that a slow reader of standard output
@@ -31,8 +31,7 @@
   [[nodiscard]] auto IsActive() const -> bool { return is_active_; }
 
   // Adds a line, or counts it as dropped when the buffer is full.
-  auto Add(const log_event& event, std::initializer_list<log_field> fields)
-      -> void;
+  auto Add(const log_event& event, std::span<const log_field> fields) -> void;
 
   // Writes as much as standard output accepts without blocking. When lines were
   // dropped since the last flush, logs their number first.
--- a/source/core/common/logging.cc
+++ b/source/core/common/logging.cc
@@ -9,6 +9,7 @@
 #include <boost/json.hpp>
 #include <cstdlib>
 #include <memory>
+#include <span>
 
 #include "common/bounded_log.h"
 
@@ -39,7 +40,7 @@
                     field.value);
 }
 
-auto JsonLine(const log_event& event, std::initializer_list<log_field> fields)
+auto JsonLine(const log_event& event, std::span<const log_field> fields)
     -> std::string {
   auto line = boost::json::object{};
   line["event"] = event.number;
@@ -52,7 +53,7 @@
   return boost::json::serialize(line);
 }
 
-auto TextLine(const log_event& event, std::initializer_list<log_field> fields)
+auto TextLine(const log_event& event, std::span<const log_field> fields)
     -> std::string {
   auto line = std::string(LevelName(event.level)) + " " +
               std::string(LoggerName(event.subsystem)) + " " +
@@ -85,8 +86,9 @@
   root->setLevel(ToLog4cxx(threshold));
 }
 
-auto Log(const log_event& event, std::initializer_list<log_field> fields)
+auto Log(const log_event& event, const log_field* first, std::size_t count)
     -> void {
+  const auto fields = std::span(first, count);
   if (auto& bounded = bounded_log::Instance(); bounded.IsActive()) {
     bounded.Add(event, fields);
     return;
--- a/source/core/common/logging.h
+++ b/source/core/common/logging.h
@@ -2,8 +2,8 @@
 #ifndef DAISYWIND_COMMON_LOGGING_H_
 #define DAISYWIND_COMMON_LOGGING_H_
 
+#include <cstddef>
 #include <cstdint>
-#include <initializer_list>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -37,10 +37,22 @@
 // Number of lines dropped so far because standard output was read too slowly.
 auto DroppedLogLines() -> std::uint64_t;
 
-// Logs one event with its fields.
-auto Log(const log_event& event, std::initializer_list<log_field> fields = {})
+// Logs one event with the fields from `first` on. A pointer and a count: on
+// arm64, clang 14 loses an array in a coroutine whose address it passes inside
+// a struct, such as an initializer list or a span.
+auto Log(const log_event& event, const log_field* first, std::size_t count)
     -> void;
 
+inline auto Log(const log_event& event) -> void {
+  Log(event, nullptr, 0);
+}
+
+// Logs one event with a braced list of fields.
+template <std::size_t Count>
+auto Log(const log_event& event, const log_field (&fields)[Count]) -> void {
+  Log(event, fields, Count);
+}
+
 // Logs a violated invariant with its source location and aborts the process.
 [[noreturn]] auto AbortOnInvariantViolation(std::string_view condition,
                                             std::string_view file,
--- a/source/core/front/front_node.cc
+++ b/source/core/front/front_node.cc
@@ -226,8 +226,7 @@
                     static_cast<double>(endpoint_client_.OpenedConnections()));
   metrics_.SetGauge("daisywind_front_log_lines_dropped", {},
                     static_cast<double>(DroppedLogLines()));
-  co_await exchange.Respond(
-      {200, {{"Content-Type", "text/plain"}}, metrics_.Render()});
+  co_await exchange.Respond(net::TextResponse(metrics_.Render()));
 }
 
 auto front_node::Tick() -> asio::awaitable<void> {
--- a/source/core/gateway/admin_api.cc
+++ b/source/core/gateway/admin_api.cc
@@ -289,9 +289,8 @@
 }
 
 auto admin_api::GetMetrics(const net::http_request&) -> response_awaitable {
-  co_return net::http_response{200,
-                               {{"Content-Type", "text/plain; version=0.0.4"}},
-                               hooks_.metrics_text()};
+  co_return net::TextResponse(hooks_.metrics_text(),
+                              "text/plain; version=0.0.4");
 }
 
 auto admin_api::WaitForVersion(version_number after, duration timeout)
--- a/source/core/net/http_types.cc
+++ b/source/core/net/http_types.cc
@@ -100,6 +100,10 @@
   return EqualsIgnoringCase(type, "text/event-stream");
 }
 
+auto TextResponse(std::string body, std::string media_type) -> http_response {
+  return {200, {{"Content-Type", std::move(media_type)}}, std::move(body)};
+}
+
 auto JsonResponse(unsigned status, std::string body) -> http_response {
   return {status, {{"Content-Type", "application/json"}}, std::move(body)};
 }
--- a/source/core/net/http_types.h
+++ b/source/core/net/http_types.h
@@ -80,6 +80,10 @@
 // Whether the body of a response is a stream of server-sent events.
 auto IsEventStream(const http_response& head) -> bool;
 
+// Returns a successful response with a plain text.
+auto TextResponse(std::string body, std::string media_type = "text/plain")
+    -> http_response;
+
 // Returns a response with a JSON body.
 auto JsonResponse(unsigned status, std::string body) -> http_response;
 
--- a/source/daisywind_journal/main.cc
+++ b/source/daisywind_journal/main.cc
@@ -54,8 +54,7 @@
   auto metrics = net::http_server(
       context, {},
       [&](net::http_exchange& exchange) -> boost::asio::awaitable<void> {
-        co_await exchange.Respond(
-            {200, {{"Content-Type", "text/plain"}}, node.RenderMetrics()});
+        co_await exchange.Respond(net::TextResponse(node.RenderMetrics()));
       });
   const auto address = net::ParseSocketAddress(values.Get(kMetricsAddress));
   if (address && metrics.Listen(*address) == 0) {
--- a/source/unit_tests/front/request_flow_test.cc
+++ b/source/unit_tests/front/request_flow_test.cc
@@ -19,13 +19,27 @@
   return std::string(exchange.request().Header("Id"));
 }
 
+// A response to the request of an exchange, with one more header if a name is
+// given.
+auto ResponseTo(net::http_exchange& exchange,
+                unsigned status,
+                std::string body,
+                const std::string& header = "",
+                const std::string& value = "") -> net::http_response {
+  auto response = net::http_response{
+      status, {{"Id", RequestIdOf(exchange)}}, std::move(body)};
+  if (!header.empty()) {
+    response.headers.push_back({header, value});
+  }
+  return response;
+}
+
 // Responds to each request and counts the runs.
 auto RespondingEndpoint(int& runs) -> endpoint_handler {
   return [&runs](net::http_exchange& exchange) -> asio::awaitable<void> {
     ++runs;
-    co_await exchange.Respond({200,
-                               {{"Id", RequestIdOf(exchange)}},
-                               "answer to " + RequestIdOf(exchange)});
+    co_await exchange.Respond(
+        ResponseTo(exchange, 200, "answer to " + RequestIdOf(exchange)));
   };
 }
 
@@ -45,8 +59,7 @@
 auto RefusingEndpoint(int& refusals) -> endpoint_handler {
   return [&refusals](net::http_exchange& exchange) -> asio::awaitable<void> {
     ++refusals;
-    co_await exchange.Respond(
-        {503, {{"Id", RequestIdOf(exchange)}, {"Not-Run", "1"}}, ""});
+    co_await exchange.Respond(ResponseTo(exchange, 503, "", "Not-Run", "1"));
   };
 }
 
@@ -118,7 +131,7 @@
   return [&pieces, piece = std::move(piece)](
              net::http_exchange& exchange) -> asio::awaitable<void> {
     auto timer = asio::steady_timer(co_await asio::this_coro::executor);
-    co_await exchange.StartStream({200, {{"Id", RequestIdOf(exchange)}}, ""});
+    co_await exchange.StartStream(ResponseTo(exchange, 200, ""));
     while (co_await exchange.WriteChunk(piece)) {
       ++pieces;
       timer.expires_after(std::chrono::milliseconds(1));
@@ -168,7 +181,7 @@
         ++refusals;
         auto timer = asio::steady_timer(co_await asio::this_coro::executor);
         co_await exchange.StartStream(
-            {503, {{"Id", RequestIdOf(exchange)}, {"Not-Run", "1"}}, ""});
+            ResponseTo(exchange, 503, "", "Not-Run", "1"));
         while (co_await exchange.WriteChunk("x")) {
           timer.expires_after(std::chrono::milliseconds(1));
           co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -195,7 +208,7 @@
       "a", [&](net::http_exchange& exchange) -> asio::awaitable<void> {
         ++limited_runs;
         co_await exchange.Respond(
-            {200, {{"Id", RequestIdOf(exchange)}, {"Limit", "0.01"}}, ""});
+            ResponseTo(exchange, 200, "", "Limit", "0.01"));
       });
   auto runs = 0;
   harness.AddEndpoint("b", RespondingEndpoint(runs));
@@ -214,7 +227,7 @@
       "a", [&](net::http_exchange& exchange) -> asio::awaitable<void> {
         ++runs;
         co_await exchange.StartStream(
-            {200, {{"Id", RequestIdOf(exchange)}, {"Limit", "0"}}, ""});
+            ResponseTo(exchange, 200, "", "Limit", "0"));
         co_await exchange.WriteChunk("half of the ");
         exchange.Abort();
       });
@@ -231,8 +244,7 @@
   harness.AddEndpoint(
       "a", [&](net::http_exchange& exchange) -> asio::awaitable<void> {
         ++runs;
-        co_await exchange.Respond(
-            {200, {{"Id", RequestIdOf(exchange)}, {"Limit", "0"}}, ""});
+        co_await exchange.Respond(ResponseTo(exchange, 200, "", "Limit", "0"));
       });
   harness.Configure();
   CHECK(harness.Send("once", "r").response.status == 200);
@@ -335,9 +347,10 @@
       "a", [&](net::http_exchange& exchange) -> asio::awaitable<void> {
         ++runs;
         // A late response to an earlier request, then the one to this request.
-        co_await exchange.Respond({200, {{"Id", "other"}}, "not yours"});
-        co_await exchange.Respond(
-            {200, {{"Id", RequestIdOf(exchange)}}, "yours"});
+        auto other = net::http_response{200, {}, "not yours"};
+        other.headers.push_back({"Id", "other"});
+        co_await exchange.Respond(std::move(other));
+        co_await exchange.Respond(ResponseTo(exchange, 200, "yours"));
       });
   harness.Configure();
   const auto result = harness.Send("once", "r");
@@ -350,8 +363,7 @@
   auto harness = front_harness();
   harness.AddEndpoint(
       "a", [](net::http_exchange& exchange) -> asio::awaitable<void> {
-        co_await exchange.StartStream(
-            {200, {{"Id", RequestIdOf(exchange)}}, ""});
+        co_await exchange.StartStream(ResponseTo(exchange, 200, ""));
         co_await exchange.WriteChunk("data: one\n\n");
         co_await exchange.WriteChunk("data: two\n\n");
         co_await exchange.EndStream();
@@ -368,7 +380,7 @@
   const auto abort_mid_stream =
       [&](net::http_exchange& exchange) -> asio::awaitable<void> {
     ++runs;
-    co_await exchange.StartStream({200, {{"Id", RequestIdOf(exchange)}}, ""});
+    co_await exchange.StartStream(ResponseTo(exchange, 200, ""));
     co_await exchange.WriteChunk("data: one\n\n");
     exchange.Abort();
   };
@@ -446,17 +458,17 @@
 TEST_CASE("a stream through another front keeps its events and its end") {
   auto fixture = cut_off_fixture();
   auto is_broken_off = false;
-  fixture.AddEndpoints([&](net::http_exchange& exchange)
-                           -> asio::awaitable<void> {
-    co_await exchange.StartStream({200, {{"Id", RequestIdOf(exchange)}}, ""});
-    co_await exchange.WriteChunk("data: one\n\n");
-    if (is_broken_off) {
-      exchange.Abort();
-      co_return;
-    }
-    co_await exchange.WriteChunk("data: two\n\n");
-    co_await exchange.EndStream();
-  });
+  fixture.AddEndpoints(
+      [&](net::http_exchange& exchange) -> asio::awaitable<void> {
+        co_await exchange.StartStream(ResponseTo(exchange, 200, ""));
+        co_await exchange.WriteChunk("data: one\n\n");
+        if (is_broken_off) {
+          exchange.Abort();
+          co_return;
+        }
+        co_await exchange.WriteChunk("data: two\n\n");
+        co_await exchange.EndStream();
+      });
   fixture.cut_off.SetFronts({fixture.sound.relay_address()});
   const auto whole = fixture.cut_off.Send("stream", "r1");
   CHECK(whole.outcome == http_outcome::kAnswered);
@@ -544,7 +556,7 @@
   auto harness = front_harness();
   harness.AddEndpoint(
       "a", [](net::http_exchange& exchange) -> asio::awaitable<void> {
-        co_await exchange.Respond({503, {{"Id", RequestIdOf(exchange)}}, ""});
+        co_await exchange.Respond(ResponseTo(exchange, 503, ""));
       });
   harness.Configure();
   CHECK(harness.Send("once", "r").response.status == 502);
--- a/source/unit_tests/gateway/deployment_fixture.cc
+++ b/source/unit_tests/gateway/deployment_fixture.cc
@@ -153,7 +153,9 @@
 }
 
 auto test_deployment::WriteConfiguration() -> asio::awaitable<void> {
-  auto kv_client = kv::client(context_, {{kLoopback, kv_port_}}, {});
+  auto addresses = std::vector<net::socket_address>{};
+  addresses.push_back({kLoopback, kv_port_});
+  auto kv_client = kv::client(context_, std::move(addresses), {});
   auto document = configuration::ParseDocument(Document());
   REQUIRE(document);
   const auto info = configuration::version_info{};
--- a/source/unit_tests/gateway/end_to_end_test.cc
+++ b/source/unit_tests/gateway/end_to_end_test.cc
@@ -55,9 +55,21 @@
   return text;
 }
 
+auto Object(std::string_view name, json::value value) -> json::object {
+  auto to = json::object{};
+  to[name] = std::move(value);
+  return to;
+}
+
+auto Messages(json::value only) -> json::array {
+  auto to = json::array{};
+  to.push_back(std::move(only));
+  return to;
+}
+
 auto OpenProgram(test_deployment& fixture, std::size_t node)
     -> asio::awaitable<std::string> {
-  const auto body = json::object{{"class", "vendor"}};
+  const auto body = Object("class", "vendor");
   auto request = Post("/v1/programs", body);
   const auto response = co_await fixture.Call(node, std::move(request));
   REQUIRE(response.status == 201);
@@ -70,7 +82,7 @@
   auto fixture = test_deployment(3);
   fixture.Run([&]() -> asio::awaitable<void> {
     co_await fixture.WaitReady();
-    const auto messages = json::array{UserMessage("where is the corn?")};
+    const auto messages = Messages(UserMessage("where is the corn?"));
     for (auto i = std::size_t{0}; i < 3; ++i) {
       auto request = Post("/v1/chat/completions", Chat(messages));
       const auto response = co_await fixture.Call(i, std::move(request));
@@ -110,7 +122,7 @@
     const auto handle = co_await OpenProgram(fixture, 0);
     auto headers = TurnHeaders(handle, 1);
     headers.push_back({"Idempotency-Key", "payout-1"});
-    const auto body = json::object{{"amount", 7}};
+    const auto body = Object("amount", 7);
     auto first_answer = std::string{};
     for (auto i = std::size_t{0}; i < 3; ++i) {
       auto request = Post("/v1/services/cart/payouts", body, headers);
@@ -131,14 +143,14 @@
   fixture.Run([&]() -> asio::awaitable<void> {
     co_await fixture.WaitReady();
     const auto handle = co_await OpenProgram(fixture, 0);
-    const auto first = json::array{UserMessage("one")};
+    const auto first = Messages(UserMessage("one"));
     auto request =
         Post("/v1/chat/completions", Chat(first), TurnHeaders(handle, 1));
     const auto answer = co_await fixture.Call(0, std::move(request));
     REQUIRE(answer.status == 200);
-    const auto other =
-        json::array{UserMessage("another"), AssistantMessage(TextOf(answer)),
-                    UserMessage("two")};
+    auto other = Messages(UserMessage("another"));
+    other.push_back(AssistantMessage(TextOf(answer)));
+    other.push_back(UserMessage("two"));
     auto second =
         Post("/v1/chat/completions", Chat(other), TurnHeaders(handle, 2));
     const auto refusal = co_await fixture.Call(1, std::move(second));
@@ -153,7 +165,7 @@
   fixture.Run([&]() -> asio::awaitable<void> {
     co_await fixture.WaitReady();
     auto handle = co_await OpenProgram(fixture, 0);
-    auto messages = json::array{UserMessage("one")};
+    auto messages = Messages(UserMessage("one"));
     auto request =
         Post("/v1/chat/completions", Chat(messages), TurnHeaders(handle, 1));
     const auto first = co_await fixture.Call(0, std::move(request));
@@ -179,8 +191,9 @@
   auto fixture = test_deployment(1);
   fixture.Run([&]() -> asio::awaitable<void> {
     co_await fixture.WaitReady();
-    auto no_key = Post("/v1/chat/completions", json::object{},
-                       {{"Authorization", "Bearer nobody"}});
+    auto no_key = Post("/v1/chat/completions", json::object{});
+    no_key.headers.clear();
+    no_key.headers.push_back({"Authorization", "Bearer nobody"});
     const auto unknown = co_await fixture.Call(0, std::move(no_key));
     CHECK(unknown.status == 401);
     auto broken = Post("/v1/chat/completions", json::array{});
--- a/source/unit_tests/kv/store_watch_test.cc
+++ b/source/unit_tests/kv/store_watch_test.cc
@@ -47,8 +47,8 @@
         outcome::kAnswered, change_list{{}, kChangedRevision, false}, ""};
     const auto is_reported = after < kChangedRevision || calls_ > kMaxCalls;
     if (calls_++ > 0 && is_reported) {
-      result.value->changes = {
-          {{"key", "value", kChangedRevision, kChangedRevision}, false}};
+      result.value->changes.push_back(
+          {{"key", "value", kChangedRevision, kChangedRevision}, false});
     } else if (responds_) {
       elapsed += wait;
     } else {
--- a/source/unit_tests/relay/relay_test.cc
+++ b/source/unit_tests/relay/relay_test.cc
@@ -87,15 +87,19 @@
   relay_client client{context};
 };
 
+auto ResponseHead() -> net::http_response {
+  return {200, {{"Id", "r"}}, ""};
+}
+
 auto RespondWith(const response_end& end) -> relay_handler {
-  return [end](std::shared_ptr<relay_exchange> exchange)
-             -> asio::awaitable<void> {
-    exchange->SendHead({{200, {{"Id", "r"}}, ""}, net::body_framing::kChunks});
-    exchange->SendPart("one ");
-    exchange->SendPart("two");
-    exchange->SendEnd(end);
-    co_return;
-  };
+  return
+      [end](std::shared_ptr<relay_exchange> exchange) -> asio::awaitable<void> {
+        exchange->SendHead({ResponseHead(), net::body_framing::kChunks});
+        exchange->SendPart("one ");
+        exchange->SendPart("two");
+        exchange->SendEnd(end);
+        co_return;
+      };
 }
 
 }  // namespace
