--- a/source/core/front/directory.cc
+++ b/source/core/front/directory.cc
@@ -172,6 +172,7 @@
        {"before", static_cast<std::int64_t>(before)},
        {"revision", item.mod_revision},
        {"routes", static_cast<std::int64_t>(newest->routes.size())},
+       {"bytes", static_cast<std::int64_t>(item.value.size())},
        {"installed", is_newer},
        {"source", kItemSourceNames.at(static_cast<std::size_t>(source))},
        {"call_ms", source == item_source::kCopy
