--- a/source/core/common/log_events.cc
+++ b/source/core/common/log_events.cc
@@ -35,6 +35,7 @@
     kSettingsRefused,
     kStoreWatchEnded,
     kStoreCopyTaken,
+    kMirrorUnused,
     kConfigurationInForce,
     kEndpointChanged,
     kEndpointFailureRecorded,
--- a/source/core/common/log_events.h
+++ b/source/core/common/log_events.h
@@ -117,6 +117,9 @@
 inline constexpr auto kStoreCopyTaken =
     log_event{1908, log_subsystem::kFront, log_level::kInfo,
               "copy of the platform's store imported from a journal"};
+inline constexpr auto kMirrorUnused =
+    log_event{1909, log_subsystem::kFront, log_level::kInfo,
+              "a journal's copy of the platform's store is missing or too old"};
 inline constexpr auto kConfigurationInForce =
     log_event{2001, log_subsystem::kFront, log_level::kInfo,
               "configuration read, installed if newer"};
--- a/source/core/common/vm_settings.h
+++ b/source/core/common/vm_settings.h
@@ -2,7 +2,11 @@
 #ifndef DAISYWIND_COMMON_VM_SETTINGS_H_
 #define DAISYWIND_COMMON_VM_SETTINGS_H_
 
+#include <algorithm>
+#include <chrono>
+
 #include "common/settings.h"
+#include "common/time.h"
 
 namespace daisywind::vm_settings {
 
@@ -19,11 +23,21 @@
 inline constexpr auto kInForceMs = integer_setting{
     "changes.in_force_ms", 2'500,
     "time in which a configuration is to be in force", 100, 600'000};
+inline constexpr auto kDrainedMs = integer_setting{
+    "changes.drained_ms", 2'500,
+    "time in which a leaving endpoint is to get no more requests", 100,
+    600'000};
 inline constexpr auto kToleratedDiskLosses = integer_setting{
     "tolerate.disks", 1, "disks that may be lost at once", 0, 5};
 inline constexpr auto kLogLevel = string_setting{
     "log.level", "info", "least severity: debug, info, warning or error"};
 
+// Time within which a VM has to know each change of the platform's store.
+inline auto ChangeTimeLimit(const settings& values) -> duration {
+  return std::chrono::milliseconds(
+      std::min(values.Get(kInForceMs), values.Get(kDrainedMs)));
+}
+
 }  // namespace daisywind::vm_settings
 
 #endif  // DAISYWIND_COMMON_VM_SETTINGS_H_
--- a/source/core/front/directory.cc
+++ b/source/core/front/directory.cc
@@ -82,9 +82,7 @@
 }
 
 auto directory::StoreAge(instant now) const -> std::optional<duration> {
-  const auto answered_at = watch_.answered_at();
-  return answered_at ? std::optional<duration>(now - *answered_at)
-                     : std::nullopt;
+  return watch_.Age(now);
 }
 
 auto directory::OnSnapshot(const std::vector<kv::key_value>& items,
--- a/source/core/front/front_node.cc
+++ b/source/core/front/front_node.cc
@@ -64,8 +64,7 @@
 
 auto DirectoryOptions(const settings& values) -> directory_options {
   auto options = directory_options{};
-  options.watch = kv::WatchOptionsFor(std::chrono::milliseconds(
-      std::min(values.Get(kInForceMs), values.Get(kDrainedMs))));
+  options.watch = kv::WatchOptionsFor(ChangeTimeLimit(values));
   return options;
 }
 
@@ -98,8 +97,14 @@
                                            now - *sample.failed_age);
                }
              }),
+      store_(
+          context,
+          platform.store,
+          region_id(values.Get(kRegion)),
+          [this]() -> const history::view& { return turns_.current(); },
+          MirroredStoreOptionsFor(ChangeTimeLimit(values))),
       directory_(context,
-                 platform.store,
+                 store_,
                  platform.directory,
                  DirectoryOptions(values),
                  {[this](const history::view& newest) { turns_.Adopt(newest); },
--- a/source/core/front/front_settings.h
+++ b/source/core/front/front_settings.h
@@ -23,10 +23,6 @@
 inline constexpr auto kJournalSeeds = list_setting{
     "journals.seeds", "",
     "addresses of some journals, each as ip:port, for when the store is away"};
-inline constexpr auto kDrainedMs = integer_setting{
-    "changes.drained_ms", 2'500,
-    "time in which a leaving endpoint is to get no more requests", 100,
-    600'000};
 inline constexpr auto kMaxConnections = integer_setting{
     "limits.connections", 3000, "open connections of callers", 1, 100'000};
 inline constexpr auto kResponseMemoryMb = integer_setting{
--- /dev/null
+++ b/source/core/front/mirrored_store.cc
@@ -0,0 +1,161 @@
+#include "front/mirrored_store.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <utility>
+
+#include "common/logging.h"
+#include "common/process_clock.h"
+#include "front/log_values.h"
+
+namespace daisywind::front {
+namespace {
+
+namespace asio = boost::asio;
+
+auto ChangesFrom(const history::copy_reply& reply, kv::revision after)
+    -> kv::change_list {
+  auto list = kv::change_list{{}, after, false};
+  if (!reply.copy) {
+    return list;
+  }
+  list.next = reply.copy->revision_at;
+  list.is_history_lost = !reply.has_only_changes;
+  for (const auto& item : reply.copy->items) {
+    list.changes.push_back({item, /*is_removed=*/false});
+  }
+  for (const auto& key : reply.removed) {
+    list.changes.push_back({{key, "", 0, list.next}, /*is_removed=*/true});
+  }
+  return list;
+}
+
+}  // namespace
+
+auto MirroredStoreOptionsFor(duration time_limit) -> mirrored_store_options {
+  auto options = mirrored_store_options{};
+  options.poll_interval = time_limit / 10;
+  // Longer than the time between two answers of the store to a journal (see
+  // kv::RelayingWatchOptionsFor), and short enough for a call to the store
+  // itself within the rest of the limit.
+  options.max_age = 3 * time_limit / 5;
+  return options;
+}
+
+mirrored_store::mirrored_store(
+    asio::io_context& context,
+    kv::store& source,
+    region_id region,
+    std::function<const history::view&()> current_view,
+    mirrored_store_options options)
+    : context_(context),
+      source_(source),
+      region_(std::move(region)),
+      current_view_(std::move(current_view)),
+      options_(options),
+      random_(SystemSeed()),
+      clients_(context) {}
+
+auto mirrored_store::Read(std::string key)
+    -> asio::awaitable<kv::store_result<std::optional<kv::key_value>>> {
+  return source_.Read(std::move(key));
+}
+
+auto mirrored_store::List(std::string prefix)
+    -> asio::awaitable<kv::store_result<kv::listing>> {
+  return source_.List(std::move(prefix));
+}
+
+auto mirrored_store::Write(kv::txn_request request)
+    -> asio::awaitable<kv::store_result<bool>> {
+  return source_.Write(std::move(request));
+}
+
+auto mirrored_store::WaitForChanges(std::string prefix,
+                                    kv::revision after,
+                                    duration wait)
+    -> asio::awaitable<kv::store_result<kv::change_list>> {
+  const auto end = Now() + wait;
+  auto timer = asio::steady_timer(context_);
+  while (prefix.empty()) {
+    auto list = co_await RequestFromAny(after);
+    if (!list) {
+      break;
+    }
+    const auto remaining = end - Now();
+    if (!list->changes.empty() || list->is_history_lost ||
+        remaining <= duration(0)) {
+      co_return kv::store_result<kv::change_list>{
+          kv::outcome::kAnswered, std::move(list), std::string()};
+    }
+    timer.expires_after(std::min(options_.poll_interval, remaining));
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  co_return co_await source_.WaitForChanges(std::move(prefix), after,
+                                            std::max(end - Now(), duration(0)));
+}
+
+auto mirrored_store::RequestFromAny(kv::revision after)
+    -> asio::awaitable<std::optional<kv::change_list>> {
+  for (auto asked = std::size_t{0}; asked < options_.max_journals; ++asked) {
+    auto address = NextJournal();
+    if (!address) {
+      break;
+    }
+    auto list = co_await RequestChanges(*address, after);
+    if (list) {
+      last_journal_ = std::move(*address);
+      co_return list;
+    }
+    excluded_until_[*address] = Now() + options_.retry_after;
+  }
+  co_return std::nullopt;
+}
+
+auto mirrored_store::RequestChanges(std::string address, kv::revision after)
+    -> asio::awaitable<std::optional<kv::change_list>> {
+  const auto sent_at = Now();
+  const auto client = clients_.ClientFor(address);
+  auto request = history::copy_request{after, /*wants_changes=*/true};
+  const auto reply =
+      co_await client->SendAndWait(0, request, options_.request_timeout);
+  const auto* received =
+      reply ? std::get_if<history::copy_reply>(&*reply) : nullptr;
+  // The copy's age counts from when the request was sent, as the reply may have
+  // been on its way for long.
+  const auto age = received != nullptr && received->store_age
+                       ? std::optional(*received->store_age + (Now() - sent_at))
+                       : std::nullopt;
+  if (!age || *age > options_.max_age) {
+    Log(log_events::kMirrorUnused,
+        {{"journal", std::string_view(address)},
+         {"is_answered", received != nullptr},
+         {"store_age_ms", age ? Milliseconds(*age) : kNoTime}});
+    co_return std::nullopt;
+  }
+  co_return ChangesFrom(*received, after);
+}
+
+auto mirrored_store::NextJournal() -> std::optional<std::string> {
+  const auto& members = current_view_().members;
+  clients_.CloseNonMembers(current_view_());
+  const auto now = Now();
+  std::erase_if(excluded_until_,
+                [&](const auto& item) { return item.second <= now; });
+  auto candidates = std::vector<std::string>{};
+  for (const auto& member : members) {
+    if (member.region != region_ || excluded_until_.contains(member.address)) {
+      continue;
+    }
+    if (member.address == last_journal_) {
+      return last_journal_;
+    }
+    candidates.push_back(member.address);
+  }
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  return candidates[random_.UniformBelow(candidates.size())];
+}
+
+}  // namespace daisywind::front
--- /dev/null
+++ b/source/core/front/mirrored_store.h
@@ -0,0 +1,92 @@
+// The platform's store as seen through the copies that journals keep of it.
+#ifndef DAISYWIND_FRONT_MIRRORED_STORE_H_
+#define DAISYWIND_FRONT_MIRRORED_STORE_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/ids.h"
+#include "common/random.h"
+#include "common/time.h"
+#include "history/messages.h"
+#include "history/view.h"
+#include "history_client/member_client.h"
+#include "kv/store.h"
+
+namespace daisywind::front {
+
+// Timing of a mirrored store.
+struct mirrored_store_options {
+  // Time between two requests to a journal for changes.
+  duration poll_interval = 250ms;
+  duration request_timeout = 300ms;
+  // A journal's copy serves if the store has answered the journal within this
+  // time.
+  duration max_age = 1500ms;
+  // A journal whose copy did not serve is not asked again for this long.
+  duration retry_after = 2s;
+  // Number of journals asked in a row before the store itself is.
+  std::size_t max_journals = 2;
+};
+
+// Returns the timing with which a change is known within `time_limit` although
+// the journal that is asked, or its watch of the store, has just failed.
+auto MirroredStoreOptionsFor(duration time_limit) -> mirrored_store_options;
+
+// Waits for changes at a journal of the VM's region, which watches the store
+// for all VMs there, and at the store itself if no such journal has an
+// up-to-date copy. So a change crosses the link between regions once for each
+// journal and not once for each VM. Reads and writes go to the store itself.
+class mirrored_store : public kv::store {
+ public:
+  // `current_view` returns the journals in use.
+  mirrored_store(boost::asio::io_context& context,
+                 kv::store& source,
+                 region_id region,
+                 std::function<const history::view&()> current_view,
+                 mirrored_store_options options);
+
+  auto Read(std::string key) -> boost::asio::awaitable<
+      kv::store_result<std::optional<kv::key_value>>> override;
+  auto List(std::string prefix)
+      -> boost::asio::awaitable<kv::store_result<kv::listing>> override;
+  auto Write(kv::txn_request request)
+      -> boost::asio::awaitable<kv::store_result<bool>> override;
+  // Only the prefix of all keys is served from copies.
+  auto WaitForChanges(std::string prefix, kv::revision after, duration wait)
+      -> boost::asio::awaitable<kv::store_result<kv::change_list>> override;
+
+ private:
+  // Asks one journal for the changes since a revision. Returns nothing if its
+  // copy does not serve.
+  auto RequestChanges(std::string address, kv::revision after)
+      -> boost::asio::awaitable<std::optional<kv::change_list>>;
+  // Asks journals until a copy serves. Returns nothing if none does.
+  auto RequestFromAny(kv::revision after)
+      -> boost::asio::awaitable<std::optional<kv::change_list>>;
+  // The journal of the region to be asked next: the one that served last, or
+  // any other.
+  auto NextJournal() -> std::optional<std::string>;
+
+  boost::asio::io_context& context_;
+  kv::store& source_;
+  region_id region_;
+  std::function<const history::view&()> current_view_;
+  mirrored_store_options options_;
+  random_source random_;
+  history::member_clients clients_;
+  // The address of the journal that served last.
+  std::string last_journal_;
+  // When journals whose copies did not serve may be asked again, by address.
+  std::map<std::string, instant> excluded_until_;
+};
+
+}  // namespace daisywind::front
+
+#endif  // DAISYWIND_FRONT_MIRRORED_STORE_H_
--- a/source/core/history/messages.h
+++ b/source/core/history/messages.h
@@ -5,10 +5,12 @@
 #include <compare>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <variant>
 #include <vector>
 
 #include "common/kv_types.h"
+#include "common/time.h"
 #include "history/fact_table.h"
 #include "history/limit_registry.h"
 #include "history/load_change_feed.h"
@@ -123,18 +125,28 @@
   auto operator<=>(const store_copy&) const = default;
 };
 
-// Asks for the receiver's copy of the platform's store. Sent by a VM that
-// cannot reach the store itself.
+// Asks for the receiver's copy of the platform's store.
 struct copy_request {
   // The revision that the sender knows.
   kv::revision known = 0;
+  // Whether the sender takes what has changed since then in place of a whole
+  // copy.
+  bool wants_changes = false;
 
   auto operator<=>(const copy_request&) const = default;
 };
 
 struct copy_reply {
-  // Absent when it is not newer than what the sender knows.
+  // Absent when it is not newer than what the sender knows. Without items if
+  // the sender wants changes and the receiver does not know all of them.
   std::optional<store_copy> copy;
+  // Whether the copy has all that has changed since the revision that the
+  // sender knows, and `removed` the keys that are gone.
+  bool has_only_changes = false;
+  std::vector<std::string> removed = {};
+  // Time since the store last answered the receiver; empty when it never has,
+  // and from receivers of earlier versions.
+  std::optional<duration> store_age = std::nullopt;
 
   auto operator<=>(const copy_reply&) const = default;
 };
--- a/source/core/history_wire/codec.cc
+++ b/source/core/history_wire/codec.cc
@@ -3,6 +3,7 @@
 #include <history_generated.h>
 
 #include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <utility>
@@ -14,6 +15,13 @@
 namespace daisywind::history {
 namespace {
 
+// Value of store_age_ms when the store has never answered.
+constexpr auto kNoAge = std::int64_t{-1};
+
+auto Milliseconds(duration value) -> std::int64_t {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
 auto ChainStateFrom(std::uint8_t value) -> chain_state {
   return value <= static_cast<std::uint8_t>(chain_state::kMissing)
              ? static_cast<chain_state>(value)
@@ -199,11 +207,12 @@
 auto ToObject(const copy_request& from) -> fbs::CopyRequestT {
   auto to = fbs::CopyRequestT{};
   to.known = from.known;
+  to.wants_changes = from.wants_changes;
   return to;
 }
 
 auto FromObject(const fbs::CopyRequestT& from) -> copy_request {
-  return {from.known};
+  return {from.known, from.wants_changes};
 }
 
 auto ToObject(const copy_reply& from) -> fbs::CopyReplyT {
@@ -211,6 +220,9 @@
   if (from.copy) {
     to.store = Convert(*from.copy);
   }
+  to.has_only_changes = from.has_only_changes;
+  to.removed = from.removed;
+  to.store_age_ms = from.store_age ? Milliseconds(*from.store_age) : kNoAge;
   return to;
 }
 
@@ -219,6 +231,11 @@
   if (from.store != nullptr) {
     to.copy = Convert(*from.store);
   }
+  to.has_only_changes = from.has_only_changes;
+  to.removed = from.removed;
+  if (from.store_age_ms >= 0) {
+    to.store_age = std::chrono::milliseconds(from.store_age_ms);
+  }
   return to;
 }
 
--- a/source/core/journal/journal_node.cc
+++ b/source/core/journal/journal_node.cc
@@ -205,9 +205,10 @@
   ++counters_.requests;
   if (const auto* wanted = std::get_if<history::copy_request>(&request->body)) {
     if (const auto open = channel.lock()) {
+      auto reply = mirror_.ReplyTo(*wanted);
+      reply.store_age = view_manager_->StoreAge(Now());
       open->Send(history::EncodeMessage(
-          {request->id, replica_.current().number,
-           history::copy_reply{mirror_.CopyIfNewer(wanted->known)}}));
+          {request->id, replica_.current().number, std::move(reply)}));
     }
     return;
   }
--- a/source/core/journal/journal_settings.cc
+++ b/source/core/journal/journal_settings.cc
@@ -12,6 +12,7 @@
           Declare(kMetricsAddress),
           Declare(kStoreAddress),
           Declare(kInForceMs),
+          Declare(kDrainedMs),
           Declare(kDataFolder),
           Declare(kToleratedDiskLosses),
           Declare(kRetentionMs),
--- a/source/core/journal/store_mirror.cc
+++ b/source/core/journal/store_mirror.cc
@@ -16,17 +16,58 @@
     items_.emplace(item.key, item);
   }
   revision_ = all.revision_at;
+  removals_.clear();
+  removals_since_ = all.revision_at;
 }
 
 auto store_mirror::Apply(const kv::change_list& list) -> void {
   for (const auto& change : list.changes) {
     if (change.is_removed) {
       items_.erase(change.item.key);
+      removals_.insert_or_assign(change.item.key, change.item.mod_revision);
     } else {
       items_.insert_or_assign(change.item.key, change.item);
+      removals_.erase(change.item.key);
     }
   }
   revision_ = std::max(revision_, list.next);
+  DropOldRemovals();
+}
+
+auto store_mirror::DropOldRemovals() -> void {
+  constexpr auto kMaxRemovals = std::size_t{4096};
+  if (removals_.size() <= kMaxRemovals) {
+    return;
+  }
+  // All at once, so that the cost per removal stays constant.
+  removals_.clear();
+  removals_since_ = revision_;
+}
+
+auto store_mirror::ReplyTo(const history::copy_request& request) const
+    -> history::copy_reply {
+  if (!request.wants_changes) {
+    return {CopyIfNewer(request.known)};
+  }
+  if (revision_ <= request.known) {
+    return {};
+  }
+  auto reply = history::copy_reply{history::store_copy{revision_, {}}};
+  reply.has_only_changes = request.known >= removals_since_;
+  if (!reply.has_only_changes) {
+    return reply;
+  }
+  for (const auto& [key, item] : items_) {
+    if (item.mod_revision > request.known) {
+      reply.copy->items.push_back(item);
+    }
+  }
+  for (const auto& [key, removed_at] : removals_) {
+    if (removed_at > request.known) {
+      reply.removed.push_back(key);
+    }
+  }
+  return reply;
 }
 
 auto store_mirror::CopyIfNewer(kv::revision known) const
--- a/source/core/journal/store_mirror.h
+++ b/source/core/journal/store_mirror.h
@@ -23,6 +23,10 @@
 
   auto Apply(const kv::change_list& list) -> void;
 
+  // Returns what a request asks for, without the store's age.
+  [[nodiscard]] auto ReplyTo(const history::copy_request& request) const
+      -> history::copy_reply;
+
   // Returns the content, or nothing when it is not newer than the given
   // revision.
   [[nodiscard]] auto CopyIfNewer(kv::revision known) const
@@ -31,8 +35,14 @@
   [[nodiscard]] auto revision_at() const -> kv::revision { return revision_; }
 
  private:
+  auto DropOldRemovals() -> void;
+
   std::map<std::string, kv::key_value> items_;
   kv::revision revision_ = 0;
+  // Keys that were removed after `removals_since_`, with the revision of their
+  // removal. A listing does not tell what was removed before it.
+  std::map<std::string, kv::revision> removals_;
+  kv::revision removals_since_ = 0;
 };
 
 }  // namespace daisywind::journal
--- a/source/core/journal/view_manager.h
+++ b/source/core/journal/view_manager.h
@@ -75,6 +75,12 @@
   auto Start() -> void;
   auto Stop() -> void;
 
+  // Time since the store last answered completely; empty before its first
+  // answer.
+  [[nodiscard]] auto StoreAge(instant now) const -> std::optional<duration> {
+    return watch_.Age(now);
+  }
+
  private:
   struct reachable_member {
     history::member peer;
--- a/source/core/kv/store_watch.cc
+++ b/source/core/kv/store_watch.cc
@@ -26,6 +26,14 @@
   return options;
 }
 
+auto RelayingWatchOptionsFor(duration time_limit) -> watch_options {
+  auto options = WatchOptionsFor(time_limit);
+  options.wait =
+      std::min(options.wait, std::max(time_limit / 2, 2 * options.coalesce) -
+                                 options.coalesce);
+  return options;
+}
+
 store_watch::store_watch(asio::io_context& context,
                          store& source,
                          std::string prefix,
@@ -114,6 +122,11 @@
   co_return true;
 }
 
+auto store_watch::Age(instant now) const -> std::optional<duration> {
+  return answered_at_ ? std::optional<duration>(now - *answered_at_)
+                      : std::nullopt;
+}
+
 auto store_watch::OnAnswer(instant called_at) -> void {
   answered_at_ = Now();
   last_call_duration_ = *answered_at_ - called_at;
--- a/source/core/kv/store_watch.h
+++ b/source/core/kv/store_watch.h
@@ -48,6 +48,11 @@
 // limits below 2 s can't be kept in the latter case.
 auto WatchOptionsFor(duration time_limit) -> watch_options;
 
+// The same for a watch whose owner passes the changes on to other VMs, which
+// need a part of the limit: the store answers it at least once in half of the
+// limit.
+auto RelayingWatchOptionsFor(duration time_limit) -> watch_options;
+
 // Watches one prefix from Start until Stop.
 class store_watch {
  public:
@@ -60,11 +65,9 @@
   auto Start() -> void;
   auto Stop() -> void;
 
-  // When the newest complete response of the store arrived; empty before the
-  // first one.
-  [[nodiscard]] auto answered_at() const -> std::optional<instant> {
-    return answered_at_;
-  }
+  // Time since the newest complete response of the store arrived; empty before
+  // the first one.
+  [[nodiscard]] auto Age(instant now) const -> std::optional<duration>;
 
   // How long the call that got this response took.
   [[nodiscard]] auto last_call_duration() const -> duration {
--- a/source/daisywind_journal/main.cc
+++ b/source/daisywind_journal/main.cc
@@ -43,8 +43,7 @@
   auto view_options = view_manager_options{};
   view_options.tolerated_losses =
       static_cast<std::size_t>(values.Get(kToleratedDiskLosses));
-  view_options.watch =
-      kv::WatchOptionsFor(std::chrono::milliseconds(values.Get(kInForceMs)));
+  view_options.watch = kv::RelayingWatchOptionsFor(ChangeTimeLimit(values));
   view_options.retire = platform::RetireKeys();
   auto node = journal_node(context, values, store, std::move(view_options));
   if (!node.Start()) {
--- a/source/testing/fake_store.cc
+++ b/source/testing/fake_store.cc
@@ -86,6 +86,7 @@
                                 kv::revision after,
                                 duration wait)
     -> asio::awaitable<kv::store_result<kv::change_list>> {
+  ++waits_;
   longest_wait_ = std::max(longest_wait_, wait);
   const auto until = std::chrono::steady_clock::now() + wait;
   while (true) {
--- a/source/testing/fake_store.h
+++ b/source/testing/fake_store.h
@@ -45,6 +45,8 @@
   auto LoseNextAnswer() -> void { loses_next_answer_ = true; }
 
   [[nodiscard]] auto lists() const -> int { return lists_; }
+  // Number of calls for changes.
+  [[nodiscard]] auto waits() const -> int { return waits_; }
 
   // The longest wait that a client has requested in a call for changes.
   [[nodiscard]] auto longest_wait() const -> duration { return longest_wait_; }
@@ -66,6 +68,7 @@
   bool is_down_ = false;
   bool loses_next_answer_ = false;
   int lists_ = 0;
+  int waits_ = 0;
   duration longest_wait_{};
 };
 
--- a/source/unit_tests/history_wire/codec_test.cc
+++ b/source/unit_tests/history_wire/codec_test.cc
@@ -70,8 +70,10 @@
                         true}},
                       {{7, 0.0, 31s}}}},
       copy_request{5},
+      copy_request{5, true},
       copy_reply{store_copy{9, {{"k", "v", 3, 4}}}},
-      copy_reply{}};
+      copy_reply{},
+      copy_reply{store_copy{9, {{"k", "v", 3, 4}}}, true, {"gone"}, 250ms}};
 }
 
 TEST_CASE("every message type decodes to what was encoded") {
--- a/source/unit_tests/journal/store_mirror_test.cc
+++ b/source/unit_tests/journal/store_mirror_test.cc
@@ -26,6 +26,45 @@
   CHECK_FALSE(mirror.CopyIfNewer(7));
 }
 
+TEST_CASE("the changes since a revision have each key once") {
+  auto mirror = store_mirror{};
+  mirror.Replace(
+      {{Item("a", "1", 3), Item("b", "2", 4), Item("c", "3", 5)}, 5});
+  mirror.Apply({{{Item("a", "8", 6), /*is_removed=*/false},
+                 {Item("a", "9", 7), /*is_removed=*/false},
+                 {Item("b", "", 8), /*is_removed=*/true}},
+                8});
+  const auto reply = mirror.ReplyTo({5, /*wants_changes=*/true});
+  REQUIRE(reply.copy);
+  CHECK(reply.has_only_changes);
+  CHECK(reply.copy->revision_at == 8);
+  CHECK(reply.copy->items == std::vector<kv::key_value>{Item("a", "9", 7)});
+  CHECK(reply.removed == std::vector<std::string>{"b"});
+  CHECK_FALSE(mirror.ReplyTo({8, /*wants_changes=*/true}).copy);
+  CHECK(mirror.ReplyTo({7, /*wants_changes=*/true}).copy->items.empty());
+}
+
+TEST_CASE("a key that was removed and written again is a change only") {
+  auto mirror = store_mirror{};
+  mirror.Replace({{Item("a", "1", 3)}, 5});
+  mirror.Apply({{{Item("a", "", 6), /*is_removed=*/true},
+                 {Item("a", "2", 7), /*is_removed=*/false}},
+                7});
+  const auto reply = mirror.ReplyTo({5, /*wants_changes=*/true});
+  CHECK(reply.removed.empty());
+  CHECK(reply.copy->items.size() == 1);
+}
+
+TEST_CASE("changes from before a listing are not known") {
+  auto mirror = store_mirror{};
+  mirror.Replace({{Item("a", "1", 3)}, 5});
+  mirror.Replace({{}, 9});
+  const auto reply = mirror.ReplyTo({5, /*wants_changes=*/true});
+  REQUIRE(reply.copy);
+  CHECK_FALSE(reply.has_only_changes);
+  CHECK(mirror.ReplyTo({5}).copy->items.empty());
+}
+
 TEST_CASE("a copy from the disk replaces only an older state") {
   auto mirror = store_mirror{};
   mirror.Replace({{Item("a", "1", 3)}, 5});
