Read a listing in place of many versions of the same key

Cause: a call for changes reports every version of a key whole.

Change: a watch compares what the next call for changes would bring (the number of changes since the last call x their average size) with the size of the last listing, and lists if that is smaller.

--- a/source/core/journal/store_mirror.cc
+++ b/source/core/journal/store_mirror.cc
@@ -1,23 +1,36 @@
 #include "journal/store_mirror.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace daisywind::journal {
 
 auto store_mirror::Restore(const history::store_copy& copy) -> void {
   if (copy.revision_at > revision_) {
+    *this = store_mirror{};
     Replace({copy.items, copy.revision_at});
   }
 }
 
 auto store_mirror::Replace(const kv::listing& all) -> void {
-  items_.clear();
+  auto items = std::map<std::string, kv::key_value>{};
   for (const auto& item : all.items) {
-    items_.emplace(item.key, item);
+    items.emplace(item.key, item);
+    removals_.erase(item.key);
   }
+  if (revision_ == 0) {
+    removals_since_ = all.revision_at;
+  } else if (all.revision_at > revision_) {
+    gaps_.emplace_back(revision_, all.revision_at);
+  }
+  for (const auto& [key, item] : items_) {
+    if (!items.contains(key)) {
+      removals_.insert_or_assign(key, all.revision_at);
+    }
+  }
+  items_ = std::move(items);
   revision_ = all.revision_at;
-  removals_.clear();
-  removals_since_ = all.revision_at;
+  DropOldRemovals();
 }
 
 auto store_mirror::Apply(const kv::change_list& list) -> void {
@@ -36,14 +49,23 @@
 
 auto store_mirror::DropOldRemovals() -> void {
   constexpr auto kMaxRemovals = std::size_t{4096};
-  if (removals_.size() <= kMaxRemovals) {
+  constexpr auto kMaxGaps = std::size_t{256};
+  if (removals_.size() <= kMaxRemovals && gaps_.size() <= kMaxGaps) {
     return;
   }
   // All at once, so that the cost per removal stays constant.
   removals_.clear();
+  gaps_.clear();
   removals_since_ = revision_;
 }
 
+auto store_mirror::HasRemovalsSince(kv::revision known) const -> bool {
+  return known >= removals_since_ &&
+         std::none_of(gaps_.begin(), gaps_.end(), [&](const auto& gap) {
+           return known > gap.first && known < gap.second;
+         });
+}
+
 auto store_mirror::ReplyTo(const history::copy_request& request) const
     -> history::copy_reply {
   if (!request.wants_changes) {
@@ -53,7 +75,7 @@
     return {};
   }
   auto reply = history::copy_reply{history::store_copy{revision_, {}}};
-  reply.has_only_changes = request.known >= removals_since_;
+  reply.has_only_changes = HasRemovalsSince(request.known);
   if (!reply.has_only_changes) {
     return reply;
   }
--- a/source/core/journal/store_mirror.h
+++ b/source/core/journal/store_mirror.h
@@ -5,6 +5,8 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "common/kv_types.h"
 #include "history/messages.h"
@@ -36,13 +38,18 @@
 
  private:
   auto DropOldRemovals() -> void;
+  // Whether everything that has been removed since a revision is known.
+  [[nodiscard]] auto HasRemovalsSince(kv::revision known) const -> bool;
 
   std::map<std::string, kv::key_value> items_;
   kv::revision revision_ = 0;
   // Keys that were removed after `removals_since_`, with the revision of their
-  // removal. A listing does not tell what was removed before it.
+  // removal, as far as they were here or removed in a change.
   std::map<std::string, kv::revision> removals_;
   kv::revision removals_since_ = 0;
+  // Pairs of revisions between which only a listing was read. A VM that has read
+  // the store between them may know a key that was written and removed there.
+  std::vector<std::pair<kv::revision, kv::revision>> gaps_;
 };
 
 }  // namespace daisywind::journal
--- a/source/core/kv/store_watch.cc
+++ b/source/core/kv/store_watch.cc
@@ -14,6 +14,14 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+auto BytesOf(const key_value& item) -> std::size_t {
+  return item.key.size() + item.value.size();
+}
+
+}  // namespace
+
 auto WatchOptionsFor(duration time_limit) -> watch_options {
   constexpr auto kMinInterval = duration(100ms);
   constexpr auto kMaxCoalesce = duration(1s);
@@ -86,9 +94,18 @@
     co_return false;
   }
   OnAnswer(called_at);
-  next_ = result.value->revision_at;
-  needs_refresh_ = false;
+  const auto changes = result.value->revision_at -
+                       std::exchange(next_, result.value->revision_at);
+  listing_bytes_ = 0;
+  for (const auto& item : result.value->items) {
+    listing_bytes_ += BytesOf(item);
+  }
+  needs_refresh_ =
+      changes > 0 && IsListingSmaller(static_cast<std::size_t>(changes));
   handlers_.on_snapshot(*result.value);
+  if (needs_refresh_) {
+    co_await Pause(options_.coalesce);
+  }
   co_return true;
 }
 
@@ -115,7 +132,14 @@
   // Without changes the position stays: the store may have passed a change that
   // it failed to report.
   if (!result.value->changes.empty()) {
+    const auto& changes = result.value->changes;
     next_ = std::max(next_, result.value->next);
+    auto bytes = std::size_t{0};
+    for (const auto& change : changes) {
+      bytes += BytesOf(change.item);
+    }
+    bytes_per_change_ = bytes / changes.size();
+    needs_refresh_ = IsListingSmaller(changes.size());
     handlers_.on_changes(*result.value);
     co_await Pause(options_.coalesce);
   }
@@ -127,6 +151,10 @@
                       : std::nullopt;
 }
 
+auto store_watch::IsListingSmaller(std::size_t changes) const -> bool {
+  return changes * bytes_per_change_ > listing_bytes_;
+}
+
 auto store_watch::OnAnswer(instant called_at) -> void {
   answered_at_ = Now();
   last_call_duration_ = *answered_at_ - called_at;
--- a/source/core/kv/store_watch.h
+++ b/source/core/kv/store_watch.h
@@ -53,7 +53,9 @@
 // limit.
 auto RelayingWatchOptionsFor(duration time_limit) -> watch_options;
 
-// Watches one prefix from Start until Stop.
+// Watches one prefix from Start until Stop. Lists the keys in place of a call for
+// changes while that is the smaller response: a call for changes has each of
+// them whole, also those that a later one replaces.
 class store_watch {
  public:
   store_watch(boost::asio::io_context& context,
@@ -80,6 +82,8 @@
   auto Run() -> boost::asio::awaitable<void>;
   auto Refresh() -> boost::asio::awaitable<bool>;
   auto Follow() -> boost::asio::awaitable<bool>;
+  // Whether so many changes as these are larger than a listing.
+  [[nodiscard]] auto IsListingSmaller(std::size_t changes) const -> bool;
   auto Pause(duration length) -> boost::asio::awaitable<void>;
   auto SetReachable(bool value, const std::string& reason) -> void;
 
@@ -92,6 +96,10 @@
   revision next_ = 0;
   std::optional<instant> answered_at_;
   duration last_call_duration_{};
+  // Size of the last listing, and the average size of the changes in the last
+  // call that reported any.
+  std::size_t listing_bytes_ = 0;
+  std::size_t bytes_per_change_ = 0;
   bool needs_refresh_ = true;
   bool is_reachable_ = true;
   bool is_stopped_ = false;
--- a/source/unit_tests/kv/store_watch_test.cc
+++ b/source/unit_tests/kv/store_watch_test.cc
@@ -122,6 +122,76 @@
   }
 }
 
+// A store with one key of `kBytes` bytes, which has changed kVersionsPerCall
+// times whenever it is asked, and some that don't change.
+class busy_store : public forgetful_store {
+ public:
+  static constexpr auto kBytes = std::size_t{1000};
+  static constexpr auto kVersionsPerCall = 8;
+  static constexpr auto kRounds = 40;
+
+  busy_store() : forgetful_store(true) {}
+
+  auto List(std::string) -> asio::awaitable<store_result<listing>> override {
+    co_await asio::post(asio::use_awaitable);
+    revision_ += kVersionsPerCall;
+    auto all = listing{};
+    all.revision_at = revision_;
+    all.items.push_back({"often", std::string(kBytes, 'x'), 1, revision_});
+    all.items.push_back({"never", std::string(kBytes, 'y'), 1, 1});
+    Count(all.items.size());
+    co_return store_result<listing>{outcome::kAnswered, std::move(all), ""};
+  }
+
+  auto WaitForChanges(std::string, revision after, duration)
+      -> asio::awaitable<store_result<change_list>> override {
+    co_await asio::post(asio::use_awaitable);
+    revision_ += kVersionsPerCall;
+    auto list = change_list{};
+    for (auto at = after + 1; at <= revision_; ++at) {
+      list.changes.push_back(
+          {{"often", std::string(kBytes, 'x'), 1, at}, false});
+    }
+    list.next = revision_;
+    Count(list.changes.size());
+    co_return store_result<change_list>{outcome::kAnswered, std::move(list),
+                                        ""};
+  }
+
+  int rounds = 0;
+  std::size_t bytes = 0;
+
+ private:
+  auto Count(std::size_t items) -> void {
+    ++rounds;
+    bytes += items * kBytes;
+  }
+
+  revision revision_ = 1;
+};
+
+// Regression: the bytes that a watch received grew with the number of versions
+// of one key.
+TEST_CASE("many versions of one key cost a watch no more than listings") {
+  auto context = asio::io_context{1};
+  auto source = busy_store{};
+  auto options = watch_options{};
+  options.coalesce = duration(0);
+  auto watch = store_watch(
+      context, source, "", options,
+      {[](const listing&) {}, [](const change_list&) {}, [](bool) {}});
+  watch.Start();
+  while (source.rounds < busy_store::kRounds && context.run_one() > 0) {
+  }
+  // One call for changes shows how large they are.
+  constexpr auto kListingBytes = 2 * busy_store::kBytes;
+  CHECK(source.bytes <=
+        (busy_store::kRounds + 2 * busy_store::kVersionsPerCall) *
+            kListingBytes);
+  watch.Stop();
+  context.run();
+}
+
 TEST_CASE("a store that refuses calls for changes is not flooded with lists") {
   // The pauses up to the tenth listing add up to more than five seconds.
   constexpr auto kMaxLists = 10;
