--- a/source/core/common/log_events.cc
+++ b/source/core/common/log_events.cc
@@ -44,6 +44,7 @@
     kRateLimitChanged,
     kRateLimitNamed,
     kPathStateChanged,
+    kEndpointLeaves,
     kRequestRefused,
     kAttemptEnded,
     kRequestEnded,
--- a/source/core/common/log_events.h
+++ b/source/core/common/log_events.h
@@ -142,6 +142,9 @@
 inline constexpr auto kPathStateChanged =
     log_event{2008, log_subsystem::kFront, log_level::kWarning,
               "path to the endpoints changed"};
+inline constexpr auto kEndpointLeaves =
+    log_event{2009, log_subsystem::kFront, log_level::kInfo,
+              "response says that its endpoint leaves"};
 inline constexpr auto kRequestRefused =
     log_event{2101, log_subsystem::kFront, log_level::kInfo,
               "request refused without being executed"};
--- a/source/core/front/platform_codecs.h
+++ b/source/core/front/platform_codecs.h
@@ -36,6 +36,9 @@
   bool is_not_run = false;
   // The address belongs to another endpoint than the one that was named.
   bool is_misdirected = false;
+  // The endpoint that responds finishes its current requests and gets no new
+  // ones.
+  bool is_leaving = false;
   std::optional<dispatch::load_report> load;
   // Requests per second that the endpoint takes from all VMs together; empty
   // when it names no limit.
--- a/source/core/front/response_flow.cc
+++ b/source/core/front/response_flow.cc
@@ -56,6 +56,11 @@
     node_.limits().OnResponse(endpoint, metadata.rate_limit, call_.request_id,
                               Now());
   }
+  if (metadata.is_leaving && !metadata.is_misdirected) {
+    Log(log_events::kEndpointLeaves,
+        {{"endpoint", std::string_view(endpoint.value)},
+         {"request", std::string_view(call_.request_id)}});
+  }
   if (metadata.is_not_run) {
     endpoints.OnHealthSignal(endpoint,
                              metadata.is_misdirected
