Send no requests to endpoints whose responses say they leave

Cause: a front learned that an endpoint leaves from its entry in the platform's store only. While the store is silent the entry stays as it is.

Change: the endpoint table marks the run (service, address, start time) whose response says that it leaves. Placement, quotas and relayed attempts treat it like one whose entry says draining, so first attempts, retries, turns that follow their cache and attempts for other fronts all pass it over. The mark outlives the entry's absence, since an entry that lapsed while the store was away comes back as ready; another run under the id, or another endpoint at the address, is not marked. A 421 is another endpoint's response and marks nothing. If only leaving endpoints are left, a request is refused at once as not run.

--- a/source/core/dispatch/endpoint_table.cc
+++ b/source/core/dispatch/endpoint_table.cc
@@ -27,6 +27,10 @@
 
 }  // namespace
 
+auto RunOf(const endpoint& entry) -> endpoint_run {
+  return {entry.service, entry.address, entry.started_ms};
+}
+
 auto prompt_part_cache::Add(const prompt_part& part) -> void {
   if (const auto found = entries_.find(part.id); found != entries_.end()) {
     auto& known = *found->second;
@@ -50,12 +54,8 @@
 
 auto endpoint_table::Put(const endpoint& entry, instant now) -> void {
   const auto found = states_.find(entry.id);
-  const auto is_same_run =
-      found != states_.end() &&
-      found->second.state.entry.started_ms == entry.started_ms &&
-      found->second.state.entry.service == entry.service &&
-      found->second.state.entry.address == entry.address;
-  if (is_same_run) {
+  if (found != states_.end() &&
+      RunOf(found->second.state.entry) == RunOf(entry)) {
     found->second.state.entry = entry;
     found->second.state.expires_at.reset();
     return;
@@ -66,6 +66,12 @@
   auto state = endpoint_state{};
   state.entry = entry;
   state.registered_at = now;
+  if (const auto left = leaving_.find(entry.id); left != leaving_.end()) {
+    state.has_said_it_leaves = left->second.run == RunOf(entry);
+    if (!state.has_said_it_leaves) {
+      leaving_.erase(left);
+    }
+  }
   const auto [added, is_new] = states_.emplace(
       entry.id,
       table_entry{std::move(state),
@@ -74,6 +80,21 @@
   by_key_.insert_or_assign(KeyOf(entry.id), entry.id);
 }
 
+auto endpoint_table::SetLeaving(const endpoint& entry, instant now) -> bool {
+  const auto run = RunOf(entry);
+  const auto found = states_.find(entry.id);
+  if (found != states_.end()) {
+    if (RunOf(found->second.state.entry) != run) {
+      return false;
+    }
+    found->second.state.has_said_it_leaves = true;
+  }
+  const auto [left, is_new] = leaving_.try_emplace(entry.id);
+  const auto is_news = is_new || left->second.run != run;
+  left->second = {run, now};
+  return is_news;
+}
+
 auto endpoint_table::Remove(const endpoint_id& id,
                             bool is_in_doubt,
                             instant now) -> void {
@@ -101,6 +122,14 @@
   for (const auto& id : expired) {
     Erase(id);
   }
+  for (auto& [id, left] : leaving_) {
+    if (states_.contains(id)) {
+      left.seen_at = now;
+    }
+  }
+  std::erase_if(leaving_, [&](const auto& item) {
+    return now - item.second.seen_at > options_.leaving_retention;
+  });
   return expired;
 }
 
@@ -279,8 +308,7 @@
     -> std::optional<duration> {
   auto next = std::optional<duration>{};
   for (const auto* state : OfService(service)) {
-    if (!state->quota || state->quota->per_second <= 0 ||
-        state->entry.is_draining) {
+    if (!state->quota || state->quota->per_second <= 0 || state->IsLeaving()) {
       continue;
     }
     const auto missing = 1.0 - Available(*state->quota, now);
--- a/source/core/dispatch/endpoint_table.h
+++ b/source/core/dispatch/endpoint_table.h
@@ -7,6 +7,7 @@
 #include <list>
 #include <map>
 #include <optional>
+#include <string>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -59,6 +60,9 @@
   duration report_lifetime = 4s;
   // Maximum number of prompt parts that are tracked as cached per endpoint.
   std::size_t max_cached_parts_per_endpoint = 1024;
+  // How long a run that has said it leaves is remembered without an entry. A
+  // leaving endpoint may serve for many seconds, and its entry may come back.
+  duration leaving_retention = 600s;
 
   auto operator<=>(const endpoint_options&) const = default;
 };
@@ -74,9 +78,23 @@
   auto operator<=>(const request_quota&) const = default;
 };
 
+// One run of an endpoint, between its start and its end.
+struct endpoint_run {
+  service_id service;
+  std::string address;
+  std::int64_t started_ms = 0;
+
+  auto operator<=>(const endpoint_run&) const = default;
+};
+
+// The run that an entry describes.
+auto RunOf(const endpoint& entry) -> endpoint_run;
+
 // An endpoint with its observed load and health.
 struct endpoint_state {
   endpoint entry;
+  // Its responses to this VM say that it leaves, whatever its entry says.
+  bool has_said_it_leaves = false;
   // Requests in flight from this VM.
   std::uint32_t in_flight = 0;
   std::optional<load_report> report;
@@ -99,6 +117,11 @@
   // the entry is missing.
   std::optional<instant> expires_at;
   instant registered_at{};
+
+  // Whether it finishes its current requests and gets no new ones.
+  [[nodiscard]] auto IsLeaving() const -> bool {
+    return entry.is_draining || has_said_it_leaves;
+  }
 };
 
 // The most recently used prompt parts, up to a maximum number, as a model of an
@@ -141,6 +164,12 @@
   [[nodiscard]] auto Ids() const -> std::vector<endpoint_id>;
   [[nodiscard]] auto size() const -> std::size_t { return states_.size(); }
 
+  // Records that an endpoint has said it leaves, in a response to a request
+  // that was sent while its entry was the given one. Lasts until another run is
+  // registered under its id, also while it has no entry. Returns whether that
+  // is news.
+  auto SetLeaving(const endpoint& entry, instant now) -> bool;
+
   // Takes the request from the endpoint's quota.
   auto OnRequestSent(const endpoint_id& id, instant now) -> void;
   auto OnRequestEnded(const endpoint_id& id) -> void;
@@ -217,6 +246,12 @@
   // Keyed by the hash that identifies endpoints in the load samples between
   // VMs.
   std::unordered_map<endpoint_key, endpoint_id> by_key_;
+  // Runs that have said they leave, and when each was last seen here.
+  struct leaving_run {
+    endpoint_run run;
+    instant seen_at{};
+  };
+  std::unordered_map<endpoint_id, leaving_run> leaving_;
   std::vector<const endpoint_state*> no_endpoints_;
 };
 
--- a/source/core/dispatch/placement.cc
+++ b/source/core/dispatch/placement.cc
@@ -83,7 +83,7 @@
 // Endpoints that can be chosen for the request.
 using candidate_list = std::vector<const endpoint_state*>;
 
-// Returns the endpoints of the service that are neither draining nor excluded
+// Returns the endpoints of the service that are neither leaving nor excluded
 // and whose rate limits allow a request:
 // those that are not paused, or all of them if every one is.
 auto CandidatesOf(const endpoint_table& endpoints,
@@ -92,7 +92,7 @@
   auto unpaused = candidate_list{};
   auto paused = candidate_list{};
   for (const auto* state : endpoints.OfService(request.service)) {
-    if (state->entry.is_draining || !endpoints.HasQuota(*state, now) ||
+    if (state->IsLeaving() || !endpoints.HasQuota(*state, now) ||
         request.excluded.contains(state->entry.id)) {
       continue;
     }
--- a/source/core/front/relay_service.cc
+++ b/source/core/front/relay_service.cc
@@ -73,9 +73,11 @@
   auto& request = exchange.request();
   const auto id = request.endpoint;
   const auto* state = endpoints_.Find(id);
-  if (state == nullptr || state->entry.is_draining) {
-    co_return NotSent("endpoint is not registered or draining");
+  if (state == nullptr || state->IsLeaving()) {
+    co_return NotSent("endpoint is not registered or is leaving");
   }
+  // The endpoint may be gone from the table before it responds.
+  const auto entry = state->entry;
   const auto address = net::ParseSocketAddress(state->entry.address)
                            .value_or(net::socket_address{});
   const auto path = paths_.Choose(address, {});
@@ -106,8 +108,15 @@
   end.outcome = opened.outcome;
   end.error = opened.error;
   if (opened.outcome == net::http_outcome::kAnswered) {
-    if (const auto load = requests_.ReadResponse(opened.head).load) {
-      endpoints_.OnReport(id, *load, Now());
+    const auto metadata = requests_.ReadResponse(opened.head);
+    if (metadata.load) {
+      endpoints_.OnReport(id, *metadata.load, Now());
+    }
+    if (metadata.is_leaving && !metadata.is_misdirected &&
+        endpoints_.SetLeaving(entry, Now())) {
+      Log(log_events::kEndpointLeaves,
+          {{"endpoint", std::string_view(id.value)},
+           {"request", std::string_view(request.request_id)}});
     }
     auto is_sent = exchange.SendHead({opened.head, opened.body->Framing()});
     while (is_sent) {
--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -235,6 +235,9 @@
   options.cancellation = cancellation_;
   ++attempts_.attempts;
   const auto sent_at = Now();
+  // The endpoint may be gone from the table before it responds.
+  const auto entry =
+      node_.service_directory().endpoints().Find(choice.endpoint)->entry;
   summary_.relay = path.relay ? path.relay->location.vm : vm_id();
   auto opened =
       path.relay
@@ -245,7 +248,7 @@
   summary_.is_reused = opened.is_reused;
   auto end = std::optional<attempt_result>{};
   if (opened.outcome == net::http_outcome::kAnswered) {
-    end = co_await HandleResponse(opened, choice.endpoint);
+    end = co_await HandleResponse(opened, entry);
   } else {
     end = opened.outcome == net::http_outcome::kNotSent
               ? attempt_result::kNotRun
--- a/source/core/front/request_flow.h
+++ b/source/core/front/request_flow.h
@@ -90,8 +90,9 @@
   auto ChoosePath(const dispatch::placement_choice& choice,
                   std::optional<history::sender_state> relay)
       -> std::optional<attempt_path>;
+  // `entry` is that of the endpoint when the request was sent.
   auto HandleResponse(net::http_stream_result& opened,
-                      const endpoint_id& endpoint)
+                      const dispatch::endpoint& entry)
       -> boost::asio::awaitable<std::optional<dispatch::attempt_result>>;
   // Reads the whole response before it is forwarded. Returns false when it is
   // incomplete or its status must not be forwarded.
--- a/source/core/front/response_flow.cc
+++ b/source/core/front/response_flow.cc
@@ -43,8 +43,9 @@
 }
 
 auto request_flow::HandleResponse(net::http_stream_result& opened,
-                                  const endpoint_id& endpoint)
+                                  const dispatch::endpoint& entry)
     -> asio::awaitable<std::optional<attempt_result>> {
+  const auto& endpoint = entry.id;
   auto& endpoints = node_.service_directory().endpoints();
   const auto metadata = node_.requests().ReadResponse(opened.head);
   if (metadata.load) {
@@ -56,7 +57,8 @@
     node_.limits().OnResponse(endpoint, metadata.rate_limit, call_.request_id,
                               Now());
   }
-  if (metadata.is_leaving && !metadata.is_misdirected) {
+  if (metadata.is_leaving && !metadata.is_misdirected &&
+      endpoints.SetLeaving(entry, Now())) {
     Log(log_events::kEndpointLeaves,
         {{"endpoint", std::string_view(endpoint.value)},
          {"request", std::string_view(call_.request_id)}});
--- a/source/unit_tests/dispatch/endpoint_table_test.cc
+++ b/source/unit_tests/dispatch/endpoint_table_test.cc
@@ -53,6 +53,58 @@
   CHECK(table.Tick(kStart + 10s).empty());
 }
 
+TEST_CASE("an endpoint that has said it leaves does so until it is replaced") {
+  auto table = endpoint_table({});
+  const auto entry = Endpoint("a");
+  table.Put(entry, kStart);
+  CHECK_FALSE(table.Find(entry.id)->IsLeaving());
+  CHECK(table.SetLeaving(entry, kStart));
+  CHECK_FALSE(table.SetLeaving(entry, kStart));
+  CHECK(table.Find(entry.id)->IsLeaving());
+  // Its entry is written again, still as ready.
+  auto repeated = entry;
+  repeated.slots = 5;
+  table.Put(repeated, kStart + 1s);
+  CHECK(table.Find(entry.id)->IsLeaving());
+  auto restarted = entry;
+  restarted.started_ms = 2;
+  table.Put(restarted, kStart + 2s);
+  CHECK_FALSE(table.Find(entry.id)->IsLeaving());
+  // A late response of the previous run.
+  CHECK_FALSE(table.SetLeaving(entry, kStart + 3s));
+  CHECK_FALSE(table.Find(entry.id)->IsLeaving());
+}
+
+TEST_CASE(
+    "a leaving endpoint whose entry vanishes and comes back still leaves") {
+  auto table = endpoint_table({});
+  const auto entry = Endpoint("a");
+  table.Put(entry, kStart);
+  table.SetLeaving(entry, kStart);
+  table.Remove(entry.id, false, kStart);
+  table.Tick(kStart + 5s);
+  table.Put(entry, kStart + 5s);
+  CHECK(table.Find(entry.id)->IsLeaving());
+}
+
+TEST_CASE("an endpoint may say that it leaves while it has no entry") {
+  auto table = endpoint_table({});
+  const auto entry = Endpoint("a");
+  table.Put(entry, kStart);
+  table.Remove(entry.id, false, kStart);
+  CHECK(table.SetLeaving(entry, kStart + 1s));
+  table.Put(entry, kStart + 2s);
+  CHECK(table.Find(entry.id)->IsLeaving());
+}
+
+TEST_CASE("another endpoint at the address of one that leaves does not leave") {
+  auto table = endpoint_table({});
+  table.Put(Endpoint("a"), kStart);
+  table.SetLeaving(Endpoint("a"), kStart);
+  table.Put(Endpoint("b"), kStart);
+  CHECK_FALSE(table.Find(endpoint_id("b"))->IsLeaving());
+}
+
 TEST_CASE("a restart under the same id resets the endpoint's state") {
   auto table = endpoint_table({});
   auto entry = Endpoint("a");
--- a/source/unit_tests/dispatch/placement_test.cc
+++ b/source/unit_tests/dispatch/placement_test.cc
@@ -50,6 +50,18 @@
   CHECK(Chosen().empty());
 }
 
+TEST_CASE_FIXTURE(fixture,
+                  "an endpoint that has said it leaves gets no request") {
+  const auto id = Add("a", "near");
+  table.SetLeaving(table.Find(id)->entry, kNow);
+  CHECK(Chosen().empty());
+  // Nor for a turn whose chain it has cached.
+  request.is_engine = true;
+  request.prompt_tokens = 100;
+  request.cached_tokens.emplace(id, 100);
+  CHECK(Chosen().empty());
+}
+
 TEST_CASE_FIXTURE(fixture, "a draining endpoint gets no request") {
   const auto id = Add("a", "near");
   auto entry = table.Find(id)->entry;
--- a/source/unit_tests/front/front_harness.cc
+++ b/source/unit_tests/front/front_harness.cc
@@ -92,6 +92,8 @@
   to.status = from.status;
   to.request_id = std::string(from.Header("Id"));
   to.is_not_run = !from.Header("Not-Run").empty();
+  to.is_leaving = !from.Header("Leaving").empty();
+  to.is_misdirected = from.status == 421;
   if (const auto limit = from.Header("Limit"); !limit.empty()) {
     to.rate_limit = std::atof(std::string(limit).c_str());
   }
--- a/source/unit_tests/front/front_harness.h
+++ b/source/unit_tests/front/front_harness.h
@@ -23,8 +23,8 @@
 
 // Uses the headers Host, Id (of the request) and Endpoint (the id of the chosen
 // endpoint). An endpoint sets Not-Run in its response when it has not run the
-// request, and Limit to name a rate limit. A refusal's body is the name of its
-// reason.
+// request, Leaving when it leaves, and Limit to name a rate limit. A refusal's
+// body is the name of its reason.
 class test_request_codec : public request_codec {
  public:
   [[nodiscard]] auto ReadCall(const net::http_request& from) const
--- a/source/unit_tests/front/request_flow_test.cc
+++ b/source/unit_tests/front/request_flow_test.cc
@@ -552,6 +552,86 @@
   CHECK(own == 1);
 }
 
+// Responds that it leaves, and counts the runs.
+auto LeavingEndpoint(int& runs, unsigned status = 200) -> endpoint_handler {
+  return
+      [&runs, status](net::http_exchange& exchange) -> asio::awaitable<void> {
+        ++runs;
+        co_await exchange.Respond(
+            ResponseTo(exchange, status, "answer", "Leaving", "1"));
+      };
+}
+
+// Regression: requests were sent to endpoints whose responses said that they
+// leave, while their entries said that they were ready.
+TEST_CASE("an endpoint whose response says it leaves gets no more requests") {
+  auto harness = front_harness();
+  auto runs = 0;
+  harness.AddEndpoint("a", LeavingEndpoint(runs));
+  harness.Configure();
+  const auto first = harness.Send("once", "r");
+  CHECK(first.response.status == 200);
+  CHECK(first.response.body == "answer");
+  for (const auto* kind : {"once", "again", "stream"}) {
+    const auto refused = harness.Send(kind, kind);
+    CHECK(refused.response.status == 503);
+    CHECK(refused.response.body == "no_endpoint");
+  }
+  CHECK(runs == 1);
+}
+
+TEST_CASE(
+    "an idempotent request is not sent again to an endpoint that leaves") {
+  auto harness = front_harness();
+  auto requests = 0;
+  harness.AddEndpoint(
+      "a", [&](net::http_exchange& exchange) -> asio::awaitable<void> {
+        ++requests;
+        auto refusal = ResponseTo(exchange, 503, "", "Leaving", "1");
+        refusal.headers.push_back({"Not-Run", "1"});
+        co_await exchange.Respond(std::move(refusal));
+      });
+  harness.Configure();
+  CHECK(harness.Send("again", "r").response.status == 503);
+  CHECK(requests == 1);
+}
+
+TEST_CASE("a response of another endpoint does not make the named one leave") {
+  auto harness = front_harness();
+  auto requests = 0;
+  harness.AddEndpoint(
+      "a", [&](net::http_exchange& exchange) -> asio::awaitable<void> {
+        if (++requests > 1) {
+          co_await exchange.Respond(ResponseTo(exchange, 200, "answer"));
+          co_return;
+        }
+        auto misdirected = ResponseTo(exchange, 421, "", "Leaving", "1");
+        misdirected.headers.push_back({"Not-Run", "1"});
+        co_await exchange.Respond(std::move(misdirected));
+      });
+  harness.Configure();
+  harness.Send("once", "r");
+  CHECK_FALSE(harness.node()
+                  .service_directory()
+                  .endpoints()
+                  .Find(endpoint_id("a"))
+                  ->IsLeaving());
+}
+
+TEST_CASE("a front that relays sends no more requests to leaving endpoints") {
+  auto fixture = cut_off_fixture();
+  auto runs = 0;
+  fixture.AddEndpoints(LeavingEndpoint(runs));
+  fixture.cut_off.SetFronts({fixture.sound.relay_address()});
+  constexpr auto kRequests = 8;
+  for (auto i = 0; i < kRequests; ++i) {
+    fixture.cut_off.Send("once", "r" + std::to_string(i));
+    fixture.sound.Send("once", "s" + std::to_string(i));
+  }
+  // Each endpoint has said so once, through either front.
+  CHECK(runs == static_cast<int>(cut_off_fixture::kEndpoints.size()));
+}
+
 TEST_CASE("a status that guarantees too much is not forwarded") {
   auto harness = front_harness();
   harness.AddEndpoint(
