Take no earlier refusal for the response to an attempt

What callers could see: a faulty endpoint writes an earlier refusal once more on a kept connection. The request that it runs was then sent a second time, or refused as not run.

Cause: two ways to mistake such a refusal. The same request, sent again on the connection on which it was refused, has the id that the refusal names. And a response without an id was taken for that of whichever request came next.

A response without an id counts only if it follows no others on its connection; otherwise it is skipped like one with another id.

--- a/source/core/front/attempt_options.h
+++ b/source/core/front/attempt_options.h
@@ -20,9 +20,11 @@
 inline constexpr auto kMaxResponseBytes = std::size_t{8} * 1024 * 1024;
 
 // Returns whether a response belongs to a request, and logs those that do not.
-// The codec must outlive the returned function.
+// A response that names no request belongs to it only if it follows no others
+// on the connection: an endpoint may write an earlier response once more. The
+// codec must outlive the returned function.
 auto MatchesRequest(const request_codec& requests, std::string request_id)
-    -> std::function<bool(const net::http_response& head)>;
+    -> std::function<bool(const net::http_response& head, bool follows_others)>;
 
 }  // namespace daisywind::front
 
--- a/source/core/front/relay_service.cc
+++ b/source/core/front/relay_service.cc
@@ -92,6 +92,12 @@
   }
   auto options = net::http_options{};
   options.connection = path->connection;
+  if (request.needs_new_connection) {
+    if (path->connection == net::connection_use::kIdle) {
+      co_return NotSent("no new connection to an endpoint that has refused");
+    }
+    options.connection = net::connection_use::kNew;
+  }
   options.connect_timeout = std::min(kConnectTimeout, request.head_timeout);
   options.head_timeout = request.head_timeout;
   options.resend_on_stale = false;
--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -207,7 +207,14 @@
       node_.service_directory().endpoints().Find(choice.endpoint);
   const auto address = net::ParseSocketAddress(state->entry.address)
                            .value_or(net::socket_address{});
-  return node_.paths().Choose(address, unusable_relays_);
+  auto path = node_.paths().Choose(address, unusable_relays_);
+  if (path && !path->relay && refused_by_.contains(choice.endpoint)) {
+    if (path->connection == net::connection_use::kIdle) {
+      return std::nullopt;
+    }
+    path->connection = net::connection_use::kNew;
+  }
+  return path;
 }
 
 auto request_flow::Attempt(const std::string& body,
@@ -311,8 +318,9 @@
                                     net::http_options options)
     -> asio::awaitable<net::http_stream_result> {
   auto message = relay::attempt_request{
-      choice.endpoint, call_.request_id, std::move(request),
-      options.head_timeout, options.expects_events};
+      choice.endpoint,        call_.request_id,
+      std::move(request),     options.head_timeout,
+      options.expects_events, refused_by_.contains(choice.endpoint)};
   auto result = co_await node_.relays().Open(
       relay.relay_address, std::move(message), std::move(options));
   if (result.is_relay_unusable) {
--- a/source/core/front/request_flow.h
+++ b/source/core/front/request_flow.h
@@ -144,6 +144,9 @@
   boost::asio::steady_timer deadline_timer_;
   std::shared_ptr<net::http_cancellation> cancellation_;
   dispatch::attempt_history attempts_;
+  // Endpoints that have refused the request. Such a refusal may come once more
+  // on its connection, as if it were that of the next attempt.
+  std::set<endpoint_id> refused_by_;
   // Relays that could not be reached or reached no endpoint.
   std::set<vm_id> unusable_relays_;
   summary summary_;
--- a/source/core/front/response_flow.cc
+++ b/source/core/front/response_flow.cc
@@ -69,6 +69,7 @@
                                  ? health_signal::kWrongEndpoint
                                  : health_signal::kFull,
                              Now());
+    refused_by_.insert(endpoint);
     co_await opened.body->Discard(kDiscardTimeout);
     co_return attempt_result::kNotRun;
   }
--- a/source/core/net/http_client.cc
+++ b/source/core/net/http_client.cc
@@ -102,10 +102,12 @@
   body_stream(pool_ptr pool,
               socket_address address,
               connection_ptr connection,
+              bool is_kept,
               http_options options)
       : pool_(std::move(pool)),
         address_(std::move(address)),
         connection_(std::move(connection)),
+        is_kept_(is_kept),
         options_(std::move(options)) {}
 
   ~body_stream() override {
@@ -127,6 +129,7 @@
     }
     read_until_ = std::min(now + options_.head_timeout, response_until);
     for (auto skipped = 0; skipped <= kMaxSkippedResponses; ++skipped) {
+      const auto follows_others = is_kept_ || skipped > 0;
       parser_.emplace();
       parser_->body_limit(options_.max_body_bytes);
       connection_->stream.expires_at(read_until_);
@@ -140,7 +143,8 @@
                          (options_.expects_events && IsSuccess(head_.status));
       events_ = sse_scanner{};
       has_event_ = false;
-      if (!options_.matches_request || options_.matches_request(head_)) {
+      if (!options_.matches_request ||
+          options_.matches_request(head_, follows_others)) {
         NotifyReceived();
         connection_->keep_alive_timeout =
             KeepAliveTimeout(head_, pool_->options().max_idle);
@@ -283,6 +287,8 @@
   pool_ptr pool_;
   socket_address address_;
   connection_ptr connection_;
+  // Whether earlier requests were sent on the connection.
+  bool is_kept_;
   http_options options_;
   std::optional<http::response_parser<http::buffer_body>> parser_;
   http_response head_;
@@ -347,8 +353,10 @@
   if (options.cancellation != nullptr) {
     options.cancellation->SetHook([connection] { connection->Close(); });
   }
+  const auto is_kept = std::exchange(connection->is_used, true);
   StartWrite(connection, RenderRequest(address, request), options.head_timeout);
-  auto body = std::make_unique<body_stream>(pool, address, connection, options);
+  auto body = std::make_unique<body_stream>(pool, address, connection, is_kept,
+                                            options);
   const auto error = co_await body->ReadHead();
   if (!error) {
     auto head = body->TakeHead();
--- a/source/core/net/http_client.h
+++ b/source/core/net/http_client.h
@@ -78,7 +78,10 @@
   bool resend_on_stale = true;
   // Returns whether a response belongs to this request rather than being a late
   // response to another. Responses that do not match are skipped.
-  std::function<bool(const http_response& head)> matches_request;
+  // `follows_others`: earlier requests were sent or responses received on the
+  // connection.
+  std::function<bool(const http_response& head, bool follows_others)>
+      matches_request;
   std::shared_ptr<http_cancellation> cancellation;
   // Called after an attempt to open a connection, with whether it succeeded.
   // Not called when the request was cancelled meanwhile.
--- a/source/core/net/http_connection_pool.h
+++ b/source/core/net/http_connection_pool.h
@@ -36,6 +36,8 @@
   std::size_t bytes_written = 0;
   bool is_written = true;
   bool has_write_failed = false;
+  // Whether a request was sent on it.
+  bool is_used = false;
   std::chrono::steady_clock::time_point idle_since;
   // How long the connection may stay idle and still be reused.
   duration keep_alive_timeout{};
--- a/source/core/relay/codec.cc
+++ b/source/core/relay/codec.cc
@@ -48,6 +48,7 @@
       std::chrono::duration_cast<std::chrono::microseconds>(from.head_timeout)
           .count();
   to.expects_events = from.expects_events;
+  to.needs_new_connection = from.needs_new_connection;
   return to;
 }
 
@@ -57,7 +58,8 @@
                          {std::move(from.method), std::move(from.target),
                           Convert(from.headers), std::move(from.body)},
                          std::chrono::microseconds(from.head_timeout_us),
-                         from.expects_events};
+                         from.expects_events,
+                         from.needs_new_connection};
 }
 
 auto ToObject(const attempt_cancel& /*from*/) -> fbs::AttemptCancelT {
--- a/source/core/relay/messages.h
+++ b/source/core/relay/messages.h
@@ -28,6 +28,9 @@
   duration head_timeout{};
   // Whether a successful response is a stream of server-sent events.
   bool expects_events = false;
+  // Whether the endpoint has refused the request before, so that it must not be
+  // sent on a connection that may have carried it.
+  bool needs_new_connection = false;
 
   auto operator<=>(const attempt_request&) const = default;
 };
--- /dev/null
+++ b/source/unit_tests/front/faulty_response_test.cc
@@ -0,0 +1,105 @@
+// Responses of endpoints that are not what they seem.
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "front_harness.h"
+
+namespace daisywind::front {
+namespace {
+
+// A response with a length, and with the id of its request unless that is
+// empty.
+auto Message(const std::string& status,
+             const std::string& id,
+             const std::string& body) -> std::string {
+  return "HTTP/1.1 " + status + "\r\n" +
+         (id.empty() ? "" : "Id: " + id + "\r\n") +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+auto Refusal(const std::string& id) -> std::string {
+  return "HTTP/1.1 503 Full\r\nNot-Run: 1\r\n" +
+         (id.empty() ? "" : "Id: " + id + "\r\n") + "Content-Length: 0\r\n\r\n";
+}
+
+}  // namespace
+
+// Regression: an endpoint refuses a request, is sent it again on the same
+// connection, writes the refusal once more and runs the request.
+TEST_CASE("a refusal written again is not taken for that of the next attempt") {
+  for (const auto* kind : {"once", "again"}) {
+    auto harness = front_harness();
+    auto requests = 0;
+    auto runs = 0;
+    harness.AddRawEndpoint("a", [&](int /*connection*/, int request,
+                                    const std::string& id) {
+      if (++requests == 1) {
+        return Refusal(id);
+      }
+      ++runs;
+      return (request > 0 ? Refusal(id) : "") + Message("200 OK", id, "answer");
+    });
+    harness.Configure();
+    const auto result = harness.Send(kind, "r");
+    CHECK(result.response.status == 200);
+    CHECK(result.response.body == "answer");
+    CHECK(runs == 1);
+  }
+}
+
+// Regression: an endpoint writes its last refusal, which names no request, once
+// more before the response to the next request.
+TEST_CASE("a response without an id is not that of a later request") {
+  auto harness = front_harness();
+  auto runs = 0;
+  harness.AddRawEndpoint(
+      "a", [&](int /*connection*/, int request, const std::string& id) {
+        ++runs;
+        return (request > 0 ? Refusal("") : "") + Message("200 OK", id, id);
+      });
+  harness.Configure();
+  for (const auto* id : {"p", "q", "r"}) {
+    const auto result = harness.Send("once", id);
+    CHECK(result.response.status == 200);
+    CHECK(result.response.body == id);
+  }
+  CHECK(runs == 3);
+}
+
+TEST_CASE("the first response on a connection may lack an id") {
+  auto harness = front_harness();
+  harness.AddRawEndpoint(
+      "a", [](int /*connection*/, int /*request*/, const std::string& /*id*/) {
+        return Message("200 OK", "", "answer");
+      });
+  harness.Configure();
+  CHECK(harness.Send("once", "r").response.body == "answer");
+}
+
+TEST_CASE("a response that ends inside its head is no answer") {
+  const auto whole = Message("200 OK", "r", "answer");
+  const auto head = whole.find("\r\n\r\n") + 4;
+  for (auto size = std::size_t{0}; size < head; ++size) {
+    auto harness = front_harness();
+    harness.AddClosingEndpoint("a", whole.substr(0, size));
+    harness.Configure();
+    const auto result = harness.Send("once", "r");
+    CHECK_MESSAGE(result.response.status == 502, size);
+    CHECK_MESSAGE(result.response.body == "no_answer", size);
+  }
+}
+
+TEST_CASE("a stream that ends inside its head is no answer") {
+  const auto head = std::string(
+      "HTTP/1.1 200 OK\r\nId: r\r\nContent-Type: text/event-stream\r\n\r\n");
+  for (auto size = std::size_t{0}; size < head.size(); ++size) {
+    auto harness = front_harness();
+    harness.AddClosingEndpoint("a", head.substr(0, size));
+    harness.Configure();
+    const auto result = harness.Send("stream", "r");
+    CHECK_MESSAGE(result.response.status == 502, size);
+  }
+}
+
+}  // namespace daisywind::front
--- a/source/unit_tests/front/front_harness.cc
+++ b/source/unit_tests/front/front_harness.cc
@@ -51,6 +51,41 @@
   }
 }
 
+auto ServeRaw(asio::ip::tcp::socket socket,
+              int connection,
+              std::shared_ptr<front_harness::response_writer> writer)
+    -> asio::awaitable<void> {
+  constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
+  constexpr auto kIdField = std::string_view("Id: ");
+  auto received = std::string{};
+  for (auto request = 0;; ++request) {
+    const auto [error, size] = co_await asio::async_read_until(
+        socket, asio::dynamic_buffer(received), "\r\n\r\n", kAsTuple);
+    if (error) {
+      co_return;
+    }
+    const auto at = received.find(kIdField) + kIdField.size();
+    const auto id = received.substr(at, received.find('\r', at) - at);
+    received.erase(0, size);
+    const auto response = (*writer)(connection, request, id);
+    if (response.empty()) {
+      co_return;
+    }
+    co_await asio::async_write(socket, asio::buffer(response), kAsTuple);
+  }
+}
+
+auto AcceptRaw(asio::ip::tcp::acceptor acceptor,
+               std::shared_ptr<front_harness::response_writer> writer)
+    -> asio::awaitable<void> {
+  for (auto connection = 0;; ++connection) {
+    auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+    const auto executor = socket.get_executor();
+    asio::co_spawn(executor, ServeRaw(std::move(socket), connection, writer),
+                   asio::detached);
+  }
+}
+
 auto Route(const char* prefix, route_kind kind) -> dispatch::route {
   auto item = dispatch::route{};
   item.id = dispatch::route_id(prefix);
@@ -198,6 +233,19 @@
   Register(id, port);
 }
 
+auto front_harness::AddRawEndpoint(const std::string& id,
+                                   response_writer writer) -> void {
+  auto acceptor =
+      asio::ip::tcp::acceptor(context, {asio::ip::address_v4::loopback(), 0});
+  const auto port = acceptor.local_endpoint().port();
+  asio::co_spawn(
+      context,
+      AcceptRaw(std::move(acceptor),
+                std::make_shared<response_writer>(std::move(writer))),
+      asio::detached);
+  Register(id, port);
+}
+
 auto front_harness::AddUnreachableEndpoint(const std::string& id) -> void {
   // Connections to a socket that does not listen are refused.
   auto& socket = unreachable_.emplace_back(context, asio::ip::tcp::v4());
--- a/source/unit_tests/front/front_harness.h
+++ b/source/unit_tests/front/front_harness.h
@@ -79,6 +79,13 @@
   // and closes the connection.
   auto AddClosingEndpoint(const std::string& id, std::string response) -> void;
 
+  // Starts an endpoint whose responses are written by a function of the
+  // connection's number, the number of the request on it and the request's id.
+  // It closes the connection after an empty response.
+  using response_writer = std::function<
+      std::string(int connection, int request, const std::string& id)>;
+  auto AddRawEndpoint(const std::string& id, response_writer writer) -> void;
+
   // Registers an endpoint at an address that refuses connections.
   auto AddUnreachableEndpoint(const std::string& id) -> void;
 
--- a/source/unit_tests/net/http_test.cc
+++ b/source/unit_tests/net/http_test.cc
@@ -297,7 +297,7 @@
     auto client = http_client(context);
     auto options = http_options{};
     options.head_timeout = 100ms;
-    options.matches_request = [](const http_response& head) {
+    options.matches_request = [](const http_response& head, bool) {
       return head.Header("Id") == "mine";
     };
     auto result = http_result{};
