--- a/source/unit_tests/front/front_harness.cc
+++ b/source/unit_tests/front/front_harness.cc
@@ -6,8 +6,8 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <utility>
 
-#include "common/random.h"
 #include "front/front_settings.h"
+#include "testing/free_port.h"
 
 namespace daisywind::front {
 namespace {
@@ -19,26 +19,6 @@
 constexpr auto kStepTimeout = std::chrono::seconds(30);
 constexpr auto kTestTimeout = duration(1500ms);
 
-// Returns a port that no other user of this program gets: outside the range
-// from which the system takes the ports of outgoing connections, and never the
-// same one twice.
-auto FreePort(asio::io_context& context) -> int {
-  constexpr auto kFirstPort = 10'000;
-  constexpr auto kPorts = 20'000;
-  static auto next_port =
-      static_cast<int>(random_source(SystemSeed()).UniformBelow(kPorts));
-  while (true) {
-    const auto port =
-        static_cast<std::uint16_t>(kFirstPort + next_port++ % kPorts);
-    auto socket = asio::ip::tcp::socket(context, asio::ip::tcp::v4());
-    auto error = boost::system::error_code{};
-    socket.bind({asio::ip::address_v4::loopback(), port}, error);
-    if (!error) {
-      return port;
-    }
-  }
-}
-
 auto SendAndClose(asio::ip::tcp::acceptor acceptor, std::string response)
     -> asio::awaitable<void> {
   constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
@@ -184,13 +164,15 @@
     : shared_context_(std::move(shared)),
       context(*shared_context_),
       store(context),
-      front_port_(FreePort(context)),
-      relay_address_("127.0.0.1:" + std::to_string(FreePort(context))) {
+      front_port_(testing::FreePort(context)),
+      relay_address_("127.0.0.1:" +
+                     std::to_string(testing::FreePort(context))) {
   auto values = settings(FrontSchema());
   const auto text =
       R"({"vm":"v","failure_domain":"d","region":"r","listen":{"callers":"127.0.0.1:)" +
       std::to_string(front_port_) + R"(","ready":"127.0.0.1:)" +
-      std::to_string(FreePort(context)) + R"(","relay":")" + relay_address_ +
+      std::to_string(testing::FreePort(context)) + R"(","relay":")" +
+      relay_address_ +
       R"("},"store":{"address":"127.0.0.1:1"},"limits":{"response_mb":)" +
       std::to_string(response_mb) + "}}";
   const auto is_read = leaf::try_handle_all(
--- a/source/unit_tests/gateway/deployment_fixture.cc
+++ b/source/unit_tests/gateway/deployment_fixture.cc
@@ -9,6 +9,7 @@
 #include "gateway/gateway_settings.h"
 #include "kv/client.h"
 #include "standin/role.h"
+#include "testing/free_port.h"
 
 namespace daisywind::gateway {
 namespace {
@@ -22,13 +23,6 @@
   return std::string(kLoopback) + ":" + std::to_string(port);
 }
 
-// Returns a port that is currently free.
-auto FreePort(asio::io_context& context) -> std::uint16_t {
-  auto acceptor =
-      tcp::acceptor(context, {asio::ip::make_address(kLoopback), 0});
-  return acceptor.local_endpoint().port();
-}
-
 }  // namespace
 
 test_deployment::test_deployment(std::size_t node_count) : client_(context_) {
@@ -45,7 +39,7 @@
   service_port_ = StartStandIn("service", service);
   Run([this] { return WriteConfiguration(); });
   for (auto i = std::size_t{0}; i < node_count; ++i) {
-    peer_ports_.push_back(FreePort(context_));
+    peer_ports_.push_back(testing::FreePort(context_));
   }
   for (auto i = std::size_t{0}; i < node_count; ++i) {
     StartNode(i);
@@ -132,8 +126,8 @@
   const auto [failure_domain, region] =
       kLocations.at(index % kLocations.size());
   auto running = running_node{};
-  running.caller_port = FreePort(context_);
-  running.admin_port = FreePort(context_);
+  running.caller_port = testing::FreePort(context_);
+  running.admin_port = testing::FreePort(context_);
   auto values = settings(GatewaySchema());
   const auto text =
       json::object{{"vm", "vm-" + std::to_string(index)},
