Answer the requests that are under way at the end of a stop

What callers could see: a front that is stopped takes requests for 2.3 s; one that lasts until 0.7 s before the end of the grace period was cut without a response, also one that may not be repeated. With a grace period of 3 s new requests were cut at once.

Cause: the process exited with the requests under way, and the times were fixed, whatever the grace period.

Change: at that moment each request ends as at its deadline: 504 if it may have run, 503 if it has not; streams break off as before. New connections are served for a third of the grace period at most, and the reserve for the exit is a tenth of it at most.

Tests: front_test "a request under way at the end of a stop is answered" fails without the end of requests (one under way when the node has stopped), "requests taken late in a stop have most of the grace period left".

--- a/source/core/front/front_node.cc
+++ b/source/core/front/front_node.cc
@@ -20,9 +20,9 @@
 constexpr auto kTickInterval = std::chrono::milliseconds(100);
 // A delay of the event loop that callers notice.
 constexpr auto kLateTick = duration(200ms);
-// Part of the grace period that is left for the process to exit after the last
-// response.
-constexpr auto kGraceReserve = std::chrono::milliseconds(700);
+// Time left at the end of the grace period to answer the requests that are
+// still under way and to exit, if the period is long.
+constexpr auto kStopReserve = duration(700ms);
 constexpr auto kDrainPollInterval = std::chrono::milliseconds(50);
 constexpr auto kMaxProbeConnections = std::size_t{32};
 
@@ -75,6 +75,11 @@
 
 }  // namespace
 
+auto StopSchedule(duration grace, duration accept) -> stop_schedule {
+  return {std::min(accept, grace / 3),
+          grace - std::min(kStopReserve, grace / 10)};
+}
+
 front_node::front_node(asio::io_context& context,
                        const settings& values,
                        const adapters& platform)
@@ -153,7 +158,9 @@
       max_connections_(static_cast<std::size_t>(values.Get(kMaxConnections))),
       grace_(std::chrono::duration_cast<duration>(
           std::chrono::duration<double>(values.Get(kGraceSeconds)))),
-      drain_delay_(std::chrono::milliseconds(values.Get(kLeaveMs))) {}
+      stop_schedule_(
+          StopSchedule(grace_,
+                       std::chrono::milliseconds(values.Get(kLeaveMs)))) {}
 
 front_node::~front_node() = default;
 
@@ -303,7 +310,7 @@
     timer.expires_after(length);
     return timer.async_wait(asio::as_tuple(asio::use_awaitable));
   };
-  while (Now() - stopping_since < drain_delay_) {
+  while (Now() - stopping_since < stop_schedule_.accepts_until) {
     co_await wait(kDrainPollInterval);
     FlushLogs();
   }
@@ -313,10 +320,18 @@
     return callers_.ActiveRequestCount() > 0 ||
            relay_service_.server().ActiveCount() > 0;
   };
-  while (is_busy() && Now() - stopping_since < grace_ - kGraceReserve) {
+  while (is_busy() && Now() - stopping_since < stop_schedule_.ends_at) {
     co_await wait(kDrainPollInterval);
     FlushLogs();
   }
+  for (auto* flow : flows_) {
+    flow->EndNow();
+  }
+  // Leaves time to exit.
+  const auto answered_by = (stop_schedule_.ends_at + grace_) / 2;
+  while (is_busy() && Now() - stopping_since < answered_by) {
+    co_await wait(kDrainPollInterval);
+  }
   directory_.Stop();
   fallback_.Stop();
   limits_.Stop();
--- a/source/core/front/front_node.h
+++ b/source/core/front/front_node.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "common/byte_budget.h"
@@ -39,6 +40,24 @@
   kv::store& store;
 };
 
+// Times of an orderly stop, counted from its begin.
+struct stop_schedule {
+  // New connections are served until then.
+  duration accepts_until{};
+  // Requests that are still under way are ended then, so that their callers get
+  // a response before the process is killed.
+  duration ends_at{};
+
+  auto operator<=>(const stop_schedule&) const = default;
+};
+
+// Returns the times for a process that is killed after `grace`. `accept` is the
+// time for new connections if the grace period leaves enough for the requests
+// on them.
+auto StopSchedule(duration grace, duration accept) -> stop_schedule;
+
+class request_flow;
+
 // Serves callers on one VM. All methods must be called on the context's thread.
 class front_node {
  public:
@@ -80,6 +99,8 @@
     return retries_;
   }
   [[nodiscard]] auto IsStopping() const -> bool { return is_stopping_; }
+  // Requests under way. Each adds itself and removes itself.
+  [[nodiscard]] auto flows() -> std::set<request_flow*>& { return flows_; }
 
   // Chooses an endpoint from the current tables, for an attempt from this VM or
   // from the given one. Returns nothing when none may be used.
@@ -128,7 +149,8 @@
   std::string relay_address_;
   std::size_t max_connections_;
   duration grace_;
-  duration drain_delay_;
+  stop_schedule stop_schedule_;
+  std::set<request_flow*> flows_;
   bool is_ready_ = false;
   bool is_stopping_ = false;
 };
--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -103,6 +103,7 @@
   }
   deadline_ = started_at_ + std::min(route_->timeout,
                                      call_.deadline.value_or(route_->timeout));
+  node_.flows().insert(this);
 }
 
 auto request_flow::Run() -> asio::awaitable<void> {
@@ -121,12 +122,8 @@
   deadline_timer_.expires_after(std::max(TimeLeft(), duration(0)));
   deadline_timer_.async_wait([weak](const boost::system::error_code& error) {
     const auto self = weak.lock();
-    if (error || self == nullptr) {
-      return;
-    }
-    self->is_timed_out_ = true;
-    if (self->cancellation_ != nullptr) {
-      self->cancellation_->Cancel();
+    if (!error && self != nullptr) {
+      self->EndNow();
     }
   });
   exchange_.OnClose([weak] {
@@ -141,6 +138,13 @@
   });
 }
 
+auto request_flow::EndNow() -> void {
+  is_timed_out_ = true;
+  if (cancellation_ != nullptr) {
+    cancellation_->Cancel();
+  }
+}
+
 auto request_flow::RunPlain() -> asio::awaitable<void> {
   auto placement = dispatch::placement_request{};
   placement.prompt = call_.prompt;
--- a/source/core/front/request_flow.h
+++ b/source/core/front/request_flow.h
@@ -41,6 +41,9 @@
 
   auto Run() -> boost::asio::awaitable<void>;
 
+  // Ends the request as if its deadline had passed.
+  auto EndNow() -> void;
+
  private:
   // How the request ended, for its log event.
   struct summary {
--- a/source/core/front/response_flow.cc
+++ b/source/core/front/response_flow.cc
@@ -39,6 +39,7 @@
 }  // namespace
 
 request_flow::~request_flow() {
+  node_.flows().erase(this);
   node_.response_memory().Return(BudgetedBytes(held_bytes_));
 }
 
--- a/source/unit_tests/front/front_harness.cc
+++ b/source/unit_tests/front/front_harness.cc
@@ -139,7 +139,9 @@
       static_cast<version_number>(std::atoi(std::string(value).c_str()));
   to.routes = {Route("/once/", route_kind::kOnce),
                Route("/again/", route_kind::kIdempotent),
-               Route("/stream/", route_kind::kStream)};
+               Route("/stream/", route_kind::kStream),
+               Route("/slow/", route_kind::kOnce)};
+  to.routes.back().timeout = kStepTimeout;
   to.services = {{dispatch::service_id("s"), 0, std::nullopt}};
   return to.version == 0 ? std::nullopt
                          : std::optional<dispatch::configuration>(to);
@@ -160,7 +162,8 @@
 }
 
 front_harness::front_harness(int response_mb,
-                             std::shared_ptr<asio::io_context> shared)
+                             std::shared_ptr<asio::io_context> shared,
+                             std::chrono::seconds grace)
     : shared_context_(std::move(shared)),
       context(*shared_context_),
       store(context),
@@ -174,7 +177,8 @@
       std::to_string(testing::FreePort(context)) + R"(","relay":")" +
       relay_address_ +
       R"("},"store":{"address":"127.0.0.1:1"},"limits":{"response_mb":)" +
-      std::to_string(response_mb) + "}}";
+      std::to_string(response_mb) + R"(},"stop":{"grace_s":)" +
+      std::to_string(grace.count()) + "}}";
   const auto is_read = leaf::try_handle_all(
       [&]() -> leaf::result<bool> {
         BOOST_LEAF_CHECK(values.AddText("test", text));
@@ -270,6 +274,14 @@
 auto front_harness::Send(const std::string& kind, const std::string& id)
     -> net::http_result {
   auto result = std::optional<net::http_result>{};
+  StartSend(kind, id, result);
+  REQUIRE(RunUntil([&] { return result.has_value(); }));
+  return std::move(*result);
+}
+
+auto front_harness::StartSend(const std::string& kind,
+                              const std::string& id,
+                              std::optional<net::http_result>& result) -> void {
   auto options = net::http_options{};
   options.resend_on_stale = false;
   asio::co_spawn(
@@ -279,8 +291,6 @@
       [&](const std::exception_ptr&, net::http_result received) {
         result = std::move(received);
       });
-  REQUIRE(RunUntil([&] { return result.has_value(); }));
-  return std::move(*result);
 }
 
 auto front_harness::SendAndDisconnect(const std::string& kind,
--- a/source/unit_tests/front/front_harness.h
+++ b/source/unit_tests/front/front_harness.h
@@ -64,10 +64,12 @@
 class front_harness {
  public:
   // `response_mb` is the memory for parts of responses that the front holds.
-  // Harnesses that share a context run together.
+  // Harnesses that share a context run together. `grace` is the time that the
+  // front has to stop.
   explicit front_harness(int response_mb = 32,
                          std::shared_ptr<boost::asio::io_context> shared =
-                             std::make_shared<boost::asio::io_context>(1));
+                             std::make_shared<boost::asio::io_context>(1),
+                         std::chrono::seconds grace = std::chrono::seconds(8));
   front_harness(const front_harness&) = delete;
   auto operator=(const front_harness&) -> front_harness& = delete;
   ~front_harness();
@@ -101,10 +103,17 @@
   auto Configure() -> void;
 
   // Sends a request as a caller and waits for its end. `kind` selects the
-  // route: "once" (may run once), "again" (idempotent) or "stream" (may run
-  // once, with a stream of events as its response).
+  // route: "once" (may run once), "slow" (the same with a long time-out),
+  // "again" (idempotent) or "stream" (may run once, with a stream of events as
+  // its response).
   auto Send(const std::string& kind, const std::string& id) -> net::http_result;
 
+  // Sends a request as a caller. Sets the result, which must outlive the
+  // request, at its end.
+  auto StartSend(const std::string& kind,
+                 const std::string& id,
+                 std::optional<net::http_result>& result) -> void;
+
   // Sends a request as a caller that disconnects once the condition holds.
   auto SendAndDisconnect(const std::string& kind,
                          const std::string& id,
