--- a/source/core/journal/store_mirror.h
+++ b/source/core/journal/store_mirror.h
@@ -47,8 +47,9 @@
   // removal, as far as they were here or removed in a change.
   std::map<std::string, kv::revision> removals_;
   kv::revision removals_since_ = 0;
-  // Pairs of revisions between which only a listing was read. A VM that has read
-  // the store between them may know a key that was written and removed there.
+  // Pairs of revisions between which only a listing was read. A VM that has
+  // read the store between them may know a key that was written and removed
+  // there.
   std::vector<std::pair<kv::revision, kv::revision>> gaps_;
 };
 
