Look up runs on connections of their own

A faulty service writes an earlier "no such run" once more on a kept connection, and the gateway takes it for the response to the next lookup; its responses name no lookup.

--- a/source/core/gateway/endpoint_calls.cc
+++ b/source/core/gateway/endpoint_calls.cc
@@ -70,7 +70,10 @@
                std::string key)
     -> boost::asio::awaitable<program::lookup_result> {
   auto request = net::http_request{"GET", "/v1/runs/" + key, {}, ""};
-  const auto options = ShortOptions();
+  auto options = ShortOptions();
+  // The service's response names no lookup. On a kept connection an earlier one
+  // could come once more, and the call would be run again.
+  options.connection = net::connection_use::kNew;
   const auto answer =
       co_await client.Send(std::move(address), std::move(request), options);
   auto result = program::lookup_result{};
