Record in one place that an endpoint leaves, and split the stop of a front

Own attempts and those for other fronts had the same lines for a response that says its endpoint leaves; both call RecordLeaving now. The wait for the requests under way is a method, and requests add and remove themselves by name.

--- a/source/core/front/attempt_options.cc
+++ b/source/core/front/attempt_options.cc
@@ -1,9 +1,9 @@
 #include "front/attempt_options.h"
 
-#include <string_view>
 #include <utility>
 
 #include "common/logging.h"
+#include "common/process_clock.h"
 
 namespace daisywind::front {
 
@@ -24,4 +24,18 @@
   };
 }
 
+auto RecordLeaving(dispatch::endpoint_table& endpoints,
+                   const dispatch::endpoint& entry,
+                   const response_metadata& response,
+                   std::string_view request_id) -> void {
+  // A misdirected request was answered by another endpoint than the named one.
+  if (!response.is_leaving || response.is_misdirected ||
+      !endpoints.SetLeaving(entry, Now())) {
+    return;
+  }
+  Log(log_events::kEndpointLeaves,
+      {{"endpoint", std::string_view(entry.id.value)},
+       {"request", request_id}});
+}
+
 }  // namespace daisywind::front
--- a/source/core/front/attempt_options.h
+++ b/source/core/front/attempt_options.h
@@ -1,13 +1,16 @@
-// Limits of attempts at endpoints, whether a front makes them for its own
-// callers or for another front.
+// What all attempts at endpoints share, whether a front makes them for its own
+// callers or for another front: their limits, and what responses say of their
+// endpoints.
 #ifndef DAISYWIND_FRONT_ATTEMPT_OPTIONS_H_
 #define DAISYWIND_FRONT_ATTEMPT_OPTIONS_H_
 
 #include <cstddef>
 #include <functional>
 #include <string>
+#include <string_view>
 
 #include "common/time.h"
+#include "dispatch/endpoint_table.h"
 #include "front/platform_codecs.h"
 #include "net/http_types.h"
 
@@ -26,6 +29,13 @@
 auto MatchesRequest(const request_codec& requests, std::string request_id)
     -> std::function<bool(const net::http_response& head, bool follows_others)>;
 
+// Records that an endpoint leaves if its response says so, and logs that if it
+// is news. `entry` is that of the endpoint when the request was sent.
+auto RecordLeaving(dispatch::endpoint_table& endpoints,
+                   const dispatch::endpoint& entry,
+                   const response_metadata& response,
+                   std::string_view request_id) -> void;
+
 }  // namespace daisywind::front
 
 #endif  // DAISYWIND_FRONT_ATTEMPT_OPTIONS_H_
--- a/source/core/front/front_node.cc
+++ b/source/core/front/front_node.cc
@@ -23,7 +23,7 @@
 // Time left at the end of the grace period to answer the requests that are
 // still under way and to exit, if the period is long.
 constexpr auto kStopReserve = duration(700ms);
-constexpr auto kDrainPollInterval = std::chrono::milliseconds(50);
+constexpr auto kDrainPollInterval = duration(50ms);
 constexpr auto kMaxProbeConnections = std::size_t{32};
 
 auto LocationFrom(const settings& values) -> dispatch::location {
@@ -305,33 +305,19 @@
 auto front_node::DrainAndStop(std::function<void()> on_stopped)
     -> asio::awaitable<void> {
   const auto stopping_since = Now();
-  auto timer = asio::steady_timer(context_);
-  const auto wait = [&](duration length) {
-    timer.expires_after(length);
-    return timer.async_wait(asio::as_tuple(asio::use_awaitable));
-  };
   while (Now() - stopping_since < stop_schedule_.accepts_until) {
-    co_await wait(kDrainPollInterval);
+    co_await Pause(kDrainPollInterval);
     FlushLogs();
   }
   callers_.StopAccepting();
   callers_.CloseIdle();
-  const auto is_busy = [this] {
-    return callers_.ActiveRequestCount() > 0 ||
-           relay_service_.server().ActiveCount() > 0;
-  };
-  while (is_busy() && Now() - stopping_since < stop_schedule_.ends_at) {
-    co_await wait(kDrainPollInterval);
-    FlushLogs();
-  }
+  co_await WaitUntilIdle(stopping_since + stop_schedule_.ends_at);
   for (auto* flow : flows_) {
     flow->EndNow();
   }
-  // Leaves time to exit.
-  const auto answered_by = (stop_schedule_.ends_at + grace_) / 2;
-  while (is_busy() && Now() - stopping_since < answered_by) {
-    co_await wait(kDrainPollInterval);
-  }
+  // The rest of the time is for the process to exit.
+  co_await WaitUntilIdle(stopping_since +
+                         (stop_schedule_.ends_at + grace_) / 2);
   directory_.Stop();
   fallback_.Stop();
   limits_.Stop();
@@ -339,4 +325,18 @@
   on_stopped();
 }
 
+auto front_node::WaitUntilIdle(instant until) -> asio::awaitable<void> {
+  while (Now() < until && (callers_.ActiveRequestCount() > 0 ||
+                           relay_service_.server().ActiveCount() > 0)) {
+    co_await Pause(kDrainPollInterval);
+    FlushLogs();
+  }
+}
+
+auto front_node::Pause(duration length) -> asio::awaitable<void> {
+  auto timer = asio::steady_timer(context_);
+  timer.expires_after(length);
+  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
 }  // namespace daisywind::front
--- a/source/core/front/front_node.h
+++ b/source/core/front/front_node.h
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -99,8 +100,10 @@
     return retries_;
   }
   [[nodiscard]] auto IsStopping() const -> bool { return is_stopping_; }
-  // Requests under way. Each adds itself and removes itself.
-  [[nodiscard]] auto flows() -> std::set<request_flow*>& { return flows_; }
+  // Requests under way, which a stop ends when its time is over.
+  auto AddFlow(request_flow& flow) -> void { flows_.insert(&flow); }
+  auto RemoveFlow(request_flow& flow) -> void { flows_.erase(&flow); }
+  [[nodiscard]] auto FlowCount() const -> std::size_t { return flows_.size(); }
 
   // Chooses an endpoint from the current tables, for an attempt from this VM or
   // from the given one. Returns nothing when none may be used.
@@ -115,6 +118,10 @@
   auto Tick() -> boost::asio::awaitable<void>;
   auto DrainAndStop(std::function<void()> on_stopped)
       -> boost::asio::awaitable<void>;
+  // Waits until no request of callers or of other fronts is under way, or until
+  // a time.
+  auto WaitUntilIdle(instant until) -> boost::asio::awaitable<void>;
+  auto Pause(duration length) -> boost::asio::awaitable<void>;
   auto ListenForRelays() -> bool;
   // Tells the other fronts whether this one makes attempts for them.
   auto AnnounceRelay() -> void;
--- a/source/core/front/relay_service.cc
+++ b/source/core/front/relay_service.cc
@@ -118,12 +118,7 @@
     if (metadata.load) {
       endpoints_.OnReport(id, *metadata.load, Now());
     }
-    if (metadata.is_leaving && !metadata.is_misdirected &&
-        endpoints_.SetLeaving(entry, Now())) {
-      Log(log_events::kEndpointLeaves,
-          {{"endpoint", std::string_view(id.value)},
-           {"request", std::string_view(request.request_id)}});
-    }
+    RecordLeaving(endpoints_, entry, metadata, request.request_id);
     auto is_sent = exchange.SendHead({opened.head, opened.body->Framing()});
     while (is_sent) {
       auto part = co_await opened.body->Next();
--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -103,7 +103,7 @@
   }
   deadline_ = started_at_ + std::min(route_->timeout,
                                      call_.deadline.value_or(route_->timeout));
-  node_.flows().insert(this);
+  node_.AddFlow(*this);
 }
 
 auto request_flow::Run() -> asio::awaitable<void> {
--- a/source/core/front/response_flow.cc
+++ b/source/core/front/response_flow.cc
@@ -8,6 +8,7 @@
 #include "common/endpoint_key.h"
 #include "common/logging.h"
 #include "common/process_clock.h"
+#include "front/attempt_options.h"
 #include "front/request_flow.h"
 #include "net/sse.h"
 
@@ -39,7 +40,7 @@
 }  // namespace
 
 request_flow::~request_flow() {
-  node_.flows().erase(this);
+  node_.RemoveFlow(*this);
   node_.response_memory().Return(BudgetedBytes(held_bytes_));
 }
 
@@ -58,12 +59,7 @@
     node_.limits().OnResponse(endpoint, metadata.rate_limit, call_.request_id,
                               Now());
   }
-  if (metadata.is_leaving && !metadata.is_misdirected &&
-      endpoints.SetLeaving(entry, Now())) {
-    Log(log_events::kEndpointLeaves,
-        {{"endpoint", std::string_view(endpoint.value)},
-         {"request", std::string_view(call_.request_id)}});
-  }
+  RecordLeaving(endpoints, entry, metadata, call_.request_id);
   if (metadata.is_not_run) {
     endpoints.OnHealthSignal(endpoint,
                              metadata.is_misdirected
--- a/source/unit_tests/front/stop_test.cc
+++ b/source/unit_tests/front/stop_test.cc
@@ -9,12 +9,9 @@
 #include "front_harness.h"
 
 namespace daisywind::front {
-namespace {
 
 namespace asio = boost::asio;
 
-}  // namespace
-
 TEST_CASE("requests taken late in a stop have most of the grace period left") {
   for (const auto grace :
        {duration(500ms), duration(3s), duration(8s), duration(60s)}) {
@@ -43,8 +40,7 @@
   harness.StartSend("slow", "r", result);
   REQUIRE(harness.RunUntil([&] { return requests == 1; }));
   auto under_way_at_end = std::optional<std::size_t>{};
-  harness.node().Stop(
-      [&] { under_way_at_end = harness.node().flows().size(); });
+  harness.node().Stop([&] { under_way_at_end = harness.node().FlowCount(); });
   REQUIRE(harness.RunUntil([&] { return under_way_at_end.has_value(); }));
   CHECK(under_way_at_end == 0);
   REQUIRE(harness.RunUntil([&] { return result.has_value(); }));
