--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -36,6 +36,11 @@
   return age ? Milliseconds(*age) : kNoTime;
 }
 
+auto CountRefusal(metrics& registry, refusal_reason reason) -> void {
+  registry.Count("daisywind_front_refusals_total",
+                 {{"reason", std::string(ReasonName(reason))}});
+}
+
 auto LogRefusal(const dispatch::call& call,
                 refusal_reason reason,
                 const directory& from) -> void {
@@ -68,9 +73,7 @@
   }
   if (reason) {
     LogRefusal(*call, *reason, service_directory);
-    node.metrics_registry().Count(
-        "daisywind_front_refusals_total",
-        {{"reason", std::string(ReasonName(*reason))}});
+    CountRefusal(node.metrics_registry(), *reason);
     const auto retry_after = *reason == refusal_reason::kNotReady
                                  ? std::optional<duration>(kUnconfiguredRetry)
                                  : std::nullopt;
@@ -392,8 +395,7 @@
   auto response = node_.requests().MakeRefusal({reason, retry_after});
   summary_.status = response.status;
   summary_.outcome = ReasonName(reason);
-  node_.metrics_registry().Count("daisywind_front_refusals_total",
-                                 {{"reason", std::string(ReasonName(reason))}});
+  CountRefusal(node_.metrics_registry(), reason);
   co_await exchange_.Respond(std::move(response));
 }
 
--- a/source/core/gateway/caller_api.cc
+++ b/source/core/gateway/caller_api.cc
@@ -24,6 +24,17 @@
                     : net::http_response{kUnavailable, {}, "not ready\n"};
 }
 
+auto CountCall(metrics& registry,
+               const organisation_id& organisation,
+               std::string_view outcome) -> void {
+  registry.Count("daisywind_calls_total", {{"organisation", organisation.value},
+                                           {"outcome", std::string(outcome)}});
+}
+
+auto CountRefusal(metrics& registry, const problem& refusal) -> void {
+  registry.Count("daisywind_refusals_total", {{"reason", refusal.reason}});
+}
+
 }  // namespace
 
 caller_api::caller_api(caller_api_hooks hooks,
@@ -167,9 +178,7 @@
                                                 : arrived.call.adapter.value};
   hooks_.submit(std::move(arrived));
   const auto outcome = co_await session.ServeCall(call);
-  metrics_registry_.Count("daisywind_calls_total",
-                          {{"organisation", organisation.value},
-                           {"outcome", std::string(outcome)}});
+  CountCall(metrics_registry_, organisation, outcome);
 }
 
 auto caller_api::RunControl(exchange_ref exchange,
@@ -190,8 +199,7 @@
 
 auto caller_api::Refuse(exchange_ref exchange, const problem& refusal)
     -> asio::awaitable<void> {
-  metrics_registry_.Count("daisywind_refusals_total",
-                          {{"reason", refusal.reason}});
+  CountRefusal(metrics_registry_, refusal);
   auto response = ToResponse(refusal);
   co_await exchange.Respond(std::move(response));
 }
--- a/source/core/gateway/migration_adapter.cc
+++ b/source/core/gateway/migration_adapter.cc
@@ -102,6 +102,13 @@
              : migration::order_outcome::kRejected;
 }
 
+auto OrderRequest(const migration::send_order& order) -> net::http_request {
+  return {"POST",
+          "/v1/orders",
+          {{"Content-Type", "application/json"}},
+          OrderBody(order)};
+}
+
 }  // namespace
 
 migration_adapter::migration_adapter(asio::io_context& context,
@@ -183,10 +190,7 @@
   if (!address || Now() >= command.send_before) {
     co_return result;
   }
-  auto request = net::http_request{"POST",
-                                   "/v1/orders",
-                                   {{"Content-Type", "application/json"}},
-                                   OrderBody(command)};
+  auto request = OrderRequest(command);
   const auto options = ShortOptions();
   const auto answer =
       co_await client_.Send(*address, std::move(request), options);
--- a/source/core/journal/view_manager.cc
+++ b/source/core/journal/view_manager.cc
@@ -189,9 +189,9 @@
 
 auto view_manager::WriteView(history::view next) -> asio::awaitable<bool> {
   auto request = kv::txn_request{};
-  request.compares = {{std::string(history::kViewKey), view_revision_}};
-  request.success = {kv::put_request{std::string(history::kViewKey),
-                                     history::RenderView(next), 0}};
+  request.compares.push_back({std::string(history::kViewKey), view_revision_});
+  request.success.emplace_back(kv::put_request{std::string(history::kViewKey),
+                                               history::RenderView(next), 0});
   const auto result = co_await store_.Write(std::move(request));
   const auto was_applied = result.value.value_or(false);
   Log(log_events::kViewMembershipChanged,
@@ -458,7 +458,7 @@
     -> asio::awaitable<bool> {
   const auto key = options_.retire.status_prefix + node_.self().vm.value;
   auto request = kv::txn_request{};
-  request.success = {kv::put_request{key, value, 0}};
+  request.success.emplace_back(kv::put_request{key, value, 0});
   const auto result = co_await store_.Write(std::move(request));
   Log(log_events::kRetireProgress, {{"status", std::string_view(value)},
                                     {"answered", result.value.has_value()}});
--- a/source/core/load/program_runner.cc
+++ b/source/core/load/program_runner.cc
@@ -20,6 +20,13 @@
   return {{"role", role}, {"content", content}};
 }
 
+// The text of a JSON object with one member.
+auto Member(std::string_view name, std::string_view value) -> std::string {
+  auto body = json::object{};
+  body[name] = value;
+  return json::serialize(body);
+}
+
 }  // namespace
 
 auto NameOf(program_status status) -> std::string_view {
@@ -61,7 +68,7 @@
 auto program_runner::Open() -> asio::awaitable<bool> {
   auto item = call{};
   item.target = "/v1/programs";
-  item.body = json::serialize(json::object{{"class", plan_.class_name}});
+  item.body = Member("class", plan_.class_name);
   const auto opened = co_await Send(std::move(item), nullptr);
   if (opened.status != call_status::kDone) {
     FailCall(opened, "open");
@@ -125,10 +132,12 @@
   auto item = MakeCall(branch);
   item.target = "/v1/chat/completions";
   item.is_stream = step.is_stream;
-  item.body = json::serialize(json::object{{"model", plan_.model},
-                                           {"messages", branch.messages},
-                                           {"max_tokens", step.max_tokens},
-                                           {"stream", step.is_stream}});
+  auto body = json::object{};
+  body["model"] = plan_.model;
+  body["messages"] = branch.messages;
+  body["max_tokens"] = step.max_tokens;
+  body["stream"] = step.is_stream;
+  item.body = json::serialize(body);
   auto receiver = chat_receiver{};
   const auto outcome = co_await Send(std::move(item), &receiver);
   ++result_.calls;
@@ -240,7 +249,7 @@
     -> asio::awaitable<bool> {
   auto item = call{};
   item.target = std::move(target);
-  item.body = json::serialize(json::object{{"name", name}});
+  item.body = Member("name", name);
   const auto call_name = item.target;
   const auto outcome = co_await Send(std::move(item), nullptr);
   // A retry gets this refusal when an earlier attempt was executed.
