--- a/source/core/standin/engine_role.cc
+++ b/source/core/standin/engine_role.cc
@@ -218,8 +218,9 @@
                                    bool includes_usage)
     -> asio::awaitable<void> {
   batch_.Attach(id);
-  auto head = net::http_response{
-      200, {{"Content-Type", "text/event-stream"}, {"X-Request-Id", id}}, ""};
+  auto head = net::http_response{};
+  head.headers.push_back({"Content-Type", "text/event-stream"});
+  head.headers.push_back({"X-Request-Id", id});
   auto is_open = co_await exchange.StartStream(std::move(head));
   auto next = offset;
   auto is_ended = false;
@@ -271,7 +272,7 @@
   const auto is_cancelled = batch_.Cancel(id);
   Notify(id);
   WakeBatch();
-  const auto body = json::object{{"cancelled", is_cancelled}};
+  const auto body = ObjectOf("cancelled", is_cancelled);
   co_await exchange.Respond(Ok(body));
 }
 
@@ -339,9 +340,8 @@
     sample_ = {batch_.RunningCount(), batch_.WaitingCount(), cache_.Usage(),
                now};
   }
-  auto response = net::http_response{
-      200, {{"Content-Type", "text/plain; version=0.0.4"}}, std::move(text)};
-  co_await exchange.Respond(std::move(response));
+  co_await exchange.Respond(
+      net::TextResponse(std::move(text), "text/plain; version=0.0.4"));
 }
 
 auto engine_role::CacheEvents(net::http_exchange& exchange)
@@ -362,11 +362,11 @@
     if (every != 0 && event.sequence % every == 0) {
       continue;
     }
-    items.emplace_back(json::object{{"seq", event.sequence},
-                                    {"type", EventTypeName(event.type)},
-                                    {"blocks", ToArray(event.blocks)}});
+    items.emplace_back(ObjectOf("seq", event.sequence, "type",
+                                EventTypeName(event.type), "blocks",
+                                ToArray(event.blocks)));
   }
-  const auto body = json::object{{"next", next}, {"events", std::move(items)}};
+  const auto body = ObjectOf("next", next, "events", std::move(items));
   co_await exchange.Respond(Ok(body));
 }
 
@@ -389,7 +389,7 @@
     -> asio::awaitable<void> {
   const auto was_held =
       cache_.Release(PathAfter(exchange.request(), kSessionsPath));
-  const auto body = json::object{{"released", was_held}};
+  const auto body = ObjectOf("released", was_held);
   co_await exchange.Respond(Ok(body));
 }
 
@@ -399,7 +399,7 @@
   for (const auto& [program, blocks] : cache_.Sessions()) {
     sessions[program] = blocks * kBlockTokens;
   }
-  const auto body = json::object{{"sessions", std::move(sessions)}};
+  const auto body = ObjectOf("sessions", std::move(sessions));
   co_await exchange.Respond(Ok(body));
 }
 
@@ -414,7 +414,7 @@
       }
     }
   }
-  const auto answer = json::object{{"blocks", ToArray(present)}};
+  const auto answer = ObjectOf("blocks", ToArray(present));
   co_await exchange.Respond(Ok(answer));
 }
 
@@ -428,8 +428,7 @@
     co_await exchange.Respond(std::move(refusal));
     co_return;
   }
-  const auto wanted =
-      json::object{{"blocks", ToArray(StringsOf(*body, "blocks"))}};
+  const auto wanted = ObjectOf("blocks", ToArray(StringsOf(*body, "blocks")));
   auto request = net::http_request{
       "POST", "/v1/cache/export", {}, json::serialize(wanted)};
   auto result = co_await client_.Send(*from, std::move(request), {});
@@ -441,7 +440,7 @@
   }
   const auto blocks = StringsOf(*exported, "blocks");
   cache_.Insert(blocks, Now());
-  const auto answer = json::object{{"imported", blocks.size()}};
+  const auto answer = ObjectOf("imported", blocks.size());
   co_await exchange.Respond(Ok(answer));
 }
 
@@ -451,14 +450,11 @@
     loading.push_back(item.name);
   }
   const auto body =
-      json::object{{"models", ToJson(models_)},
-                   {"adapters", ToJson(adapters_)},
-                   {"role", wanted_.role},
-                   {"version", wanted_.version},
-                   {"fence", wanted_.fence},
-                   {"loading", ToArray(loading)},
-                   {"running", batch_.RunningCount() + batch_.WaitingCount()},
-                   {"sessions", cache_.SessionCount()}};
+      ObjectOf("models", ToJson(models_), "adapters", ToJson(adapters_), "role",
+               wanted_.role, "version", wanted_.version, "fence", wanted_.fence,
+               "loading", ToArray(loading), "running",
+               batch_.RunningCount() + batch_.WaitingCount(), "sessions",
+               cache_.SessionCount());
   co_await exchange.Respond(Ok(body));
 }
 
@@ -485,8 +481,7 @@
 auto engine_role::Tokens(net::http_exchange& exchange)
     -> asio::awaitable<void> {
   const auto& totals = batch_.totals();
-  const auto body =
-      json::object{{"prompt", totals.prompt}, {"cached", totals.cached}};
+  const auto body = ObjectOf("prompt", totals.prompt, "cached", totals.cached);
   co_await exchange.Respond(Ok(body));
 }
 
@@ -543,8 +538,7 @@
   if (!options_.weights) {
     co_return true;
   }
-  const auto body =
-      json::object{{"name", item.name}, {"version", item.version}};
+  const auto body = ObjectOf("name", item.name, "version", item.version);
   auto request =
       net::http_request{"POST", "/v1/pull", {}, json::serialize(body)};
   auto send_options = net::http_options{};
--- a/source/core/standin/json_body.h
+++ b/source/core/standin/json_body.h
@@ -3,7 +3,9 @@
 #define DAISYWIND_STANDIN_JSON_BODY_H_
 
 #include <optional>
+#include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "common/json.h"
@@ -22,6 +24,27 @@
 
 auto ToArray(const std::vector<std::string>& strings) -> json::array;
 
+// Adds members, given as names and values in turn.
+template <class Value, class... Rest>
+auto AddMembers(json::object& to,
+                const char* name,
+                Value&& value,
+                Rest&&... rest) -> void {
+  to[name] = json::value(std::forward<Value>(value));
+  if constexpr (sizeof...(rest) > 0) {
+    AddMembers(to, std::forward<Rest>(rest)...);
+  }
+}
+
+// An object with members that are given as names and values in turn. For
+// coroutines, which may have no list of them.
+template <class... Members>
+auto ObjectOf(Members&&... members) -> json::object {
+  auto to = json::object{};
+  AddMembers(to, std::forward<Members>(members)...);
+  return to;
+}
+
 // A 200 response with a JSON body.
 auto Ok(const json::object& body) -> net::http_response;
 
--- a/source/core/standin/kv_role.cc
+++ b/source/core/standin/kv_role.cc
@@ -25,8 +25,7 @@
 
 auto EtcdError(unsigned status, int code, std::string_view text)
     -> net::http_response {
-  const auto body =
-      json::object{{"error", text}, {"code", code}, {"message", text}};
+  const auto body = ObjectOf("error", text, "code", code, "message", text);
   return net::JsonResponse(status, json::serialize(body));
 }
 
@@ -35,7 +34,7 @@
 }
 
 auto ResultLine(json::object result) -> std::string {
-  const auto body = json::object{{"result", std::move(result)}};
+  const auto body = ObjectOf("result", std::move(result));
   return json::serialize(body) + "\n";
 }
 
@@ -135,7 +134,7 @@
   if (!result) {
     return LeaseNotFound();
   }
-  auto out = json::object{{"header", Header()}};
+  auto out = ObjectOf("header", Header());
   if (result->has_succeeded) {
     out["succeeded"] = true;
   }
@@ -143,7 +142,7 @@
   for (const auto& item : result->results) {
     auto response = ToJson(item);
     response["header"] =
-        json::object{{"revision", std::to_string(store_.revision())}};
+        ObjectOf("revision", std::to_string(store_.revision()));
     auto named = json::object{};
     named[ResponseName(item)] = std::move(response);
     responses.emplace_back(std::move(named));
@@ -168,7 +167,7 @@
 auto kv_role::KeepAlive(const json::object& body) -> net::http_response {
   const auto id = KvInteger(body, "ID");
   const auto ttl = store_.KeepAlive(id, Now());
-  auto result = json::object{{"header", Header()}, {"ID", std::to_string(id)}};
+  auto result = ObjectOf("header", Header(), "ID", std::to_string(id));
   if (ttl) {
     const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(*ttl);
     result["TTL"] = std::to_string(seconds.count());
@@ -213,7 +212,7 @@
   if (!co_await exchange.StartStream(std::move(head))) {
     co_return;
   }
-  auto created = json::object{{"header", Header()}, {"created", true}};
+  auto created = ObjectOf("header", Header(), "created", true);
   const auto is_compacted = next < store_.OldestRevision();
   if (is_compacted) {
     created["canceled"] = true;
@@ -242,7 +241,7 @@
       items.emplace_back(ToJson(event));
     }
     const auto line =
-        ResultLine({{"header", Header()}, {"events", std::move(items)}});
+        ResultLine(ObjectOf("header", Header(), "events", std::move(items)));
     if (!co_await exchange.WriteChunk(line)) {
       co_return false;
     }
--- a/source/core/standin/stand_in.cc
+++ b/source/core/standin/stand_in.cc
@@ -150,7 +150,7 @@
 auto stand_in::Handle(net::http_exchange& exchange) -> asio::awaitable<void> {
   const auto path = exchange.request().Path();
   if (path == "/standin/health") {
-    const auto body = json::object{{"role", role_name_}};
+    const auto body = ObjectOf("role", role_name_);
     co_await exchange.Respond(Ok(body));
   } else if (path == "/standin/faults") {
     co_await exchange.Respond(ChangeFaults(exchange.request()));
