--- a/source/unit_tests/gateway/endpoint_calls_test.cc
+++ b/source/unit_tests/gateway/endpoint_calls_test.cc
@@ -4,6 +4,7 @@
 
 #include <boost/asio.hpp>
 #include <string>
+#include <string_view>
 
 namespace daisywind::gateway {
 namespace {
@@ -11,10 +12,10 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-const auto kNotFound =
-    std::string("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
-const auto kRan =
-    std::string("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone");
+constexpr auto kNotFound =
+    std::string_view("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+constexpr auto kRan =
+    std::string_view("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone");
 
 // Answers that it knows no run, until the call has run. On a kept connection it
 // writes its last response once more before the next one.
@@ -31,7 +32,7 @@
     }
     received.erase(0, size);
     const auto response = has_run ? kRan : kNotFound;
-    const auto bytes = last + response;
+    const auto bytes = last + std::string(response);
     last = response;
     co_await asio::async_write(socket, asio::buffer(bytes), kAsTuple);
   }
