--- a/source/unit_tests/front/request_flow_test.cc
+++ b/source/unit_tests/front/request_flow_test.cc
@@ -553,13 +553,12 @@
 }
 
 // Responds that it leaves, and counts the runs.
-auto LeavingEndpoint(int& runs, unsigned status = 200) -> endpoint_handler {
-  return
-      [&runs, status](net::http_exchange& exchange) -> asio::awaitable<void> {
-        ++runs;
-        co_await exchange.Respond(
-            ResponseTo(exchange, status, "answer", "Leaving", "1"));
-      };
+auto LeavingEndpoint(int& runs) -> endpoint_handler {
+  return [&runs](net::http_exchange& exchange) -> asio::awaitable<void> {
+    ++runs;
+    co_await exchange.Respond(
+        ResponseTo(exchange, 200, "answer", "Leaving", "1"));
+  };
 }
 
 // Regression: requests were sent to endpoints whose responses said that they
