Keep the facts of a turn for the retention of its route

Cause: journals kept each fact for 150 s in memory and 300 s on disk, whatever the route owes (60 s), and a start loaded all of it, expired facts included.

Facts expire while they are read from disk, and segments keep their age over a restart.

--- a/source/core/front/request_flow.h
+++ b/source/core/front/request_flow.h
@@ -115,6 +115,8 @@
   // The turn's fact for the journals, without its content. Its settled tokens
   // are those generated so far, computed from the number of stream events.
   [[nodiscard]] auto MakeTurnFact() const -> history::turn_fact;
+  // How long the journals are to keep the turn after its reservation.
+  [[nodiscard]] auto RetentionMs() const -> std::uint32_t;
 
   // Records that an endpoint failed an attempt, and reports it to other fronts.
   auto RecordFailure(const endpoint_id& endpoint,
--- a/source/core/front/turn_flow.cc
+++ b/source/core/front/turn_flow.cc
@@ -2,7 +2,9 @@
 // at the journals, reading its chain, and recording or settling it.
 #include <algorithm>
 #include <boost/asio.hpp>
+#include <chrono>
 #include <cstdint>
+#include <limits>
 #include <utility>
 
 #include "common/logging.h"
@@ -66,7 +68,9 @@
   auto begin = history::turn_begin{history::program_name(call_.program),
                                    history::turn_id(call_.request_id),
                                    history::turn_id(call_.previous_turn),
-                                   call_.max_output_tokens, call_.token_budget};
+                                   call_.max_output_tokens,
+                                   call_.token_budget,
+                                   RetentionMs()};
   const auto requested_at = Now();
   auto begun = co_await node_.turns().Begin(
       std::move(begin), std::min(kReserveTimeout, TimeLeft()));
@@ -140,11 +144,22 @@
   node_.turns().Settle(MakeTurnFact());
 }
 
+// Journals count from the reservation, the route's retention from the end of
+// the turn, which may come as late as the route's timeout.
+auto request_flow::RetentionMs() const -> std::uint32_t {
+  constexpr auto kMax = std::int64_t{std::numeric_limits<std::uint32_t>::max()};
+  const auto time = std::chrono::ceil<std::chrono::milliseconds>(
+      route_->retention + route_->timeout);
+  return static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(time.count(), 0, kMax));
+}
+
 auto request_flow::MakeTurnFact() const -> history::turn_fact {
   auto fact = history::turn_fact{};
   fact.program = history::program_name(call_.program);
   fact.turn = history::turn_id(call_.request_id);
   fact.reserved_tokens = call_.max_output_tokens;
+  fact.retention_ms = RetentionMs();
   // Without an engine profile, each event counts as one token.
   fact.settled_tokens = events_ * (engine_ ? engine_->event_tokens : 1);
   return fact;
--- a/source/core/history/fact_replica.cc
+++ b/source/core/history/fact_replica.cc
@@ -53,6 +53,7 @@
   fact.turn = request.turn;
   fact.reserved_tokens = request.reserved_tokens;
   fact.recorded_ms = now_ms;
+  fact.retention_ms = request.retention_ms;
   auto effect = replica_effect{};
   auto reply = begin_reply{};
   reply.is_complete = IsComplete();
@@ -114,8 +115,9 @@
   return added;
 }
 
-auto fact_replica::ExpireBefore(std::int64_t cutoff_ms) -> std::size_t {
-  return facts_.ExpireBefore(cutoff_ms);
+auto fact_replica::Expire(std::int64_t now_ms, std::int64_t default_lifetime_ms)
+    -> std::size_t {
+  return facts_.Expire(now_ms, default_lifetime_ms);
 }
 
 }  // namespace daisywind::history
--- a/source/core/history/fact_replica.h
+++ b/source/core/history/fact_replica.h
@@ -46,7 +46,9 @@
   auto MergeFacts(const std::vector<turn_fact>& facts)
       -> std::vector<turn_fact>;
 
-  auto ExpireBefore(std::int64_t cutoff_ms) -> std::size_t;
+  // See fact_table::Expire.
+  auto Expire(std::int64_t now_ms, std::int64_t default_lifetime_ms)
+      -> std::size_t;
 
   [[nodiscard]] auto facts() const -> const fact_table& { return facts_; }
   [[nodiscard]] auto current() const -> const view& { return view_; }
--- a/source/core/history/fact_table.cc
+++ b/source/core/history/fact_table.cc
@@ -37,6 +37,12 @@
   return PlacementHash(text);
 }
 
+auto LifetimeMs(const turn_fact& fact, std::int64_t default_lifetime_ms)
+    -> std::int64_t {
+  return fact.retention_ms == 0 ? default_lifetime_ms
+                                : fact.retention_ms + kRetentionSlackMs;
+}
+
 auto fact_table::Apply(const turn_fact& fact) -> bool {
   const auto [found, is_new] = facts_.try_emplace(fact.turn, fact);
   auto& known = found->second;
@@ -118,11 +124,13 @@
   return facts;
 }
 
-auto fact_table::ExpireBefore(std::int64_t cutoff_ms) -> std::size_t {
+auto fact_table::Expire(std::int64_t now_ms, std::int64_t default_lifetime_ms)
+    -> std::size_t {
   auto expired = std::vector<turn_id>{};
   for (const auto& [program, turns] : by_program_) {
     const auto is_recent = [&](const turn_id& turn) {
-      return facts_.at(turn).recorded_ms >= cutoff_ms;
+      const auto& fact = facts_.at(turn);
+      return fact.recorded_ms + LifetimeMs(fact, default_lifetime_ms) >= now_ms;
     };
     if (std::none_of(turns.begin(), turns.end(), is_recent)) {
       expired.insert(expired.end(), turns.begin(), turns.end());
@@ -134,6 +142,15 @@
   return expired.size();
 }
 
+auto fact_table::LongestLifetimeMs(std::int64_t default_lifetime_ms) const
+    -> std::int64_t {
+  auto longest = std::int64_t{0};
+  for (const auto& [turn, known] : facts_) {
+    longest = std::max(longest, LifetimeMs(known, default_lifetime_ms));
+  }
+  return facts_.empty() ? default_lifetime_ms : longest;
+}
+
 auto fact_table::Erase(const turn_id& turn) -> void {
   const auto found = facts_.find(turn);
   bytes_ -= SizeOf(found->second);
--- a/source/core/history/fact_table.h
+++ b/source/core/history/fact_table.h
@@ -17,6 +17,14 @@
 
 auto FactHash(const turn_fact& fact) -> fact_hash;
 
+// Time that facts are kept beyond their retention, in milliseconds, because the
+// clocks of VMs differ and step.
+inline constexpr auto kRetentionSlackMs = std::int64_t{15'000};
+
+// How long a fact is kept after it was recorded, in milliseconds.
+auto LifetimeMs(const turn_fact& fact, std::int64_t default_lifetime_ms)
+    -> std::int64_t;
+
 // Facts by turn and by program. Does no I/O and reads no clock.
 class fact_table {
  public:
@@ -41,10 +49,17 @@
   // Hashes of all facts.
   [[nodiscard]] auto Hashes() const -> std::vector<fact_hash>;
 
-  // Removes the programs whose newest fact was recorded before a Unix time in
-  // milliseconds, so that a chain is kept as long as its newest turn. Returns
-  // the number of removed facts.
-  auto ExpireBefore(std::int64_t cutoff_ms) -> std::size_t;
+  // Removes the programs of which every fact has outlived its lifetime at a
+  // Unix time in milliseconds, so that a chain is kept as long as its newest
+  // turn. The default lifetime, in milliseconds, is that of facts that name no
+  // retention. Returns the number of removed facts.
+  auto Expire(std::int64_t now_ms, std::int64_t default_lifetime_ms)
+      -> std::size_t;
+
+  // The longest lifetime of a fact in the table, in milliseconds; the default
+  // one when the table is empty.
+  [[nodiscard]] auto LongestLifetimeMs(std::int64_t default_lifetime_ms) const
+      -> std::int64_t;
 
   [[nodiscard]] auto size() const -> std::size_t { return facts_.size(); }
   [[nodiscard]] auto bytes() const -> std::size_t { return bytes_; }
--- a/source/core/history/messages.h
+++ b/source/core/history/messages.h
@@ -33,6 +33,9 @@
   // Set when the sender wants the samples that others published after this
   // sequence number.
   std::optional<load_change_feed::sequence> loads_known = std::nullopt;
+  // How long to keep the turn, in milliseconds; zero when the sender does not
+  // say.
+  std::uint32_t retention_ms = 0;
 
   auto operator<=>(const begin_request&) const = default;
 };
--- a/source/core/history/types.h
+++ b/source/core/history/types.h
@@ -52,6 +52,9 @@
   std::optional<turn_content> content;
   // Unix time of the first record, in milliseconds.
   std::int64_t recorded_ms = 0;
+  // How long to keep the fact after it was recorded, in milliseconds; zero when
+  // its sender did not say.
+  std::uint32_t retention_ms = 0;
 
   auto operator<=>(const turn_fact&) const = default;
 };
--- a/source/core/history_client/turn_client.cc
+++ b/source/core/history_client/turn_client.cc
@@ -265,6 +265,7 @@
           body.turn = request.turn;
           body.parent = request.parent;
           body.reserved_tokens = request.reserved_tokens;
+          body.retention_ms = request.retention_ms;
           body.wants_chain = position == 0;
           load_exchange_.AttachLoads(body, to, position == 0, Now());
           return body;
--- a/source/core/history_client/turn_client.h
+++ b/source/core/history_client/turn_client.h
@@ -47,6 +47,8 @@
   turn_id parent;
   std::uint32_t reserved_tokens = 0;
   std::optional<std::uint64_t> budget;
+  // How long to keep the turn, in milliseconds.
+  std::uint32_t retention_ms = 0;
 };
 
 enum class begin_outcome : std::uint8_t {
--- a/source/core/history_wire/codec.cc
+++ b/source/core/history_wire/codec.cc
@@ -49,6 +49,7 @@
   to.turn = from.turn.value;
   to.parent = from.parent.value;
   to.reserved_tokens = from.reserved_tokens;
+  to.retention_ms = from.retention_ms;
   to.wants_chain = from.wants_chain;
   to.loads = Convert(from.loads);
   to.wants_loads = from.loads_known.has_value();
@@ -63,7 +64,8 @@
           from.reserved_tokens,
           from.wants_chain,
           Convert(from.loads),
-          from.wants_loads ? std::optional(from.loads_known) : std::nullopt};
+          from.wants_loads ? std::optional(from.loads_known) : std::nullopt,
+          from.retention_ms};
 }
 
 auto ToObject(const begin_reply& from) -> fbs::BeginReplyT {
--- a/source/core/history_wire/parts.cc
+++ b/source/core/history_wire/parts.cc
@@ -34,6 +34,7 @@
   to->has_settled = from.settled_tokens.has_value();
   to->settled_tokens = from.settled_tokens.value_or(0);
   to->recorded_ms = from.recorded_ms;
+  to->retention_ms = from.retention_ms;
   if (from.content) {
     to->content = std::make_unique<fbs::ContentT>();
     to->content->parent = from.content->parent.value;
@@ -54,6 +55,7 @@
     to.settled_tokens = from.settled_tokens;
   }
   to.recorded_ms = from.recorded_ms;
+  to.retention_ms = from.retention_ms;
   if (from.content != nullptr) {
     to.content = turn_content{turn_id(std::move(from.content->parent)),
                               std::move(from.content->input),
@@ -73,6 +75,7 @@
     to.settled_tokens = from.settled_tokens();
   }
   to.recorded_ms = from.recorded_ms();
+  to.retention_ms = from.retention_ms();
   if (const auto* content = from.content()) {
     to.content = turn_content{turn_id(StringOrEmpty(content->parent())),
                               StringOrEmpty(content->input()),
--- a/source/core/journal/disk_log.cc
+++ b/source/core/journal/disk_log.cc
@@ -103,7 +103,8 @@
 
 // Passes the records of a segment to the visitor. Stops at the first damaged
 // record and returns false.
-auto VisitRecords(std::string_view bytes,
+auto VisitRecords(segment_number segment,
+                  std::string_view bytes,
                   const record_visitor& visit,
                   log_load_result& load) -> bool {
   while (!bytes.empty()) {
@@ -120,7 +121,7 @@
     if (PlacementHash(record, kChecksumSeed) != checksum) {
       return false;
     }
-    visit(record);
+    visit(segment, record);
     ++load.records;
     load.bytes += length;
     bytes.remove_prefix(length);
@@ -285,7 +286,7 @@
     const auto bytes = std::string(std::istreambuf_iterator<char>(stream),
                                    std::istreambuf_iterator<char>());
     load.is_readable = load.is_readable && !stream.bad();
-    if (!VisitRecords(bytes, visit, load)) {
+    if (!VisitRecords(number, bytes, visit, load)) {
       ++load.damaged_segments;
     }
   }
--- a/source/core/journal/disk_log.h
+++ b/source/core/journal/disk_log.h
@@ -33,8 +33,9 @@
   bool is_readable = false;
 };
 
-using record_visitor = std::function<void(std::string_view record)>;
 using segment_number = std::uint64_t;
+using record_visitor =
+    std::function<void(segment_number segment, std::string_view record)>;
 
 // Called on the log's context with whether the record is on disk. For a record
 // that was not queued, it is called from within Append.
--- a/source/core/journal/journal_node.cc
+++ b/source/core/journal/journal_node.cc
@@ -5,8 +5,10 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <chrono>
+#include <cstdint>
 #include <iterator>
 #include <utility>
 
@@ -28,7 +30,9 @@
 // Minimum time between two writes of the store mirror to disk, so that changes
 // of the platform's store are written in batches.
 constexpr auto kMirrorWriteInterval = duration(1s);
-constexpr auto kExpiryInterval = std::chrono::seconds(10);
+constexpr auto kExpiryInterval = std::chrono::seconds(5);
+constexpr auto kExpiryIntervalMs =
+    std::int64_t{std::chrono::milliseconds(kExpiryInterval).count()};
 
 auto FindIdentity(const std::string& folder) -> std::string {
   auto* directory = ::opendir(folder.c_str());
@@ -117,6 +121,7 @@
     return false;
   }
   LoadRecords();
+  RewriteOldSegments();
   const auto address = net::ParseSocketAddress(listen_address_);
   if (!address || server_.Listen(*address) == 0) {
     return false;
@@ -152,24 +157,42 @@
 
 auto journal_node::LoadRecords() -> void {
   const auto began = Now();
+  const auto began_ms = UnixMs();
   auto unreadable = std::int64_t{0};
-  const auto load = log_.Load([&](std::string_view bytes) {
-    const auto record = history::DecodeRecord(bytes);
-    if (!record) {
-      ++unreadable;
-      return;
-    }
-    replica_.Restore(record->facts);
-    if (record->store) {
-      mirror_.Restore(*record->store);
-      return;
-    }
-    // A record without facts says whether the replica is complete.
-    if (record->facts.empty()) {
-      replica_.SetComplete(record->complete_in_view);
-    }
-  });
+  // Time of the newest fact so far.
+  auto newest_ms = std::int64_t{0};
+  auto next_expiry_ms = std::int64_t{0};
+  const auto load =
+      log_.Load([&](segment_number segment, std::string_view bytes) {
+        if (segments_.empty() || segments_.back().second != segment) {
+          segments_.emplace_back(newest_ms, segment);
+        }
+        const auto record = history::DecodeRecord(bytes);
+        if (!record) {
+          ++unreadable;
+          return;
+        }
+        replica_.Restore(record->facts);
+        for (const auto& fact : record->facts) {
+          newest_ms = std::max(newest_ms, std::min(fact.recorded_ms, began_ms));
+        }
+        // Facts expire while they are read, so that no more of them are in
+        // memory than were when they were written.
+        if (newest_ms >= next_expiry_ms) {
+          replica_.Expire(newest_ms, retention_ms_);
+          next_expiry_ms = newest_ms + kExpiryIntervalMs;
+        }
+        if (record->store) {
+          mirror_.Restore(*record->store);
+          return;
+        }
+        // A record without facts says whether the replica is complete.
+        if (record->facts.empty()) {
+          replica_.SetComplete(record->complete_in_view);
+        }
+      });
   segments_.emplace_back(UnixMs(), log_.CurrentSegment());
+  replica_.Expire(began_ms, retention_ms_);
   persisted_mirror_revision_ = mirror_.revision_at();
   Log(log_events::kDiskLoaded,
       {{"disk", std::string_view(self_.disk.value)},
@@ -324,7 +347,7 @@
     if (is_stopped_) {
       co_return;
     }
-    const auto expired = replica_.ExpireBefore(UnixMs() - retention_ms_);
+    const auto expired = replica_.Expire(UnixMs(), retention_ms_);
     counters_.facts_expired += expired;
     if (expired > 0) {
       Log(log_events::kFactsExpired,
@@ -345,7 +368,10 @@
   // A segment ends when the next one begins.
   auto first_kept = segment_number{0};
   auto ended_ms = std::int64_t{0};
-  while (segments_.size() > 1 && segments_[1].first < now - 2 * retention_ms_) {
+  // A fact of another VM may bear a time after that of its segment's end.
+  const auto kept_ms = replica_.facts().LongestLifetimeMs(retention_ms_) +
+                       history::kRetentionSlackMs;
+  while (segments_.size() > 1 && segments_[1].first < now - kept_ms) {
     first_kept = segments_[1].second;
     ended_ms = segments_[1].first;
     segments_.erase(segments_.begin());
@@ -353,7 +379,8 @@
   if (first_kept == 0) {
     return;
   }
-  auto needed = replica_.facts().RecordedBefore(ended_ms);
+  auto needed =
+      replica_.facts().RecordedBefore(ended_ms + history::kRetentionSlackMs);
   const auto since = replica_.complete_since();
   log_.Append(history::EncodeRecord({{}, since, std::nullopt}), [](bool) {});
   log_.Append(history::EncodeRecord({{}, 0, mirror_.CopyIfNewer(0)}),
--- a/source/unit_tests/history/fact_table_test.cc
+++ b/source/unit_tests/history/fact_table_test.cc
@@ -130,14 +130,27 @@
   newer.recorded_ms = 900;
   table.Apply(old);
   table.Apply(newer);
-  CHECK(table.ExpireBefore(500) == 0);
+  CHECK(table.Expire(1500, 1000) == 0);
   CHECK(table.Chain(turn_id("t2")).state == chain_state::kComplete);
-  CHECK(table.ExpireBefore(901) == 2);
+  CHECK(table.Expire(1901, 1000) == 2);
   CHECK(table.size() == 0);
   CHECK(table.bytes() == 0);
   CHECK(table.Hashes().empty());
   CHECK(table.Spending(program_name("p")).empty());
 }
 
+TEST_CASE("a fact is kept for the retention that its sender names") {
+  auto table = fact_table{};
+  auto fact = CompleteTurn("p", "t1", "");
+  fact.recorded_ms = 100;
+  fact.retention_ms = 400;
+  table.Apply(fact);
+  const auto end = 500 + kRetentionSlackMs;
+  CHECK(table.LongestLifetimeMs(1) == 400 + kRetentionSlackMs);
+  CHECK(table.Expire(end, 1) == 0);
+  CHECK(table.Expire(end + 1, 1) == 1);
+  CHECK(table.LongestLifetimeMs(1) == 1);
+}
+
 }  // namespace
 }  // namespace daisywind::history
--- a/source/unit_tests/history_wire/codec_test.cc
+++ b/source/unit_tests/history_wire/codec_test.cc
@@ -14,7 +14,8 @@
           20U,
           turn_content{turn_id("s"), std::string("in\0put", 6), "output\n",
                        endpoint_id("e"), 3500},
-          1'700'000'000'000};
+          1'700'000'000'000,
+          66'000};
 }
 
 auto FactWithoutContent() -> turn_fact {
@@ -42,7 +43,8 @@
                     50,
                     true,
                     {{7, 3, 2, 120ms}},
-                    11},
+                    11,
+                    66'000},
       begin_reply{true, Chain(), {{turn_id("y"), 3}}},
       begin_reply{
           true, Chain(), {}, {{7, 3, 2, 120ms, 0ms}, {8, 0, 0, 0ms, 31s}}, 12},
--- a/source/unit_tests/journal/disk_log_test.cc
+++ b/source/unit_tests/journal/disk_log_test.cc
@@ -42,7 +42,7 @@
             disk_log_options options = {}) -> void {
   auto context = boost::asio::io_context(1);
   auto log = disk_log(context, folder.string(), options);
-  log.Load([](std::string_view) {});
+  log.Load([](segment_number, std::string_view) {});
   auto pending = list.size();
   for (const auto& item : list) {
     log.Append(item, [&](bool is_durable) {
@@ -61,8 +61,9 @@
   auto context = boost::asio::io_context(1);
   auto log = disk_log(context, folder.string(), {});
   auto list = records{};
-  const auto load =
-      log.Load([&](std::string_view record) { list.emplace_back(record); });
+  const auto load = log.Load([&](segment_number, std::string_view record) {
+    list.emplace_back(record);
+  });
   if (result != nullptr) {
     *result = load;
   }
@@ -155,7 +156,7 @@
   const auto moved = folder.path().string() + "-away";
   auto context = boost::asio::io_context(1);
   auto log = disk_log(context, folder.path().string(), {});
-  log.Load([](std::string_view) {});
+  log.Load([](segment_number, std::string_view) {});
   fs::rename(folder.path(), moved);
   auto is_done = false;
   log.Append("one", [&](bool is_durable) {
@@ -179,7 +180,7 @@
   const auto folder = scratch_folder();
   auto context = boost::asio::io_context(1);
   auto log = disk_log(context, folder.path().string(), {1U << 20U, 64});
-  log.Load([](std::string_view) {});
+  log.Load([](segment_number, std::string_view) {});
   auto is_refused = false;
   log.Append(std::string(100, 'x'),
              [&](bool is_durable) { is_refused = !is_durable; });
@@ -192,7 +193,7 @@
   Append(folder.path(), {"two"});
   auto context = boost::asio::io_context(1);
   auto log = disk_log(context, folder.path().string(), {});
-  log.Load([](std::string_view) {});
+  log.Load([](segment_number, std::string_view) {});
   log.RemoveBefore(2);
   CHECK(Load(folder.path()) == records{"two"});
 }
--- a/source/unit_tests/journal/journal_node_test.cc
+++ b/source/unit_tests/journal/journal_node_test.cc
@@ -2,14 +2,17 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <chrono>
+#include <cstdint>
 #include <filesystem>
 #include <map>
 #include <memory>
 #include <string>
 
+#include "common/process_clock.h"
 #include "common/random.h"
 #include "history_client/turn_client.h"
 #include "history_wire/view_json.h"
@@ -28,6 +31,17 @@
 // Maximum duration of one step of a test; generous, for a busy machine.
 constexpr auto kStepTimeout = std::chrono::seconds(60);
 
+// A turn of a program of its own that began some time ago.
+auto AgedFact(const std::string& turn, std::int64_t age_ms)
+    -> history::turn_fact {
+  auto fact = history::turn_fact{};
+  fact.program = history::program_name("program of " + turn);
+  fact.turn = history::turn_id(turn);
+  fact.settled_tokens = 10;
+  fact.recorded_ms = UnixMs() - age_ms;
+  return fact;
+}
+
 // Several journal nodes on loopback that share one fake store.
 class journal_cluster {
  public:
@@ -58,7 +72,8 @@
         R"(","failure_domain":"d","region":"r","listen":{"journal":"127.0.0.1:)" +
         std::to_string(Port(number)) +
         R"("},"store":{"address":"127.0.0.1:1"},"data":{"folder":")" +
-        (folder_ / vm).string() + R"("},"tolerate":{"disks":1}})";
+        (folder_ / vm).string() +
+        R"("},"tolerate":{"disks":1}})";
     const auto is_read = leaf::try_handle_all(
         [&]() -> leaf::result<bool> {
           BOOST_LEAF_CHECK(values.AddText("test", text));
@@ -151,6 +166,20 @@
     return Await(client.Record(fact, kStepTimeout));
   }
 
+  auto RecordAged(history::turn_client& client,
+                  const std::string& turn,
+                  std::int64_t age_ms) -> bool {
+    return Await(client.Record(AgedFact(turn, age_ms), kStepTimeout));
+  }
+
+  auto SegmentCount(int number) -> std::size_t {
+    const auto files =
+        fs::directory_iterator(folder_ / ("vm" + std::to_string(number)));
+    return static_cast<std::size_t>(
+        std::count_if(fs::begin(files), fs::end(files),
+                      [](const auto& file) { return file.file_size() > 0; }));
+  }
+
   auto Begin(history::turn_client& client,
              const std::string& turn,
              const std::string& parent,
@@ -182,6 +211,8 @@
     return client;
   }
 
+  auto At(int number) -> journal_node& { return *nodes_.at(number); }
+
   asio::io_context context{1};
   testing::fake_store store;
 
@@ -330,6 +361,38 @@
   CHECK(cluster.View().members.size() == 2);
 }
 
+TEST_CASE("a journal that restarts does not load facts that have expired") {
+  auto cluster = journal_cluster();
+  cluster.StartThree();
+  const auto client = cluster.Client();
+  constexpr auto kHourMs = std::int64_t{3'600'000};
+  for (const auto age_ms : {kHourMs, kHourMs / 2}) {
+    REQUIRE(cluster.RecordAged(*client, "t" + std::to_string(age_ms), age_ms));
+  }
+  REQUIRE(cluster.Record(*client, "new", ""));
+  cluster.Stop(1);
+  auto& journal = cluster.Start(1);
+  CHECK(journal.replica().facts().size() <= 1);
+}
+
+TEST_CASE("a journal that restarts often deletes segments that have expired") {
+  auto cluster = journal_cluster();
+  cluster.Start(1);
+  constexpr auto kHourMs = std::int64_t{3'600'000};
+  constexpr auto kRestarts = 6;
+  for (auto i = 0; i < kRestarts; ++i) {
+    const auto fact = AgedFact("t" + std::to_string(i), kHourMs);
+    auto is_durable = false;
+    cluster.At(1).Persist({fact}, [&](bool done) { is_durable = done; });
+    REQUIRE(cluster.RunUntil([&] { return is_durable; }));
+    cluster.Stop(1);
+    cluster.Start(1);
+  }
+  cluster.RunFor(std::chrono::milliseconds(100));
+  // The segment of the last start and the one before it.
+  CHECK(cluster.SegmentCount(1) <= 2);
+}
+
 TEST_CASE("a client with a stale view receives the new one") {
   auto cluster = journal_cluster();
   cluster.StartThree();
