Spread the copies of programs over equally near journals

Cause: a front ordered the members of the view by distance and, among equally near ones, by their place in the view.

Change: the nearest member stays first for all programs, as the exchange of loads goes on with it; the order of the others differs by program.

--- a/source/core/history_client/turn_client.cc
+++ b/source/core/history_client/turn_client.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <utility>
 
+#include "common/digest.h"
 #include "common/endpoint_key.h"
 #include "common/logging.h"
 #include "common/process_clock.h"
@@ -35,12 +36,15 @@
       std::function<bool(const member& from, message_body& reply)>;
   using done_predicate = std::function<bool()>;
 
+  // The requests of different programs go to different members where several
+  // are as near.
   round(turn_client& client,
+        const program_name& program,
         request_factory make_request,
         reply_acceptor accept_reply,
         done_predicate is_done)
       : client_(client),
-        members_(client.MembersByDistance()),
+        members_(client.MembersByDistance(program)),
         view_(client.view_.number),
         make_request_(std::move(make_request)),
         accept_reply_(std::move(accept_reply)),
@@ -189,7 +193,7 @@
   const auto sizes = QuorumSizes(view_, options_.tolerated_losses);
   auto reachable = std::size_t{0};
   const auto request_round = std::make_shared<round>(
-      *this,
+      *this, program_name(),
       [&](std::size_t, const member&) -> message_body {
         return adopt_request{view_};
       },
@@ -215,7 +219,8 @@
        {"members", static_cast<std::int64_t>(view_.members.size())}});
 }
 
-auto turn_client::MembersByDistance() const -> std::vector<member> {
+auto turn_client::MembersByDistance(const program_name& program) const
+    -> std::vector<member> {
   auto members = view_.members;
   const auto distance = [&](const member& to) {
     if (to.failure_domain == options_.failure_domain) {
@@ -227,6 +232,16 @@
                    [&](const member& a, const member& b) {
                      return distance(a) < distance(b);
                    });
+  // The nearest one stays the first for every program, as the exchange of loads
+  // goes on with it.
+  const auto order = [&](const member& to) {
+    return std::pair(distance(to), PlacementHash(program.value + to.vm.value));
+  };
+  if (!members.empty()) {
+    std::sort(
+        members.begin() + 1, members.end(),
+        [&](const member& a, const member& b) { return order(a) < order(b); });
+  }
   // Members that have failed since their last reply come after the others.
   std::stable_partition(members.begin(), members.end(), [&](const member& of) {
     return !clients_.HasFailed(of.address);
@@ -258,7 +273,7 @@
                                   request.budget, sizes);
     auto chain = chain_decision(request.parent, sizes);
     const auto request_round = std::make_shared<round>(
-        *this,
+        *this, request.program,
         [&](std::size_t position, const member& to) -> message_body {
           auto body = begin_request{};
           body.program = request.program;
@@ -298,8 +313,9 @@
       co_return result;
     }
     if (budget.state() == decision_state::kYes) {
-      co_await ReadChain(chain, std::chrono::duration_cast<duration>(
-                                    deadline - steady::now()));
+      co_await ReadChain(
+          chain, request.program,
+          std::chrono::duration_cast<duration>(deadline - steady::now()));
       if (chain.state() == decision_state::kNo) {
         result.outcome = begin_outcome::kUnknownTurn;
         co_return result;
@@ -315,13 +331,14 @@
   co_return result;
 }
 
-auto turn_client::ReadChain(chain_decision& chain, duration timeout)
-    -> asio::awaitable<void> {
+auto turn_client::ReadChain(chain_decision& chain,
+                            const program_name& program,
+                            duration timeout) -> asio::awaitable<void> {
   const auto deadline = steady::now() + timeout;
   while (chain.state() == decision_state::kOpen && steady::now() < deadline) {
     const auto target = chain.next_wanted();
     const auto request_round = std::make_shared<round>(
-        *this,
+        *this, program,
         [&](std::size_t, const member&) -> message_body {
           return read_request{target};
         },
@@ -356,7 +373,7 @@
     const auto view_before = view_.number;
     auto copies = std::size_t{0};
     const auto request_round = std::make_shared<round>(
-        *this,
+        *this, fact.program,
         [&](std::size_t, const member&) -> message_body {
           return record_request{{fact}};
         },
--- a/source/core/history_client/turn_client.h
+++ b/source/core/history_client/turn_client.h
@@ -111,9 +111,13 @@
  private:
   class round;
 
-  [[nodiscard]] auto MembersByDistance() const -> std::vector<member>;
-  auto ReadChain(chain_decision& chain, duration timeout)
-      -> boost::asio::awaitable<void>;
+  // The members, nearest first. The order of equally near ones differs by
+  // program, so that their copies are spread over them.
+  [[nodiscard]] auto MembersByDistance(const program_name& program) const
+      -> std::vector<member>;
+  auto ReadChain(chain_decision& chain,
+                 const program_name& program,
+                 duration timeout) -> boost::asio::awaitable<void>;
   auto Pause(duration length) -> boost::asio::awaitable<void>;
   // Waits before the next round. Returns at once if a stale-view reply brought
   // a newer view. A member may know that a view is stale before it knows the
--- a/source/unit_tests/journal/journal_node_test.cc
+++ b/source/unit_tests/journal/journal_node_test.cc
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "common/process_clock.h"
 #include "common/random.h"
@@ -393,6 +394,24 @@
   CHECK(cluster.SegmentCount(1) <= 2);
 }
 
+TEST_CASE("the copies of programs are spread over equally near journals") {
+  auto cluster = journal_cluster();
+  cluster.StartThree();
+  const auto client = cluster.Client();
+  constexpr auto kTurns = 40;
+  for (auto i = 0; i < kTurns; ++i) {
+    REQUIRE(cluster.RecordAged(*client, "t" + std::to_string(i), 0));
+  }
+  auto counts = std::vector<std::size_t>{};
+  for (auto number = 1; number <= 3; ++number) {
+    counts.push_back(cluster.At(number).replica().facts().size());
+  }
+  std::sort(counts.begin(), counts.end());
+  // One journal is the nearest of all; the second copies are shared out.
+  CHECK(counts[0] >= kTurns / 4);
+  CHECK(counts[1] <= 3 * kTurns / 4);
+}
+
 TEST_CASE("a client with a stale view receives the new one") {
   auto cluster = journal_cluster();
   cluster.StartThree();
