--- a/source/core/common/log_events.cc
+++ b/source/core/common/log_events.cc
@@ -65,6 +65,7 @@
     kFactsExpired,
     kViewAdopted,
     kFactsMayBeLost,
+    kMemoryFull,
 });
 
 }  // namespace
--- a/source/core/common/log_events.h
+++ b/source/core/common/log_events.h
@@ -196,6 +196,9 @@
 inline constexpr auto kFactsMayBeLost =
     log_event{2209, log_subsystem::kJournal, log_level::kError,
               "more disks lost than tolerated, facts may be lost"};
+inline constexpr auto kMemoryFull =
+    log_event{2210, log_subsystem::kJournal, log_level::kWarning,
+              "turns refused or accepted again, by the memory for facts"};
 
 }  // namespace log_events
 
--- a/source/core/history/fact_table.cc
+++ b/source/core/history/fact_table.cc
@@ -9,8 +9,8 @@
 namespace {
 
 // Estimated memory for the map nodes and strings of a fact, in addition to its
-// content, in bytes.
-constexpr auto kEntryOverheadBytes = std::size_t{400};
+// content, in bytes: four map or vector entries and six strings of their own.
+constexpr auto kEntryOverheadBytes = std::size_t{650};
 
 auto SizeOf(const turn_fact& fact) -> std::size_t {
   const auto content =
--- a/source/core/history_client/turn_client.cc
+++ b/source/core/history_client/turn_client.cc
@@ -272,6 +272,12 @@
     auto budget = budget_decision(request.turn, request.reserved_tokens,
                                   request.budget, sizes);
     auto chain = chain_decision(request.parent, sizes);
+    const auto needed = std::max(sizes.write, sizes.read);
+    // Members that can't take a reservation now, and said so.
+    auto refusals = std::size_t{0};
+    const auto is_refused = [&] {
+      return refusals + needed > std::max(view_.members.size(), needed);
+    };
     const auto request_round = std::make_shared<round>(
         *this, request.program,
         [&](std::size_t position, const member& to) -> message_body {
@@ -288,6 +294,7 @@
         [&](const member& from, message_body& reply) {
           auto* begun = std::get_if<begin_reply>(&reply);
           if (begun == nullptr) {
+            refusals += std::holds_alternative<record_reply>(reply) ? 1 : 0;
             return false;
           }
           load_exchange_.ProcessReply(*begun, from, Now());
@@ -295,9 +302,11 @@
           chain.Add(from.vm, begun->is_complete, std::move(begun->chain));
           return begun->is_complete;
         },
-        [&] { return budget.state() != decision_state::kOpen; });
+        [&] {
+          return budget.state() != decision_state::kOpen || is_refused();
+        });
     result.was_sent = true;
-    co_await request_round->Run(std::max(sizes.write, sizes.read), deadline);
+    co_await request_round->Run(needed, deadline);
     request_round->IgnoreReplies();
     result.answers += request_round->completed();
     result.view = view_.number;
@@ -326,6 +335,9 @@
         co_return result;
       }
     }
+    if (is_refused()) {
+      co_return result;
+    }
     co_await PauseBeforeRetry(*request_round, result.view);
   }
   co_return result;
--- a/source/core/history_client/turn_client.h
+++ b/source/core/history_client/turn_client.h
@@ -96,7 +96,8 @@
   auto ReportFailure(const endpoint_id& id) -> void;
 
   // Reserves a turn and reads the turns that precede it. Returns kUnavailable
-  // when there is no decision within the timeout.
+  // when there is no decision within the timeout, and at once when too many
+  // members refuse the reservation.
   auto Begin(turn_begin request, duration timeout)
       -> boost::asio::awaitable<begin_result>;
 
--- a/source/core/journal/journal_node.cc
+++ b/source/core/journal/journal_node.cc
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <cstdint>
 #include <iterator>
+#include <limits>
 #include <utility>
 
 #include "common/logging.h"
@@ -65,6 +66,18 @@
   return is_synced;
 }
 
+// The rest of the memory is for the queue of the log, frames under way, a
+// segment that is read, and the copy of the platform's store.
+auto FactsLimits(std::int64_t limit_mb) -> facts_limits {
+  constexpr auto kFirstTurnsPercent = std::size_t{65};
+  constexpr auto kLaterTurnsPercent = std::size_t{75};
+  constexpr auto kNone = std::numeric_limits<std::size_t>::max();
+  const auto percent = (static_cast<std::size_t>(limit_mb) << 20U) / 100;
+  return limit_mb == 0 ? facts_limits{kNone, kNone}
+                       : facts_limits{percent * kFirstTurnsPercent,
+                                      percent * kLaterTurnsPercent};
+}
+
 auto ToHex(std::uint64_t value) -> std::string {
   constexpr auto kDigits = std::string_view("0123456789abcdef");
   auto text = std::string{};
@@ -85,6 +98,7 @@
       listen_address_(values.Get(kListenAddress)),
       seed_address_(values.Get(kSeedAddress)),
       retention_ms_(values.Get(kRetentionMs)),
+      max_facts_bytes_(FactsLimits(values.Get(kMemoryLimitMb))),
       self_{vm_id(values.Get(kVm)),
             {},
             values.Get(kAdvertisedAddress).empty()
@@ -243,6 +257,15 @@
     }
     return;
   }
+  const auto* begin = std::get_if<history::begin_request>(&request->body);
+  if (begin != nullptr && !HasMemoryFor(*begin)) {
+    ++counters_.refused_reservations;
+    if (const auto open = channel.lock()) {
+      open->Send(history::EncodeMessage({request->id, replica_.current().number,
+                                         history::record_reply{false}}));
+    }
+    return;
+  }
   auto effect = replica_.Handle(*request, UnixMs());
   if (!effect.reply) {
     return;
@@ -281,6 +304,21 @@
           });
 }
 
+auto journal_node::HasMemoryFor(const history::begin_request& request) -> bool {
+  const auto bytes = replica_.facts().bytes();
+  const auto is_full = bytes >= max_facts_bytes_.first_turns;
+  if (is_full != was_full_) {
+    was_full_ = is_full;
+    Log(log_events::kMemoryFull,
+        {{"is_full", is_full},
+         {"facts", static_cast<std::int64_t>(replica_.facts().size())},
+         {"bytes", static_cast<std::int64_t>(bytes)}});
+  }
+  const auto max_bytes = request.parent.empty() ? max_facts_bytes_.first_turns
+                                                : max_facts_bytes_.later_turns;
+  return bytes < max_bytes;
+}
+
 auto journal_node::ExchangeLoads(const history::message_body& request,
                                  history::message_body& reply) -> void {
   const auto* begin = std::get_if<history::begin_request>(&request);
@@ -401,6 +439,7 @@
   add("requests_total", counters_.requests);
   add("stale_requests_total", counters_.stale_requests);
   add("refused_writes_total", counters_.refused_writes);
+  add("refused_reservations_total", counters_.refused_reservations);
   add("facts_pulled_total", counters_.facts_pulled);
   add("facts_forgotten_total", counters_.facts_expired);
   add("facts", replica_.facts().size());
--- a/source/core/journal/journal_node.h
+++ b/source/core/journal/journal_node.h
@@ -5,6 +5,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -31,12 +32,21 @@
   std::uint64_t requests = 0;
   std::uint64_t stale_requests = 0;
   std::uint64_t refused_writes = 0;
+  // Turns that were not begun because the memory for facts was full.
+  std::uint64_t refused_reservations = 0;
   std::uint64_t facts_pulled = 0;
   std::uint64_t facts_expired = 0;
 };
 
 // Stores facts on this VM's disk and serves requests for them. Everything but
 // the log's writer runs on the context's thread.
+// Turns are begun only while the facts take less memory than this, in bytes.
+struct facts_limits {
+  std::size_t first_turns = 0;
+  // Higher, so that programs under way can end.
+  std::size_t later_turns = 0;
+};
+
 class journal_node {
  public:
   journal_node(boost::asio::io_context& context,
@@ -81,6 +91,8 @@
       -> net::channel_handlers;
   // Stores the endpoint loads attached to a request, and attaches those that it
   // asks for to the reply.
+  // Whether there is memory for one more turn.
+  auto HasMemoryFor(const history::begin_request& request) -> bool;
   auto ExchangeLoads(const history::message_body& request,
                      history::message_body& reply) -> void;
   auto OnFrame(const std::weak_ptr<net::frame_channel>& channel,
@@ -93,6 +105,8 @@
   std::string listen_address_;
   std::string seed_address_;
   std::int64_t retention_ms_;
+  facts_limits max_facts_bytes_;
+  bool was_full_ = false;
   history::member self_;
   history::fact_replica replica_;
   // Not kept on disk, because it fills again within a second of a restart.
--- a/source/core/journal/journal_settings.cc
+++ b/source/core/journal/journal_settings.cc
@@ -16,6 +16,7 @@
           Declare(kDataFolder),
           Declare(kToleratedDiskLosses),
           Declare(kRetentionMs),
+          Declare(kMemoryLimitMb),
           Declare(kLogLevel)};
 }
 
--- a/source/core/journal/journal_settings.h
+++ b/source/core/journal/journal_settings.h
@@ -22,11 +22,15 @@
     "none"};
 inline constexpr auto kDataFolder = string_setting{
     "data.folder", "", "folder for records on this VM's disk", 0, 0, true};
-// Well above the longest retention of a route, so that a step of the wall clock
-// does not expire facts early.
-inline constexpr auto kRetentionMs = integer_setting{
-    "data.retention_ms", 150'000,
-    "time that facts are kept after a program's last one", 1'000, 86'400'000};
+// Fronts of earlier versions name no retention. Well above the longest one of a
+// route, so that a step of the wall clock does not expire facts early.
+inline constexpr auto kRetentionMs =
+    integer_setting{"data.retention_ms", 150'000,
+                    "time that facts are kept whose sender names no retention",
+                    1'000, 86'400'000};
+inline constexpr auto kMemoryLimitMb = integer_setting{
+    "memory.limit_mb", 0,
+    "memory at which the VM ends the process, in MB; 0 for none", 0, 1'048'576};
 
 // All settings of the journal.
 auto JournalSchema() -> settings_schema;
--- a/source/unit_tests/journal/journal_node_test.cc
+++ b/source/unit_tests/journal/journal_node_test.cc
@@ -74,7 +74,8 @@
         std::to_string(Port(number)) +
         R"("},"store":{"address":"127.0.0.1:1"},"data":{"folder":")" +
         (folder_ / vm).string() +
-        R"("},"tolerate":{"disks":1}})";
+        R"("},"tolerate":{"disks":1},"memory":{"limit_mb":)" +
+        std::to_string(memory_limit_mb) + "}}";
     const auto is_read = leaf::try_handle_all(
         [&]() -> leaf::result<bool> {
           BOOST_LEAF_CHECK(values.AddText("test", text));
@@ -216,6 +217,8 @@
 
   asio::io_context context{1};
   testing::fake_store store;
+  // Of the journals that are started from now on; 0 for none.
+  int memory_limit_mb = 0;
 
  private:
   auto Port(int number) -> int {
@@ -394,6 +397,31 @@
   CHECK(cluster.SegmentCount(1) <= 2);
 }
 
+TEST_CASE("journals without memory refuse new turns at once") {
+  auto cluster = journal_cluster();
+  cluster.memory_limit_mb = 1;
+  cluster.StartThree();
+  const auto client = cluster.Client();
+  REQUIRE(cluster.Record(*client, "t1", ""));
+  // A fact larger than the share of first turns, smaller than that of others.
+  constexpr auto kBytes = std::size_t{700'000};
+  auto fact = history::turn_fact{};
+  fact.program = history::program_name("large");
+  fact.turn = history::turn_id("large");
+  fact.content = history::turn_content{};
+  fact.content->input = std::string(kBytes, 'x');
+  for (auto number = 1; number <= 3; ++number) {
+    cluster.At(number).replica().MergeFacts({fact});
+  }
+  const auto asked_at = Now();
+  const auto first = cluster.Begin(*client, "t2", "", "q");
+  CHECK(first.outcome == history::begin_outcome::kUnavailable);
+  CHECK(Now() - asked_at < kStepTimeout / 2);
+  CHECK(cluster.Begin(*client, "t3", "t1").outcome ==
+        history::begin_outcome::kGranted);
+  CHECK(cluster.At(1).counters().refused_reservations > 0);
+}
+
 TEST_CASE("the copies of programs are spread over equally near journals") {
   auto cluster = journal_cluster();
   cluster.StartThree();
