--- a/source/core/net/http_types.cc
+++ b/source/core/net/http_types.cc
@@ -1,6 +1,7 @@
 #include "net/http_types.h"
 
 #include <algorithm>
+#include <boost/asio/ip/address.hpp>
 #include <charconv>
 #include <utility>
 
@@ -128,6 +129,13 @@
   return socket_address{std::string(host), port};
 }
 
+auto IsConnectable(const socket_address& address) -> bool {
+  auto error = boost::system::error_code{};
+  const auto ip = boost::asio::ip::make_address(address.host, error);
+  return !error && !ip.is_unspecified() && !ip.is_multicast() &&
+         address.port != 0;
+}
+
 auto ToString(const socket_address& address) -> std::string {
   const auto is_v6 = address.host.find(':') != std::string::npos;
   const auto host = is_v6 ? "[" + address.host + "]" : address.host;
--- a/source/core/net/http_types.h
+++ b/source/core/net/http_types.h
@@ -100,6 +100,10 @@
 // address.
 auto ParseSocketAddress(std::string_view text) -> std::optional<socket_address>;
 
+// Whether a TCP connection can be addressed to it: an IP address that names a
+// host, and a port other than zero.
+auto IsConnectable(const socket_address& address) -> bool;
+
 // Formats an address for ParseSocketAddress.
 auto ToString(const socket_address& address) -> std::string;
 
