--- a/source/core/common/log_events.cc
+++ b/source/core/common/log_events.cc
@@ -36,6 +36,7 @@
     kStoreWatchEnded,
     kStoreCopyTaken,
     kMirrorUnused,
+    kStoreItemsUnreadable,
     kConfigurationInForce,
     kEndpointChanged,
     kEndpointFailureRecorded,
--- a/source/core/common/log_events.h
+++ b/source/core/common/log_events.h
@@ -120,6 +120,9 @@
 inline constexpr auto kMirrorUnused =
     log_event{1909, log_subsystem::kFront, log_level::kInfo,
               "a journal's copy of the platform's store is missing or too old"};
+inline constexpr auto kStoreItemsUnreadable =
+    log_event{1910, log_subsystem::kPlatform, log_level::kWarning,
+              "items without a readable key in a response of the store"};
 inline constexpr auto kConfigurationInForce =
     log_event{2001, log_subsystem::kFront, log_level::kInfo,
               "configuration read, installed if newer"};
