Let no odd member entry speak for another VM of the gateway

An entry of another writer that names a live VM with a later run would have made that VM find itself superseded and stop; by reading, not shown with a fleet. Runs below one and addresses that can't be connected to passed as well.

Ruled out in the gateway: nesting and numbers of the endpoints' reports and of the configuration are checked where they are read; the key-value service encodes the keys of a page itself.

--- a/source/core/gateway/membership_adapter.cc
+++ b/source/core/gateway/membership_adapter.cc
@@ -8,51 +8,19 @@
 #include <utility>
 #include <variant>
 
-#include "common/json.h"
 #include "common/logging.h"
 #include "common/process_clock.h"
 #include "membership_wire/codec.h"
+#include "membership_wire/member_json.h"
 
 namespace daisywind::gateway {
 namespace {
 
 namespace asio = boost::asio;
 
-constexpr std::string_view kMemberPrefix = "daisywind/members/";
 // End of the range of keys with the prefix; not part of the range.
 constexpr std::string_view kMemberEnd = "daisywind/members0";
 
-auto EncodeMember(const membership::member& self) -> std::string {
-  auto value = json::object{};
-  value["vm"] = self.ref.vm.value;
-  value["run"] = self.ref.run;
-  value["address"] = self.address;
-  value["failure_domain"] = self.failure_domain.value;
-  value["region"] = self.region.value;
-  return json::serialize(value);
-}
-
-auto DecodeMember(const std::string& text)
-    -> std::optional<membership::member> {
-  auto error = json::error_code{};
-  const auto value = json::parse(text, error);
-  if (error || !value.is_object()) {
-    return std::nullopt;
-  }
-  const auto& object = value.get_object();
-  auto member = membership::member{};
-  member.ref.vm = vm_id(StringOr(object, "vm", ""));
-  member.ref.run = static_cast<incarnation>(IntegerOr(object, "run", 0));
-  member.address = StringOr(object, "address", "");
-  member.failure_domain =
-      failure_domain_id(StringOr(object, "failure_domain", ""));
-  member.region = region_id(StringOr(object, "region", ""));
-  if (member.ref.empty() || member.address.empty()) {
-    return std::nullopt;
-  }
-  return member;
-}
-
 }  // namespace
 
 membership_adapter::membership_adapter(asio::io_context& context,
@@ -151,8 +119,8 @@
   }
   auto request = kv::txn_request{};
   request.success.emplace_back(
-      kv::put_request{std::string(kMemberPrefix) + self.ref.vm.value,
-                      EncodeMember(self), granted.response.id});
+      kv::put_request{membership::MemberKey(self.ref.vm),
+                      membership::RenderMember(self), granted.response.id});
   const auto written = co_await kv_client_.Txn(std::move(request));
   if (written.outcome != kv::outcome::kAnswered) {
     Submit(membership::kv_unavailable{});
@@ -163,8 +131,9 @@
 
 auto membership_adapter::ReadMembers() -> asio::awaitable<void> {
   auto request = kv::txn_request{};
-  request.success.emplace_back(kv::range_request{
-      std::string(kMemberPrefix), std::string(kMemberEnd), 0, false});
+  request.success.emplace_back(
+      kv::range_request{std::string(membership::kMemberPrefix),
+                        std::string(kMemberEnd), 0, false});
   const auto result = co_await kv_client_.Txn(std::move(request));
   if (result.outcome != kv::outcome::kAnswered ||
       result.response.ranges.empty()) {
@@ -173,8 +142,11 @@
   }
   auto found = membership::kv_members{};
   for (const auto& item : result.response.ranges.front().items) {
-    if (auto member = DecodeMember(item.value)) {
+    if (auto member = membership::ParseMember(item)) {
       found.members.push_back(std::move(*member));
+    } else {
+      Log(log_events::kEntryIgnored, {{"key", std::string_view(item.key)},
+                                      {"reason", "not a valid member"}});
     }
   }
   Submit(found);
