Read a load beyond 32 bits as the largest one

The gateway cut the load that a plain service reports to 32 bits, so an endpoint that reports 4,294,967,296 running calls passed for idle. Found while looking for odd numbers; no test, the poller has none of its own.

--- a/source/core/gateway/endpoint_poller.cc
+++ b/source/core/gateway/endpoint_poller.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <charconv>
+#include <limits>
 #include <optional>
 #include <utility>
 
@@ -58,6 +59,15 @@
   return event;
 }
 
+// A larger count than the type holds is read as its maximum, as the endpoint is
+// anything but idle.
+auto SaturatedCount(const json::object& object, std::string_view key)
+    -> std::uint32_t {
+  constexpr auto kMax =
+      std::uint64_t{std::numeric_limits<std::uint32_t>::max()};
+  return static_cast<std::uint32_t>(std::min(CountOrZero(object, key), kMax));
+}
+
 }  // namespace
 
 endpoint_poller::endpoint_poller(asio::io_context& context,
@@ -144,10 +154,9 @@
   if (!body) {
     co_return false;
   }
-  const auto report = policy::load_report{
-      endpoint, requested_at,
-      static_cast<std::uint32_t>(CountOrZero(*body, "running")),
-      static_cast<std::uint32_t>(CountOrZero(*body, "queued"))};
+  const auto report = policy::load_report{endpoint, requested_at,
+                                          SaturatedCount(*body, "running"),
+                                          SaturatedCount(*body, "queued")};
   scheduler_.OnLoadReport(report, Now());
   co_return true;
 }
