--- a/source/core/history/view.cc
+++ b/source/core/history/view.cc
@@ -38,6 +38,15 @@
 
 }  // namespace
 
+auto DistanceOf(const member& to,
+                const failure_domain_id& failure_domain,
+                const region_id& region) -> int {
+  if (to.failure_domain == failure_domain) {
+    return 0;
+  }
+  return to.region == region ? 1 : 2;
+}
+
 auto SourcesNeeded(std::size_t members, std::size_t tolerated_losses)
     -> std::size_t {
   const auto write = tolerated_losses + 1;
@@ -130,6 +139,24 @@
   return missing;
 }
 
+auto PlanPulls(const std::vector<std::uint64_t>& own,
+               const std::vector<std::vector<std::uint64_t>>& lists,
+               std::size_t copies) -> std::vector<std::vector<std::uint64_t>> {
+  const auto missing = UnderReplicated(lists, copies);
+  auto known = std::unordered_set<std::uint64_t>(own.begin(), own.end());
+  auto planned = std::vector<std::vector<std::uint64_t>>(lists.size());
+  for (auto i = std::size_t{0}; i < lists.size(); ++i) {
+    for (const auto hash : lists[i]) {
+      const auto is_missing =
+          std::binary_search(missing.begin(), missing.end(), hash);
+      if (is_missing && known.insert(hash).second) {
+        planned[i].push_back(hash);
+      }
+    }
+  }
+  return planned;
+}
+
 auto PlanCopies(const std::vector<std::uint64_t>& own,
                 const std::vector<std::vector<std::uint64_t>>& lists,
                 std::size_t copies) -> std::vector<std::vector<std::uint64_t>> {
--- a/source/core/history/view.h
+++ b/source/core/history/view.h
@@ -24,6 +24,12 @@
   auto operator<=>(const member&) const = default;
 };
 
+// How far a member is: 0 in the same failure domain, 1 in the same region, 2
+// elsewhere.
+auto DistanceOf(const member& to,
+                const failure_domain_id& failure_domain,
+                const region_id& region) -> int;
+
 // The current members. A view with a higher number replaces one with a lower
 // number.
 struct view {
@@ -90,6 +96,14 @@
 auto UnderReplicated(const std::vector<std::vector<std::uint64_t>>& lists,
                      std::size_t copies) -> std::vector<std::uint64_t>;
 
+// Returns for each of some members, in the order of their lists, the facts to
+// ask it for, so that a new replica gets those that appear in fewer than
+// `copies` of the lists. Each comes from the first member that has it, and none
+// that is in `own`.
+auto PlanPulls(const std::vector<std::uint64_t>& own,
+               const std::vector<std::vector<std::uint64_t>>& lists,
+               std::size_t copies) -> std::vector<std::vector<std::uint64_t>>;
+
 // Returns for each of some members, in the order of their lists, the facts to
 // send to it, so that every own fact is on at least `copies` of them. A fact is
 // sent to no more members than necessary, and different facts go to different
--- a/source/core/history_client/turn_client.cc
+++ b/source/core/history_client/turn_client.cc
@@ -223,10 +223,7 @@
     -> std::vector<member> {
   auto members = view_.members;
   const auto distance = [&](const member& to) {
-    if (to.failure_domain == options_.failure_domain) {
-      return 0;
-    }
-    return to.region == options_.region ? 1 : 2;
+    return DistanceOf(to, options_.failure_domain, options_.region);
   };
   std::stable_sort(members.begin(), members.end(),
                    [&](const member& a, const member& b) {
--- a/source/core/journal/view_manager.cc
+++ b/source/core/journal/view_manager.cc
@@ -276,6 +276,14 @@
     }
     sources = reachable;
   }
+  // What a near member has is not copied over the link between regions.
+  const auto& self = node_.self();
+  std::stable_sort(
+      sources.begin(), sources.end(),
+      [&](const reachable_member& a, const reachable_member& b) {
+        return history::DistanceOf(a.peer, self.failure_domain, self.region) <
+               history::DistanceOf(b.peer, self.failure_domain, self.region);
+      });
   const auto lists = co_await FetchFactLists(sources);
   const auto is_pulled =
       lists.size() == sources.size() && co_await PullMissingFacts(lists);
@@ -323,26 +331,19 @@
 // quorum includes one of their copies.
 auto view_manager::PullMissingFacts(const std::vector<fact_list>& lists)
     -> asio::awaitable<bool> {
-  const auto missing =
-      history::UnderReplicated(HashesOf(lists), options_.tolerated_losses + 1);
-  const auto local_hashes = node_.replica().facts().Hashes();
-  auto known_hashes =
-      std::set<history::fact_hash>(local_hashes.begin(), local_hashes.end());
-  for (const auto& item : lists) {
+  const auto wanted =
+      history::PlanPulls(node_.replica().facts().Hashes(), HashesOf(lists),
+                         options_.tolerated_losses + 1);
+  for (auto i = std::size_t{0}; i < lists.size(); ++i) {
+    const auto& item = lists[i];
     auto work = std::make_shared<pull_work>();
     work->from = item.peer;
-    for (const auto hash : item.hashes) {
-      const auto is_missing =
-          std::binary_search(missing.begin(), missing.end(), hash);
-      if (is_missing && known_hashes.insert(hash).second) {
-        work->wanted.push_back(hash);
-      }
-    }
+    work->wanted = wanted[i];
     // Several connections, because the window of a single one limits throughput
     // over a long distance.
     constexpr auto kConnections = std::size_t{4};
     work->running_connections = kConnections;
-    for (auto i = std::size_t{0}; i < kConnections; ++i) {
+    for (auto j = std::size_t{0}; j < kConnections; ++j) {
       asio::co_spawn(context_, PullBatches(work), asio::detached);
     }
     while (work->running_connections > 0) {
--- a/source/unit_tests/history/view_test.cc
+++ b/source/unit_tests/history/view_test.cc
@@ -158,5 +158,23 @@
   CHECK(planned[1] == std::vector<std::uint64_t>{7});
 }
 
+TEST_CASE("a new replica copies over a distance only what near members lack") {
+  using list = std::vector<std::uint64_t>;
+  const auto near = list{1, 2, 3, 9};
+  const auto other_near = list{2, 3, 4};
+  const auto far = list{1, 2, 4, 5, 6, 9};
+  const auto planned = PlanPulls({9}, {near, other_near, far}, 3);
+  // Fact 2 has three copies already, fact 9 is known.
+  CHECK(planned == std::vector<list>{{1, 3}, {4}, {5, 6}});
+}
+
+TEST_CASE("members of the same failure domain are nearer than of the region") {
+  const auto to = member{vm_id("a"), disk_id("1"), "10.0.0.1:1",
+                         failure_domain_id("d"), region_id("r")};
+  CHECK(DistanceOf(to, failure_domain_id("d"), region_id("r")) == 0);
+  CHECK(DistanceOf(to, failure_domain_id("e"), region_id("r")) == 1);
+  CHECK(DistanceOf(to, failure_domain_id("e"), region_id("s")) == 2);
+}
+
 }  // namespace
 }  // namespace daisywind::history
