Keep the chain of another program for as long as the turn that continues it

A turn may continue a turn of another program.

Change: the front, which has the chain, names a longer retention for the newest turn of each other program in it, once most of the slack would be used up. It is recorded on a write quorum like a settlement.

fact_table_test "a program that another one continues is kept as long as that one" needs the new function, so it was not run on the code before.

--- a/source/core/front/turn_flow.cc
+++ b/source/core/front/turn_flow.cc
@@ -99,6 +99,11 @@
             : std::nullopt;
     co_await Refuse(ReasonFor(begun.outcome), retry_after);
   } else {
+    for (auto& fact :
+         history::Renewals(begun.chain, history::program_name(call_.program),
+                           UnixMs(), RetentionMs())) {
+      node_.turns().Settle(std::move(fact));
+    }
     auto body = std::string{};
     for (const auto& turn : begun.chain) {
       body += turn.content->input;
--- a/source/core/history/fact_table.cc
+++ b/source/core/history/fact_table.cc
@@ -1,6 +1,8 @@
 #include "history/fact_table.h"
 
 #include <algorithm>
+#include <limits>
+#include <map>
 #include <utility>
 
 #include "common/digest.h"
@@ -12,6 +14,9 @@
 // content, in bytes: four map or vector entries and six strings of their own.
 constexpr auto kEntryOverheadBytes = std::size_t{650};
 
+constexpr auto kMaxRetentionMs =
+    std::int64_t{std::numeric_limits<std::uint32_t>::max()};
+
 auto SizeOf(const turn_fact& fact) -> std::size_t {
   const auto content =
       fact.content ? fact.content->input.size() + fact.content->output.size()
@@ -23,6 +28,7 @@
 auto AddsTo(const turn_fact& known, const turn_fact& fact) -> bool {
   return fact.reserved_tokens > known.reserved_tokens ||
          fact.settled_tokens > known.settled_tokens ||
+         fact.retention_ms > known.retention_ms ||
          (fact.content && !known.content);
 }
 
@@ -37,6 +43,33 @@
   return PlacementHash(text);
 }
 
+auto Renewals(const std::vector<turn_fact>& chain,
+              const program_name& program,
+              std::int64_t now_ms,
+              std::uint32_t retention_ms) -> std::vector<turn_fact> {
+  auto newest = std::map<program_name, const turn_fact*>{};
+  for (const auto& fact : chain) {
+    if (fact.program != program) {
+      newest[fact.program] = &fact;
+    }
+  }
+  auto renewals = std::vector<turn_fact>{};
+  for (const auto& [other, fact] : newest) {
+    const auto wanted_ms = now_ms - fact->recorded_ms + retention_ms;
+    const auto is_kept =
+        fact->retention_ms + kRetentionSlackMs / 2 >= wanted_ms;
+    if (is_kept || fact->retention_ms == 0) {
+      continue;
+    }
+    auto renewed = *fact;
+    renewed.content.reset();
+    renewed.retention_ms = static_cast<std::uint32_t>(
+        std::min<std::int64_t>(wanted_ms, kMaxRetentionMs));
+    renewals.push_back(std::move(renewed));
+  }
+  return renewals;
+}
+
 auto LifetimeMs(const turn_fact& fact, std::int64_t default_lifetime_ms)
     -> std::int64_t {
   return fact.retention_ms == 0 ? default_lifetime_ms
--- a/source/core/history/fact_table.h
+++ b/source/core/history/fact_table.h
@@ -25,6 +25,15 @@
 auto LifetimeMs(const turn_fact& fact, std::int64_t default_lifetime_ms)
     -> std::int64_t;
 
+// A turn may continue a turn of another program, whose chain is then needed for
+// as long as the new turn. Returns the facts to record, without their content,
+// so that each other program in the chain, oldest turn first, is kept for the
+// retention from now on. Times are in milliseconds, `now_ms` since 1970.
+auto Renewals(const std::vector<turn_fact>& chain,
+              const program_name& program,
+              std::int64_t now_ms,
+              std::uint32_t retention_ms) -> std::vector<turn_fact>;
+
 // Facts by turn and by program. Does no I/O and reads no clock.
 class fact_table {
  public:
--- a/source/core/history_client/turn_client.h
+++ b/source/core/history_client/turn_client.h
@@ -105,8 +105,8 @@
   // succeed within the timeout.
   auto Record(turn_fact fact, duration timeout) -> boost::asio::awaitable<bool>;
 
-  // Records the tokens spent by a turn without content. Runs in the background
-  // and logs when it fails.
+  // Records a fact without content, such as the tokens spent by a turn. Runs in
+  // the background and logs when it fails.
   auto Settle(turn_fact fact) -> void;
 
  private:
--- a/source/unit_tests/history/fact_table_test.cc
+++ b/source/unit_tests/history/fact_table_test.cc
@@ -152,5 +152,38 @@
   CHECK(table.LongestLifetimeMs(1) == 1);
 }
 
+TEST_CASE("a program that another one continues is kept as long as that one") {
+  constexpr auto kRetentionMs = std::uint32_t{60'000};
+  auto first = CompleteTurn("p", "t1", "");
+  auto second = CompleteTurn("p", "t2", "t1");
+  auto own = CompleteTurn("q", "t3", "t2");
+  for (auto* fact : {&first, &second, &own}) {
+    fact->recorded_ms = 1'000;
+    fact->retention_ms = kRetentionMs;
+  }
+  auto table = fact_table{};
+  table.Apply(first);
+  table.Apply(second);
+  const auto now_ms = std::int64_t{51'000};
+  const auto renewals =
+      Renewals({first, second, own}, program_name("q"), now_ms, kRetentionMs);
+  REQUIRE(renewals.size() == 1);
+  CHECK(renewals[0].turn == turn_id("t2"));
+  CHECK_FALSE(renewals[0].content);
+  CHECK(table.Apply(renewals[0]));
+  const auto end = now_ms + kRetentionMs + kRetentionSlackMs;
+  CHECK(table.Expire(end, 1) == 0);
+  CHECK(table.Chain(turn_id("t2")).turns.size() == 2);
+  CHECK(table.Expire(end + 1, 1) == 2);
+  // A renewal is not repeated by the next turn, and none is needed at first.
+  auto renewed = second;
+  renewed.retention_ms = renewals[0].retention_ms;
+  CHECK(Renewals({first, renewed, own}, program_name("q"), now_ms + 1'000,
+                 kRetentionMs)
+            .empty());
+  CHECK(Renewals({second}, program_name("q"), 2'000, kRetentionMs).empty());
+  CHECK(Renewals({second}, program_name("p"), now_ms, kRetentionMs).empty());
+}
+
 }  // namespace
 }  // namespace daisywind::history
