--- a/source/core/journal/journal_node.h
+++ b/source/core/journal/journal_node.h
@@ -38,8 +38,6 @@
   std::uint64_t facts_expired = 0;
 };
 
-// Stores facts on this VM's disk and serves requests for them. Everything but
-// the log's writer runs on the context's thread.
 // Turns are begun only while the facts take less memory than this, in bytes.
 struct facts_limits {
   std::size_t first_turns = 0;
@@ -47,6 +45,8 @@
   std::size_t later_turns = 0;
 };
 
+// Stores facts on this VM's disk and serves requests for them. Everything but
+// the log's writer runs on the context's thread.
 class journal_node {
  public:
   journal_node(boost::asio::io_context& context,
@@ -89,10 +89,11 @@
   auto LoadRecords() -> void;
   auto MakeChannelHandlers(const std::shared_ptr<net::frame_channel>& channel)
       -> net::channel_handlers;
+  // Whether there is memory for one more turn. Logs when the memory for first
+  // turns is used up and when it is not any more.
+  auto HasMemoryFor(const history::begin_request& request) -> bool;
   // Stores the endpoint loads attached to a request, and attaches those that it
   // asks for to the reply.
-  // Whether there is memory for one more turn.
-  auto HasMemoryFor(const history::begin_request& request) -> bool;
   auto ExchangeLoads(const history::message_body& request,
                      history::message_body& reply) -> void;
   auto OnFrame(const std::weak_ptr<net::frame_channel>& channel,
