--- a/source/core/front/endpoint_paths.cc
+++ b/source/core/front/endpoint_paths.cc
@@ -14,14 +14,6 @@
 namespace asio = boost::asio;
 using dispatch::path_state;
 
-// Topological distance between two VMs; lower is nearer.
-auto Distance(const vm_location& a, const vm_location& b) -> int {
-  if (a.failure_domain == b.failure_domain) {
-    return 0;
-  }
-  return a.region == b.region ? 1 : 2;
-}
-
 }  // namespace
 
 endpoint_paths::endpoint_paths(asio::io_context& context,
--- a/source/core/history/view.cc
+++ b/source/core/history/view.cc
@@ -38,15 +38,6 @@
 
 }  // namespace
 
-auto DistanceOf(const member& to,
-                const failure_domain_id& failure_domain,
-                const region_id& region) -> int {
-  if (to.failure_domain == failure_domain) {
-    return 0;
-  }
-  return to.region == region ? 1 : 2;
-}
-
 auto SourcesNeeded(std::size_t members, std::size_t tolerated_losses)
     -> std::size_t {
   const auto write = tolerated_losses + 1;
--- a/source/core/history/view.h
+++ b/source/core/history/view.h
@@ -24,12 +24,6 @@
   auto operator<=>(const member&) const = default;
 };
 
-// How far a member is: 0 in the same failure domain, 1 in the same region, 2
-// elsewhere.
-auto DistanceOf(const member& to,
-                const failure_domain_id& failure_domain,
-                const region_id& region) -> int;
-
 // The current members. A view with a higher number replaces one with a lower
 // number.
 struct view {
--- a/source/core/history_client/turn_client.cc
+++ b/source/core/history_client/turn_client.cc
@@ -9,6 +9,7 @@
 #include "common/endpoint_key.h"
 #include "common/logging.h"
 #include "common/process_clock.h"
+#include "common/vm_location.h"
 
 namespace daisywind::history {
 namespace {
@@ -223,7 +224,7 @@
     -> std::vector<member> {
   auto members = view_.members;
   const auto distance = [&](const member& to) {
-    return DistanceOf(to, options_.failure_domain, options_.region);
+    return Distance(to, options_);
   };
   std::stable_sort(members.begin(), members.end(),
                    [&](const member& a, const member& b) {
--- a/source/core/journal/view_manager.cc
+++ b/source/core/journal/view_manager.cc
@@ -6,6 +6,7 @@
 
 #include "common/logging.h"
 #include "common/process_clock.h"
+#include "common/vm_location.h"
 #include "history/messages.h"
 #include "history_wire/view_json.h"
 #include "journal/journal_node.h"
@@ -278,12 +279,10 @@
   }
   // What a near member has is not copied over the link between regions.
   const auto& self = node_.self();
-  std::stable_sort(
-      sources.begin(), sources.end(),
-      [&](const reachable_member& a, const reachable_member& b) {
-        return history::DistanceOf(a.peer, self.failure_domain, self.region) <
-               history::DistanceOf(b.peer, self.failure_domain, self.region);
-      });
+  std::stable_sort(sources.begin(), sources.end(),
+                   [&](const reachable_member& a, const reachable_member& b) {
+                     return Distance(a.peer, self) < Distance(b.peer, self);
+                   });
   const auto lists = co_await FetchFactLists(sources);
   const auto is_pulled =
       lists.size() == sources.size() && co_await PullMissingFacts(lists);
--- a/source/unit_tests/history/view_test.cc
+++ b/source/unit_tests/history/view_test.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <map>
 
+#include "common/vm_location.h"
+
 namespace daisywind::history {
 namespace {
 
@@ -171,9 +173,13 @@
 TEST_CASE("members of the same failure domain are nearer than of the region") {
   const auto to = member{vm_id("a"), disk_id("1"), "10.0.0.1:1",
                          failure_domain_id("d"), region_id("r")};
-  CHECK(DistanceOf(to, failure_domain_id("d"), region_id("r")) == 0);
-  CHECK(DistanceOf(to, failure_domain_id("e"), region_id("r")) == 1);
-  CHECK(DistanceOf(to, failure_domain_id("e"), region_id("s")) == 2);
+  const auto from = [](const char* domain, const char* region) {
+    return vm_location{vm_id("b"), failure_domain_id(domain),
+                       region_id(region)};
+  };
+  CHECK(Distance(to, from("d", "r")) == 0);
+  CHECK(Distance(to, from("e", "r")) == 1);
+  CHECK(Distance(to, from("e", "s")) == 2);
 }
 
 }  // namespace
