Resume a broken stream at another endpoint where its route allows it

The front now forwards complete events only on such routes, and after a failure sends the request to another endpoint with the id of the last event that its caller has. The head of the first endpoint stays. The decision is dispatch::NextStep (attempts of the route, time left) with dispatch::stream_progress (ids must increase, a run that repeats events is not joined, an event without an id ends it); a resumed run must have the weights that the first named, and without such an endpoint the response breaks off. Before the first event the request simply begins again. Routes that may not be resumed behave as before.

net::sse_splitter keeps the bytes of each event; sse_parser uses it.

--- a/source/core/common/log_events.cc
+++ b/source/core/common/log_events.cc
@@ -57,6 +57,7 @@
 
     kResponseTooLarge,
     kRelayedAttemptEnded,
+    kStreamResumed,
     kDiskLoaded,
     kDiskWriteFailed,
     kViewMembershipChanged,
--- a/source/core/common/log_events.h
+++ b/source/core/common/log_events.h
@@ -175,6 +175,9 @@
 inline constexpr auto kRelayedAttemptEnded =
     log_event{2110, log_subsystem::kFront, log_level::kInfo,
               "attempt on behalf of another front ended"};
+inline constexpr auto kStreamResumed =
+    log_event{2111, log_subsystem::kFront, log_level::kInfo,
+              "stream broken off by its endpoint, continued at another"};
 inline constexpr auto kDiskLoaded =
     log_event{2201, log_subsystem::kJournal, log_level::kInfo,
               "records loaded from disk"};
--- a/source/core/dispatch/retry_rules.h
+++ b/source/core/dispatch/retry_rules.h
@@ -25,6 +25,9 @@
   std::uint32_t attempts = 0;
   // Attempts that may have run.
   std::uint32_t runs = 0;
+  // Whether the caller has received a part of the response, so that it can get
+  // no other status.
+  bool is_answered = false;
 
   auto operator<=>(const attempt_history&) const = default;
 };
@@ -36,6 +39,8 @@
   kRefuse,
   // The request may have run, so the caller gets an error.
   kFail,
+  // The response is cut off visibly after what the caller has received of it.
+  kBreakOff,
 };
 
 // Limits on the attempts of one request.
@@ -45,6 +50,9 @@
   std::uint32_t max_attempts = 5;
   // Minimum time left for which another attempt is worthwhile.
   duration min_time = 20ms;
+  // Minimum time left for which a stream is resumed: the next endpoint reads
+  // the prompt again before it continues.
+  duration min_resume_time = 100ms;
   // Time-out to the first byte for a request that may be repeated, as a
   // multiple of the route's latency objective: by then its answer is late
   // already.
@@ -53,6 +61,9 @@
   auto operator<=>(const retry_options&) const = default;
 };
 
+// Whether a request on the route may run more than once.
+auto MayRepeat(const route& of) -> bool;
+
 // Returns how long an attempt waits for the first byte of the answer. An
 // endpoint can hang while it passes its health checks; without this limit it
 // would keep a repeatable request until a retry is too late.
--- a/source/core/dispatch/types.h
+++ b/source/core/dispatch/types.h
@@ -26,7 +26,8 @@
   kIdempotent,
   // Once.
   kOnce,
-  // Once, and its answer is a stream of events.
+  // Once, unless the route's streams may be resumed; its answer is a stream of
+  // events.
   kStream,
 };
 
@@ -57,6 +58,9 @@
   // Whether the system stores the route's turns, and for how long.
   bool stores_turns = false;
   duration retention = 0s;
+  // Whether a stream that broke off may go on at another endpoint after its
+  // last event.
+  bool is_resumable = false;
   // Whether requests have endpoint affinity: endpoints that have already seen a
   // request's object process it faster.
   bool is_sticky = false;
@@ -161,6 +165,9 @@
   // alone.
   std::vector<prompt_part> prompt;
   std::string affinity_key;
+  // The id of the event after which its stream is to go on; empty when it is to
+  // start at the first.
+  std::string last_event_id;
 
   auto operator<=>(const call&) const = default;
 };
--- a/source/core/front/platform_codecs.h
+++ b/source/core/front/platform_codecs.h
@@ -22,6 +22,12 @@
   duration time_left{};
   // Priority of the request; 0 is served first.
   std::uint32_t urgency = 0;
+  // The event after which the endpoint is to continue a stream that another one
+  // broke off; empty when the request is sent as the caller sent it.
+  std::string resume_after;
+  // Version of the model's weights that an endpoint must have to continue the
+  // stream; empty for any.
+  std::optional<std::uint64_t> weights_version;
 
   auto operator<=>(const attempt_metadata&) const = default;
 };
@@ -43,6 +49,8 @@
   // Requests per second that the endpoint takes from all VMs together; empty
   // when it names no limit.
   std::optional<double> rate_limit;
+  // Version of the model's weights; empty when the endpoint names none.
+  std::optional<std::uint64_t> weights_version;
 
   auto operator<=>(const response_metadata&) const = default;
 };
@@ -97,6 +105,11 @@
   [[nodiscard]] virtual auto ReadResponse(const net::http_response& from) const
       -> response_metadata = 0;
 
+  // The version of the model's weights from an event on, given the text of that
+  // event; empty when the event does not change it.
+  [[nodiscard]] virtual auto ReadWeightsChange(std::string_view event) const
+      -> std::optional<std::uint64_t> = 0;
+
   // The response to send to the caller, without its body.
   [[nodiscard]] virtual auto MakeCallerResponse(
       const net::http_response& from) const -> net::http_response = 0;
--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -97,7 +97,8 @@
       version_(node.service_directory().routes().version()),
       started_at_(Now()),
       store_age_(node.service_directory().StoreAge(started_at_)),
-      deadline_timer_(node.context()) {
+      deadline_timer_(node.context()),
+      progress_(call_.last_event_id) {
   const auto& key = call_.session.empty() ? call_.request_id : call_.session;
   service_ = dispatch::PickService(*route_, key);
   if (const auto* profile =
@@ -160,15 +161,16 @@
     -> asio::awaitable<void> {
   placement.service = service_;
   placement.is_engine = engine_.has_value();
-  placement.may_repeat = route_->kind == route_kind::kIdempotent;
+  placement.may_repeat = dispatch::MayRepeat(*route_);
   while (!IsOver()) {
     const auto relay = node_.paths().IsClosed()
                            ? node_.paths().PickRelay(unusable_relays_)
                            : std::nullopt;
     const auto choice = node_.Place(placement, relay);
     if (!choice) {
-      // Endpoints that were full may have capacity again.
-      if (placement.excluded.empty()) {
+      // Endpoints that were full may have capacity again. A stream is not
+      // resumed at the endpoint that broke it off.
+      if (placement.excluded.empty() || attempts_.is_answered) {
         co_await RefuseUnplaced();
         co_return;
       }
@@ -199,6 +201,10 @@
         co_await Refuse(refusal_reason::kNoAnswer, std::nullopt);
         co_return;
       }
+      if (step == dispatch::next_step::kBreakOff) {
+        BreakOff();
+        co_return;
+      }
     }
   }
   co_await GiveUp();
@@ -228,8 +234,20 @@
                            const dispatch::placement_choice& choice,
                            const attempt_path& path)
     -> asio::awaitable<std::optional<attempt_result>> {
-  auto request = node_.requests().MakeEndpointRequest(
-      exchange_.request(), {choice.endpoint, TimeLeft(), Urgency()});
+  auto metadata =
+      attempt_metadata{choice.endpoint, TimeLeft(), Urgency(), {}, {}};
+  if (attempts_.is_answered) {
+    metadata.resume_after = progress_.last_event_id();
+    metadata.weights_version = progress_.weights_version();
+    Log(log_events::kStreamResumed,
+        {{"request", std::string_view(call_.request_id)},
+         {"endpoint", std::string_view(choice.endpoint.value)},
+         {"after", std::string_view(metadata.resume_after)},
+         {"events", std::int64_t{events_}}});
+    node_.metrics_registry().Count("daisywind_front_streams_resumed_total", {});
+  }
+  auto request =
+      node_.requests().MakeEndpointRequest(exchange_.request(), metadata);
   request.body = body;
   auto options = net::http_options{};
   options.connect_timeout = std::min(kConnectTimeout, TimeLeft());
@@ -338,6 +356,10 @@
 }
 
 auto request_flow::RefuseUnplaced() -> asio::awaitable<void> {
+  if (attempts_.is_answered) {
+    BreakOff();
+    co_return;
+  }
   if (attempts_.runs > 0) {
     co_await Refuse(refusal_reason::kNoAnswer, std::nullopt);
     co_return;
@@ -359,6 +381,10 @@
     exchange_.Abort();
     co_return;
   }
+  if (attempts_.is_answered) {
+    BreakOff();
+    co_return;
+  }
   // A cancelled attempt may still have run.
   co_await Refuse(attempts_.runs > 0 ? refusal_reason::kTimeout
                                      : refusal_reason::kOverloaded,
--- a/source/core/front/request_flow.h
+++ b/source/core/front/request_flow.h
@@ -11,15 +11,19 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "common/time.h"
 #include "dispatch/placement.h"
 #include "dispatch/retry_rules.h"
+#include "dispatch/stream_progress.h"
 #include "dispatch/types.h"
 #include "front/front_node.h"
 #include "front/platform_codecs.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "net/sse.h"
 
 namespace daisywind::front {
 
@@ -101,14 +105,33 @@
   // incomplete or its status must not be forwarded.
   auto ForwardBuffered(net::http_stream_result& opened)
       -> boost::asio::awaitable<bool>;
+  // Forwards a stream as it arrives. Returns nothing when the response is over,
+  // and how the attempt ended when another endpoint may continue it.
   auto ForwardStream(net::http_stream_result& opened,
                      const endpoint_id& endpoint)
+      -> boost::asio::awaitable<std::optional<dispatch::attempt_result>>;
+  // Records what complete events say: their number, data and ids. Returns the
+  // bytes to forward, which are those of complete events only if the stream may
+  // be resumed, and nothing if the events do not continue the stream.
+  auto ProcessEvents(std::string_view received,
+                     const std::vector<net::sse_part>& parts)
+      -> std::optional<std::string>;
+  // Sends the head of the first endpoint's response with the first bytes.
+  // Returns false when the caller has disconnected.
+  auto WriteToCaller(const net::http_response& head, std::string_view bytes)
+      -> boost::asio::awaitable<bool>;
+  // Ends a stream whose endpoint has completed it.
+  auto CompleteStream(const net::http_response& head,
+                      const endpoint_id& endpoint)
       -> boost::asio::awaitable<void>;
+  // Cuts a response off so that it does not look complete.
+  auto BreakOff() -> void;
   // Takes memory for the next part of a response that is held until its end.
   // Returns false when the memory for such parts is used up.
   auto HoldBytes(std::size_t bytes) -> bool;
-  // Records the finished turn at the journals. Returns false when too few of
-  // them stored it in time.
+  // Records the finished turn at the journals, or only what it has spent if the
+  // route stores no turns. Returns false when too few of them stored it in
+  // time.
   auto RecordTurn(const endpoint_id& endpoint) -> boost::asio::awaitable<bool>;
   // Reports what a turn without a recorded response has spent, without waiting.
   auto SettleTurn() -> void;
@@ -155,13 +178,13 @@
   // Relays that could not be reached or reached no endpoint.
   std::set<vm_id> unusable_relays_;
   summary summary_;
-  // State of a turn. `output_` and `events_` are what was streamed so far.
-  bool is_turn_ = false;
   // Whether a journal may hold a reservation of this turn, which has to be
   // settled unless the turn is recorded.
   bool needs_settling_ = false;
+  // What was streamed so far. `output_` is kept for stored turns only.
   std::string output_;
   std::uint32_t events_ = 0;
+  dispatch::stream_progress progress_;
   // Size of the parts of the response that are held until its end.
   std::size_t held_bytes_ = 0;
   // Why the request may be over before its response is.
--- a/source/core/front/response_flow.cc
+++ b/source/core/front/response_flow.cc
@@ -10,7 +10,6 @@
 #include "common/process_clock.h"
 #include "front/attempt_options.h"
 #include "front/request_flow.h"
-#include "net/sse.h"
 
 namespace daisywind::front {
 namespace {
@@ -61,23 +60,37 @@
   }
   RecordLeaving(endpoints, entry, metadata, call_.request_id);
   if (metadata.is_not_run) {
-    endpoints.OnHealthSignal(endpoint,
-                             metadata.is_misdirected
-                                 ? health_signal::kWrongEndpoint
-                                 : health_signal::kFull,
-                             Now());
+    // An endpoint with other weights than a resumed stream needs answers as one
+    // at a wrong address does.
+    const auto is_wrong_endpoint =
+        metadata.is_misdirected && !attempts_.is_answered;
+    if (is_wrong_endpoint || !metadata.is_misdirected) {
+      endpoints.OnHealthSignal(endpoint,
+                               is_wrong_endpoint ? health_signal::kWrongEndpoint
+                                                 : health_signal::kFull,
+                               Now());
+    }
     refused_by_.insert(endpoint);
     co_await opened.body->Discard(kDiscardTimeout);
     co_return attempt_result::kNotRun;
   }
-  summary_.first_byte = Now() - started_at_;
+  if (!attempts_.is_answered) {
+    summary_.first_byte = Now() - started_at_;
+  }
   summary_.framing = opened.body->Framing();
   const auto is_stream =
       route_->kind == route_kind::kStream && net::IsSuccess(metadata.status);
   if (is_stream) {
     endpoints.OnPromptProcessed(endpoint, call_.prompt);
-    co_await ForwardStream(opened, endpoint);
-    co_return std::nullopt;
+    if (metadata.weights_version) {
+      progress_.SetWeightsVersion(*metadata.weights_version);
+    }
+    co_return co_await ForwardStream(opened, endpoint);
+  }
+  if (attempts_.is_answered) {
+    // The caller has the head of a successful response.
+    RecordFailure(endpoint, health_signal::kFailed);
+    co_return attempt_result::kMayHaveRun;
   }
   if (!co_await ForwardBuffered(opened)) {
     if (!IsOver()) {
@@ -104,8 +117,7 @@
   }
   // Such a status guarantees that the request has not run, but this endpoint
   // did not guarantee it.
-  if (route_->kind != route_kind::kIdempotent &&
-      GuaranteesNotRun(opened.head.status)) {
+  if (!dispatch::MayRepeat(*route_) && GuaranteesNotRun(opened.head.status)) {
     co_return false;
   }
   auto forwarded = node_.requests().MakeCallerResponse(opened.head);
@@ -115,60 +127,6 @@
   co_return true;
 }
 
-auto request_flow::ForwardStream(net::http_stream_result& opened,
-                                 const endpoint_id& endpoint)
-    -> asio::awaitable<void> {
-  auto events = net::sse_parser{};
-  summary_.status = opened.head.status;
-  exchange_.StartStreamWithFirstChunk(
-      node_.requests().MakeCallerResponse(opened.head));
-  while (auto part = co_await opened.body->Next()) {
-    if (is_turn_) {
-      if (!HoldBytes(part->size())) {
-        opened.body->Cancel();
-        break;
-      }
-      for (const auto& data : events.Feed(*part)) {
-        output_ += data;
-        output_ += '\n';
-        ++events_;
-      }
-    }
-    if (!co_await exchange_.WriteChunk(*part)) {
-      is_caller_disconnected_ = true;
-      opened.body->Cancel();
-      break;
-    }
-  }
-  summary_.partial_event_bytes = opened.body->PartialEventBytes();
-  auto is_complete = opened.body->IsComplete() && !IsOver();
-  if (!is_complete && !IsOver()) {
-    RecordFailure(endpoint, health_signal::kFailed);
-  }
-  if (is_complete) {
-    node_.service_directory().endpoints().OnHealthSignal(
-        endpoint, health_signal::kAnswered, Now());
-  }
-  if (is_complete && !call_.prompt.empty()) {
-    // The engine caches the generated tokens behind the prompt's last part.
-    auto& last = call_.prompt.back();
-    last.tokens += events_ * (engine_ ? engine_->event_tokens : 0);
-    node_.service_directory().endpoints().OnPromptProcessed(endpoint,
-                                                            call_.prompt);
-  }
-  if (is_complete && is_turn_) {
-    is_complete = co_await RecordTurn(endpoint);
-  }
-  if (is_complete) {
-    co_await exchange_.EndStream();
-    co_return;
-  }
-  summary_.outcome = is_caller_disconnected_ ? "caller_gone"
-                     : is_timed_out_         ? "timed_out"
-                                             : "broken_off";
-  exchange_.Abort();
-}
-
 auto request_flow::HoldBytes(std::size_t bytes) -> bool {
   auto& memory = node_.response_memory();
   const auto held_after = held_bytes_ + bytes;
--- a/source/core/front/turn_flow.cc
+++ b/source/core/front/turn_flow.cc
@@ -59,7 +59,6 @@
 }  // namespace
 
 auto request_flow::RunTurn() -> asio::awaitable<void> {
-  is_turn_ = true;
   if (call_.request_id.empty()) {
     co_await Refuse(refusal_reason::kBadRequest, std::nullopt);
     co_return;
--- a/source/core/net/sse.cc
+++ b/source/core/net/sse.cc
@@ -1,28 +1,44 @@
 #include "net/sse.h"
 
 #include <algorithm>
+#include <optional>
+#include <utility>
 
 namespace daisywind::net {
 namespace {
 
-constexpr std::string_view kDataField = "data:";
+constexpr auto kDataField = std::string_view("data:");
+constexpr auto kIdField = std::string_view("id:");
 
-auto ExtractData(std::string_view event) -> std::string {
-  auto data = std::string{};
-  while (!event.empty()) {
+// The value of a line that has the given field.
+auto ValueOf(std::string_view line, std::string_view field)
+    -> std::optional<std::string_view> {
+  if (!line.starts_with(field)) {
+    return std::nullopt;
+  }
+  line.remove_prefix(field.size());
+  if (line.starts_with(' ')) {
+    line.remove_prefix(1);
+  }
+  return line;
+}
+
+auto ParseEvent(std::string text) -> sse_part {
+  auto to = sse_part{};
+  auto left = std::string_view(text);
+  while (!left.empty()) {
     // The two bytes of a CRLF end a line and an empty one, which has no field.
-    auto line = event.substr(0, event.find_first_of("\r\n"));
-    event.remove_prefix(std::min(event.size(), line.size() + 1));
-    if (!line.starts_with(kDataField)) {
-      continue;
+    const auto line = left.substr(0, left.find_first_of("\r\n"));
+    left.remove_prefix(std::min(left.size(), line.size() + 1));
+    if (const auto data = ValueOf(line, kDataField)) {
+      to.data +=
+          to.data.empty() ? std::string(*data) : "\n" + std::string(*data);
+    } else if (const auto id = ValueOf(line, kIdField)) {
+      to.id = *id;
     }
-    line.remove_prefix(kDataField.size());
-    if (line.starts_with(' ')) {
-      line.remove_prefix(1);
-    }
-    data += data.empty() ? std::string(line) : "\n" + std::string(line);
   }
-  return data;
+  to.text = std::move(text);
+  return to;
 }
 
 }  // namespace
@@ -58,26 +74,32 @@
   is_comment_ = false;
 }
 
-auto sse_parser::Feed(std::string_view bytes) -> std::vector<std::string> {
-  auto events = std::vector<std::string>{};
-  if (has_overflowed_) {
-    return events;
-  }
+auto sse_splitter::Feed(std::string_view bytes) -> std::vector<sse_part> {
+  auto parts = std::vector<sse_part>{};
   while (!bytes.empty()) {
     const auto scanned = scanner_.Scan(bytes);
     pending_ += bytes.substr(0, scanned);
     bytes.remove_prefix(scanned);
     if (scanner_.IsAtEventEnd()) {
-      auto data = ExtractData(pending_);
-      if (!data.empty()) {
-        events.push_back(std::move(data));
-      }
+      parts.push_back(ParseEvent(std::exchange(pending_, {})));
+    } else if (scanner_.PartialBytes() == 0) {
+      parts.push_back({std::exchange(pending_, {}), "", ""});
     }
-    if (scanner_.PartialBytes() == 0) {
-      pending_.clear();
+  }
+  return parts;
+}
+
+auto sse_parser::Feed(std::string_view bytes) -> std::vector<std::string> {
+  auto events = std::vector<std::string>{};
+  if (has_overflowed_) {
+    return events;
+  }
+  for (auto& part : splitter_.Feed(bytes)) {
+    if (!part.data.empty()) {
+      events.push_back(std::move(part.data));
     }
   }
-  has_overflowed_ = scanner_.PartialBytes() > kMaxEventBytes;
+  has_overflowed_ = splitter_.PartialBytes() > kMaxEventBytes;
   return events;
 }
 
--- a/source/core/net/sse.h
+++ b/source/core/net/sse.h
@@ -2,6 +2,7 @@
 #ifndef DAISYWIND_NET_SSE_H_
 #define DAISYWIND_NET_SSE_H_
 
+#include <compare>
 #include <cstddef>
 #include <string>
 #include <string_view>
@@ -39,6 +40,34 @@
   bool is_at_event_end_ = false;
 };
 
+// A part of a stream that ends with a complete event, or a run of complete
+// comment lines between events, whose data and id are empty.
+struct sse_part {
+  // The bytes as received, with those of the line ends.
+  std::string text;
+  std::string id;
+  std::string data;
+
+  auto operator<=>(const sse_part&) const = default;
+};
+
+// Splits a byte stream after each complete event. The texts of all parts,
+// joined, are the stream up to its last complete event.
+class sse_splitter {
+ public:
+  // Adds bytes and returns the parts that they complete.
+  auto Feed(std::string_view bytes) -> std::vector<sse_part>;
+
+  // See sse_scanner.
+  [[nodiscard]] auto PartialBytes() const -> std::size_t {
+    return scanner_.PartialBytes();
+  }
+
+ private:
+  sse_scanner scanner_;
+  std::string pending_;
+};
+
 // Incremental parser that extracts the data of each complete event from a byte
 // stream. Other fields are ignored.
 class sse_parser {
@@ -54,8 +83,7 @@
   [[nodiscard]] auto HasOverflowed() const -> bool { return has_overflowed_; }
 
  private:
-  sse_scanner scanner_;
-  std::string pending_;
+  sse_splitter splitter_;
   bool has_overflowed_ = false;
 };
 
--- a/source/unit_tests/dispatch/retry_rules_test.cc
+++ b/source/unit_tests/dispatch/retry_rules_test.cc
@@ -50,6 +50,33 @@
   CHECK(FirstByteTimeout(matched_route, {0, 0}, 1500ms, {}) == 1500ms);
 }
 
+TEST_CASE("a stream that may be resumed goes on at another endpoint") {
+  auto matched_route = Route(route_kind::kStream, 2);
+  const auto answered = attempt_history{1, 1, true};
+  CHECK(NextStep(matched_route, answered, attempt_result::kMayHaveRun, 1s,
+                 {}) == next_step::kBreakOff);
+  matched_route.is_resumable = true;
+  CHECK(NextStep(matched_route, answered, attempt_result::kMayHaveRun, 1s,
+                 {}) == next_step::kTryAgain);
+  // Before its first event it begins again.
+  CHECK(NextStep(matched_route, {1, 1}, attempt_result::kMayHaveRun, 1s, {}) ==
+        next_step::kTryAgain);
+}
+
+TEST_CASE("a stream is resumed only within its attempts and its time") {
+  auto matched_route = Route(route_kind::kStream, 2);
+  matched_route.is_resumable = true;
+  const auto options = retry_options{};
+  CHECK(NextStep(matched_route, {2, 2, true}, attempt_result::kMayHaveRun, 1s,
+                 options) == next_step::kBreakOff);
+  // Endpoints that did not run it do not count as attempts of the route.
+  CHECK(NextStep(matched_route, {3, 1, true}, attempt_result::kNotRun, 1s,
+                 options) == next_step::kTryAgain);
+  CHECK(NextStep(matched_route, {1, 1, true}, attempt_result::kMayHaveRun,
+                 options.min_resume_time - 1ms,
+                 options) == next_step::kBreakOff);
+}
+
 TEST_CASE("no attempt starts when too little time is left") {
   CHECK(NextStep(Route(route_kind::kOnce, 1), {1, 0}, attempt_result::kNotRun,
                  5ms, {}) == next_step::kRefuse);
--- a/source/unit_tests/front/front_harness.cc
+++ b/source/unit_tests/front/front_harness.cc
@@ -76,9 +76,17 @@
   item.latency_objective = kTestTimeout / 8;
   item.services = {{dispatch::service_id("s"), 1}};
   item.max_attempts = kind == route_kind::kIdempotent ? 2 : 1;
+  item.retention = kStepTimeout;
   return item;
 }
 
+auto NumberIn(const net::http_request& from, std::string_view header)
+    -> std::optional<std::uint64_t> {
+  const auto text = std::string(from.Header(header));
+  return text.empty() ? std::nullopt
+                      : std::optional<std::uint64_t>(std::stoull(text));
+}
+
 }  // namespace
 
 auto test_request_codec::ReadCall(const net::http_request& from) const
@@ -87,18 +95,34 @@
   to.host = std::string(from.Header("Host"));
   to.path = std::string(from.Path());
   to.request_id = std::string(from.Header("Id"));
+  to.program = std::string(from.Header("Program"));
+  to.token_budget = NumberIn(from, "Budget");
+  to.max_output_tokens =
+      static_cast<std::uint32_t>(NumberIn(from, "Max-Tokens").value_or(0));
+  to.last_event_id = std::string(from.Header("After"));
   return to;
 }
 
 auto test_request_codec::MakeEndpointRequest(
     const net::http_request& from,
     const attempt_metadata& metadata) const -> net::http_request {
-  return {from.method,
-          from.target,
-          {{"Host", "h"},
-           {"Id", std::string(from.Header("Id"))},
-           {"Endpoint", metadata.endpoint.value}},
-          ""};
+  auto to = net::http_request{from.method,
+                              from.target,
+                              {{"Host", "h"},
+                               {"Id", std::string(from.Header("Id"))},
+                               {"Endpoint", metadata.endpoint.value}},
+                              ""};
+  const auto after = metadata.resume_after.empty()
+                         ? std::string(from.Header("After"))
+                         : metadata.resume_after;
+  if (!after.empty()) {
+    to.headers.push_back({"After", after});
+  }
+  if (metadata.weights_version) {
+    to.headers.push_back(
+        {"Weights", std::to_string(*metadata.weights_version)});
+  }
+  return to;
 }
 
 auto test_request_codec::ReadResponse(const net::http_response& from) const
@@ -112,9 +136,21 @@
   if (const auto limit = from.Header("Limit"); !limit.empty()) {
     to.rate_limit = std::atof(std::string(limit).c_str());
   }
+  if (const auto weights = from.Header("Weights"); !weights.empty()) {
+    to.weights_version = std::stoull(std::string(weights));
+  }
   return to;
 }
 
+auto test_request_codec::ReadWeightsChange(std::string_view event) const
+    -> std::optional<std::uint64_t> {
+  constexpr auto kLine = std::string_view("weights:");
+  return event.starts_with(kLine)
+             ? std::optional<std::uint64_t>(
+                   std::stoull(std::string(event.substr(kLine.size()))))
+             : std::nullopt;
+}
+
 auto test_request_codec::MakeCallerResponse(
     const net::http_response& from) const -> net::http_response {
   return {from.status, {{"Id", std::string(from.Header("Id"))}}, ""};
@@ -140,8 +176,13 @@
   to.routes = {Route("/once/", route_kind::kOnce),
                Route("/again/", route_kind::kIdempotent),
                Route("/stream/", route_kind::kStream),
+               Route("/resume/", route_kind::kStream),
+               Route("/kept/", route_kind::kStream),
                Route("/slow/", route_kind::kOnce)};
   to.routes.back().timeout = kStepTimeout;
+  to.routes[3].is_resumable = true;
+  to.routes[3].max_attempts = 2;
+  to.routes[4].stores_turns = true;
   to.services = {{dispatch::service_id("s"), 0, std::nullopt}};
   return to.version == 0 ? std::nullopt
                          : std::optional<dispatch::configuration>(to);
@@ -271,23 +312,27 @@
   return request;
 }
 
-auto front_harness::Send(const std::string& kind, const std::string& id)
-    -> net::http_result {
+auto front_harness::Send(const std::string& kind,
+                         const std::string& id,
+                         net::http_headers headers) -> net::http_result {
   auto result = std::optional<net::http_result>{};
-  StartSend(kind, id, result);
+  StartSend(kind, id, result, std::move(headers));
   REQUIRE(RunUntil([&] { return result.has_value(); }));
   return std::move(*result);
 }
 
 auto front_harness::StartSend(const std::string& kind,
                               const std::string& id,
-                              std::optional<net::http_result>& result) -> void {
+                              std::optional<net::http_result>& result,
+                              net::http_headers headers) -> void {
   auto options = net::http_options{};
   options.resend_on_stale = false;
+  auto request = Request(kind, id);
+  request.headers.insert(request.headers.end(), headers.begin(), headers.end());
   asio::co_spawn(
       context,
       client_->Send({"127.0.0.1", static_cast<std::uint16_t>(front_port_)},
-                    Request(kind, id), std::move(options)),
+                    std::move(request), std::move(options)),
       [&](const std::exception_ptr&, net::http_result received) {
         result = std::move(received);
       });
--- a/source/unit_tests/front/front_harness.h
+++ b/source/unit_tests/front/front_harness.h
@@ -21,10 +21,12 @@
 
 namespace daisywind::front {
 
-// Uses the headers Host, Id (of the request) and Endpoint (the id of the chosen
-// endpoint). An endpoint sets Not-Run in its response when it has not run the
-// request, Leaving when it leaves, and Limit to name a rate limit. A refusal's
-// body is the name of its reason.
+// Uses the headers Host, Id (of the request), Endpoint (the id of the chosen
+// endpoint), After (the last event of a resumed stream), Weights (the version
+// that a resumed stream needs, and the one of a response), and for turns
+// Program, Budget and Max-Tokens. An endpoint sets Not-Run in its response when
+// it has not run the request, Leaving when it leaves, and Limit to name a rate
+// limit. A refusal's body is the name of its reason.
 class test_request_codec : public request_codec {
  public:
   [[nodiscard]] auto ReadCall(const net::http_request& from) const
@@ -34,6 +36,8 @@
       -> net::http_request override;
   [[nodiscard]] auto ReadResponse(const net::http_response& from) const
       -> response_metadata override;
+  [[nodiscard]] auto ReadWeightsChange(std::string_view event) const
+      -> std::optional<std::uint64_t> override;
   [[nodiscard]] auto MakeCallerResponse(const net::http_response& from) const
       -> net::http_response override;
   [[nodiscard]] auto MakeRefusal(const refusal& from) const
@@ -104,15 +108,19 @@
 
   // Sends a request as a caller and waits for its end. `kind` selects the
   // route: "once" (may run once), "slow" (the same with a long time-out),
-  // "again" (idempotent) or "stream" (may run once, with a stream of events as
-  // its response).
-  auto Send(const std::string& kind, const std::string& id) -> net::http_result;
+  // "again" (idempotent), "stream" (may run once, with a stream of events as
+  // its response), "resume" (a stream that may be resumed) or "kept" (a stream
+  // whose turns are stored). `headers` are added to the request's own.
+  auto Send(const std::string& kind,
+            const std::string& id,
+            net::http_headers headers = {}) -> net::http_result;
 
   // Sends a request as a caller. Sets the result, which must outlive the
   // request, at its end.
   auto StartSend(const std::string& kind,
                  const std::string& id,
-                 std::optional<net::http_result>& result) -> void;
+                 std::optional<net::http_result>& result,
+                 net::http_headers headers = {}) -> void;
 
   // Sends a request as a caller that disconnects once the condition holds.
   auto SendAndDisconnect(const std::string& kind,
--- a/source/unit_tests/net/sse_test.cc
+++ b/source/unit_tests/net/sse_test.cc
@@ -53,6 +53,38 @@
   }
 }
 
+TEST_CASE("a stream is split after each complete event, with nothing lost") {
+  for (const auto* end : {"\r", "\n", "\r\n"}) {
+    const auto line_end = std::string(end);
+    auto text = std::string{};
+    for (const auto* line :
+         {": hello", "id: 7", "data: a", "", ": ping", "x-version: 2", "id:8",
+          "data: b", "", "data: cut"}) {
+      text += line + line_end;
+    }
+    for (auto cut = std::size_t{0}; cut <= text.size(); ++cut) {
+      auto splitter = sse_splitter{};
+      auto parts = splitter.Feed(std::string_view(text).substr(0, cut));
+      for (auto& part : splitter.Feed(std::string_view(text).substr(cut))) {
+        parts.push_back(std::move(part));
+      }
+      auto joined = std::string{};
+      auto events = std::vector<std::pair<std::string, std::string>>{};
+      for (const auto& part : parts) {
+        joined += part.text;
+        if (!part.data.empty()) {
+          events.emplace_back(part.id, part.data);
+        }
+      }
+      CHECK(text.starts_with(joined));
+      CHECK(joined.find("cut") == std::string::npos);
+      CHECK(splitter.PartialBytes() > 0);
+      CHECK(events == std::vector<std::pair<std::string, std::string>>{
+                          {"7", "a"}, {"8", "b"}});
+    }
+  }
+}
+
 TEST_CASE("bytes after the last complete event are counted") {
   const auto cases = std::vector<std::pair<std::string_view, std::size_t>>{
       {"", 0},
