Count turns that are not stored against their program's budget

Callers of routes that keep no turns could spend without limit: the budget was asked of the journals only where the route stores turns.

Every stream with a budget and a program now reserves its tokens at the journals before it is sent, without a parent, a chain or content, and is settled by the events that its caller received. The caller does not wait for the settlement; until it is stored, the reservation counts in full. Without the journals the turn is refused as not run.

Ruled out: waiting for the settlement before the end of the response (one more sync a turn, and nothing that the promise needs).

--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -112,7 +112,7 @@
 
 auto request_flow::Run() -> asio::awaitable<void> {
   WatchForCancellation();
-  if (route_->stores_turns) {
+  if (IsTurn()) {
     co_await RunTurn();
   } else {
     co_await RunPlain();
--- a/source/core/front/request_flow.h
+++ b/source/core/front/request_flow.h
@@ -69,6 +69,9 @@
   auto WatchForCancellation() -> void;
   auto RunPlain() -> boost::asio::awaitable<void>;
   auto RunTurn() -> boost::asio::awaitable<void>;
+  // Whether the request reserves tokens at the journals: a turn of a route that
+  // stores turns, or any stream that counts against a budget.
+  [[nodiscard]] auto IsTurn() const -> bool;
 
   // Sends the request to endpoints until one of them answers, the retry rules
   // forbid another attempt, or the deadline passes. Refuses the request in the
--- a/source/core/front/stream_flow.cc
+++ b/source/core/front/stream_flow.cc
@@ -102,7 +102,7 @@
     last.tokens += events_ * (engine_ ? engine_->event_tokens : 0);
     endpoints.OnPromptProcessed(endpoint, call_.prompt);
   }
-  if (route_->stores_turns && !co_await RecordTurn(endpoint)) {
+  if (IsTurn() && !co_await RecordTurn(endpoint)) {
     BreakOff();
     co_return;
   }
--- a/source/core/front/turn_flow.cc
+++ b/source/core/front/turn_flow.cc
@@ -58,18 +58,29 @@
 
 }  // namespace
 
+auto request_flow::IsTurn() const -> bool {
+  if (route_->stores_turns) {
+    return true;
+  }
+  // A budget is that of a program, whichever routes its turns take.
+  return route_->kind == dispatch::route_kind::kStream &&
+         call_.token_budget.has_value() && !call_.program.empty();
+}
+
 auto request_flow::RunTurn() -> asio::awaitable<void> {
   if (call_.request_id.empty()) {
     co_await Refuse(refusal_reason::kBadRequest, std::nullopt);
     co_return;
   }
   // The id of a turn is that of its request.
-  auto begin = history::turn_begin{history::program_name(call_.program),
-                                   history::turn_id(call_.request_id),
-                                   history::turn_id(call_.previous_turn),
-                                   call_.max_output_tokens,
-                                   call_.token_budget,
-                                   RetentionMs()};
+  auto begin = history::turn_begin{
+      history::program_name(call_.program),
+      history::turn_id(call_.request_id),
+      history::turn_id(route_->stores_turns ? call_.previous_turn
+                                            : std::string()),
+      call_.max_output_tokens,
+      call_.token_budget,
+      RetentionMs()};
   const auto requested_at = Now();
   auto begun = co_await node_.turns().Begin(
       std::move(begin), std::min(kReserveTimeout, TimeLeft()));
@@ -127,6 +138,13 @@
 
 auto request_flow::RecordTurn(const endpoint_id& endpoint)
     -> asio::awaitable<bool> {
+  if (!route_->stores_turns) {
+    // The caller does not wait for it: until it is stored, the reservation
+    // counts, which is no less.
+    needs_settling_ = false;
+    SettleTurn();
+    co_return true;
+  }
   auto fact = MakeTurnFact();
   fact.content = history::turn_content{
       history::turn_id(call_.previous_turn), exchange_.request().body,
--- a/source/core/history/fact_table.h
+++ b/source/core/history/fact_table.h
@@ -44,6 +44,11 @@
   [[nodiscard]] auto Spending(const program_name& program) const
       -> std::vector<spending>;
 
+  // Whether any turn of the program is known.
+  [[nodiscard]] auto HasProgram(const program_name& program) const -> bool {
+    return by_program_.contains(program);
+  }
+
   // Returns the chain that ends with a turn, as far back as it is known.
   [[nodiscard]] auto Chain(const turn_id& newest) const -> turn_chain;
 
--- a/source/core/journal/journal_node.cc
+++ b/source/core/journal/journal_node.cc
@@ -314,8 +314,11 @@
          {"facts", static_cast<std::int64_t>(replica_.facts().size())},
          {"bytes", static_cast<std::int64_t>(bytes)}});
   }
-  const auto max_bytes = request.parent.empty() ? max_facts_bytes_.first_turns
-                                                : max_facts_bytes_.later_turns;
+  // A turn of a route that stores none names no parent.
+  const auto is_first =
+      request.parent.empty() && !replica_.facts().HasProgram(request.program);
+  const auto max_bytes =
+      is_first ? max_facts_bytes_.first_turns : max_facts_bytes_.later_turns;
   return bytes < max_bytes;
 }
 
