Send no request whose time ran out while the process was paused or suspended

Operators of similar systems report that a paused process acted on a permission that had run out. Here: after a pause, the reply of the journals could be handled before the timer of the request's deadline, and the request was then sent to an endpoint with a millisecond left. And steady_clock stands still while a VM is suspended, so deadlines, leases and load reports looked younger than they were.

A request is over once its deadline has passed, whether the timer has run or not, and Now() reads CLOCK_BOOTTIME.

The new test failed before (502 after two runs in place of 503). The change of the clock has no test: nothing here can suspend the machine.

--- a/source/core/common/process_clock.h
+++ b/source/core/common/process_clock.h
@@ -2,6 +2,8 @@
 #ifndef DAISYWIND_COMMON_PROCESS_CLOCK_H_
 #define DAISYWIND_COMMON_PROCESS_CLOCK_H_
 
+#include <time.h>
+
 #include <chrono>
 #include <cstdint>
 
@@ -9,9 +11,14 @@
 
 namespace daisywind {
 
-// Monotonic time, passed to the deterministic libraries as an argument.
+// Monotonic time, passed to the deterministic libraries as an argument. Counts
+// the time in which the VM was suspended, which steady_clock does not: a lease
+// or a deadline runs out meanwhile.
 inline auto Now() -> instant {
-  const auto since = std::chrono::steady_clock::now().time_since_epoch();
+  auto time = timespec{};
+  ::clock_gettime(CLOCK_BOOTTIME, &time);
+  const auto since = std::chrono::seconds(time.tv_sec) +
+                     std::chrono::nanoseconds(time.tv_nsec);
   return instant(std::chrono::duration_cast<duration>(since));
 }
 
--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -430,7 +430,8 @@
 }
 
 auto request_flow::IsOver() const -> bool {
-  return is_caller_disconnected_ || is_timed_out_;
+  // The timer may run late, after what a paused process had waited for.
+  return is_caller_disconnected_ || is_timed_out_ || Now() >= deadline_;
 }
 
 auto request_flow::Urgency() const -> std::uint32_t {
--- a/source/core/front/stream_flow.cc
+++ b/source/core/front/stream_flow.cc
@@ -116,7 +116,7 @@
 
 auto request_flow::BreakOff() -> void {
   summary_.outcome = is_caller_disconnected_ ? "caller_gone"
-                     : is_timed_out_         ? "timed_out"
+                     : IsOver()              ? "timed_out"
                                              : "broken_off";
   exchange_.Abort();
 }
--- a/source/unit_tests/front/front_harness.cc
+++ b/source/unit_tests/front/front_harness.cc
@@ -100,6 +100,9 @@
   to.max_output_tokens =
       static_cast<std::uint32_t>(NumberIn(from, "Max-Tokens").value_or(0));
   to.last_event_id = std::string(from.Header("After"));
+  if (const auto deadline = NumberIn(from, "Deadline-Ms")) {
+    to.deadline = std::chrono::milliseconds(*deadline);
+  }
   return to;
 }
 
--- a/source/unit_tests/front/request_flow_test.cc
+++ b/source/unit_tests/front/request_flow_test.cc
@@ -288,6 +288,20 @@
   CHECK(runs == 2);
 }
 
+// A process that was paused may resume a request before the timer of its
+// deadline has run.
+TEST_CASE("a request without time left is not sent") {
+  auto harness = front_harness();
+  auto runs = 0;
+  harness.AddEndpoint("a", RespondingEndpoint(runs));
+  harness.Configure();
+  for (const auto* kind : {"once", "again"}) {
+    const auto result = harness.Send(kind, "r", {{"Deadline-Ms", "0"}});
+    CHECK(result.response.status == 503);
+  }
+  CHECK(runs == 0);
+}
+
 TEST_CASE("a request gets an error response at its route's time-out") {
   auto harness = front_harness();
   auto runs = 0;
