Let journals that stand by follow the store through the members of the view

On the large site 19 of 24 journals stand by, and each watched the platform's store: calls to the platform and, for those across the link, bytes between regions grew with the number of VMs with disks.

A VM that is no member now asks a member of its region for what has changed, as fronts do, and the store itself if no member has a copy that is up to date. mirrored_store moves to history_client for that. What a VM says of the store's age to others counts only the store's own answers to it.

--- a/source/core/front/front_node.h
+++ b/source/core/front/front_node.h
@@ -22,10 +22,10 @@
 #include "front/directory.h"
 #include "front/endpoint_paths.h"
 #include "front/limit_coordinator.h"
-#include "front/mirrored_store.h"
 #include "front/platform_codecs.h"
 #include "front/relay_service.h"
 #include "front/store_fallback.h"
+#include "history_client/mirrored_store.h"
 #include "history_client/turn_client.h"
 #include "kv/store.h"
 #include "net/http_client.h"
@@ -139,7 +139,7 @@
   byte_budget response_memory_;
   net::http_client endpoint_client_;
   history::turn_client turns_;
-  mirrored_store store_;
+  history::mirrored_store store_;
   directory directory_;
   endpoint_paths paths_;
   relay::relay_client relays_;
--- a/source/core/front/mirrored_store.cc
+++ b/source/core/history_client/mirrored_store.cc
@@ -1,19 +1,24 @@
-#include "front/mirrored_store.h"
+#include "history_client/mirrored_store.h"
 
 #include <algorithm>
 #include <boost/asio.hpp>
+#include <chrono>
 #include <utility>
 
 #include "common/logging.h"
 #include "common/process_clock.h"
-#include "front/log_values.h"
 
-namespace daisywind::front {
+namespace daisywind::history {
 namespace {
 
 namespace asio = boost::asio;
 
-auto ChangesFrom(const history::copy_reply& reply, kv::revision after)
+// Milliseconds for the log; -1 in place of an unknown age.
+auto AgeMs(const std::optional<duration>& age) -> double {
+  return age ? std::chrono::duration<double, std::milli>(*age).count() : -1.0;
+}
+
+auto ChangesFrom(const copy_reply& reply, kv::revision after)
     -> kv::change_list {
   auto list = kv::change_list{{}, after, false};
   if (!reply.copy) {
@@ -42,12 +47,11 @@
   return options;
 }
 
-mirrored_store::mirrored_store(
-    asio::io_context& context,
-    kv::store& source,
-    region_id region,
-    std::function<const history::view&()> current_view,
-    mirrored_store_options options)
+mirrored_store::mirrored_store(asio::io_context& context,
+                               kv::store& source,
+                               region_id region,
+                               std::function<const view&()> current_view,
+                               mirrored_store_options options)
     : context_(context),
       source_(source),
       region_(std::move(region)),
@@ -63,7 +67,12 @@
 
 auto mirrored_store::List(std::string prefix)
     -> asio::awaitable<kv::store_result<kv::listing>> {
-  return source_.List(std::move(prefix));
+  const auto has_all_keys = prefix.empty();
+  auto result = co_await source_.List(std::move(prefix));
+  if (has_all_keys && result.value) {
+    source_answered_at_ = Now();
+  }
+  co_return result;
 }
 
 auto mirrored_store::Write(kv::txn_request request)
@@ -91,8 +100,18 @@
     timer.expires_after(std::min(options_.poll_interval, remaining));
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
-  co_return co_await source_.WaitForChanges(std::move(prefix), after,
-                                            std::max(end - Now(), duration(0)));
+  const auto has_all_keys = prefix.empty();
+  auto result = co_await source_.WaitForChanges(
+      std::move(prefix), after, std::max(end - Now(), duration(0)));
+  if (has_all_keys && result.value && !result.value->is_history_lost) {
+    source_answered_at_ = Now();
+  }
+  co_return result;
+}
+
+auto mirrored_store::SourceAge(instant now) const -> std::optional<duration> {
+  return source_answered_at_ ? std::optional(now - *source_answered_at_)
+                             : std::nullopt;
 }
 
 auto mirrored_store::RequestFromAny(kv::revision after)
@@ -116,21 +135,19 @@
     -> asio::awaitable<std::optional<kv::change_list>> {
   const auto sent_at = Now();
   const auto client = clients_.ClientFor(address);
-  auto request = history::copy_request{after, /*wants_changes=*/true};
+  auto request = copy_request{after, /*wants_changes=*/true};
   const auto reply =
       co_await client->SendAndWait(0, request, options_.request_timeout);
-  const auto* received =
-      reply ? std::get_if<history::copy_reply>(&*reply) : nullptr;
+  const auto* received = reply ? std::get_if<copy_reply>(&*reply) : nullptr;
   // The copy's age counts from when the request was sent, as the reply may have
   // been on its way for long.
   const auto age = received != nullptr && received->store_age
                        ? std::optional(*received->store_age + (Now() - sent_at))
                        : std::nullopt;
   if (!age || *age > options_.max_age) {
-    Log(log_events::kMirrorUnused,
-        {{"journal", std::string_view(address)},
-         {"is_answered", received != nullptr},
-         {"store_age_ms", age ? Milliseconds(*age) : kNoTime}});
+    Log(log_events::kMirrorUnused, {{"journal", std::string_view(address)},
+                                    {"is_answered", received != nullptr},
+                                    {"store_age_ms", AgeMs(age)}});
     co_return std::nullopt;
   }
   co_return ChangesFrom(*received, after);
@@ -142,7 +159,7 @@
   const auto now = Now();
   std::erase_if(excluded_until_,
                 [&](const auto& item) { return item.second <= now; });
-  const auto is_near = [this](const history::member& member) {
+  const auto is_near = [this](const member& member) {
     return member.region == region_;
   };
   const auto has_near = std::any_of(members.begin(), members.end(), is_near);
@@ -163,4 +180,4 @@
   return candidates[random_.UniformBelow(candidates.size())];
 }
 
-}  // namespace daisywind::front
+}  // namespace daisywind::history
--- a/source/core/front/mirrored_store.h
+++ b/source/core/history_client/mirrored_store.h
@@ -1,6 +1,6 @@
 // The platform's store as seen through the copies that journals keep of it.
-#ifndef DAISYWIND_FRONT_MIRRORED_STORE_H_
-#define DAISYWIND_FRONT_MIRRORED_STORE_H_
+#ifndef DAISYWIND_HISTORY_CLIENT_MIRRORED_STORE_H_
+#define DAISYWIND_HISTORY_CLIENT_MIRRORED_STORE_H_
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -19,7 +19,7 @@
 #include "history_client/member_client.h"
 #include "kv/store.h"
 
-namespace daisywind::front {
+namespace daisywind::history {
 
 // Timing of a mirrored store.
 struct mirrored_store_options {
@@ -46,11 +46,12 @@
 // each reply a key only once. Reads and writes go to the store itself.
 class mirrored_store : public kv::store {
  public:
-  // `current_view` returns the journals in use.
+  // `current_view` returns the journals to ask; none for a VM that watches the
+  // store itself.
   mirrored_store(boost::asio::io_context& context,
                  kv::store& source,
                  region_id region,
-                 std::function<const history::view&()> current_view,
+                 std::function<const view&()> current_view,
                  mirrored_store_options options);
 
   auto Read(std::string key) -> boost::asio::awaitable<
@@ -63,6 +64,10 @@
   auto WaitForChanges(std::string prefix, kv::revision after, duration wait)
       -> boost::asio::awaitable<kv::store_result<kv::change_list>> override;
 
+  // Time since the store itself last answered completely about all keys; empty
+  // before its first answer. Copies do not count.
+  [[nodiscard]] auto SourceAge(instant now) const -> std::optional<duration>;
+
  private:
   // Asks one journal for the changes since a revision. Returns nothing if its
   // copy does not serve.
@@ -77,16 +82,17 @@
   boost::asio::io_context& context_;
   kv::store& source_;
   region_id region_;
-  std::function<const history::view&()> current_view_;
+  std::function<const view&()> current_view_;
   mirrored_store_options options_;
   random_source random_;
-  history::member_clients clients_;
+  member_clients clients_;
+  std::optional<instant> source_answered_at_;
   // The address of the journal that served last.
   std::string last_journal_;
   // When journals whose copies did not serve may be asked again, by address.
   std::map<std::string, instant> excluded_until_;
 };
 
-}  // namespace daisywind::front
+}  // namespace daisywind::history
 
-#endif  // DAISYWIND_FRONT_MIRRORED_STORE_H_
+#endif  // DAISYWIND_HISTORY_CLIENT_MIRRORED_STORE_H_
--- a/source/core/journal/view_manager.cc
+++ b/source/core/journal/view_manager.cc
@@ -37,8 +37,14 @@
       node_(node),
       store_(store),
       options_(std::move(options)),
+      followed_store_(
+          context,
+          store,
+          node.self().region,
+          [this]() -> const history::view& { return followed_members_; },
+          options_.mirror),
       watch_(context,
-             store,
+             followed_store_,
              "",
              options_.watch,
              {[this](const kv::listing& all) { OnSnapshot(all); },
@@ -106,6 +112,9 @@
   }
   stored_view_ = *read;
   view_revision_ = item.mod_revision;
+  followed_members_ = {stored_view_.number, IsMember()
+                                                ? std::vector<history::member>{}
+                                                : OtherMembers()};
   node_.replica().Adopt(stored_view_);
   Log(log_events::kViewAdopted,
       {{"view", static_cast<std::int64_t>(stored_view_.number)},
--- a/source/core/journal/view_manager.h
+++ b/source/core/journal/view_manager.h
@@ -16,6 +16,7 @@
 #include "common/time.h"
 #include "history/view.h"
 #include "history_client/member_client.h"
+#include "history_client/mirrored_store.h"
 #include "kv/store.h"
 #include "kv/store_watch.h"
 
@@ -38,8 +39,9 @@
   // Number of disks that may be lost at the same time without losing facts.
   std::size_t tolerated_losses = 1;
   retire_keys retire;
-  // Timing of the watch of the store.
+  // Timing of the watch of the store, and of the calls to members in its place.
   kv::watch_options watch;
+  history::mirrored_store_options mirror;
   // A member that has been unreachable for this long may be replaced.
   duration replace_after = 1500ms;
   // Time between two steps of the manager.
@@ -58,6 +60,8 @@
 };
 
 // Watches the view in the platform's store and changes it by compare-and-swap.
+// A VM that is no member watches the store through the members, so that the
+// calls to the store don't grow with the VMs that stand by.
 // Makes this VM a member, brings its replica up to date and retires it when the
 // platform asks for that.
 //
@@ -75,10 +79,10 @@
   auto Start() -> void;
   auto Stop() -> void;
 
-  // Time since the store last answered completely; empty before its first
-  // answer.
+  // Time since the store last answered this VM completely; empty before its
+  // first answer. What members say of the store does not count.
   [[nodiscard]] auto StoreAge(instant now) const -> std::optional<duration> {
-    return watch_.Age(now);
+    return followed_store_.SourceAge(now);
   }
 
  private:
@@ -152,6 +156,10 @@
   journal_node& node_;
   kv::store& store_;
   view_manager_options options_;
+  // The members that this VM follows the store through; empty while it is one
+  // itself.
+  history::view followed_members_;
+  history::mirrored_store followed_store_;
   kv::store_watch watch_;
   boost::asio::steady_timer timer_;
   // The view in the store and the revision of its key.
--- a/source/daisywind_journal/main.cc
+++ b/source/daisywind_journal/main.cc
@@ -44,6 +44,8 @@
   view_options.tolerated_losses =
       static_cast<std::size_t>(values.Get(kToleratedDiskLosses));
   view_options.watch = kv::RelayingWatchOptionsFor(ChangeTimeLimit(values));
+  view_options.mirror =
+      history::MirroredStoreOptionsFor(ChangeTimeLimit(values));
   view_options.retire = platform::RetireKeys();
   auto node = journal_node(context, values, store, std::move(view_options));
   if (!node.Start()) {
--- a/source/unit_tests/front/mirrored_store_test.cc
+++ b/source/unit_tests/history_client/mirrored_store_test.cc
@@ -1,4 +1,4 @@
-#include "front/mirrored_store.h"
+#include "history_client/mirrored_store.h"
 
 #include <doctest/doctest.h>
 
@@ -12,69 +12,23 @@
 #include <utility>
 
 #include "common/process_clock.h"
-#include "front_harness.h"
-#include "history_wire/codec.h"
-#include "history_wire/view_json.h"
 #include "kv/store_watch.h"
-#include "net/frame_channel.h"
+#include "testing/fake_journal.h"
 #include "testing/fake_store.h"
 
-namespace daisywind::front {
+namespace daisywind::history {
 namespace {
 
 namespace asio = boost::asio;
 
-constexpr auto kMaxChannels = std::size_t{16};
 // Long enough for a busy machine; no test waits for it.
 constexpr auto kStepTimeout = 30s;
 
-// A journal that replies to requests for its copy.
-class fake_journal {
- public:
-  explicit fake_journal(asio::io_context& context)
-      : server_(context,
-                kMaxChannels,
-                {},
-                [this](const std::shared_ptr<net::frame_channel>& channel) {
-                  auto handlers = net::channel_handlers{};
-                  handlers.on_frame = [this, weak = std::weak_ptr(channel)](
-                                          std::string_view frame) {
-                    Reply(weak, frame);
-                  };
-                  return handlers;
-                }),
-        port_(server_.Listen({"127.0.0.1", 0})) {}
-
-  [[nodiscard]] auto address() const -> std::string {
-    return "127.0.0.1:" + std::to_string(port_);
-  }
-
-  std::function<history::copy_reply(const history::copy_request&)> on_request;
-  int requests = 0;
-
- private:
-  auto Reply(const std::weak_ptr<net::frame_channel>& channel,
-             std::string_view frame) -> void {
-    const auto request = history::DecodeMessage(frame);
-    REQUIRE(request);
-    const auto* wanted = std::get_if<history::copy_request>(&request->body);
-    const auto open = channel.lock();
-    if (wanted == nullptr || open == nullptr) {
-      return;
-    }
-    ++requests;
-    open->Send(history::EncodeMessage({request->id, 1, on_request(*wanted)}));
-  }
-
-  net::channel_server server_;
-  std::uint16_t port_;
-};
-
 struct mirror_fixture {
   mirror_fixture() {
     SetRegion("r");
-    journal.on_request = [this](const history::copy_request& request) {
-      auto reply = history::copy_reply{};
+    journal.on_request = [this](const copy_request& request) {
+      auto reply = copy_reply{};
       if (journal_copy.revision_at > request.known) {
         reply.copy = journal_copy;
         reply.has_only_changes = true;
@@ -86,7 +40,7 @@
 
   auto SetRegion(const char* region) -> void {
     current = {1,
-               {{vm_id("j"), history::disk_id("d"), journal.address(),
+               {{vm_id("j"), disk_id("d"), journal.address(),
                  failure_domain_id("f"), region_id(region)}}};
   }
 
@@ -109,14 +63,14 @@
 
   asio::io_context context{1};
   testing::fake_store store{context};
-  fake_journal journal{context};
-  history::store_copy journal_copy;
+  testing::fake_journal journal{context};
+  store_copy journal_copy;
   std::optional<duration> journal_age = duration(0);
-  history::view current;
+  view current;
   mirrored_store mirrored{context,
                           store,
                           region_id("r"),
-                          [this]() -> const history::view& { return current; },
+                          [this]() -> const view& { return current; },
                           {/*poll_interval=*/10ms, /*request_timeout=*/20s,
                            /*max_age=*/60s, /*retry_after=*/60s,
                            /*max_journals=*/2}};
@@ -141,27 +95,6 @@
   CHECK(store.waits() == 0);
 }
 
-// Regression: see above.
-TEST_CASE(
-    "a front does not ask the store while a journal of its region has it") {
-  auto harness = front_harness();
-  auto journal = fake_journal(harness.context);
-  journal.on_request = [&](const history::copy_request&) {
-    auto reply = history::copy_reply{};
-    reply.store_age = duration(0);
-    return reply;
-  };
-  harness.store.Put(std::string(history::kViewKey),
-                    history::RenderView(
-                        {1,
-                         {{vm_id("j"), history::disk_id("d"), journal.address(),
-                           failure_domain_id("d"), region_id("r")}}}));
-  REQUIRE(harness.RunUntil([&] { return journal.requests > 0; }));
-  const auto waits = harness.store.waits();
-  REQUIRE(harness.RunUntil([&] { return journal.requests > 4; }));
-  CHECK(harness.store.waits() == waits);
-}
-
 TEST_CASE_FIXTURE(mirror_fixture, "a wait without changes ends at its time") {
   const auto result = Wait(2, 50ms);
   REQUIRE(result.value);
@@ -172,8 +105,8 @@
 }
 
 TEST_CASE_FIXTURE(mirror_fixture, "removed keys are changes") {
-  journal.on_request = [](const history::copy_request&) {
-    auto reply = history::copy_reply{history::store_copy{7, {}}, true, {"k"}};
+  journal.on_request = [](const copy_request&) {
+    auto reply = copy_reply{store_copy{7, {}}, true, {"k"}};
     reply.store_age = duration(0);
     return reply;
   };
@@ -186,8 +119,8 @@
 
 TEST_CASE_FIXTURE(mirror_fixture,
                   "a whole copy replaces what a journal cannot tell apart") {
-  journal.on_request = [](const history::copy_request&) {
-    auto reply = history::copy_reply{history::store_copy{7, {}}};
+  journal.on_request = [](const copy_request&) {
+    auto reply = copy_reply{store_copy{7, {}}};
     reply.store_age = duration(0);
     return reply;
   };
@@ -233,6 +166,14 @@
   CHECK(store.waits() == 1);
 }
 
+TEST_CASE_FIXTURE(mirror_fixture, "a copy is no answer of the store itself") {
+  Wait(1, 0s);
+  CHECK_FALSE(mirrored.SourceAge(Now()));
+  current = {};
+  Wait(1, 0s);
+  CHECK(mirrored.SourceAge(Now()));
+}
+
 TEST_CASE("a copy serves for longer than a journal waits for the store") {
   for (const auto limit : {duration(2s), duration(2500ms), duration(14s)}) {
     const auto watch = kv::RelayingWatchOptionsFor(limit);
@@ -243,4 +184,4 @@
   }
 }
 
-}  // namespace daisywind::front
+}  // namespace daisywind::history
--- a/source/unit_tests/journal/journal_node_test.cc
+++ b/source/unit_tests/journal/journal_node_test.cc
@@ -43,6 +43,35 @@
   return fact;
 }
 
+// A store's client of one VM, which counts its calls for changes.
+class counting_store : public kv::store {
+ public:
+  explicit counting_store(kv::store& source) : source_(source) {}
+
+  auto Read(std::string key) -> asio::awaitable<
+      kv::store_result<std::optional<kv::key_value>>> override {
+    return source_.Read(std::move(key));
+  }
+  auto List(std::string prefix)
+      -> asio::awaitable<kv::store_result<kv::listing>> override {
+    return source_.List(std::move(prefix));
+  }
+  auto Write(kv::txn_request request)
+      -> asio::awaitable<kv::store_result<bool>> override {
+    return source_.Write(std::move(request));
+  }
+  auto WaitForChanges(std::string prefix, kv::revision after, duration wait)
+      -> asio::awaitable<kv::store_result<kv::change_list>> override {
+    ++waits;
+    return source_.WaitForChanges(std::move(prefix), after, wait);
+  }
+
+  int waits = 0;
+
+ private:
+  kv::store& source_;
+};
+
 // Several journal nodes on loopback that share one fake store.
 class journal_cluster {
  public:
@@ -90,8 +119,9 @@
     view_options.successor_wait = 50ms;
     view_options.request_timeout = 500ms;
     view_options.retire = {"wanted/", "status/", "running", "done"};
-    auto node =
-        std::make_unique<journal_node>(context, values, store, view_options);
+    view_options.mirror.poll_interval = 10ms;
+    auto node = std::make_unique<journal_node>(context, values, StoreOf(number),
+                                               view_options);
     REQUIRE(node->Start());
     nodes_[number] = std::move(node);
     return *nodes_[number];
@@ -215,6 +245,11 @@
 
   auto At(int number) -> journal_node& { return *nodes_.at(number); }
 
+  // The store as a journal calls it.
+  auto StoreOf(int number) -> counting_store& {
+    return stores_.try_emplace(number, store).first->second;
+  }
+
   asio::io_context context{1};
   testing::fake_store store;
   // Of the journals that are started from now on; 0 for none.
@@ -234,9 +269,30 @@
 
   fs::path folder_;
   std::map<int, int> ports_;
+  std::map<int, counting_store> stores_;
   std::map<int, std::unique_ptr<journal_node>> nodes_;
 };
 
+// Regression: each VM that stood by watched the store, so that calls to it and
+// bytes between regions grew with their number.
+TEST_CASE("a journal that stands by follows the store through the members") {
+  auto cluster = journal_cluster();
+  cluster.StartThree();
+  auto& spare = cluster.Start(4);
+  REQUIRE(cluster.RunUntil([&] { return spare.mirror().revision_at() > 0; }));
+  for (const auto* key : {"a", "b", "c"}) {
+    cluster.store.Put(key, "value");
+    REQUIRE(cluster.RunUntil([&] {
+      const auto copy = spare.mirror().CopyIfNewer(0);
+      return std::any_of(
+          copy->items.begin(), copy->items.end(),
+          [&](const kv::key_value& item) { return item.key == key; });
+    }));
+  }
+  CHECK(cluster.StoreOf(4).waits == 0);
+  CHECK(cluster.StoreOf(1).waits > 0);
+}
+
 TEST_CASE("three journals form a view and a fourth is a spare") {
   auto cluster = journal_cluster();
   cluster.StartThree();
