Use only the newest of the journals' copies of the store

Operators of similar systems report that a server which had left was in use again after a restart of one of their processes.

The journals are now asked side by side, and the newest copy that arrives within 60 ms of the first is used.

The new test failed before (the request went to the endpoint that had left).

--- a/source/core/front/store_fallback.cc
+++ b/source/core/front/store_fallback.cc
@@ -2,8 +2,13 @@
 
 #include <algorithm>
 #include <boost/asio.hpp>
+#include <cstddef>
+#include <memory>
+#include <optional>
 #include <utility>
 
+#include "common/process_clock.h"
+
 namespace daisywind::front {
 
 namespace asio = boost::asio;
@@ -45,24 +50,62 @@
   }
 }
 
+struct store_fallback::copy_round {
+  explicit copy_round(asio::io_context& context) : wake(context) {}
+
+  auto OnReply(std::optional<history::message_body> reply) -> void {
+    --pending;
+    auto* received =
+        reply ? std::get_if<history::copy_reply>(&*reply) : nullptr;
+    const auto is_newest =
+        received != nullptr && received->copy &&
+        (!newest || received->copy->revision_at > newest->revision_at);
+    if (is_newest) {
+      settles_at = newest ? settles_at : Now() + settle_time;
+      newest = std::move(*received->copy);
+    }
+    wake.cancel();
+  }
+
+  asio::steady_timer wake;
+  duration settle_time{};
+  std::size_t pending = 0;
+  std::optional<history::store_copy> newest;
+  // Set with the first copy.
+  instant settles_at = instant::max();
+};
+
 auto store_fallback::RequestCopies() -> asio::awaitable<void> {
+  const auto round = std::make_shared<copy_round>(context_);
+  round->settle_time = options_.settle_time;
   for (const auto& address : JournalAddresses()) {
-    const auto client = clients_.ClientFor(address);
-    const auto reply = co_await client->SendAndWait(
+    ++round->pending;
+    clients_.ClientFor(address)->SendRequest(
         0, history::copy_request{service_directory_.revision_at()},
-        options_.request_timeout);
-    const auto* received =
-        reply ? std::get_if<history::copy_reply>(&*reply) : nullptr;
-    if (received != nullptr && received->copy && !is_stopped_) {
-      service_directory_.ImportCopy(*received->copy);
-    }
+        options_.request_timeout,
+        [round](std::optional<history::message_body> reply) {
+          round->OnReply(std::move(reply));
+        });
+  }
+  // Each request ends by its own time-out.
+  while (round->pending > 0 && Now() < round->settles_at) {
+    const auto remaining =
+        std::min(round->settles_at - Now(), options_.request_timeout);
+    round->wake.expires_after(remaining);
+    co_await round->wake.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  if (round->newest && !is_stopped_) {
+    service_directory_.ImportCopy(*round->newest);
   }
 }
 
 auto store_fallback::JournalAddresses() const -> std::vector<std::string> {
   auto addresses = seeds_;
   for (const auto& item : turns_.current().members) {
-    addresses.push_back(item.address);
+    if (std::find(addresses.begin(), addresses.end(), item.address) ==
+        addresses.end()) {
+      addresses.push_back(item.address);
+    }
   }
   return addresses;
 }
--- a/source/core/front/store_fallback.h
+++ b/source/core/front/store_fallback.h
@@ -24,10 +24,14 @@
   // in force.
   duration interval = 1s;
   duration request_timeout = 400ms;
+  // How long the copies of other journals are waited for after the first one.
+  duration settle_time = 60ms;
 };
 
 // Requests copies from the journals of the settings and those of the current
-// view, one after the other. The directory and the turn client must outlive it.
+// view, and uses the newest of them: a journal that has just restarted may have
+// one with endpoints and routes that are gone. The directory and the turn
+// client must outlive it.
 class store_fallback {
  public:
   store_fallback(boost::asio::io_context& context,
@@ -40,6 +44,9 @@
   auto Stop() -> void;
 
  private:
+  // The replies to one round of requests.
+  struct copy_round;
+
   auto Run() -> boost::asio::awaitable<void>;
   auto RequestCopies() -> boost::asio::awaitable<void>;
   [[nodiscard]] auto JournalAddresses() const -> std::vector<std::string>;
--- a/source/unit_tests/front/front_harness.cc
+++ b/source/unit_tests/front/front_harness.cc
@@ -292,6 +292,16 @@
   node_->paths().SetFronts(std::move(fronts));
 }
 
+auto front_harness::UseJournals(const std::vector<std::string>& addresses)
+    -> void {
+  auto view = history::view{1, {}};
+  for (const auto& address : addresses) {
+    view.members.push_back({vm_id(address), history::disk_id(address), address,
+                            failure_domain_id("d"), region_id("r")});
+  }
+  node_->turns().Adopt(view);
+}
+
 auto front_harness::Register(const std::string& id, std::uint16_t port)
     -> void {
   ++endpoints_;
--- a/source/unit_tests/front/front_harness.h
+++ b/source/unit_tests/front/front_harness.h
@@ -21,12 +21,12 @@
 
 namespace daisywind::front {
 
-// Uses the headers Host, Id (of the request), Endpoint (the id of the chosen
-// endpoint), After (the last event of a resumed stream), Weights (the version
-// that a resumed stream needs, and the one of a response), and for turns
-// Program, Budget and Max-Tokens. An endpoint sets Not-Run in its response when
-// it has not run the request, Leaving when it leaves, and Limit to name a rate
-// limit. A refusal's body is the name of its reason.
+// Uses the headers Host, Id (of the request), Deadline-Ms, Endpoint (the id of
+// the chosen endpoint), After (the last event of a resumed stream), Weights
+// (the version that a resumed stream needs, and the one of a response), and for
+// turns Program, Budget and Max-Tokens. An endpoint sets Not-Run in its
+// response when it has not run the request, Leaving when it leaves, and Limit
+// to name a rate limit. A refusal's body is the name of its reason.
 class test_request_codec : public request_codec {
  public:
   [[nodiscard]] auto ReadCall(const net::http_request& from) const
@@ -97,6 +97,8 @@
 
   // Lets the front know others through which it can make attempts.
   auto SetFronts(const std::vector<std::string>& relay_addresses) -> void;
+  // Lets the front know a view of journals at these addresses.
+  auto UseJournals(const std::vector<std::string>& addresses) -> void;
   [[nodiscard]] auto relay_address() const -> const std::string& {
     return relay_address_;
   }
--- a/source/unit_tests/front/store_following_test.cc
+++ b/source/unit_tests/front/store_following_test.cc
@@ -32,4 +32,46 @@
   CHECK(harness.store.waits() == waits);
 }
 
+// A journal that has restarted replies with what its disk had.
+TEST_CASE("a front without the store never uses an endpoint that had left") {
+  auto harness = front_harness();
+  harness.store.SetDown(true);
+  auto runs = 0;
+  auto runs_after_leaving = 0;
+  const auto serve = [](int& count) -> endpoint_handler {
+    return [&count](
+               net::http_exchange& exchange) -> boost::asio::awaitable<void> {
+      ++count;
+      co_await exchange.Respond(
+          {200, {{"Id", std::string(exchange.request().Header("Id"))}}, ""});
+    };
+  };
+  harness.AddEndpoint("stays", serve(runs));
+  harness.AddEndpoint("left", serve(runs_after_leaving));
+  const auto entry = [&](const char* id) {
+    const auto key = std::string("endpoints/") + id;
+    return kv::key_value{key, harness.store.Value(key), 1, 1};
+  };
+  const auto configuration = kv::key_value{"configuration", "1", 1, 1};
+  auto restarted = testing::fake_journal(harness.context);
+  restarted.on_request = [&](const history::copy_request&) {
+    return history::copy_reply{
+        history::store_copy{3, {configuration, entry("stays"), entry("left")}}};
+  };
+  auto current = testing::fake_journal(harness.context);
+  current.on_request = [&](const history::copy_request&) {
+    return history::copy_reply{
+        history::store_copy{9, {configuration, entry("stays")}}};
+  };
+  harness.UseJournals({restarted.address(), current.address()});
+  REQUIRE(harness.RunUntil(
+      [&] { return harness.node().service_directory().IsConfigured(); }));
+  const auto& endpoints = harness.node().service_directory().endpoints();
+  CHECK(endpoints.Find(endpoint_id("stays")) != nullptr);
+  CHECK(endpoints.Find(endpoint_id("left")) == nullptr);
+  CHECK(harness.Send("once", "r").response.status == 200);
+  CHECK(runs == 1);
+  CHECK(runs_after_leaving == 0);
+}
+
 }  // namespace daisywind::front
--- a/source/unit_tests/journal/journal_node_test.cc
+++ b/source/unit_tests/journal/journal_node_test.cc
@@ -459,6 +459,8 @@
   cluster.StartThree();
   const auto client = cluster.Client();
   REQUIRE(cluster.Record(*client, "t1", ""));
+  REQUIRE(cluster.Begin(*client, "u1", "", "u").outcome ==
+          history::begin_outcome::kGranted);
   // A fact larger than the share of first turns, smaller than that of others.
   constexpr auto kBytes = std::size_t{700'000};
   auto fact = history::turn_fact{};
@@ -475,6 +477,9 @@
   CHECK(Now() - asked_at < kStepTimeout / 2);
   CHECK(cluster.Begin(*client, "t3", "t1").outcome ==
         history::begin_outcome::kGranted);
+  // Turns of routes that store none name no parent.
+  CHECK(cluster.Begin(*client, "u2", "", "u").outcome ==
+        history::begin_outcome::kGranted);
   CHECK(cluster.At(1).counters().refused_reservations > 0);
 }
 
