Answer the requests that have arrived when a server stops

Operators of similar systems report that requests which had just been accepted were cut off in a planned stop. Here: at the end of the time for new connections, the server closed its listening socket, which reset the connections that waited in its queue, and closed each connection whose request it had not read to the end.

Connections that clients have established are accepted before the socket is closed, and a connection with a byte of a request is served before it closes. Such a request counts as active from its first byte, so that the stop waits for it. The destructor serves nothing more, as the handler's owner may be gone.

Ruled out: keeping connections without any byte open, as their clients may send at any later time.

--- a/source/core/net/http_server.cc
+++ b/source/core/net/http_server.cc
@@ -100,7 +100,10 @@
   tcp::acceptor acceptor;
   std::set<connection*> connections;
   std::size_t active_requests = 0;
+  // Connections close after the request that has arrived on them, if any.
   bool is_closing = false;
+  // No request is served any more.
+  bool is_aborted = false;
   // Set while this process drains before it stops: responses then carry
   // "Connection: close".
   bool is_draining = false;
@@ -206,18 +209,25 @@
 
   auto Run(server_state server) -> asio::awaitable<void> {
     server_ = server.get();
-    while (keep_alive_ && !server->is_closing) {
-      if (!co_await ReadRequest()) {
+    while (keep_alive_ && !server->is_aborted &&
+           (!server->is_closing || HasInput())) {
+      if (buffer_.size() == 0 && !co_await WaitForFirstByte()) {
         break;
       }
       ++server->active_requests;
       is_busy_ = true;
-      has_responded_ = false;
-      co_await server->handler(*this);
+      const auto is_read = co_await ReadRequest();
+      if (is_read) {
+        has_responded_ = false;
+        co_await server->handler(*this);
+      }
       is_busy_ = false;
       close_handler_ = nullptr;
       keep_alive_ = KeepsAlive();
       --server->active_requests;
+      if (!is_read) {
+        break;
+      }
       if (is_streaming_ || !has_responded_) {
         Abort();
         break;
@@ -229,17 +239,20 @@
   }
 
   auto CloseIfIdle() -> void {
-    if (!is_busy_) {
+    if (!is_busy_ && (server_->is_aborted || !HasInput())) {
       stream_.close();
     }
     keep_alive_ = false;
   }
 
  private:
+  // Whether a byte of the next request has arrived.
+  [[nodiscard]] auto HasInput() -> bool {
+    auto ignored = beast::error_code{};
+    return buffer_.size() > 0 || stream_.socket().available(ignored) > 0;
+  }
+
   auto ReadRequest() -> asio::awaitable<bool> {
-    if (buffer_.size() == 0 && !co_await WaitForFirstByte()) {
-      co_return false;
-    }
     auto parser = http::request_parser<http::string_body>{};
     parser.header_limit(static_cast<std::uint32_t>(limits_.max_head_bytes));
     parser.body_limit(limits_.max_body_bytes);
@@ -315,7 +328,8 @@
   }
 
   [[nodiscard]] auto KeepsAlive() const -> bool {
-    return keep_alive_ && (server_ == nullptr || !server_->is_draining);
+    return keep_alive_ && (server_ == nullptr ||
+                           !(server_->is_draining || server_->is_closing));
   }
 
   auto Write(std::string text) -> asio::awaitable<bool> {
@@ -357,6 +371,17 @@
   server->connections.erase(&peer);
 }
 
+auto StartServing(const server_state& server, tcp::socket socket) -> void {
+  auto ignored = beast::error_code{};
+  if (server->connections.size() >= server->limits.max_connections) {
+    socket.close(ignored);
+    return;
+  }
+  socket.set_option(tcp::no_delay(true), ignored);
+  asio::co_spawn(server->context, Serve(server, std::move(socket)),
+                 asio::detached);
+}
+
 auto Accept(server_state server) -> asio::awaitable<void> {
   while (server->acceptor.is_open()) {
     auto [error, socket] = co_await server->acceptor.async_accept(kAsTuple);
@@ -371,13 +396,7 @@
       co_await timer.async_wait(kAsTuple);
       continue;
     }
-    if (server->connections.size() >= server->limits.max_connections) {
-      socket.close(error);
-      continue;
-    }
-    socket.set_option(tcp::no_delay(true), error);
-    asio::co_spawn(server->context, Serve(server, std::move(socket)),
-                   asio::detached);
+    StartServing(server, std::move(socket));
   }
 }
 
@@ -389,7 +408,10 @@
     : state_(std::make_shared<state>(context, limits, std::move(handler))) {}
 
 http_server::~http_server() {
-  StopAccepting();
+  // The handler's owner may be gone, so no further request is served.
+  state_->is_aborted = true;
+  auto ignored = beast::error_code{};
+  state_->acceptor.close(ignored);
   CloseIdle();
 }
 
@@ -410,8 +432,20 @@
 }
 
 auto http_server::StopAccepting() -> void {
-  auto ignored = beast::error_code{};
-  state_->acceptor.close(ignored);
+  auto error = beast::error_code{};
+  if (!state_->acceptor.is_open()) {
+    return;
+  }
+  // Closing the socket would reset the connections that wait in its queue.
+  state_->acceptor.non_blocking(true, error);
+  while (!error) {
+    auto socket = tcp::socket(state_->context);
+    state_->acceptor.accept(socket, error);
+    if (!error) {
+      StartServing(state_, std::move(socket));
+    }
+  }
+  state_->acceptor.close(error);
 }
 
 auto http_server::CloseIdle() -> void {
@@ -423,6 +457,7 @@
 
 auto http_server::CloseAll() -> void {
   state_->is_closing = true;
+  state_->is_aborted = true;
   for (auto* peer : state_->connections) {
     peer->Abort();
   }
--- a/source/core/net/http_server.h
+++ b/source/core/net/http_server.h
@@ -100,11 +100,12 @@
   // Makes each connection close after its next response.
   auto CloseAfterResponses() -> void;
 
-  // Stops accepting connections. Active requests continue.
+  // Stops accepting connections. Those that clients have established already
+  // are served, and active requests continue.
   auto StopAccepting() -> void;
 
   // Closes every idle connection, and makes the others close after their
-  // response.
+  // response. A connection is idle until a byte of a request has arrived.
   auto CloseIdle() -> void;
 
   // Resets every connection immediately, even in the middle of a response.
@@ -113,7 +114,8 @@
   // Number of open connections.
   [[nodiscard]] auto ConnectionCount() const -> std::size_t;
 
-  // Number of requests whose handler has not finished.
+  // Number of requests of which a byte was read and whose handler has not
+  // finished.
   [[nodiscard]] auto ActiveRequestCount() const -> std::size_t;
 
  private:
--- a/source/unit_tests/net/http_test.cc
+++ b/source/unit_tests/net/http_test.cc
@@ -1,9 +1,12 @@
 #include <doctest/doctest.h>
 
 #include <boost/asio.hpp>
+#include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <sstream>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -256,6 +259,69 @@
   CHECK(net.Send({"POST", "/", {}, "{}"}).response.status == 200);
 }
 
+// Connects without running the context, so that the server sees nothing yet.
+auto ConnectDirectly(asio::io_context& context, std::uint16_t port)
+    -> tcp::socket {
+  auto socket = tcp::socket(context);
+  socket.connect({asio::ip::make_address("127.0.0.1"), port});
+  return socket;
+}
+
+// Runs the context until the server has closed the connection. Returns what it
+// sent until then.
+auto ReadToEnd(asio::io_context& context, tcp::socket& socket) -> std::string {
+  auto answer = std::string{};
+  RunUntilDone(context, [&]() -> asio::awaitable<void> {
+    co_await asio::async_read(socket, asio::dynamic_buffer(answer),
+                              asio::as_tuple(asio::use_awaitable));
+  }());
+  context.restart();
+  return answer;
+}
+
+constexpr auto kWholeRequest =
+    std::string_view("POST /x HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi");
+
+// Regression: a stop closed connections whose requests it had just received.
+TEST_CASE("requests that arrive before a stop are answered") {
+  // How many bytes of the request are there when the server stops, and whether
+  // it has read them by then. The head alone takes 40 bytes.
+  for (const auto bytes : {std::size_t{1}, std::size_t{20}, std::size_t{41},
+                           kWholeRequest.size()}) {
+    for (const auto is_read : {false, true}) {
+      CAPTURE(bytes);
+      CAPTURE(is_read);
+      auto served = fixture();
+      auto socket = ConnectDirectly(served.context, served.port);
+      asio::write(socket, asio::buffer(kWholeRequest.substr(0, bytes)));
+      if (is_read && bytes < kWholeRequest.size()) {
+        while (served.server.ActiveRequestCount() == 0) {
+          served.context.run_one();
+        }
+      }
+      served.server.CloseAfterResponses();
+      served.server.StopAccepting();
+      served.server.CloseIdle();
+      asio::write(socket, asio::buffer(kWholeRequest.substr(bytes)));
+      const auto answer = ReadToEnd(served.context, socket);
+      CHECK(answer.find("200 OK") != std::string::npos);
+      CHECK(answer.ends_with("hi"));
+    }
+  }
+}
+
+TEST_CASE("a stop closes connections without a request at once") {
+  auto served = fixture();
+  auto socket = ConnectDirectly(served.context, served.port);
+  while (served.server.ConnectionCount() == 0) {
+    served.context.run_one();
+  }
+  served.server.StopAccepting();
+  served.server.CloseIdle();
+  CHECK(ReadToEnd(served.context, socket).empty());
+  CHECK(served.server.ConnectionCount() == 0);
+}
+
 TEST_CASE("a response body without end fails at the total time-out") {
   const auto head = std::string("HTTP/1.1 200 OK\r\n");
   const auto cases = std::vector<std::pair<std::string, std::string>>{
