Send each attempt of the gateway on a connection of its own

Operators of similar systems report that a caller got the second copy of another caller's answer. Here: attempts at idempotent services took a kept connection, and a response that its endpoint sent once more there was taken for that of the next call. Responses of such services do not name their requests, so nothing can tell the two apart. The front is not concerned: it matches request ids.

The new test failed before ("1" in place of "2"). It costs a handshake for each idempotent call of the own interface. Ruled out: looking for pending bytes before a send, as the copy may come later.

--- a/source/core/gateway/attempt_runner.cc
+++ b/source/core/gateway/attempt_runner.cc
@@ -144,8 +144,9 @@
   auto options = net::http_options{};
   options.head_timeout = self->request.timeout;
   options.idle_timeout = self->request.idle_timeout;
-  options.connection = self->request.is_idempotent ? net::connection_use::kAny
-                                                   : net::connection_use::kNew;
+  // An endpoint may send an earlier response once more on a kept connection, and
+  // responses do not name their requests.
+  options.connection = net::connection_use::kNew;
   auto opened = co_await client.Open(self->request.address,
                                      self->request.request, options);
   auto result = attempt_result{};
--- a/source/core/gateway/attempt_runner.h
+++ b/source/core/gateway/attempt_runner.h
@@ -56,7 +56,6 @@
   // Whether the response is a stream of server-sent events. The response of a
   // service is passed on as a whole.
   bool is_chat = false;
-  bool is_idempotent = false;
   // Time from the send to the response head.
   duration timeout = 120s;
   // Time between two parts of the body.
--- a/source/core/gateway/endpoint_calls.cc
+++ b/source/core/gateway/endpoint_calls.cc
@@ -50,7 +50,6 @@
   attempt.id = program::ToString(command.attempt);
   attempt.address = address;
   attempt.is_chat = command.call.kind == program::call_kind::kChat;
-  attempt.is_idempotent = command.call.is_idempotent;
   attempt.request = attempt.is_chat ? ChatRequest(command, priority)
                                     : ServiceRequest(command);
   attempt.request.headers.push_back({"X-Request-Id", attempt.id});
--- /dev/null
+++ b/source/unit_tests/gateway/attempt_runner_test.cc
@@ -0,0 +1,97 @@
+#include "gateway/attempt_runner.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "net/http_client.h"
+
+namespace daisywind::gateway {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+// Generous, because the machine may be busy.
+constexpr auto kStepTimeout = std::chrono::seconds(30);
+// Many times the pauses of the endpoints, for the same reason.
+constexpr auto kIdleTimeout = duration(2s);
+
+struct runner_fixture {
+  // Runs one attempt at a port to its end.
+  auto Run(std::uint16_t port, bool is_chat) -> attempt_result {
+    auto request = attempt_request{};
+    request.id = "a";
+    request.address = {"127.0.0.1", port};
+    request.request = {"GET", "/x", {{"Host", "h"}}, ""};
+    request.is_chat = is_chat;
+    request.timeout = kIdleTimeout;
+    request.idle_timeout = kIdleTimeout;
+    auto result = std::optional<attempt_result>{};
+    runner.Start(
+        std::move(request), [this](std::string text) { output += text; },
+        [&](attempt_result ended) { result = std::move(ended); });
+    const auto end = std::chrono::steady_clock::now() + kStepTimeout;
+    while (!result && std::chrono::steady_clock::now() < end) {
+      context.restart();
+      context.run_for(std::chrono::milliseconds(5));
+    }
+    REQUIRE(result);
+    return std::move(*result);
+  }
+
+  asio::io_context context{1};
+  net::http_client client{context};
+  attempt_runner runner{context, client};
+  std::string output;
+};
+
+}  // namespace
+
+// Regression: a response that an endpoint sent once more on a kept connection
+// was taken for that of the next call.
+TEST_CASE_FIXTURE(runner_fixture,
+                  "a late second copy of a response is no other call's") {
+  auto acceptor = tcp::acceptor(context, {asio::ip::address_v4::loopback(), 0});
+  const auto port = acceptor.local_endpoint().port();
+  auto requests = 0;
+  // Writes the last response of a connection once more before the next one.
+  const auto serve = [&](tcp::socket socket) -> asio::awaitable<void> {
+    constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
+    auto received = std::string{};
+    auto last = std::string{};
+    while (true) {
+      const auto [error, size] = co_await asio::async_read_until(
+          socket, asio::dynamic_buffer(received), "\r\n\r\n", kAsTuple);
+      if (error) {
+        co_return;
+      }
+      received.erase(0, size);
+      const auto response = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" +
+                            std::to_string(++requests);
+      const auto bytes = last + response;
+      last = response;
+      co_await asio::async_write(socket, asio::buffer(bytes), kAsTuple);
+    }
+  };
+  asio::co_spawn(
+      context,
+      [&]() -> asio::awaitable<void> {
+        while (true) {
+          auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+          asio::co_spawn(context, serve(std::move(socket)), asio::detached);
+        }
+      },
+      asio::detached);
+  CHECK(Run(port, false).body == "1");
+  CHECK(Run(port, false).body == "2");
+  context.stop();
+}
+
+}  // namespace daisywind::gateway
