End stalled responses of the gateway that still send bytes

Here: in the gateway each byte restarted the time-out of a stream, comments included, and a service's body had no limit in all. The front ends each request at its deadline.

Only complete events are progress now: the first within the call's time-out, each further one within the time-out between tokens. A service's response has the call's time-out in all. A slow stream that makes progress may take longer.

The tests of a stalled stream and of a body without end failed before (no end within 30 s); that of a slow stream passed and still does.

--- a/source/core/gateway/attempt_runner.cc
+++ b/source/core/gateway/attempt_runner.cc
@@ -3,11 +3,13 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <cstddef>
 #include <optional>
 #include <string_view>
 #include <utility>
 
 #include "common/json.h"
+#include "common/process_clock.h"
 #include "net/sse.h"
 
 namespace daisywind::gateway {
@@ -61,11 +63,15 @@
   auto Feed(std::string_view bytes) -> std::string {
     auto text = std::string{};
     for (const auto& event : parser_.Feed(bytes)) {
+      ++events_;
       text += HandleEvent(event);
     }
     return text;
   }
 
+  // Number of complete events so far. Comments are none.
+  [[nodiscard]] auto events() const -> std::size_t { return events_; }
+
   [[nodiscard]] auto IsStreamComplete() const -> bool {
     return is_done_ && !has_error_ && !parser_.HasOverflowed();
   }
@@ -91,6 +97,7 @@
 
   net::sse_parser parser_;
   token_usage usage_;
+  std::size_t events_ = 0;
   bool is_done_ = false;
   bool has_error_ = false;
 };
@@ -112,10 +119,14 @@
          (request.is_chat && !net::IsSuccess(head.status));
 }
 
-auto ReadParts(attempt_state_ptr self, net::http_body_stream& body)
-    -> asio::awaitable<attempt_result> {
+auto ReadParts(attempt_state_ptr self,
+               net::http_body_stream& body,
+               instant started_at) -> asio::awaitable<attempt_result> {
   auto reader = chat_reader{};
   auto result = attempt_result{};
+  // Bytes that complete no event, such as comments that keep a connection open,
+  // are no progress: a stalled endpoint may send them without end.
+  auto progress_until = started_at + self->request.timeout;
   while (auto part = co_await body.Next()) {
     if (self->is_cancelled) {
       co_return result;
@@ -124,10 +135,16 @@
       result.body += *part;
       continue;
     }
+    const auto events_before = reader.events();
     auto text = reader.Feed(*part);
     if (!text.empty()) {
       self->on_output(std::move(text));
     }
+    if (reader.events() > events_before) {
+      progress_until = Now() + self->request.idle_timeout;
+    } else if (Now() >= progress_until) {
+      body.Cancel();
+    }
   }
   const auto is_complete =
       self->request.is_chat ? reader.IsStreamComplete() : body.IsComplete();
@@ -144,9 +161,14 @@
   auto options = net::http_options{};
   options.head_timeout = self->request.timeout;
   options.idle_timeout = self->request.idle_timeout;
-  // An endpoint may send an earlier response once more on a kept connection, and
-  // responses do not name their requests.
+  // A service's response has no events that show its progress.
+  if (!self->request.is_chat) {
+    options.total_timeout = self->request.timeout;
+  }
+  // An endpoint may send an earlier response once more on a kept connection,
+  // and responses do not name their requests.
   options.connection = net::connection_use::kNew;
+  const auto started_at = Now();
   auto opened = co_await client.Open(self->request.address,
                                      self->request.request, options);
   auto result = attempt_result{};
@@ -162,7 +184,7 @@
     co_return RefusalOf(opened.head);
   }
   self->body = opened.body.get();
-  result = co_await ReadParts(self, *opened.body);
+  result = co_await ReadParts(self, *opened.body, started_at);
   self->body = nullptr;
   result.status = opened.head.status;
   result.content_type = std::string(opened.head.Header("Content-Type"));
--- a/source/core/gateway/attempt_runner.h
+++ b/source/core/gateway/attempt_runner.h
@@ -56,9 +56,10 @@
   // Whether the response is a stream of server-sent events. The response of a
   // service is passed on as a whole.
   bool is_chat = false;
-  // Time from the send to the response head.
+  // Time from the send to the end of a service's response, or to the first
+  // event of a stream.
   duration timeout = 120s;
-  // Time between two parts of the body.
+  // Time between two events of a stream, and between any two parts of a body.
   duration idle_timeout = 10s;
 };
 
--- a/source/unit_tests/gateway/attempt_runner_test.cc
+++ b/source/unit_tests/gateway/attempt_runner_test.cc
@@ -10,7 +10,7 @@
 #include <string>
 #include <string_view>
 
-#include "net/http_client.h"
+#include "net/http_server.h"
 
 namespace daisywind::gateway {
 namespace {
@@ -52,8 +52,64 @@
   std::string output;
 };
 
+auto Chunk(const std::string& text) -> std::string {
+  return R"(data: {"choices":[{"delta":{"content":")" + text + "\"}}]}\n\n";
+}
+
+// Sends one text, then a piece again and again at a time, `count` times or
+// until the connection is closed, and ends the stream.
+auto Repeat(std::string piece, std::chrono::milliseconds pause, int count)
+    -> net::http_handler {
+  return [=](net::http_exchange& exchange) -> asio::awaitable<void> {
+    auto timer = asio::steady_timer(co_await asio::this_coro::executor);
+    co_await exchange.StartStream(
+        {200, {{"Content-Type", "text/event-stream"}}, ""});
+    co_await exchange.WriteChunk(Chunk("a"));
+    for (auto i = 0; i < count; ++i) {
+      timer.expires_after(pause);
+      co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+      if (!co_await exchange.WriteChunk(piece)) {
+        exchange.Abort();
+        co_return;
+      }
+    }
+    co_await exchange.WriteChunk("data: [DONE]\n\n");
+    co_await exchange.EndStream();
+  };
+}
+
+constexpr auto kWithoutEnd = 1'000'000;
+
 }  // namespace
 
+// Regression: bytes that complete no event kept a stalled stream open for ever.
+TEST_CASE_FIXTURE(runner_fixture,
+                  "a stalled stream ends despite its comments") {
+  auto server = net::http_server(
+      context, {},
+      Repeat(": ping\n\n", std::chrono::milliseconds(10), kWithoutEnd));
+  const auto result = Run(server.Listen({"127.0.0.1", 0}), true);
+  CHECK(result.outcome == attempt_outcome::kUnknown);
+  CHECK(output == "a");
+}
+
+TEST_CASE_FIXTURE(runner_fixture, "a service's body without end is ended") {
+  auto server = net::http_server(
+      context, {}, Repeat("x", std::chrono::milliseconds(10), kWithoutEnd));
+  CHECK(Run(server.Listen({"127.0.0.1", 0}), false).outcome ==
+        attempt_outcome::kUnknown);
+}
+
+TEST_CASE_FIXTURE(runner_fixture, "a slow stream with progress is not cut") {
+  // Takes longer in all than both limits.
+  constexpr auto kEvents = 30;
+  auto server = net::http_server(
+      context, {}, Repeat(Chunk("b"), std::chrono::milliseconds(100), kEvents));
+  const auto result = Run(server.Listen({"127.0.0.1", 0}), true);
+  CHECK(result.outcome == attempt_outcome::kAnswered);
+  CHECK(output == "a" + std::string(kEvents, 'b'));
+}
+
 // Regression: a response that an endpoint sent once more on a kept connection
 // was taken for that of the next call.
 TEST_CASE_FIXTURE(runner_fixture,
