Deliver a whole stream that its deadline has overtaken

The check of the clock for paused processes also cut off streams whose last bytes had arrived and been forwarded, where the timer of the deadline had not run yet. It now stands before an attempt only, and a stream that is complete is ended as such unless its caller has left.

Found on reading the diff; no run has shown it. front_test passes, with the case of a request without time left.

--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -162,7 +162,9 @@
   placement.service = service_;
   placement.is_engine = engine_.has_value();
   placement.may_repeat = dispatch::MayRepeat(*route_);
-  while (!IsOver()) {
+  // The timer of the deadline may run late, after what a paused process had
+  // waited for.
+  while (!IsOver() && TimeLeft() > duration(0)) {
     const auto relay = node_.paths().IsClosed()
                            ? node_.paths().PickRelay(unusable_relays_)
                            : std::nullopt;
@@ -430,8 +432,7 @@
 }
 
 auto request_flow::IsOver() const -> bool {
-  // The timer may run late, after what a paused process had waited for.
-  return is_caller_disconnected_ || is_timed_out_ || Now() >= deadline_;
+  return is_caller_disconnected_ || is_timed_out_;
 }
 
 auto request_flow::Urgency() const -> std::uint32_t {
--- a/source/core/front/stream_flow.cc
+++ b/source/core/front/stream_flow.cc
@@ -34,7 +34,8 @@
     }
   }
   summary_.partial_event_bytes = opened.body->PartialEventBytes();
-  if (is_continued && opened.body->IsComplete() && !IsOver()) {
+  // A whole answer is delivered even if it is late.
+  if (is_continued && opened.body->IsComplete() && !is_caller_disconnected_) {
     co_await CompleteStream(opened.head, endpoint);
     co_return std::nullopt;
   }
@@ -116,8 +117,9 @@
 
 auto request_flow::BreakOff() -> void {
   summary_.outcome = is_caller_disconnected_ ? "caller_gone"
-                     : IsOver()              ? "timed_out"
-                                             : "broken_off";
+                     : TimeLeft() <= duration(0) || is_timed_out_
+                         ? "timed_out"
+                         : "broken_off";
   exchange_.Abort();
 }
 
