--- a/source/unit_tests/front/store_following_test.cc
+++ b/source/unit_tests/front/store_following_test.cc
@@ -9,6 +9,13 @@
 #include "testing/fake_journal.h"
 
 namespace daisywind::front {
+namespace {
+
+auto ResponseTo(net::http_exchange& exchange) -> net::http_response {
+  return {200, {{"Id", std::string(exchange.request().Header("Id"))}}, ""};
+}
+
+}  // namespace
 
 // Regression: each front fetched every version from the store, over a link
 // between regions that could not carry them in time.
@@ -39,12 +46,11 @@
   auto runs = 0;
   auto runs_after_leaving = 0;
   const auto serve = [](int& count) -> endpoint_handler {
-    return [&count](
-               net::http_exchange& exchange) -> boost::asio::awaitable<void> {
-      ++count;
-      co_await exchange.Respond(
-          {200, {{"Id", std::string(exchange.request().Header("Id"))}}, ""});
-    };
+    return
+        [&count](net::http_exchange& exchange) -> boost::asio::awaitable<void> {
+          ++count;
+          co_await exchange.Respond(ResponseTo(exchange));
+        };
   };
   harness.AddEndpoint("stays", serve(runs));
   harness.AddEndpoint("left", serve(runs_after_leaving));
--- a/source/unit_tests/front/stream_resume_test.cc
+++ b/source/unit_tests/front/stream_resume_test.cc
@@ -48,6 +48,14 @@
           ""};
 }
 
+// The refusal of an endpoint whose weights have another version.
+auto OtherWeights(net::http_exchange& exchange) -> net::http_response {
+  return {
+      421,
+      {{"Id", std::string(exchange.request().Header("Id"))}, {"Not-Run", "1"}},
+      ""};
+}
+
 auto ScriptedEngine(engine_script& script) -> endpoint_handler {
   return [&script](net::http_exchange& exchange) -> asio::awaitable<void> {
     const auto is_first = script.runs++ == 0;
@@ -147,11 +155,7 @@
       co_return;
     }
     ++refusals;
-    co_await exchange.Respond(
-        {421,
-         {{"Id", std::string(exchange.request().Header("Id"))},
-          {"Not-Run", "1"}},
-         ""});
+    co_await exchange.Respond(OtherWeights(exchange));
   };
   auto harness = front_harness();
   harness.AddEndpoint("a", engine);
--- a/source/unit_tests/front/token_budget_test.cc
+++ b/source/unit_tests/front/token_budget_test.cc
@@ -104,14 +104,17 @@
   std::vector<std::unique_ptr<member>> members_;
 };
 
+auto ResponseHead(net::http_exchange& exchange) -> net::http_response {
+  return {200, {{"Id", std::string(exchange.request().Header("Id"))}}, ""};
+}
+
 // Sends a number of events, and ends the stream or breaks it off.
 auto StreamingEndpoint(int& runs, int events, bool breaks_off = false)
     -> endpoint_handler {
   return [&runs, events,
           breaks_off](net::http_exchange& exchange) -> asio::awaitable<void> {
     ++runs;
-    co_await exchange.StartStream(
-        {200, {{"Id", std::string(exchange.request().Header("Id"))}}, ""});
+    co_await exchange.StartStream(ResponseHead(exchange));
     for (auto id = 1; id <= events; ++id) {
       co_await exchange.WriteChunk("id: " + std::to_string(id) +
                                    "\ndata: t\n\n");
--- a/source/unit_tests/gateway/attempt_runner_test.cc
+++ b/source/unit_tests/gateway/attempt_runner_test.cc
@@ -35,7 +35,7 @@
     request.idle_timeout = kIdleTimeout;
     auto result = std::optional<attempt_result>{};
     runner.Start(
-        std::move(request), [this](std::string text) { output += text; },
+        std::move(request), [this](const std::string& text) { output += text; },
         [&](attempt_result ended) { result = std::move(ended); });
     const auto end = std::chrono::steady_clock::now() + kStepTimeout;
     while (!result && std::chrono::steady_clock::now() < end) {
@@ -56,14 +56,18 @@
   return R"(data: {"choices":[{"delta":{"content":")" + text + "\"}}]}\n\n";
 }
 
+auto StreamHead() -> net::http_response {
+  return {200, {{"Content-Type", "text/event-stream"}}, ""};
+}
+
 // Sends one text, then a piece again and again at a time, `count` times or
 // until the connection is closed, and ends the stream.
-auto Repeat(std::string piece, std::chrono::milliseconds pause, int count)
-    -> net::http_handler {
+auto Repeat(const std::string& piece,
+            std::chrono::milliseconds pause,
+            int count) -> net::http_handler {
   return [=](net::http_exchange& exchange) -> asio::awaitable<void> {
     auto timer = asio::steady_timer(co_await asio::this_coro::executor);
-    co_await exchange.StartStream(
-        {200, {{"Content-Type", "text/event-stream"}}, ""});
+    co_await exchange.StartStream(StreamHead());
     co_await exchange.WriteChunk(Chunk("a"));
     for (auto i = 0; i < count; ++i) {
       timer.expires_after(pause);
