--- a/source/core/journal/view_manager.cc
+++ b/source/core/journal/view_manager.cc
@@ -178,6 +178,7 @@
   if (!next) {
     co_return false;
   }
+  const auto replaced_revision = view_revision_;
   // Facts recorded while this VM was not a member may be missing here, except
   // when it joins the first view.
   const auto is_first_view = stored_view_.number == 0;
@@ -191,7 +192,9 @@
   while (!is_write_finished) {
     co_await Pause(options_.request_timeout);
   }
-  if (is_durable) {
+  // Another VM may have written a view meanwhile, which does not hold what
+  // `next` was made from.
+  if (is_durable && view_revision_ == replaced_revision) {
     co_await WriteView(std::move(*next));
   }
   co_return true;
--- a/source/unit_tests/journal/journal_node_test.cc
+++ b/source/unit_tests/journal/journal_node_test.cc
@@ -293,6 +293,28 @@
   CHECK(cluster.StoreOf(1).waits > 0);
 }
 
+// Regression: a journal that waited for its disk wrote the first view over that
+// of another one, and the turns recorded there were unknown afterwards.
+TEST_CASE(
+    "a journal does not replace a view that it learns of while it joins") {
+  auto cluster = journal_cluster();
+  auto& node = cluster.Start(1);
+  // Until the node, about to join, waits for its disk.
+  const auto is_idle = std::string("disk_queued_bytes 0\n");
+  while (node.RenderMetrics().find(is_idle) != std::string::npos) {
+    cluster.context.restart();
+    cluster.context.run_one();
+  }
+  REQUIRE(cluster.View().number == 0);
+  const auto other =
+      history::member{vm_id("other"), history::disk_id("d"), "127.0.0.1:1",
+                      failure_domain_id("d"), region_id("r")};
+  cluster.store.Put(std::string(history::kViewKey),
+                    history::RenderView({1, {other}}));
+  cluster.RunFor(std::chrono::milliseconds(300));
+  CHECK(cluster.View().Find(other.vm) != nullptr);
+}
+
 TEST_CASE("three journals form a view and a fourth is a spare") {
   auto cluster = journal_cluster();
   cluster.StartThree();
