Decide in one place whether a begun response is broken off

- Refuse breaks a response off if it has begun; GiveUp and RefuseUnplaced each had a check of their own.
- The head of a stream is started in one function, not in two copies.
- A part of a stream that can't be resumed is passed on without a copy, and the ids and weights of its events are no longer read.
- The health signal of a refusal is one condition in place of two.

--- a/source/core/front/log_values.h
+++ b/source/core/common/log_values.h
@@ -1,12 +1,13 @@
-// Values of the front's log lines.
-#ifndef DAISYWIND_FRONT_LOG_VALUES_H_
-#define DAISYWIND_FRONT_LOG_VALUES_H_
+// Values of log lines.
+#ifndef DAISYWIND_COMMON_LOG_VALUES_H_
+#define DAISYWIND_COMMON_LOG_VALUES_H_
 
 #include <chrono>
+#include <optional>
 
 #include "common/time.h"
 
-namespace daisywind::front {
+namespace daisywind {
 
 // Logged in place of a time that does not apply.
 inline constexpr auto kNoTime = -1.0;
@@ -17,6 +18,10 @@
   return std::chrono::duration<double, std::milli>(value).count();
 }
 
-}  // namespace daisywind::front
+inline auto Milliseconds(const std::optional<duration>& value) -> double {
+  return value ? Milliseconds(*value) : kNoTime;
+}
+
+}  // namespace daisywind
 
-#endif  // DAISYWIND_FRONT_LOG_VALUES_H_
+#endif  // DAISYWIND_COMMON_LOG_VALUES_H_
--- a/source/core/front/directory.cc
+++ b/source/core/front/directory.cc
@@ -6,9 +6,9 @@
 #include <string_view>
 #include <utility>
 
+#include "common/log_values.h"
 #include "common/logging.h"
 #include "common/process_clock.h"
-#include "front/log_values.h"
 #include "history_wire/view_json.h"
 
 namespace daisywind::front {
--- a/source/core/front/endpoint_paths.cc
+++ b/source/core/front/endpoint_paths.cc
@@ -4,9 +4,9 @@
 #include <boost/asio.hpp>
 #include <utility>
 
+#include "common/log_values.h"
 #include "common/logging.h"
 #include "common/process_clock.h"
-#include "front/log_values.h"
 
 namespace daisywind::front {
 namespace {
--- a/source/core/front/front_node.cc
+++ b/source/core/front/front_node.cc
@@ -5,11 +5,11 @@
 #include <chrono>
 #include <utility>
 
+#include "common/log_values.h"
 #include "common/logging.h"
 #include "common/process_clock.h"
 #include "front/attempt_options.h"
 #include "front/front_settings.h"
-#include "front/log_values.h"
 #include "front/request_flow.h"
 
 namespace daisywind::front {
--- a/source/core/front/limit_coordinator.cc
+++ b/source/core/front/limit_coordinator.cc
@@ -6,10 +6,10 @@
 #include <utility>
 
 #include "common/endpoint_key.h"
+#include "common/log_values.h"
 #include "common/logging.h"
 #include "common/process_clock.h"
 #include "dispatch/limit_share.h"
-#include "front/log_values.h"
 
 namespace daisywind::front {
 
--- a/source/core/front/relay_service.cc
+++ b/source/core/front/relay_service.cc
@@ -3,10 +3,10 @@
 #include <boost/asio.hpp>
 #include <utility>
 
+#include "common/log_values.h"
 #include "common/logging.h"
 #include "common/process_clock.h"
 #include "front/attempt_options.h"
-#include "front/log_values.h"
 
 namespace daisywind::front {
 namespace {
--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -5,10 +5,10 @@
 #include <chrono>
 #include <utility>
 
+#include "common/log_values.h"
 #include "common/logging.h"
 #include "common/process_clock.h"
 #include "front/attempt_options.h"
-#include "front/log_values.h"
 
 namespace daisywind::front {
 namespace {
@@ -30,12 +30,6 @@
   return end == attempt_result::kNotRun ? "not_run" : "may_have_run";
 }
 
-// Milliseconds since the store last answered, for the log; -1 before its first
-// answer.
-auto StoreAgeMs(const std::optional<duration>& age) -> double {
-  return age ? Milliseconds(*age) : kNoTime;
-}
-
 auto CountRefusal(metrics& registry, refusal_reason reason) -> void {
   registry.Count("daisywind_front_refusals_total",
                  {{"reason", std::string(ReasonName(reason))}});
@@ -49,7 +43,7 @@
        {"program", std::string_view(call.program)},
        {"reason", ReasonName(reason)},
        {"version", static_cast<std::int64_t>(from.routes().version())},
-       {"store_age_ms", StoreAgeMs(from.StoreAge(Now()))}});
+       {"store_age_ms", Milliseconds(from.StoreAge(Now()))}});
 }
 
 }  // namespace
@@ -358,10 +352,6 @@
 }
 
 auto request_flow::RefuseUnplaced() -> asio::awaitable<void> {
-  if (attempts_.is_answered) {
-    BreakOff();
-    co_return;
-  }
   if (attempts_.runs > 0) {
     co_await Refuse(refusal_reason::kNoAnswer, std::nullopt);
     co_return;
@@ -383,10 +373,6 @@
     exchange_.Abort();
     co_return;
   }
-  if (attempts_.is_answered) {
-    BreakOff();
-    co_return;
-  }
   // A cancelled attempt may still have run.
   co_await Refuse(attempts_.runs > 0 ? refusal_reason::kTimeout
                                      : refusal_reason::kOverloaded,
@@ -420,6 +406,10 @@
 auto request_flow::Refuse(refusal_reason reason,
                           std::optional<duration> retry_after)
     -> asio::awaitable<void> {
+  if (attempts_.is_answered) {
+    BreakOff();
+    co_return;
+  }
   auto response = node_.requests().MakeRefusal({reason, retry_after});
   summary_.status = response.status;
   summary_.outcome = ReasonName(reason);
@@ -450,7 +440,7 @@
        {"program", std::string_view(call_.program)},
        {"route", std::string_view(route_->id.value)},
        {"version", static_cast<std::int64_t>(version_)},
-       {"store_age_ms", StoreAgeMs(store_age_)},
+       {"store_age_ms", Milliseconds(store_age_)},
        {"status", std::int64_t{summary_.status}},
        {"outcome", summary_.outcome},
        {"attempts", std::int64_t{attempts_.attempts}},
--- a/source/core/front/request_flow.h
+++ b/source/core/front/request_flow.h
@@ -113,14 +113,19 @@
   auto ForwardStream(net::http_stream_result& opened,
                      const endpoint_id& endpoint)
       -> boost::asio::awaitable<std::optional<dispatch::attempt_result>>;
-  // Records what complete events say: their number, data and ids. Returns the
-  // bytes to forward, which are those of complete events only if the stream may
-  // be resumed, and nothing if the events do not continue the stream.
-  auto ProcessEvents(std::string_view received,
-                     const std::vector<net::sse_part>& parts)
-      -> std::optional<std::string>;
-  // Sends the head of the first endpoint's response with the first bytes.
-  // Returns false when the caller has disconnected.
+  // Records what the events that a part of the stream has completed say.
+  // Returns false if there is no memory to hold the part, or if the events do
+  // not continue the stream.
+  auto ProcessEvents(std::size_t received_bytes,
+                     const std::vector<net::sse_part>& parts) -> bool;
+  // Records how far a stream that may be resumed has come with an event.
+  // Returns false if the event does not continue it.
+  auto FollowEvent(const net::sse_part& event) -> bool;
+  // Starts the caller's response with the head of the first endpoint's, unless
+  // it has been started.
+  auto StartResponse(const net::http_response& head) -> void;
+  // Sends bytes of the stream, with the head before the first ones. Returns
+  // false when the caller has disconnected.
   auto WriteToCaller(const net::http_response& head, std::string_view bytes)
       -> boost::asio::awaitable<bool>;
   // Ends a stream whose endpoint has completed it.
@@ -147,6 +152,7 @@
   // Records that an endpoint failed an attempt, and reports it to other fronts.
   auto RecordFailure(const endpoint_id& endpoint,
                      dispatch::health_signal signal) -> void;
+  // Sends an error response, or breaks the response off if it has begun.
   auto Refuse(refusal_reason reason, std::optional<duration> retry_after)
       -> boost::asio::awaitable<void>;
   // Ends a request for which no endpoint can be chosen.
--- a/source/core/front/response_flow.cc
+++ b/source/core/front/response_flow.cc
@@ -62,12 +62,13 @@
   if (metadata.is_not_run) {
     // An endpoint with other weights than a resumed stream needs answers as one
     // at a wrong address does.
-    const auto is_wrong_endpoint =
-        metadata.is_misdirected && !attempts_.is_answered;
-    if (is_wrong_endpoint || !metadata.is_misdirected) {
+    const auto has_other_weights =
+        metadata.is_misdirected && attempts_.is_answered;
+    if (!has_other_weights) {
       endpoints.OnHealthSignal(endpoint,
-                               is_wrong_endpoint ? health_signal::kWrongEndpoint
-                                                 : health_signal::kFull,
+                               metadata.is_misdirected
+                                   ? health_signal::kWrongEndpoint
+                                   : health_signal::kFull,
                                Now());
     }
     refused_by_.insert(endpoint);
--- a/source/core/front/stream_flow.cc
+++ b/source/core/front/stream_flow.cc
@@ -14,6 +14,14 @@
 using dispatch::attempt_result;
 using dispatch::health_signal;
 
+auto JoinTexts(const std::vector<net::sse_part>& parts) -> std::string {
+  auto joined = std::string{};
+  for (const auto& part : parts) {
+    joined += part.text;
+  }
+  return joined;
+}
+
 }  // namespace
 
 auto request_flow::ForwardStream(net::http_stream_result& opened,
@@ -26,9 +34,13 @@
     if (!part) {
       break;
     }
-    const auto bytes = ProcessEvents(*part, events.Feed(*part));
-    is_continued = bytes.has_value();
-    if (is_continued && !co_await WriteToCaller(opened.head, *bytes)) {
+    const auto parts = events.Feed(*part);
+    is_continued = ProcessEvents(part->size(), parts);
+    const auto whole_events =
+        route_->is_resumable ? JoinTexts(parts) : std::string();
+    const auto bytes = route_->is_resumable ? std::string_view(whole_events)
+                                            : std::string_view(*part);
+    if (is_continued && !co_await WriteToCaller(opened.head, bytes)) {
       is_caller_disconnected_ = true;
       break;
     }
@@ -50,31 +62,47 @@
   co_return std::nullopt;
 }
 
-auto request_flow::ProcessEvents(std::string_view received,
+auto request_flow::ProcessEvents(std::size_t received_bytes,
                                  const std::vector<net::sse_part>& parts)
-    -> std::optional<std::string> {
-  if (route_->stores_turns && !HoldBytes(received.size())) {
-    return std::nullopt;
+    -> bool {
+  if (route_->stores_turns && !HoldBytes(received_bytes)) {
+    return false;
   }
-  auto complete = std::string{};
   for (const auto& part : parts) {
-    if (!part.data.empty()) {
-      if (route_->is_resumable && !progress_.Accepts(part.id)) {
-        return std::nullopt;
-      }
-      progress_.OnEvent(part.id);
-      if (const auto version = node_.requests().ReadWeightsChange(part.text)) {
-        progress_.SetWeightsVersion(*version);
-      }
-      ++events_;
-      if (route_->stores_turns) {
-        output_ += part.data;
-        output_ += '\n';
-      }
+    if (part.data.empty()) {
+      continue;
+    }
+    if (route_->is_resumable && !FollowEvent(part)) {
+      return false;
+    }
+    ++events_;
+    if (route_->stores_turns) {
+      output_ += part.data;
+      output_ += '\n';
     }
-    complete += part.text;
   }
-  return route_->is_resumable ? std::move(complete) : std::string(received);
+  return true;
+}
+
+auto request_flow::FollowEvent(const net::sse_part& event) -> bool {
+  if (!progress_.Accepts(event.id)) {
+    return false;
+  }
+  progress_.OnEvent(event.id);
+  if (const auto version = node_.requests().ReadWeightsChange(event.text)) {
+    progress_.SetWeightsVersion(*version);
+  }
+  return true;
+}
+
+auto request_flow::StartResponse(const net::http_response& head) -> void {
+  if (attempts_.is_answered) {
+    return;
+  }
+  attempts_.is_answered = true;
+  summary_.status = head.status;
+  exchange_.StartStreamWithFirstChunk(
+      node_.requests().MakeCallerResponse(head));
 }
 
 auto request_flow::WriteToCaller(const net::http_response& head,
@@ -83,12 +111,7 @@
   if (bytes.empty()) {
     co_return true;
   }
-  if (!attempts_.is_answered) {
-    attempts_.is_answered = true;
-    summary_.status = head.status;
-    exchange_.StartStreamWithFirstChunk(
-        node_.requests().MakeCallerResponse(head));
-  }
+  StartResponse(head);
   co_return co_await exchange_.WriteChunk(bytes);
 }
 
@@ -107,11 +130,7 @@
     BreakOff();
     co_return;
   }
-  if (!attempts_.is_answered) {
-    summary_.status = head.status;
-    exchange_.StartStreamWithFirstChunk(
-        node_.requests().MakeCallerResponse(head));
-  }
+  StartResponse(head);
   co_await exchange_.EndStream();
 }
 
--- a/source/core/history_client/mirrored_store.cc
+++ b/source/core/history_client/mirrored_store.cc
@@ -2,9 +2,9 @@
 
 #include <algorithm>
 #include <boost/asio.hpp>
-#include <chrono>
 #include <utility>
 
+#include "common/log_values.h"
 #include "common/logging.h"
 #include "common/process_clock.h"
 
@@ -13,11 +13,6 @@
 
 namespace asio = boost::asio;
 
-// Milliseconds for the log; -1 in place of an unknown age.
-auto AgeMs(const std::optional<duration>& age) -> double {
-  return age ? std::chrono::duration<double, std::milli>(*age).count() : -1.0;
-}
-
 auto ChangesFrom(const copy_reply& reply, kv::revision after)
     -> kv::change_list {
   auto list = kv::change_list{{}, after, false};
@@ -147,7 +142,7 @@
   if (!age || *age > options_.max_age) {
     Log(log_events::kMirrorUnused, {{"journal", std::string_view(address)},
                                     {"is_answered", received != nullptr},
-                                    {"store_age_ms", AgeMs(age)}});
+                                    {"store_age_ms", Milliseconds(age)}});
     co_return std::nullopt;
   }
   co_return ChangesFrom(*received, after);
