--- a/source/unit_tests/gateway/attempt_runner_test.cc
+++ b/source/unit_tests/gateway/attempt_runner_test.cc
@@ -11,12 +11,12 @@
 #include <string_view>
 
 #include "net/http_server.h"
+#include "repeating_endpoint.h"
 
 namespace daisywind::gateway {
 namespace {
 
 namespace asio = boost::asio;
-using asio::ip::tcp;
 
 // Generous, because the machine may be busy.
 constexpr auto kStepTimeout = std::chrono::seconds(30);
@@ -118,37 +118,11 @@
 // was taken for that of the next call.
 TEST_CASE_FIXTURE(runner_fixture,
                   "a late second copy of a response is no other call's") {
-  auto acceptor = tcp::acceptor(context, {asio::ip::address_v4::loopback(), 0});
-  const auto port = acceptor.local_endpoint().port();
   auto requests = 0;
-  // Writes the last response of a connection once more before the next one.
-  const auto serve = [&](tcp::socket socket) -> asio::awaitable<void> {
-    constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
-    auto received = std::string{};
-    auto last = std::string{};
-    while (true) {
-      const auto [error, size] = co_await asio::async_read_until(
-          socket, asio::dynamic_buffer(received), "\r\n\r\n", kAsTuple);
-      if (error) {
-        co_return;
-      }
-      received.erase(0, size);
-      const auto response = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" +
-                            std::to_string(++requests);
-      const auto bytes = last + response;
-      last = response;
-      co_await asio::async_write(socket, asio::buffer(bytes), kAsTuple);
-    }
-  };
-  asio::co_spawn(
-      context,
-      [&]() -> asio::awaitable<void> {
-        while (true) {
-          auto socket = co_await acceptor.async_accept(asio::use_awaitable);
-          asio::co_spawn(context, serve(std::move(socket)), asio::detached);
-        }
-      },
-      asio::detached);
+  const auto port = StartRepeatingEndpoint(context, [&] {
+    return "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" +
+           std::to_string(++requests);
+  });
   CHECK(Run(port, false).body == "1");
   CHECK(Run(port, false).body == "2");
   context.stop();
