Forward the whole events before one that does not continue a stream

Callers of a resumable stream could get a response that looks complete and lacks events: where one part of the stream held good events and then a repeated one, the good ones were noted as received, dropped with the part, and the next endpoint went on after them.

The events up to the one that does not continue the stream are forwarded now, and the stream is resumed after them. Memory for the part is taken before its events are looked at, so that nothing is noted that is not forwarded.

The new test failed before (resumed after no event, body without events 1 and 2) and passes.

--- a/source/core/front/request_flow.h
+++ b/source/core/front/request_flow.h
@@ -113,11 +113,9 @@
   auto ForwardStream(net::http_stream_result& opened,
                      const endpoint_id& endpoint)
       -> boost::asio::awaitable<std::optional<dispatch::attempt_result>>;
-  // Records what the events that a part of the stream has completed say.
-  // Returns false if there is no memory to hold the part, or if the events do
-  // not continue the stream.
-  auto ProcessEvents(std::size_t received_bytes,
-                     const std::vector<net::sse_part>& parts) -> bool;
+  // Records what complete events say. Drops the first event that does not
+  // continue the stream and all after it, and returns whether there was none.
+  auto ProcessEvents(std::vector<net::sse_part>& parts) -> bool;
   // Records how far a stream that may be resumed has come with an event.
   // Returns false if the event does not continue it.
   auto FollowEvent(const net::sse_part& event) -> bool;
--- a/source/core/front/stream_flow.cc
+++ b/source/core/front/stream_flow.cc
@@ -34,13 +34,17 @@
     if (!part) {
       break;
     }
-    const auto parts = events.Feed(*part);
-    is_continued = ProcessEvents(part->size(), parts);
+    if (route_->stores_turns && !HoldBytes(part->size())) {
+      is_continued = false;
+      break;
+    }
+    auto parts = events.Feed(*part);
+    is_continued = ProcessEvents(parts);
     const auto whole_events =
         route_->is_resumable ? JoinTexts(parts) : std::string();
     const auto bytes = route_->is_resumable ? std::string_view(whole_events)
                                             : std::string_view(*part);
-    if (is_continued && !co_await WriteToCaller(opened.head, bytes)) {
+    if (!co_await WriteToCaller(opened.head, bytes)) {
       is_caller_disconnected_ = true;
       break;
     }
@@ -62,17 +66,14 @@
   co_return std::nullopt;
 }
 
-auto request_flow::ProcessEvents(std::size_t received_bytes,
-                                 const std::vector<net::sse_part>& parts)
-    -> bool {
-  if (route_->stores_turns && !HoldBytes(received_bytes)) {
-    return false;
-  }
-  for (const auto& part : parts) {
+auto request_flow::ProcessEvents(std::vector<net::sse_part>& parts) -> bool {
+  for (auto i = std::size_t{0}; i < parts.size(); ++i) {
+    const auto& part = parts[i];
     if (part.data.empty()) {
       continue;
     }
     if (route_->is_resumable && !FollowEvent(part)) {
+      parts.resize(i);
       return false;
     }
     ++events_;
--- a/source/unit_tests/front/stream_resume_test.cc
+++ b/source/unit_tests/front/stream_resume_test.cc
@@ -135,6 +135,33 @@
   CHECK(result.response.body == Event(1) + Event(2));
 }
 
+// Regression: events before a repeated one in the same piece counted as
+// received, and the next run went on after them.
+TEST_CASE("whole events before a repeated one are not skipped") {
+  auto runs = 0;
+  auto last_after = std::string();
+  const auto engine =
+      [&](net::http_exchange& exchange) -> asio::awaitable<void> {
+    last_after = std::string(exchange.request().Header("After"));
+    co_await exchange.StartStream(ResponseHead(exchange));
+    if (runs++ == 0) {
+      co_await exchange.WriteChunk(Event(1) + Event(2) + Event(2) + Event(3));
+    } else {
+      co_await exchange.WriteChunk(Event(3) + Event(4));
+    }
+    co_await exchange.EndStream();
+  };
+  auto harness = front_harness();
+  harness.AddEndpoint("a", engine);
+  harness.AddEndpoint("b", engine);
+  harness.Configure();
+  const auto result = harness.Send("resume", "r");
+  CHECK(runs == 2);
+  CHECK(last_after == "2");
+  CHECK(result.outcome == http_outcome::kAnswered);
+  CHECK(result.response.body == AllEvents());
+}
+
 TEST_CASE("a stream with one endpoint breaks off visibly") {
   auto script = engine_script{};
   auto harness = front_harness();
