--- a/review/lab.py
+++ b/review/lab.py
@@ -24,17 +24,24 @@
 EVENT_TOKENS = 2
 
 
-def free_port():
-    """Returns a free port outside the system's range for outgoing
-    connections."""
-    while True:
-        port = random.SystemRandom().randrange(10000, 30000)
-        with socket.socket() as probe:
+class Port:
+    """A port outside the system's range for outgoing connections. It is held for
+    good, so that no deployment beside this one takes it, also while its process is
+    down."""
+
+    def __init__(self):
+        self.holder = None
+        while self.holder is None:
+            self.number = random.SystemRandom().randrange(10000, 30000)
+            holder = socket.socket()
             try:
-                probe.bind(("127.0.0.1", port))
-                return port
+                # Without SO_REUSEADDR this fails on a port that another one holds.
+                # With it, set later, the process can listen beside the holder.
+                holder.bind(("127.0.0.1", self.number))
+                holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                self.holder = holder
             except OSError:
-                continue
+                holder.close()
 
 
 class Process:
@@ -46,10 +53,9 @@
         self.name = f"{kind}-{number}"
         self.zone = zone
         self.region = region
-        self.port = free_port()
-        self.ready_port = free_port()
-        self.relay_port = free_port()
-        self.metrics_port = free_port()
+        self.ports = [Port() for _ in range(4)]
+        self.port, self.ready_port, self.relay_port, self.metrics_port = (
+            port.number for port in self.ports)
         self.folder = lab.folder / self.name
         self.store_address = f"127.0.0.1:{lab.store_port}"
         # Address by which other processes reach a journal.
@@ -256,8 +262,14 @@
     async def wait_ready(self, seconds=10.0):
         until = time.monotonic() + seconds
         while time.monotonic() < until:
+            if any(p.child.returncode is not None
+                   for p in self.journals + self.fronts):
+                return False
             ready = [await front.is_ready() for front in self.fronts]
-            if all(ready):
+            # A journal that is no member of the view yet takes no part.
+            view = self.store.value("daisywind/view")
+            if all(ready) and all(f'"{journal.name}"' in view
+                                  for journal in self.journals):
                 return True
             await asyncio.sleep(0.1)
         return False
