--- a/source/core/common/log_events.h
+++ b/source/core/common/log_events.h
@@ -196,7 +196,7 @@
     log_event{2206, log_subsystem::kJournal, log_level::kInfo,
               "retirement status of this VM"};
 inline constexpr auto kFactsExpired = log_event{
-    2207, log_subsystem::kJournal, log_level::kInfo, "expired facts removed"};
+    2207, log_subsystem::kJournal, log_level::kInfo, "expired facts checked"};
 inline constexpr auto kViewAdopted = log_event{
     2208, log_subsystem::kJournal, log_level::kInfo, "journal view adopted"};
 inline constexpr auto kFactsMayBeLost =
--- a/source/core/history/fact_replica.cc
+++ b/source/core/history/fact_replica.cc
@@ -104,6 +104,17 @@
   return {{}, pull_reply{facts_.FindByHashes(request.hashes)}};
 }
 
+auto fact_replica::Answer(const lifetimes_request& request, std::int64_t now_ms)
+    -> replica_effect {
+  auto reply = lifetimes_reply{IsComplete(), {}};
+  reply.left_ms.reserve(request.programs.size());
+  for (const auto& program : request.programs) {
+    reply.left_ms.push_back(
+        facts_.LifetimeLeftMs(program, now_ms, default_lifetime_ms_));
+  }
+  return {{}, std::move(reply)};
+}
+
 auto fact_replica::MergeFacts(const std::vector<turn_fact>& facts)
     -> std::vector<turn_fact> {
   auto added = std::vector<turn_fact>{};
@@ -115,9 +126,4 @@
   return added;
 }
 
-auto fact_replica::Expire(std::int64_t now_ms, std::int64_t default_lifetime_ms)
-    -> std::size_t {
-  return facts_.Expire(now_ms, default_lifetime_ms);
-}
-
 }  // namespace daisywind::history
--- a/source/core/history/fact_replica.h
+++ b/source/core/history/fact_replica.h
@@ -23,6 +23,11 @@
 
 class fact_replica {
  public:
+  // The default lifetime, in milliseconds, is that of facts that name no
+  // retention.
+  explicit fact_replica(std::int64_t default_lifetime_ms = 0)
+      : default_lifetime_ms_(default_lifetime_ms) {}
+
   // Loads the facts found on disk at start-up.
   auto Restore(const std::vector<turn_fact>& facts) -> void;
 
@@ -46,9 +51,20 @@
   auto MergeFacts(const std::vector<turn_fact>& facts)
       -> std::vector<turn_fact>;
 
-  // See fact_table::Expire.
-  auto Expire(std::int64_t now_ms, std::int64_t default_lifetime_ms)
-      -> std::size_t;
+  // See fact_table. Times are Unix times in milliseconds.
+  [[nodiscard]] auto Outlived(std::int64_t now_ms) const
+      -> std::vector<program_name> {
+    return facts_.Outlived(now_ms, default_lifetime_ms_);
+  }
+  [[nodiscard]] auto LongestLifetimeMs() const -> std::int64_t {
+    return facts_.LongestLifetimeMs(default_lifetime_ms_);
+  }
+  auto Keep(const program_name& program, std::int64_t until_ms) -> void {
+    facts_.Keep(program, until_ms);
+  }
+  auto Remove(const std::vector<program_name>& programs) -> std::size_t {
+    return facts_.Remove(programs);
+  }
 
   [[nodiscard]] auto facts() const -> const fact_table& { return facts_; }
   [[nodiscard]] auto current() const -> const view& { return view_; }
@@ -67,12 +83,15 @@
       -> replica_effect;
   auto Answer(const pull_request& request, std::int64_t now_ms)
       -> replica_effect;
+  auto Answer(const lifetimes_request& request, std::int64_t now_ms)
+      -> replica_effect;
   template <class Other>
   auto Answer(const Other& /*no request*/, std::int64_t /*now_ms*/)
       -> replica_effect {
     return {};
   }
 
+  std::int64_t default_lifetime_ms_;
   fact_table facts_;
   view view_;
   // The newest view seen in any request or announcement.
--- a/source/core/history/fact_table.cc
+++ b/source/core/history/fact_table.cc
@@ -80,7 +80,7 @@
   const auto [found, is_new] = facts_.try_emplace(fact.turn, fact);
   auto& known = found->second;
   if (is_new) {
-    by_program_[fact.program].push_back(fact.turn);
+    by_program_[fact.program].turns.push_back(fact.turn);
   } else {
     if (!AddsTo(known, fact)) {
       return false;
@@ -101,7 +101,7 @@
   if (found == by_program_.end()) {
     return list;
   }
-  for (const auto& turn : found->second) {
+  for (const auto& turn : found->second.turns) {
     const auto& fact = facts_.at(turn);
     list.push_back({turn, fact.settled_tokens.value_or(fact.reserved_tokens)});
   }
@@ -157,22 +157,67 @@
   return facts;
 }
 
-auto fact_table::Expire(std::int64_t now_ms, std::int64_t default_lifetime_ms)
-    -> std::size_t {
-  auto expired = std::vector<turn_id>{};
-  for (const auto& [program, turns] : by_program_) {
-    const auto is_recent = [&](const turn_id& turn) {
-      const auto& fact = facts_.at(turn);
-      return fact.recorded_ms + LifetimeMs(fact, default_lifetime_ms) >= now_ms;
-    };
-    if (std::none_of(turns.begin(), turns.end(), is_recent)) {
-      expired.insert(expired.end(), turns.begin(), turns.end());
+auto fact_table::EndOfLifeMs(const program_entry& entry,
+                             std::int64_t default_lifetime_ms) const
+    -> std::int64_t {
+  auto end_ms = std::numeric_limits<std::int64_t>::min();
+  for (const auto& turn : entry.turns) {
+    const auto& fact = facts_.at(turn);
+    end_ms = std::max(end_ms,
+                      fact.recorded_ms + LifetimeMs(fact, default_lifetime_ms));
+  }
+  return end_ms;
+}
+
+auto fact_table::Outlived(std::int64_t now_ms,
+                          std::int64_t default_lifetime_ms) const
+    -> std::vector<program_name> {
+  auto outlived = std::vector<program_name>{};
+  for (const auto& [program, entry] : by_program_) {
+    if (entry.kept_until_ms < now_ms &&
+        EndOfLifeMs(entry, default_lifetime_ms) < now_ms) {
+      outlived.push_back(program);
     }
   }
-  for (const auto& turn : expired) {
-    Erase(turn);
+  return outlived;
+}
+
+auto fact_table::LifetimeLeftMs(const program_name& program,
+                                std::int64_t now_ms,
+                                std::int64_t default_lifetime_ms) const
+    -> std::int64_t {
+  const auto found = by_program_.find(program);
+  if (found == by_program_.end()) {
+    return 0;
+  }
+  const auto end_ms = EndOfLifeMs(found->second, default_lifetime_ms);
+  return end_ms > now_ms ? end_ms - now_ms : 0;
+}
+
+auto fact_table::Keep(const program_name& program, std::int64_t until_ms)
+    -> void {
+  if (const auto found = by_program_.find(program);
+      found != by_program_.end()) {
+    found->second.kept_until_ms =
+        std::max(found->second.kept_until_ms, until_ms);
+  }
+}
+
+auto fact_table::Remove(const std::vector<program_name>& programs)
+    -> std::size_t {
+  auto removed = std::size_t{0};
+  for (const auto& program : programs) {
+    const auto found = by_program_.find(program);
+    if (found == by_program_.end()) {
+      continue;
+    }
+    const auto turns = found->second.turns;
+    for (const auto& turn : turns) {
+      Erase(turn);
+    }
+    removed += turns.size();
   }
-  return expired.size();
+  return removed;
 }
 
 auto fact_table::LongestLifetimeMs(std::int64_t default_lifetime_ms) const
@@ -189,8 +234,8 @@
   bytes_ -= SizeOf(found->second);
   by_hash_.erase(FactHash(found->second));
   const auto program = by_program_.find(found->second.program);
-  std::erase(program->second, turn);
-  if (program->second.empty()) {
+  std::erase(program->second.turns, turn);
+  if (program->second.turns.empty()) {
     by_program_.erase(program);
   }
   facts_.erase(found);
--- a/source/core/history/fact_table.h
+++ b/source/core/history/fact_table.h
@@ -63,12 +63,34 @@
   // Hashes of all facts.
   [[nodiscard]] auto Hashes() const -> std::vector<fact_hash>;
 
-  // Removes the programs of which every fact has outlived its lifetime at a
-  // Unix time in milliseconds, so that a chain is kept as long as its newest
-  // turn. The default lifetime, in milliseconds, is that of facts that name no
-  // retention. Returns the number of removed facts.
+  // Programs of which every fact in the table has outlived its lifetime at a
+  // Unix time in milliseconds, and that Keep does not extend. Other members may
+  // hold newer facts of them. The default lifetime, in milliseconds, is that of
+  // facts that name no retention.
+  [[nodiscard]] auto Outlived(std::int64_t now_ms,
+                              std::int64_t default_lifetime_ms) const
+      -> std::vector<program_name>;
+
+  // Time until the program is outlived by the facts in the table, in
+  // milliseconds; zero when it is already, or when the program is unknown. Keep
+  // does not count, so that no two members keep a program for each other.
+  [[nodiscard]] auto LifetimeLeftMs(const program_name& program,
+                                    std::int64_t now_ms,
+                                    std::int64_t default_lifetime_ms) const
+      -> std::int64_t;
+
+  // Keeps a program until a Unix time in milliseconds, although its facts in
+  // the table may be outlived before.
+  auto Keep(const program_name& program, std::int64_t until_ms) -> void;
+
+  // Removes all facts of the programs. Returns their number.
+  auto Remove(const std::vector<program_name>& programs) -> std::size_t;
+
+  // Removes the outlived programs. Returns the number of removed facts.
   auto Expire(std::int64_t now_ms, std::int64_t default_lifetime_ms)
-      -> std::size_t;
+      -> std::size_t {
+    return Remove(Outlived(now_ms, default_lifetime_ms));
+  }
 
   // The longest lifetime of a fact in the table, in milliseconds; the default
   // one when the table is empty.
@@ -79,10 +101,19 @@
   [[nodiscard]] auto bytes() const -> std::size_t { return bytes_; }
 
  private:
+  struct program_entry {
+    std::vector<turn_id> turns;
+    std::int64_t kept_until_ms = 0;
+  };
+
+  // Unix time in milliseconds until which the program's facts are kept.
+  [[nodiscard]] auto EndOfLifeMs(const program_entry& entry,
+                                 std::int64_t default_lifetime_ms) const
+      -> std::int64_t;
   auto Erase(const turn_id& turn) -> void;
 
   std::unordered_map<turn_id, turn_fact> facts_;
-  std::unordered_map<program_name, std::vector<turn_id>> by_program_;
+  std::unordered_map<program_name, program_entry> by_program_;
   std::unordered_map<fact_hash, turn_id> by_hash_;
   std::size_t bytes_ = 0;
 };
--- a/source/core/history/messages.h
+++ b/source/core/history/messages.h
@@ -120,6 +120,23 @@
   auto operator<=>(const pull_reply&) const = default;
 };
 
+// Asks how much longer the receiver's facts of each program are kept. A member
+// asks before it removes a program, because it may lack the newest turns.
+struct lifetimes_request {
+  std::vector<program_name> programs;
+
+  auto operator<=>(const lifetimes_request&) const = default;
+};
+
+struct lifetimes_reply {
+  bool is_complete = false;
+  // In milliseconds, one for each program of the request; zero for a program
+  // that is outlived or unknown.
+  std::vector<std::int64_t> left_ms;
+
+  auto operator<=>(const lifetimes_reply&) const = default;
+};
+
 // Content of the platform's store at a revision.
 struct store_copy {
   kv::revision revision_at = 0;
@@ -176,7 +193,9 @@
                                   copy_request,
                                   copy_reply,
                                   limits_request,
-                                  limits_reply>;
+                                  limits_reply,
+                                  lifetimes_request,
+                                  lifetimes_reply>;
 
 // One frame. A reply carries the id of its request.
 struct message {
--- a/source/core/history/quorum.cc
+++ b/source/core/history/quorum.cc
@@ -80,4 +80,44 @@
              : decision_state::kOpen;
 }
 
+removal_decision::removal_decision(std::vector<program_name> programs,
+                                   quorum_sizes sizes)
+    : programs_(std::move(programs)),
+      sizes_(sizes),
+      left_ms_(programs_.size(), 0) {}
+
+auto removal_decision::Add(const vm_id& vm,
+                           bool is_complete,
+                           const std::vector<std::int64_t>& left_ms) -> void {
+  if (left_ms.size() != programs_.size()) {
+    return;
+  }
+  for (auto i = std::size_t{0}; i < left_ms.size(); ++i) {
+    left_ms_[i] = std::max(left_ms_[i], left_ms[i]);
+  }
+  if (is_complete) {
+    complete_members_.insert(vm);
+  }
+}
+
+auto removal_decision::Removable() const -> std::vector<program_name> {
+  auto removable = std::vector<program_name>{};
+  for (auto i = std::size_t{0}; HasQuorum() && i < programs_.size(); ++i) {
+    if (left_ms_[i] == 0) {
+      removable.push_back(programs_[i]);
+    }
+  }
+  return removable;
+}
+
+auto removal_decision::Kept() const -> std::vector<kept_program> {
+  auto kept = std::vector<kept_program>{};
+  for (auto i = std::size_t{0}; i < programs_.size(); ++i) {
+    if (left_ms_[i] > 0) {
+      kept.push_back({programs_[i], left_ms_[i]});
+    }
+  }
+  return kept;
+}
+
 }  // namespace daisywind::history
--- a/source/core/history/quorum.h
+++ b/source/core/history/quorum.h
@@ -79,6 +79,47 @@
   bool has_complete_chain_ = false;
 };
 
+// A program of which a member holds only outlived facts, and how much longer
+// others keep theirs.
+struct kept_program {
+  program_name program;
+  std::int64_t left_ms = 0;
+
+  auto operator<=>(const kept_program&) const = default;
+};
+
+// Decides which programs a member may remove. A turn is stored by a write
+// quorum only, so the newest turns of a program may be on other members than
+// its oldest ones.
+class removal_decision {
+ public:
+  removal_decision(std::vector<program_name> programs, quorum_sizes sizes);
+
+  // Adds a member's answer: how much longer it keeps each program, in
+  // milliseconds. Ignores an answer for another number of programs.
+  auto Add(const vm_id& vm,
+           bool is_complete,
+           const std::vector<std::int64_t>& left_ms) -> void;
+
+  // Whether enough complete members have answered to know every turn.
+  [[nodiscard]] auto HasQuorum() const -> bool {
+    return complete_members_.size() >= sizes_.read;
+  }
+
+  // Programs that no member keeps any longer; none without a quorum.
+  [[nodiscard]] auto Removable() const -> std::vector<program_name>;
+
+  // Programs that some member keeps.
+  [[nodiscard]] auto Kept() const -> std::vector<kept_program>;
+
+ private:
+  std::vector<program_name> programs_;
+  quorum_sizes sizes_;
+  std::set<vm_id> complete_members_;
+  // The longest answer for each program.
+  std::vector<std::int64_t> left_ms_;
+};
+
 }  // namespace daisywind::history
 
 #endif  // DAISYWIND_HISTORY_QUORUM_H_
--- a/source/core/history_wire/codec.cc
+++ b/source/core/history_wire/codec.cc
@@ -41,6 +41,16 @@
           ConvertAll(from.chain)};
 }
 
+auto NamesOf(const std::vector<program_name>& programs)
+    -> std::vector<std::string> {
+  auto names = std::vector<std::string>{};
+  names.reserve(programs.size());
+  for (const auto& program : programs) {
+    names.push_back(program.value);
+  }
+  return names;
+}
+
 // One pair of overloads for each message type: to and from its FlatBuffers
 // object.
 auto ToObject(const begin_request& from) -> fbs::BeginRequestT {
@@ -278,6 +288,32 @@
   return to;
 }
 
+auto ToObject(const lifetimes_request& from) -> fbs::LifetimesRequestT {
+  auto to = fbs::LifetimesRequestT{};
+  to.programs = NamesOf(from.programs);
+  return to;
+}
+
+auto FromObject(fbs::LifetimesRequestT& from) -> lifetimes_request {
+  auto to = lifetimes_request{};
+  to.programs.reserve(from.programs.size());
+  for (auto& name : from.programs) {
+    to.programs.emplace_back(std::move(name));
+  }
+  return to;
+}
+
+auto ToObject(const lifetimes_reply& from) -> fbs::LifetimesReplyT {
+  auto to = fbs::LifetimesReplyT{};
+  to.is_complete = from.is_complete;
+  to.left_ms = from.left_ms;
+  return to;
+}
+
+auto FromObject(fbs::LifetimesReplyT& from) -> lifetimes_reply {
+  return {from.is_complete, std::move(from.left_ms)};
+}
+
 auto BodyFrom(fbs::BodyUnion& from) -> std::optional<message_body> {
   switch (from.type) {
     case fbs::Body_BeginRequest:
@@ -314,6 +350,10 @@
       return FromObject(*from.AsLimitsRequest());
     case fbs::Body_LimitsReply:
       return FromObject(*from.AsLimitsReply());
+    case fbs::Body_LifetimesRequest:
+      return FromObject(*from.AsLifetimesRequest());
+    case fbs::Body_LifetimesReply:
+      return FromObject(*from.AsLifetimesReply());
     case fbs::Body_NONE:
       break;
   }
@@ -358,6 +398,10 @@
   if (from.store) {
     to.store = Convert(*from.store);
   }
+  to.records_removals = from.removed.has_value();
+  if (from.removed) {
+    to.removed = NamesOf(*from.removed);
+  }
   auto builder = flatbuffers::FlatBufferBuilder{};
   builder.Finish(fbs::Batch::Pack(builder, &to));
   return ToBytes(builder);
@@ -382,6 +426,15 @@
       to.facts.push_back(ReadFact(*fact));
     }
   }
+  if (from->records_removals()) {
+    to.removed.emplace();
+  }
+  if (to.removed && from->removed() != nullptr) {
+    to.removed->reserve(from->removed()->size());
+    for (const auto* name : *from->removed()) {
+      to.removed->emplace_back(name->str());
+    }
+  }
   return to;
 }
 
--- a/source/core/history_wire/codec.h
+++ b/source/core/history_wire/codec.h
@@ -28,6 +28,10 @@
   view_number complete_in_view = 0;
   // Copy of the platform's store. Absent when the record holds none.
   std::optional<store_copy> store;
+  // Programs whose facts in the records before this one have been removed. The
+  // first record with such a list, even an empty one, shows that the log has
+  // every later removal; logs of earlier versions have none.
+  std::optional<std::vector<program_name>> removed = std::nullopt;
 
   auto operator<=>(const disk_record&) const = default;
 };
--- a/source/core/journal/journal_node.cc
+++ b/source/core/journal/journal_node.cc
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <iterator>
 #include <limits>
+#include <unordered_set>
 #include <utility>
 
 #include "common/logging.h"
@@ -31,9 +32,8 @@
 // Minimum time between two writes of the store mirror to disk, so that changes
 // of the platform's store are written in batches.
 constexpr auto kMirrorWriteInterval = duration(1s);
-constexpr auto kExpiryInterval = std::chrono::seconds(5);
-constexpr auto kExpiryIntervalMs =
-    std::int64_t{std::chrono::milliseconds(kExpiryInterval).count()};
+// Time between the newest facts of two sweeps while a log is read.
+constexpr auto kLoadExpiryIntervalMs = std::int64_t{5000};
 
 auto FindIdentity(const std::string& folder) -> std::string {
   auto* directory = ::opendir(folder.c_str());
@@ -78,6 +78,16 @@
                                       percent * kLaterTurnsPercent};
 }
 
+// A record without facts: since which view the replica is complete, and the
+// programs removed from it.
+auto EncodeState(history::view_number complete_since,
+                 std::vector<history::program_name> removed) -> std::string {
+  auto record = history::disk_record{};
+  record.complete_in_view = complete_since;
+  record.removed = std::move(removed);
+  return history::EncodeRecord(record);
+}
+
 auto ToHex(std::uint64_t value) -> std::string {
   constexpr auto kDigits = std::string_view("0123456789abcdef");
   auto text = std::string{};
@@ -92,12 +102,12 @@
 journal_node::journal_node(asio::io_context& context,
                            const settings& values,
                            kv::store& store,
-                           view_manager_options view_options)
+                           view_manager_options view_options,
+                           program_expiry_options expiry_options)
     : context_(context),
       folder_(values.Get(kDataFolder)),
       listen_address_(values.Get(kListenAddress)),
       seed_address_(values.Get(kSeedAddress)),
-      retention_ms_(values.Get(kRetentionMs)),
       max_facts_bytes_(FactsLimits(values.Get(kMemoryLimitMb))),
       self_{vm_id(values.Get(kVm)),
             {},
@@ -106,6 +116,7 @@
                 : values.Get(kAdvertisedAddress),
             failure_domain_id(values.Get(kFailureDomain)),
             region_id(values.Get(kRegion))},
+      replica_(values.Get(kRetentionMs)),
       log_(context, folder_, {}),
       server_(context,
               kMaxChannels,
@@ -120,10 +131,9 @@
                      return MakeChannelHandlers(channel);
                    }),
       timer_(context),
-      view_manager_(std::make_unique<view_manager>(context,
-                                                   *this,
-                                                   store,
-                                                   std::move(view_options))) {}
+      view_manager_(
+          std::make_unique<view_manager>(context, *this, store, view_options)),
+      expiry_(context, *this, view_options.tolerated_losses, expiry_options) {}
 
 journal_node::~journal_node() = default;
 
@@ -135,6 +145,7 @@
     return false;
   }
   LoadRecords();
+  RecordRemoval({});
   RewriteOldSegments();
   const auto address = net::ParseSocketAddress(listen_address_);
   if (!address || server_.Listen(*address) == 0) {
@@ -173,6 +184,7 @@
   const auto began = Now();
   const auto began_ms = UnixMs();
   auto unreadable = std::int64_t{0};
+  auto records_removals = false;
   // Time of the newest fact so far.
   auto newest_ms = std::int64_t{0};
   auto next_expiry_ms = std::int64_t{0};
@@ -190,11 +202,16 @@
         for (const auto& fact : record->facts) {
           newest_ms = std::max(newest_ms, std::min(fact.recorded_ms, began_ms));
         }
-        // Facts expire while they are read, so that no more of them are in
-        // memory than were when they were written.
-        if (newest_ms >= next_expiry_ms) {
-          replica_.Expire(newest_ms, retention_ms_);
-          next_expiry_ms = newest_ms + kExpiryIntervalMs;
+        if (record->removed) {
+          records_removals = true;
+          replica_.Remove(*record->removed);
+        }
+        // Earlier versions removed facts without a record, so they expire while
+        // they are read: no more of them are in memory than when they were
+        // written.
+        if (!records_removals && newest_ms >= next_expiry_ms) {
+          replica_.Remove(replica_.Outlived(newest_ms));
+          next_expiry_ms = newest_ms + kLoadExpiryIntervalMs;
         }
         if (record->store) {
           mirror_.Restore(*record->store);
@@ -206,7 +223,6 @@
         }
       });
   segments_.emplace_back(UnixMs(), log_.CurrentSegment());
-  replica_.Expire(began_ms, retention_ms_);
   persisted_mirror_revision_ = mirror_.revision_at();
   Log(log_events::kDiskLoaded,
       {{"disk", std::string_view(self_.disk.value)},
@@ -363,8 +379,32 @@
 auto journal_node::PersistComplete(history::view_number since,
                                    append_handler done) -> void {
   replica_.SetComplete(since);
-  log_.Append(history::EncodeRecord({{}, since, std::nullopt}),
-              std::move(done));
+  log_.Append(EncodeState(since, {}), std::move(done));
+}
+
+auto journal_node::RemoveOutlived(
+    const std::vector<history::program_name>& programs) -> std::size_t {
+  const auto outlived = replica_.Outlived(UnixMs());
+  const auto still_outlived = std::unordered_set<history::program_name>(
+      outlived.begin(), outlived.end());
+  auto removed = programs;
+  std::erase_if(removed, [&](const history::program_name& program) {
+    return !still_outlived.contains(program);
+  });
+  if (removed.empty()) {
+    return 0;
+  }
+  const auto facts = replica_.Remove(removed);
+  counters_.facts_expired += facts;
+  RecordRemoval(std::move(removed));
+  return facts;
+}
+
+auto journal_node::RecordRemoval(std::vector<history::program_name> programs)
+    -> void {
+  // A removal that is not recorded is decided again after a restart.
+  log_.Append(EncodeState(replica_.complete_since(), std::move(programs)),
+              [](bool) {});
 }
 
 auto journal_node::PersistMirror() -> void {
@@ -383,19 +423,15 @@
 
 auto journal_node::ExpireFacts() -> asio::awaitable<void> {
   while (!is_stopped_) {
-    timer_.expires_after(kExpiryInterval);
+    timer_.expires_after(expiry_.options().interval);
     co_await timer_.async_wait(asio::as_tuple(asio::use_awaitable));
     if (is_stopped_) {
       co_return;
     }
-    const auto expired = replica_.Expire(UnixMs(), retention_ms_);
-    counters_.facts_expired += expired;
-    if (expired > 0) {
-      Log(log_events::kFactsExpired,
-          {{"facts", static_cast<std::int64_t>(expired)},
-           {"left", static_cast<std::int64_t>(replica_.facts().size())}});
+    co_await expiry_.Sweep();
+    if (!is_stopped_) {
+      RewriteOldSegments();
     }
-    RewriteOldSegments();
   }
 }
 
@@ -410,8 +446,8 @@
   auto first_kept = segment_number{0};
   auto ended_ms = std::int64_t{0};
   // A fact of another VM may bear a time after that of its segment's end.
-  const auto kept_ms = replica_.facts().LongestLifetimeMs(retention_ms_) +
-                       history::kRetentionSlackMs;
+  const auto kept_ms =
+      replica_.LongestLifetimeMs() + history::kRetentionSlackMs;
   while (segments_.size() > 1 && segments_[1].first < now - kept_ms) {
     first_kept = segments_[1].second;
     ended_ms = segments_[1].first;
@@ -422,8 +458,7 @@
   }
   auto needed =
       replica_.facts().RecordedBefore(ended_ms + history::kRetentionSlackMs);
-  const auto since = replica_.complete_since();
-  log_.Append(history::EncodeRecord({{}, since, std::nullopt}), [](bool) {});
+  RecordRemoval({});
   log_.Append(history::EncodeRecord({{}, 0, mirror_.CopyIfNewer(0)}),
               [](bool) {});
   Persist(std::move(needed), [this, first_kept](bool is_durable) {
@@ -445,6 +480,7 @@
   add("refused_reservations_total", counters_.refused_reservations);
   add("facts_pulled_total", counters_.facts_pulled);
   add("facts_forgotten_total", counters_.facts_expired);
+  add("programs_kept_total", counters_.programs_kept);
   add("facts", replica_.facts().size());
   add("facts_bytes", replica_.facts().bytes());
   add("disk_queued_bytes", log_.QueuedBytes());
--- a/source/core/journal/journal_node.h
+++ b/source/core/journal/journal_node.h
@@ -18,6 +18,7 @@
 #include "history/messages.h"
 #include "history/view.h"
 #include "journal/disk_log.h"
+#include "journal/program_expiry.h"
 #include "journal/store_mirror.h"
 #include "kv/store.h"
 #include "net/frame_channel.h"
@@ -36,6 +37,9 @@
   std::uint64_t refused_reservations = 0;
   std::uint64_t facts_pulled = 0;
   std::uint64_t facts_expired = 0;
+  // Programs whose facts here are outlived and that others keep, counted once
+  // each sweep.
+  std::uint64_t programs_kept = 0;
 };
 
 // Turns are begun only while the facts take less memory than this, in bytes.
@@ -52,7 +56,8 @@
   journal_node(boost::asio::io_context& context,
                const settings& values,
                kv::store& store,
-               view_manager_options view_options);
+               view_manager_options view_options,
+               program_expiry_options expiry_options = {});
   journal_node(const journal_node&) = delete;
   auto operator=(const journal_node&) -> journal_node& = delete;
   ~journal_node();
@@ -75,6 +80,11 @@
   auto Persist(std::vector<history::turn_fact> facts, append_handler done)
       -> void;
 
+  // Removes those of the programs that are still outlived, from memory and from
+  // what a restart loads. Returns the number of removed facts.
+  auto RemoveOutlived(const std::vector<history::program_name>& programs)
+      -> std::size_t;
+
   // Writes to disk since which view this disk holds every fact. Zero means that
   // facts may be missing.
   auto PersistComplete(history::view_number since, append_handler done) -> void;
@@ -98,6 +108,9 @@
                      history::message_body& reply) -> void;
   auto OnFrame(const std::weak_ptr<net::frame_channel>& channel,
                std::string_view frame) -> void;
+  // Writes to disk that the facts of the programs in the records so far have
+  // been removed.
+  auto RecordRemoval(std::vector<history::program_name> programs) -> void;
   auto ExpireFacts() -> boost::asio::awaitable<void>;
   auto RewriteOldSegments() -> void;
 
@@ -105,7 +118,6 @@
   std::string folder_;
   std::string listen_address_;
   std::string seed_address_;
-  std::int64_t retention_ms_;
   facts_limits max_facts_bytes_;
   bool was_full_ = false;
   history::member self_;
@@ -123,6 +135,7 @@
   net::channel_server seed_server_;
   boost::asio::steady_timer timer_;
   std::unique_ptr<view_manager> view_manager_;
+  program_expiry expiry_;
   journal_counters counters_;
   // Facts in memory that were rejected by the full queue of the log. They are
   // written with the next batch.
--- a/source/unit_tests/history/fact_table_test.cc
+++ b/source/unit_tests/history/fact_table_test.cc
@@ -152,6 +152,26 @@
   CHECK(table.LongestLifetimeMs(1) == 1);
 }
 
+TEST_CASE("an outlived program is kept for as long as another member asks") {
+  constexpr auto kLifetimeMs = std::int64_t{1000};
+  auto table = fact_table{};
+  const auto program = program_name("p");
+  auto fact = CompleteTurn("p", "t1", "");
+  fact.recorded_ms = 100;
+  table.Apply(fact);
+  CHECK(table.Outlived(1100, kLifetimeMs).empty());
+  CHECK(table.LifetimeLeftMs(program, 1000, kLifetimeMs) == 100);
+  CHECK(table.Outlived(1101, kLifetimeMs) == std::vector{program});
+  table.Keep(program, 5000);
+  CHECK(table.Outlived(5000, kLifetimeMs).empty());
+  // What is kept for another member is not a reason for others to keep it.
+  CHECK(table.LifetimeLeftMs(program, 1101, kLifetimeMs) == 0);
+  CHECK(table.Outlived(5001, kLifetimeMs) == std::vector{program});
+  CHECK(table.Remove({program, program_name("unknown")}) == 1);
+  CHECK(table.size() == 0);
+  CHECK(table.LifetimeLeftMs(program, 0, kLifetimeMs) == 0);
+}
+
 TEST_CASE("a program that another one continues is kept as long as that one") {
   constexpr auto kRetentionMs = std::uint32_t{60'000};
   auto first = CompleteTurn("p", "t1", "");
--- a/source/unit_tests/history/quorum_test.cc
+++ b/source/unit_tests/history/quorum_test.cc
@@ -87,5 +87,26 @@
   CHECK(decision.turns().back().turn == turn_id("t3"));
 }
 
+TEST_CASE("a program is removed only when a read quorum keeps none of it") {
+  const auto programs = std::vector{program_name("p"), program_name("q")};
+  auto decision = removal_decision(programs, kSizes);
+  decision.Add(vm_id("a"), true, {0, 0});
+  CHECK(decision.Removable().empty());
+  // A member that lacks facts counts only for what it keeps.
+  decision.Add(vm_id("b"), false, {0, 0});
+  CHECK_FALSE(decision.HasQuorum());
+  decision.Add(vm_id("c"), true, {0, 70});
+  CHECK(decision.Removable() == std::vector{program_name("p")});
+  CHECK(decision.Kept() == std::vector<kept_program>{{program_name("q"), 70}});
+}
+
+TEST_CASE("an answer about another number of programs is ignored") {
+  auto decision = removal_decision({program_name("p")}, {1, 1});
+  decision.Add(vm_id("a"), true, {});
+  CHECK_FALSE(decision.HasQuorum());
+  decision.Add(vm_id("a"), true, {5, 0});
+  CHECK(decision.Kept().empty());
+}
+
 }  // namespace
 }  // namespace daisywind::history
--- a/source/unit_tests/history_wire/codec_test.cc
+++ b/source/unit_tests/history_wire/codec_test.cc
@@ -75,7 +75,9 @@
       copy_request{5, true},
       copy_reply{store_copy{9, {{"k", "v", 3, 4}}}},
       copy_reply{},
-      copy_reply{store_copy{9, {{"k", "v", 3, 4}}}, true, {"gone"}, 250ms}};
+      copy_reply{store_copy{9, {{"k", "v", 3, 4}}}, true, {"gone"}, 250ms},
+      lifetimes_request{{program_name("p"), program_name("q")}},
+      lifetimes_reply{true, {0, 81'000}}};
 }
 
 TEST_CASE("every message type decodes to what was encoded") {
@@ -93,6 +95,12 @@
   CHECK(DecodeRecord(EncodeRecord(full)) == full);
   const auto completeness = disk_record{{}, 12, std::nullopt};
   CHECK(DecodeRecord(EncodeRecord(completeness)) == completeness);
+  const auto none_removed =
+      disk_record{{}, 12, std::nullopt, std::vector<program_name>{}};
+  CHECK(DecodeRecord(EncodeRecord(none_removed)) == none_removed);
+  const auto removed = disk_record{
+      {}, 12, std::nullopt, std::vector{program_name("p"), program_name("q")}};
+  CHECK(DecodeRecord(EncodeRecord(removed)) == removed);
   const auto copy = disk_record{{}, 0, store_copy{9, {{"k", "v", 3, 4}}}};
   CHECK(DecodeRecord(EncodeRecord(copy)) == copy);
 }
--- a/source/unit_tests/journal/journal_node_test.cc
+++ b/source/unit_tests/journal/journal_node_test.cc
@@ -121,7 +121,7 @@
     view_options.retire = {"wanted/", "status/", "running", "done"};
     view_options.mirror.poll_interval = 10ms;
     auto node = std::make_unique<journal_node>(context, values, StoreOf(number),
-                                               view_options);
+                                               view_options, expiry_options);
     REQUIRE(node->Start());
     nodes_[number] = std::move(node);
     return *nodes_[number];
@@ -198,6 +198,14 @@
     return Await(client.Record(fact, kStepTimeout));
   }
 
+  // Stores a fact on the disk of one journal only.
+  auto Store(int number, const history::turn_fact& fact) -> void {
+    auto is_durable = false;
+    At(number).replica().MergeFacts({fact});
+    At(number).Persist({fact}, [&](bool done) { is_durable = done; });
+    REQUIRE(RunUntil([&] { return is_durable; }));
+  }
+
   auto RecordAged(history::turn_client& client,
                   const std::string& turn,
                   std::int64_t age_ms) -> bool {
@@ -254,6 +262,7 @@
   testing::fake_store store;
   // Of the journals that are started from now on; 0 for none.
   int memory_limit_mb = 0;
+  program_expiry_options expiry_options = {50ms, 500ms};
 
  private:
   auto Port(int number) -> int {
@@ -452,11 +461,51 @@
     REQUIRE(cluster.RecordAged(*client, "t" + std::to_string(age_ms), age_ms));
   }
   REQUIRE(cluster.Record(*client, "new", ""));
+  REQUIRE(cluster.RunUntil(
+      [&] { return cluster.At(1).replica().facts().size() <= 1; }));
+  // Lets the disk write what was removed.
+  cluster.RunFor(std::chrono::milliseconds(200));
   cluster.Stop(1);
   auto& journal = cluster.Start(1);
   CHECK(journal.replica().facts().size() <= 1);
 }
 
+// Regression: a journal that held only the first turns of a program removed
+// them, and they were unknown while the other journal that had them was down.
+TEST_CASE(
+    "a program is kept whole while any journal has a turn of it to keep") {
+  auto cluster = journal_cluster();
+  cluster.StartThree();
+  constexpr auto kHourMs = std::int64_t{3'600'000};
+  auto first = AgedFact("t1", kHourMs);
+  first.program = history::program_name("p");
+  first.content = history::turn_content{};
+  auto second = AgedFact("t2", 0);
+  second.program = first.program;
+  second.content = history::turn_content{};
+  second.content->parent = first.turn;
+  cluster.Store(1, first);
+  cluster.Store(2, first);
+  cluster.Store(2, second);
+  cluster.Store(3, second);
+  cluster.Store(1, AgedFact("over", kHourMs));
+  REQUIRE(cluster.RunUntil(
+      [&] { return cluster.At(1).counters().facts_expired > 0; }));
+  // For several more sweeps.
+  cluster.RunFor(std::chrono::milliseconds(300));
+  CHECK(cluster.At(1).replica().facts().size() == 1);
+  cluster.Stop(2);
+  // Also without a quorum.
+  cluster.Stop(3);
+  cluster.RunFor(std::chrono::milliseconds(300));
+  cluster.Stop(1);
+  cluster.Start(1);
+  cluster.Start(3);
+  const auto client = cluster.Client();
+  CHECK(cluster.Begin(*client, "t3", "t2").outcome ==
+        history::begin_outcome::kGranted);
+}
+
 TEST_CASE("a journal that restarts often deletes segments that have expired") {
   auto cluster = journal_cluster();
   cluster.Start(1);
