--- a/source/core/common/log_events.h
+++ b/source/core/common/log_events.h
@@ -70,6 +70,9 @@
     1104, log_subsystem::kNet, log_level::kInfo, "peer link connected"};
 inline constexpr auto kPeerDisconnected = log_event{
     1105, log_subsystem::kNet, log_level::kInfo, "peer link disconnected"};
+inline constexpr auto kFrameNotSent =
+    log_event{1106, log_subsystem::kNet, log_level::kWarning,
+              "frame not sent, too large or the queue is full"};
 inline constexpr auto kFaultApplied =
     log_event{1801, log_subsystem::kStandin, log_level::kInfo,
               "fault applied to a request"};
--- a/source/core/history/fact_replica.cc
+++ b/source/core/history/fact_replica.cc
@@ -5,6 +5,17 @@
 #include <variant>
 
 namespace daisywind::history {
+namespace {
+
+// Clients that know no partial chains get as much as fits into one frame.
+constexpr auto kMaxChainBytes = std::size_t{12} * 1024 * 1024;
+
+auto ChainBytes(std::uint64_t wanted) -> std::size_t {
+  return wanted == 0 ? kMaxChainBytes
+                     : std::min<std::size_t>(wanted, kMaxChainBytes);
+}
+
+}  // namespace
 
 auto fact_replica::Restore(const std::vector<turn_fact>& facts) -> void {
   for (const auto& fact : facts) {
@@ -59,7 +70,8 @@
   reply.is_complete = IsComplete();
   reply.spent = facts_.Spending(request.program);
   if (request.wants_chain) {
-    reply.chain = facts_.Chain(request.parent);
+    reply.chain =
+        facts_.Chain(request.parent, ChainBytes(request.max_chain_bytes));
   }
   if (facts_.Apply(fact)) {
     effect.to_persist.push_back(std::move(fact));
@@ -85,7 +97,10 @@
 
 auto fact_replica::Answer(const read_request& request, std::int64_t /*now_ms*/)
     -> replica_effect {
-  return {{}, read_reply{IsComplete(), facts_.Chain(request.turn)}};
+  return {{},
+          read_reply{
+              IsComplete(),
+              facts_.Chain(request.turn, ChainBytes(request.max_chain_bytes))}};
 }
 
 auto fact_replica::Answer(const adopt_request& request, std::int64_t /*now_ms*/)
@@ -101,7 +116,9 @@
 
 auto fact_replica::Answer(const pull_request& request, std::int64_t /*now_ms*/)
     -> replica_effect {
-  return {{}, pull_reply{facts_.FindByHashes(request.hashes)}};
+  auto batch = facts_.FindBatch(
+      request.hashes, request.max_bytes == 0 ? kAnySize : request.max_bytes);
+  return {{}, pull_reply{std::move(batch.facts), batch.examined}};
 }
 
 auto fact_replica::Answer(const lifetimes_request& request, std::int64_t now_ms)
--- a/source/core/history/fact_table.cc
+++ b/source/core/history/fact_table.cc
@@ -108,9 +108,11 @@
   return list;
 }
 
-auto fact_table::Chain(const turn_id& newest) const -> turn_chain {
+auto fact_table::Chain(const turn_id& newest, std::size_t max_bytes) const
+    -> turn_chain {
   auto chain = turn_chain{};
   auto turn = newest;
+  auto bytes = std::size_t{0};
   while (!turn.empty()) {
     const auto found = facts_.find(turn);
     if (found == facts_.end() || !found->second.content) {
@@ -118,6 +120,12 @@
       chain.missing = turn;
       break;
     }
+    bytes += SizeOf(found->second);
+    if (bytes > max_bytes && !chain.turns.empty()) {
+      chain.state = chain_state::kPartial;
+      chain.missing = turn;
+      break;
+    }
     chain.turns.push_back(found->second);
     chain.state = chain_state::kComplete;
     turn = found->second.content->parent;
@@ -137,6 +145,24 @@
   return facts;
 }
 
+auto fact_table::FindBatch(const std::vector<fact_hash>& hashes,
+                           std::size_t max_bytes) const -> fact_batch {
+  auto batch = fact_batch{};
+  auto bytes = std::size_t{0};
+  for (const auto hash : hashes) {
+    if (const auto found = by_hash_.find(hash); found != by_hash_.end()) {
+      const auto& fact = facts_.at(found->second);
+      bytes += SizeOf(fact);
+      if (bytes > max_bytes && !batch.facts.empty()) {
+        break;
+      }
+      batch.facts.push_back(fact);
+    }
+    ++batch.examined;
+  }
+  return batch;
+}
+
 auto fact_table::Hashes() const -> std::vector<fact_hash> {
   auto hashes = std::vector<fact_hash>{};
   hashes.reserve(by_hash_.size());
--- a/source/core/history/fact_table.h
+++ b/source/core/history/fact_table.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <unordered_map>
 #include <vector>
 
@@ -34,6 +35,15 @@
               std::int64_t now_ms,
               std::uint32_t retention_ms) -> std::vector<turn_fact>;
 
+inline constexpr auto kAnySize = std::numeric_limits<std::size_t>::max();
+
+// Facts for one message.
+struct fact_batch {
+  std::vector<turn_fact> facts;
+  // Number of hashes, from the first, that the facts answer.
+  std::size_t examined = 0;
+};
+
 // Facts by turn and by program. Does no I/O and reads no clock.
 class fact_table {
  public:
@@ -49,13 +59,20 @@
     return by_program_.contains(program);
   }
 
-  // Returns the chain that ends with a turn, as far back as it is known.
-  [[nodiscard]] auto Chain(const turn_id& newest) const -> turn_chain;
+  // Returns the chain that ends with a turn, as far back as it is known and as
+  // fits into a size in bytes; at least one turn.
+  [[nodiscard]] auto Chain(const turn_id& newest,
+                           std::size_t max_bytes = kAnySize) const
+      -> turn_chain;
 
   // Returns the facts with the given hashes. Unknown hashes are skipped.
   [[nodiscard]] auto FindByHashes(const std::vector<fact_hash>& hashes) const
       -> std::vector<turn_fact>;
 
+  // Likewise, but only as many as fit into a size in bytes; at least one.
+  [[nodiscard]] auto FindBatch(const std::vector<fact_hash>& hashes,
+                               std::size_t max_bytes) const -> fact_batch;
+
   // Facts recorded before a Unix time in milliseconds.
   [[nodiscard]] auto RecordedBefore(std::int64_t cutoff_ms) const
       -> std::vector<turn_fact>;
--- a/source/core/history/messages.h
+++ b/source/core/history/messages.h
@@ -36,6 +36,9 @@
   // How long to keep the turn, in milliseconds; zero when the sender does not
   // say.
   std::uint32_t retention_ms = 0;
+  // Maximum size of the chain in the reply, in bytes; zero when the sender
+  // knows no partial chains.
+  std::uint64_t max_chain_bytes = 0;
 
   auto operator<=>(const begin_request&) const = default;
 };
@@ -70,6 +73,8 @@
 // Asks for a chain of turns.
 struct read_request {
   turn_id turn;
+  // As in begin_request.
+  std::uint64_t max_chain_bytes = 0;
 
   auto operator<=>(const read_request&) const = default;
 };
@@ -110,12 +115,18 @@
 // Asks for facts by their hashes. Unknown hashes are skipped.
 struct pull_request {
   std::vector<fact_hash> hashes;
+  // Maximum size of the facts in the reply, in bytes, unless there is only one;
+  // zero when the sender expects all.
+  std::uint64_t max_bytes = 0;
 
   auto operator<=>(const pull_request&) const = default;
 };
 
 struct pull_reply {
   std::vector<turn_fact> facts;
+  // Number of hashes, from the first, that the facts answer; zero stands for
+  // all, from members of earlier versions.
+  std::uint64_t examined = 0;
 
   auto operator<=>(const pull_reply&) const = default;
 };
--- a/source/core/history/quorum.cc
+++ b/source/core/history/quorum.cc
@@ -66,7 +66,7 @@
     next_wanted_ = std::move(chain.missing);
     members_without_next_wanted_.clear();
   }
-  if (is_complete) {
+  if (is_complete && chain.state == chain_state::kMissing) {
     members_without_next_wanted_.insert(vm);
   }
 }
--- a/source/core/history/types.h
+++ b/source/core/history/types.h
@@ -78,12 +78,16 @@
   kComplete,
   // A turn of the chain has no content here: it is unknown or only reserved.
   kMissing,
+  // The chain goes on before the turns that are present; they are as many as
+  // fit into one message.
+  kPartial,
 };
 
 // A chain of turns, the oldest first.
 struct turn_chain {
   chain_state state = chain_state::kNone;
-  // The newest turn of the chain that has no content here.
+  // The newest turn of the chain that has no content here, or that is to be
+  // asked for next.
   turn_id missing;
   std::vector<turn_fact> turns;
 
--- a/source/core/history_client/member_client.cc
+++ b/source/core/history_client/member_client.cc
@@ -15,6 +15,9 @@
 
 namespace asio = boost::asio;
 
+// How often the time-out of a long reply starts anew.
+constexpr auto kMaxExtensions = 10;
+
 struct pending_request {
   explicit pending_request(asio::io_context& context) : timer(context) {}
 
@@ -22,6 +25,11 @@
   reply_handler handler;
   // Number of frames that had been received when the request was sent.
   std::uint64_t frames_at_send = 0;
+  // For a long reply: the time that may pass without a byte, and the number of
+  // bytes received when it began.
+  std::optional<duration> max_silence;
+  std::uint64_t bytes_before = 0;
+  int extensions = 0;
 };
 
 }  // namespace
@@ -82,6 +90,10 @@
     if (found == pending.end()) {
       return;
     }
+    if (IsReceiving(*found->second)) {
+      ++found->second->extensions;
+      return StartTimer(id, *found->second->max_silence);
+    }
     const auto is_unresponsive =
         found->second->frames_at_send == frames_received;
     ++failures;
@@ -93,6 +105,81 @@
     }
   }
 
+  // Whether a part of a long reply has arrived since the timer was started.
+  auto IsReceiving(const pending_request& item) const -> bool {
+    return item.max_silence && item.extensions < kMaxExtensions &&
+           channel != nullptr && channel->IsOpen() &&
+           channel->ReceivedBytes() > item.bytes_before;
+  }
+
+  auto StartTimer(std::uint64_t id, duration timeout) -> void {
+    const auto& item = pending.at(id);
+    item->bytes_before = channel != nullptr ? channel->ReceivedBytes() : 0;
+    item->timer.expires_after(timeout);
+    item->timer.async_wait(
+        [weak = weak_from_this(), id](const boost::system::error_code& error) {
+          const auto self = weak.lock();
+          if (!error && self != nullptr) {
+            self->OnTimeout(id);
+          }
+        });
+  }
+
+  auto Send(view_number view,
+            message_body body,
+            duration timeout,
+            bool has_long_reply,
+            reply_handler handler) -> void {
+    Connect();
+    const auto id = ++last_id;
+    auto item = std::make_shared<pending_request>(context);
+    item->handler = std::move(handler);
+    item->frames_at_send = frames_received;
+    if (has_long_reply) {
+      item->max_silence = timeout;
+    }
+    pending.emplace(id, std::move(item));
+    StartTimer(id, timeout);
+    const auto frame = EncodeMessage({id, view, std::move(body)});
+    if (!channel->Send(frame)) {
+      asio::post(context, [weak = weak_from_this(), id] {
+        const auto self = weak.lock();
+        if (self != nullptr && self->pending.contains(id)) {
+          self->Finish(id, std::nullopt);
+        }
+      });
+    }
+  }
+
+  // Sends a request and waits until it has ended.
+  static auto SendAndWait(std::shared_ptr<state> self,
+                          view_number view,
+                          message_body body,
+                          duration timeout,
+                          bool has_long_reply)
+      -> asio::awaitable<std::optional<message_body>> {
+    struct wait_state {
+      explicit wait_state(asio::io_context& io)
+          : wake(io, asio::steady_timer::time_point::max()) {}
+
+      asio::steady_timer wake;
+      std::optional<message_body> reply;
+      bool is_done = false;
+    };
+    const auto shared = std::make_shared<wait_state>(self->context);
+    self->Send(view, std::move(body), timeout, has_long_reply,
+               [shared](std::optional<message_body> reply) {
+                 shared->reply = std::move(reply);
+                 shared->is_done = true;
+                 shared->wake.cancel();
+               });
+    self.reset();
+    while (!shared->is_done) {
+      co_await shared->wake.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    co_return std::move(shared->reply);
+  }
+
   auto CloseConnection() -> void {
     const auto old = std::exchange(channel, nullptr);
     if (old != nullptr) {
@@ -134,54 +221,21 @@
                                 message_body body,
                                 duration timeout,
                                 reply_handler handler) -> void {
-  state_->Connect();
-  const auto id = ++state_->last_id;
-  auto item = std::make_shared<pending_request>(state_->context);
-  item->handler = std::move(handler);
-  item->frames_at_send = state_->frames_received;
-  item->timer.expires_after(timeout);
-  item->timer.async_wait([weak = std::weak_ptr(state_),
-                          id](const boost::system::error_code& error) {
-    const auto self = weak.lock();
-    if (!error && self != nullptr) {
-      self->OnTimeout(id);
-    }
-  });
-  state_->pending.emplace(id, std::move(item));
-  const auto frame = EncodeMessage({id, view, std::move(body)});
-  if (!state_->channel->Send(frame)) {
-    asio::post(state_->context, [weak = std::weak_ptr(state_), id] {
-      const auto self = weak.lock();
-      if (self != nullptr && self->pending.contains(id)) {
-        self->Finish(id, std::nullopt);
-      }
-    });
-  }
+  state_->Send(view, std::move(body), timeout, false, std::move(handler));
 }
 
 auto member_client::SendAndWait(view_number view,
                                 message_body body,
                                 duration timeout)
     -> asio::awaitable<std::optional<message_body>> {
-  struct wait_state {
-    explicit wait_state(asio::io_context& context)
-        : wake(context, asio::steady_timer::time_point::max()) {}
-
-    asio::steady_timer wake;
-    std::optional<message_body> reply;
-    bool is_done = false;
-  };
-  const auto shared = std::make_shared<wait_state>(state_->context);
-  SendRequest(view, std::move(body), timeout,
-              [shared](std::optional<message_body> reply) {
-                shared->reply = std::move(reply);
-                shared->is_done = true;
-                shared->wake.cancel();
-              });
-  while (!shared->is_done) {
-    co_await shared->wake.async_wait(asio::as_tuple(asio::use_awaitable));
-  }
-  co_return std::move(shared->reply);
+  return state::SendAndWait(state_, view, std::move(body), timeout, false);
+}
+
+auto member_client::SendAndWaitForLong(view_number view,
+                                       message_body body,
+                                       duration timeout)
+    -> asio::awaitable<std::optional<message_body>> {
+  return state::SendAndWait(state_, view, std::move(body), timeout, true);
 }
 
 auto member_client::failures() const -> std::uint32_t {
--- a/source/core/history_client/member_client.h
+++ b/source/core/history_client/member_client.h
@@ -44,6 +44,12 @@
   auto SendAndWait(view_number view, message_body body, duration timeout)
       -> boost::asio::awaitable<std::optional<message_body>>;
 
+  // Likewise for a long reply: the timeout starts anew, at most ten times, when
+  // bytes have arrived in it. Those of other replies count as well, so the
+  // connection should carry one request at a time.
+  auto SendAndWaitForLong(view_number view, message_body body, duration timeout)
+      -> boost::asio::awaitable<std::optional<message_body>>;
+
   // Number of timeouts and connection failures since the last reply.
   [[nodiscard]] auto failures() const -> std::uint32_t;
 
--- a/source/core/history_client/turn_client.cc
+++ b/source/core/history_client/turn_client.cc
@@ -20,6 +20,9 @@
 // How long a settlement is retried. Requests on the platform last only a little
 // longer than their caller's timeout.
 constexpr auto kSettlementTimeout = duration(3s);
+// Maximum size of the part of a chain in one reply. Longer chains are read in
+// several parts.
+constexpr auto kMaxChainBytes = std::uint64_t{4} * 1024 * 1024;
 
 }  // namespace
 
@@ -286,6 +289,7 @@
           body.reserved_tokens = request.reserved_tokens;
           body.retention_ms = request.retention_ms;
           body.wants_chain = position == 0;
+          body.max_chain_bytes = kMaxChainBytes;
           load_exchange_.AttachLoads(body, to, position == 0, Now());
           return body;
         },
@@ -350,7 +354,7 @@
     const auto request_round = std::make_shared<round>(
         *this, program,
         [&](std::size_t, const member&) -> message_body {
-          return read_request{target};
+          return read_request{target, kMaxChainBytes};
         },
         [&](const member& from, message_body& reply) {
           auto* read = std::get_if<read_reply>(&reply);
--- a/source/core/history_wire/codec.cc
+++ b/source/core/history_wire/codec.cc
@@ -23,7 +23,7 @@
 }
 
 auto ChainStateFrom(std::uint8_t value) -> chain_state {
-  return value <= static_cast<std::uint8_t>(chain_state::kMissing)
+  return value <= static_cast<std::uint8_t>(chain_state::kPartial)
              ? static_cast<chain_state>(value)
              : chain_state::kNone;
 }
@@ -64,6 +64,7 @@
   to.loads = Convert(from.loads);
   to.wants_loads = from.loads_known.has_value();
   to.loads_known = from.loads_known.value_or(0);
+  to.max_chain_bytes = from.max_chain_bytes;
   return to;
 }
 
@@ -75,7 +76,8 @@
           from.wants_chain,
           Convert(from.loads),
           from.wants_loads ? std::optional(from.loads_known) : std::nullopt,
-          from.retention_ms};
+          from.retention_ms,
+          from.max_chain_bytes};
 }
 
 auto ToObject(const begin_reply& from) -> fbs::BeginReplyT {
@@ -129,11 +131,12 @@
 auto ToObject(const read_request& from) -> fbs::ReadRequestT {
   auto to = fbs::ReadRequestT{};
   to.turn = from.turn.value;
+  to.max_chain_bytes = from.max_chain_bytes;
   return to;
 }
 
 auto FromObject(fbs::ReadRequestT& from) -> read_request {
-  return {turn_id(std::move(from.turn))};
+  return {turn_id(std::move(from.turn)), from.max_chain_bytes};
 }
 
 auto ToObject(const read_reply& from) -> fbs::ReadReplyT {
@@ -189,21 +192,23 @@
 auto ToObject(const pull_request& from) -> fbs::PullRequestT {
   auto to = fbs::PullRequestT{};
   to.hashes = from.hashes;
+  to.max_bytes = from.max_bytes;
   return to;
 }
 
 auto FromObject(fbs::PullRequestT& from) -> pull_request {
-  return {std::move(from.hashes)};
+  return {std::move(from.hashes), from.max_bytes};
 }
 
 auto ToObject(const pull_reply& from) -> fbs::PullReplyT {
   auto to = fbs::PullReplyT{};
   to.facts = ConvertAll(from.facts);
+  to.examined = from.examined;
   return to;
 }
 
 auto FromObject(fbs::PullReplyT& from) -> pull_reply {
-  return {ConvertAll(from.facts)};
+  return {ConvertAll(from.facts), from.examined};
 }
 
 auto ToObject(const stale_view& from) -> fbs::StaleViewT {
--- a/source/core/journal/journal_node.cc
+++ b/source/core/journal/journal_node.cc
@@ -487,6 +487,7 @@
   add("disk_longest_sync_ms", log_.LongestSyncMs());
   add("view", replica_.current().number);
   add("complete", replica_.IsComplete() ? 1 : 0);
+  add("frames_dropped_total", net::DroppedFrames());
   add("log_lines_dropped_total", DroppedLogLines());
   return text;
 }
--- a/source/core/journal/view_manager.cc
+++ b/source/core/journal/view_manager.cc
@@ -18,8 +18,11 @@
 
 using hash_list = std::vector<history::fact_hash>;
 
-// Maximum number of facts in one message.
+// Maximum number of facts in one message, and their maximum size in bytes
+// unless there is only one. Some of these messages share a link between regions
+// with the requests of callers.
 constexpr auto kFactsPerBatch = std::size_t{32};
+constexpr auto kBatchBytes = std::size_t{256} * 1024;
 
 auto BatchAt(const hash_list& all, std::size_t begin) -> hash_list {
   const auto first = all.begin() + static_cast<std::ptrdiff_t>(begin);
@@ -27,6 +30,15 @@
   return {first, first + static_cast<std::ptrdiff_t>(size)};
 }
 
+// Removes the first hashes, or all if their number is zero, as in replies of
+// members of earlier versions.
+auto RemoveExamined(hash_list& hashes, std::size_t examined) -> void {
+  const auto count =
+      examined == 0 ? hashes.size() : std::min(examined, hashes.size());
+  hashes.erase(hashes.begin(),
+               hashes.begin() + static_cast<std::ptrdiff_t>(count));
+}
+
 }  // namespace
 
 view_manager::view_manager(asio::io_context& context,
@@ -374,20 +386,25 @@
     -> asio::awaitable<void> {
   auto client = history::member_client(context_, work->from.address);
   while (work->next_index < work->wanted.size() && !work->has_failed) {
-    auto request =
-        history::pull_request{BatchAt(work->wanted, work->next_index)};
-    work->next_index += request.hashes.size();
-    auto reply = co_await client.SendAndWait(
-        stored_view_.number, std::move(request), 3 * options_.request_timeout);
-    auto* pulled = reply ? std::get_if<history::pull_reply>(&*reply) : nullptr;
-    if (pulled == nullptr) {
-      work->has_failed = true;
-      break;
-    }
-    auto added = node_.replica().MergeFacts(pulled->facts);
-    node_.counters().facts_pulled += added.size();
-    if (!added.empty()) {
-      node_.Persist(std::move(added), [](bool) {});
+    auto hashes = BatchAt(work->wanted, work->next_index);
+    work->next_index += hashes.size();
+    while (!hashes.empty() && !work->has_failed) {
+      auto request = history::pull_request{hashes, kBatchBytes};
+      auto reply = co_await client.SendAndWaitForLong(
+          stored_view_.number, std::move(request),
+          3 * options_.request_timeout);
+      auto* pulled =
+          reply ? std::get_if<history::pull_reply>(&*reply) : nullptr;
+      if (pulled == nullptr) {
+        work->has_failed = true;
+        break;
+      }
+      RemoveExamined(hashes, pulled->examined);
+      auto added = node_.replica().MergeFacts(pulled->facts);
+      node_.counters().facts_pulled += added.size();
+      if (!added.empty()) {
+        node_.Persist(std::move(added), [](bool) {});
+      }
     }
   }
   --work->running_connections;
@@ -438,15 +455,15 @@
                           options_.tolerated_losses + 1);
   for (auto i = std::size_t{0}; i < lists.size(); ++i) {
     const auto& item = lists[i];
-    const auto& missing_copies = missing_by_member[i];
-    for (auto offset = std::size_t{0}; offset < missing_copies.size();
-         offset += kFactsPerBatch) {
-      const auto batch = BatchAt(missing_copies, offset);
+    auto missing_copies = missing_by_member[i];
+    while (!missing_copies.empty()) {
+      auto batch =
+          node_.replica().facts().FindBatch(missing_copies, kBatchBytes);
+      RemoveExamined(missing_copies, batch.examined);
+      auto request = history::record_request{std::move(batch.facts)};
       const auto reply =
           co_await clients_.ClientFor(item.peer.address)
-              ->SendAndWait(stored_view_.number,
-                            history::record_request{
-                                node_.replica().facts().FindByHashes(batch)},
+              ->SendAndWait(stored_view_.number, std::move(request),
                             3 * options_.request_timeout);
       const auto* recorded =
           reply ? std::get_if<history::record_reply>(&*reply) : nullptr;
--- a/source/core/net/frame_channel.cc
+++ b/source/core/net/frame_channel.cc
@@ -1,6 +1,7 @@
 #include "net/frame_channel.h"
 
 #include <array>
+#include <atomic>
 #include <boost/asio.hpp>
 #include <set>
 #include <utility>
@@ -23,6 +24,9 @@
 // process is out of file descriptors.
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(50);
 
+// NOLINTNEXTLINE(cppcoreguidelines-avoid-non-const-global-variables)
+std::atomic<std::uint64_t> dropped_frames{0};
+
 }  // namespace
 
 struct frame_channel::state : std::enable_shared_from_this<state> {
@@ -73,6 +77,7 @@
             return;
           }
           self->receive_buffer.resize(used + (error ? 0 : size));
+          self->received_bytes += size;
           if (error || !self->DeliverFrames()) {
             return self->Fail();
           }
@@ -107,8 +112,15 @@
   }
 
   auto Send(std::string_view frame) -> bool {
-    if (is_closed || frame.size() > kMaxFrameBytes ||
+    if (is_closed) {
+      return false;
+    }
+    if (frame.size() > kMaxFrameBytes ||
         send_buffer.size() + frame.size() > options.max_queued_bytes) {
+      ++dropped_frames;
+      Log(log_events::kFrameNotSent,
+          {{"bytes", static_cast<std::int64_t>(frame.size())},
+           {"queued_bytes", static_cast<std::int64_t>(send_buffer.size())}});
       return false;
     }
     const auto prefix = EncodeLength(frame.size());
@@ -165,6 +177,7 @@
   // Notifies the server that accepted the connection.
   std::function<void()> notify_server;
   std::string receive_buffer;
+  std::uint64_t received_bytes = 0;
   std::string send_buffer;
   std::string write_buffer;
   bool is_connected = false;
@@ -202,6 +215,14 @@
   return !state_->is_closed;
 }
 
+auto frame_channel::ReceivedBytes() const -> std::uint64_t {
+  return state_->received_bytes;
+}
+
+auto DroppedFrames() -> std::uint64_t {
+  return dropped_frames;
+}
+
 auto frame_channel::IsConnected() const -> bool {
   return state_->is_connected;
 }
--- a/source/core/net/frame_channel.h
+++ b/source/core/net/frame_channel.h
@@ -47,7 +47,8 @@
   ~frame_channel();
 
   // Queues a frame. Returns false, and drops the frame, when the channel is
-  // closed, its queue is full or the frame exceeds kMaxFrameBytes.
+  // closed, its queue is full or the frame exceeds kMaxFrameBytes. Logs the
+  // last two, which the peer does not learn of.
   auto Send(std::string_view frame) -> bool;
 
   // Closes the connection and drops the queued frames.
@@ -55,6 +56,9 @@
 
   [[nodiscard]] auto IsOpen() const -> bool;
 
+  // Bytes received so far, those of incomplete frames included.
+  [[nodiscard]] auto ReceivedBytes() const -> std::uint64_t;
+
   // Whether the connection was established, even if it has closed since.
   [[nodiscard]] auto IsConnected() const -> bool;
 
@@ -62,6 +66,10 @@
   std::shared_ptr<state> state_;
 };
 
+// Number of frames that this process has dropped because they were too large or
+// a queue was full.
+auto DroppedFrames() -> std::uint64_t;
+
 // Called with each accepted channel; returns its handlers. The server keeps the
 // channel alive until the connection has closed.
 using channel_acceptor =
--- a/source/unit_tests/history/fact_table_test.cc
+++ b/source/unit_tests/history/fact_table_test.cc
@@ -93,6 +93,41 @@
   CHECK(found[1].turn == turn_id("a"));
 }
 
+TEST_CASE("a batch has as many facts as fit into it, and at least one") {
+  constexpr auto kBytes = std::size_t{100'000};
+  auto table = fact_table{};
+  auto hashes = std::vector<fact_hash>{12345};
+  for (const auto* turn : {"a", "b", "c"}) {
+    auto fact = CompleteTurn("p", turn, "");
+    fact.content->input.assign(kBytes, 'x');
+    table.Apply(fact);
+    hashes.push_back(FactHash(fact));
+  }
+  const auto two = table.FindBatch(hashes, 5 * kBytes / 2);
+  CHECK(two.facts.size() == 2);
+  CHECK(two.examined == 3);
+  CHECK(table.FindBatch(hashes, 1).facts.size() == 1);
+  CHECK(table.FindBatch(hashes, kAnySize).examined == 4);
+}
+
+TEST_CASE("a long chain is read in parts, the newest first") {
+  constexpr auto kBytes = std::size_t{100'000};
+  auto table = fact_table{};
+  for (const auto& [turn, parent] :
+       {std::pair("t1", ""), std::pair("t2", "t1"), std::pair("t3", "t2")}) {
+    auto fact = CompleteTurn("p", turn, parent);
+    fact.content->input.assign(kBytes, 'x');
+    table.Apply(fact);
+  }
+  const auto newest = table.Chain(turn_id("t3"), 5 * kBytes / 2);
+  CHECK(newest.state == chain_state::kPartial);
+  CHECK(newest.missing == turn_id("t1"));
+  REQUIRE(newest.turns.size() == 2);
+  CHECK(newest.turns.front().turn == turn_id("t2"));
+  const auto rest = table.Chain(newest.missing, 1);
+  CHECK(rest.state == chain_state::kComplete);
+}
+
 TEST_CASE("the hash of a fact changes when it gains a part") {
   auto table = fact_table{};
   table.Apply(ReservedTurn("p", "a", 50));
--- a/source/unit_tests/history/quorum_test.cc
+++ b/source/unit_tests/history/quorum_test.cc
@@ -87,6 +87,19 @@
   CHECK(decision.turns().back().turn == turn_id("t3"));
 }
 
+TEST_CASE("a partial chain is no sign that the turn before it is unknown") {
+  auto decision = chain_decision(turn_id("t3"), kSizes);
+  decision.Add(
+      vm_id("a"), true,
+      {chain_state::kPartial, turn_id("t1"), {Turn("t2"), Turn("t3")}});
+  CHECK(decision.next_wanted() == turn_id("t1"));
+  decision.Add(vm_id("b"), true, {chain_state::kMissing, turn_id("t1"), {}});
+  CHECK(decision.state() == decision_state::kOpen);
+  decision.Add(vm_id("a"), true, {chain_state::kComplete, {}, {Turn("t1")}});
+  CHECK(decision.state() == decision_state::kYes);
+  CHECK(decision.turns() == std::vector{Turn("t1"), Turn("t2"), Turn("t3")});
+}
+
 TEST_CASE("a program is removed only when a read quorum keeps none of it") {
   const auto programs = std::vector{program_name("p"), program_name("q")};
   auto decision = removal_decision(programs, kSizes);
--- a/source/unit_tests/journal/journal_node_test.cc
+++ b/source/unit_tests/journal/journal_node_test.cc
@@ -406,6 +406,53 @@
   CHECK(begun.outcome == history::begin_outcome::kGranted);
 }
 
+// Regression: 32 facts were asked for in one reply, whatever their size. Above
+// the limit of a frame it was dropped, and the new disk never had all facts.
+TEST_CASE("a new disk receives facts that do not fit into one message") {
+  auto cluster = journal_cluster();
+  cluster.StartThree();
+  constexpr auto kBytes = std::size_t{1} << 20U;
+  constexpr auto kFacts = 24;
+  for (auto i = 0; i < kFacts; ++i) {
+    auto fact = AgedFact("t" + std::to_string(i), 0);
+    fact.content = history::turn_content{};
+    fact.content->input.assign(kBytes, 'x');
+    cluster.Store(1, fact);
+  }
+  cluster.Stop(3);
+  cluster.LoseDisk(3);
+  const auto before = cluster.View().number;
+  cluster.Start(3);
+  REQUIRE(cluster.RunUntil([&] {
+    return cluster.View().number > before &&
+           cluster.IsSettled({"vm1", "vm2", "vm3"});
+  }));
+  CHECK(cluster.At(3).replica().facts().size() == kFacts);
+}
+
+// Regression: a chain larger than a frame was never read.
+TEST_CASE("a chain that does not fit into one message is continued") {
+  auto cluster = journal_cluster();
+  cluster.StartThree();
+  constexpr auto kBytes = std::size_t{1} << 20U;
+  constexpr auto kTurns = 18;
+  const auto client = cluster.Client();
+  auto parent = history::turn_id{};
+  for (auto i = 0; i < kTurns; ++i) {
+    auto fact = AgedFact("t" + std::to_string(i), 0);
+    fact.program = history::program_name("p");
+    fact.settled_tokens = 1;
+    fact.content = history::turn_content{};
+    fact.content->parent = parent;
+    fact.content->input.assign(kBytes, 'x');
+    parent = fact.turn;
+    REQUIRE(cluster.Await(client->Record(fact, kStepTimeout)));
+  }
+  const auto begun = cluster.Begin(*client, "next", parent.value);
+  CHECK(begun.outcome == history::begin_outcome::kGranted);
+  CHECK(begun.chain.size() == kTurns);
+}
+
 TEST_CASE("a spare VM replaces one that does not come back") {
   auto cluster = journal_cluster();
   cluster.StartThree();
