--- a/source/unit_tests/journal/journal_node_test.cc
+++ b/source/unit_tests/journal/journal_node_test.cc
@@ -531,10 +531,11 @@
   second.program = first.program;
   second.content = history::turn_content{};
   second.content->parent = first.turn;
-  cluster.Store(1, first);
-  cluster.Store(2, first);
+  // The newer turn first, so that no sweep finds the older one alone.
   cluster.Store(2, second);
   cluster.Store(3, second);
+  cluster.Store(2, first);
+  cluster.Store(1, first);
   cluster.Store(1, AgedFact("over", kHourMs));
   REQUIRE(cluster.RunUntil(
       [&] { return cluster.At(1).counters().facts_expired > 0; }));
