--- a/source/core/history/messages.h
+++ b/source/core/history/messages.h
@@ -131,6 +131,24 @@
   auto operator<=>(const pull_reply&) const = default;
 };
 
+// Asks the receiver to send facts to another member, by their hashes. Unknown
+// hashes are skipped.
+struct forward_request {
+  // Address of the other member.
+  std::string address;
+  std::vector<fact_hash> hashes;
+
+  auto operator<=>(const forward_request&) const = default;
+};
+
+struct forward_reply {
+  // Number of hashes, from the first, whose facts the other member has stored;
+  // zero when it has stored none.
+  std::uint64_t stored = 0;
+
+  auto operator<=>(const forward_reply&) const = default;
+};
+
 // Asks how much longer the receiver's facts of each program are kept. A member
 // asks before it removes a program, because it may lack the newest turns.
 struct lifetimes_request {
@@ -206,7 +224,9 @@
                                   limits_request,
                                   limits_reply,
                                   lifetimes_request,
-                                  lifetimes_reply>;
+                                  lifetimes_reply,
+                                  forward_request,
+                                  forward_reply>;
 
 // One frame. A reply carries the id of its request.
 struct message {
--- a/source/core/history_wire/codec.cc
+++ b/source/core/history_wire/codec.cc
@@ -319,6 +319,27 @@
   return {from.is_complete, std::move(from.left_ms)};
 }
 
+auto ToObject(const forward_request& from) -> fbs::ForwardRequestT {
+  auto to = fbs::ForwardRequestT{};
+  to.address = from.address;
+  to.hashes = from.hashes;
+  return to;
+}
+
+auto FromObject(fbs::ForwardRequestT& from) -> forward_request {
+  return {std::move(from.address), std::move(from.hashes)};
+}
+
+auto ToObject(const forward_reply& from) -> fbs::ForwardReplyT {
+  auto to = fbs::ForwardReplyT{};
+  to.stored = from.stored;
+  return to;
+}
+
+auto FromObject(const fbs::ForwardReplyT& from) -> forward_reply {
+  return {from.stored};
+}
+
 auto BodyFrom(fbs::BodyUnion& from) -> std::optional<message_body> {
   switch (from.type) {
     case fbs::Body_BeginRequest:
@@ -359,6 +380,10 @@
       return FromObject(*from.AsLifetimesRequest());
     case fbs::Body_LifetimesReply:
       return FromObject(*from.AsLifetimesReply());
+    case fbs::Body_ForwardRequest:
+      return FromObject(*from.AsForwardRequest());
+    case fbs::Body_ForwardReply:
+      return FromObject(*from.AsForwardReply());
     case fbs::Body_NONE:
       break;
   }
--- a/source/core/journal/journal_node.cc
+++ b/source/core/journal/journal_node.cc
@@ -133,7 +133,11 @@
       timer_(context),
       view_manager_(
           std::make_unique<view_manager>(context, *this, store, view_options)),
-      expiry_(context, *this, view_options.tolerated_losses, expiry_options) {}
+      expiry_(context, *this, view_options.tolerated_losses, expiry_options),
+      copier_(context,
+              *this,
+              {view_options.tolerated_losses + 1,
+               3 * view_options.request_timeout}) {}
 
 journal_node::~journal_node() = default;
 
@@ -273,6 +277,13 @@
     }
     return;
   }
+  if (auto* forward = std::get_if<history::forward_request>(&request->body)) {
+    asio::co_spawn(
+        context_,
+        ServeForward(channel, request->id, request->view, std::move(*forward)),
+        asio::detached);
+    return;
+  }
   const auto* begin = std::get_if<history::begin_request>(&request->body);
   if (begin != nullptr && !HasMemoryFor(*begin)) {
     ++counters_.refused_reservations;
@@ -320,6 +331,17 @@
           });
 }
 
+auto journal_node::ServeForward(std::weak_ptr<net::frame_channel> channel,
+                                std::uint64_t id,
+                                history::view_number view,
+                                history::forward_request request)
+    -> asio::awaitable<void> {
+  const auto reply = co_await copier_.Forward(view, std::move(request));
+  if (const auto open = channel.lock()) {
+    open->Send(history::EncodeMessage({id, view, reply}));
+  }
+}
+
 auto journal_node::HasMemoryFor(const history::begin_request& request) -> bool {
   const auto bytes = replica_.facts().bytes();
   const auto is_full = bytes >= max_facts_bytes_.first_turns;
@@ -479,6 +501,7 @@
   add("refused_writes_total", counters_.refused_writes);
   add("refused_reservations_total", counters_.refused_reservations);
   add("facts_pulled_total", counters_.facts_pulled);
+  add("facts_forwarded_total", counters_.facts_forwarded);
   add("facts_forgotten_total", counters_.facts_expired);
   add("programs_kept_total", counters_.programs_kept);
   add("facts", replica_.facts().size());
--- a/source/core/journal/journal_node.h
+++ b/source/core/journal/journal_node.h
@@ -18,6 +18,7 @@
 #include "history/messages.h"
 #include "history/view.h"
 #include "journal/disk_log.h"
+#include "journal/fact_copier.h"
 #include "journal/program_expiry.h"
 #include "journal/store_mirror.h"
 #include "kv/store.h"
@@ -36,6 +37,8 @@
   // Turns that were not begun because the memory for facts was full.
   std::uint64_t refused_reservations = 0;
   std::uint64_t facts_pulled = 0;
+  // Facts that other members copied between them for this one.
+  std::uint64_t facts_forwarded = 0;
   std::uint64_t facts_expired = 0;
   // Programs whose facts here are outlived and that others keep, counted once
   // each sweep.
@@ -73,6 +76,8 @@
   [[nodiscard]] auto self() const -> const history::member& { return self_; }
   [[nodiscard]] auto mirror() -> store_mirror& { return mirror_; }
 
+  [[nodiscard]] auto copier() -> fact_copier& { return copier_; }
+
   // Writes the store mirror to disk if it has changed, at most once a second.
   auto PersistMirror() -> void;
 
@@ -106,6 +111,12 @@
   // asks for to the reply.
   auto ExchangeLoads(const history::message_body& request,
                      history::message_body& reply) -> void;
+  // Forwards facts to another member and replies when it has stored them.
+  auto ServeForward(std::weak_ptr<net::frame_channel> channel,
+                    std::uint64_t id,
+                    history::view_number view,
+                    history::forward_request request)
+      -> boost::asio::awaitable<void>;
   auto OnFrame(const std::weak_ptr<net::frame_channel>& channel,
                std::string_view frame) -> void;
   // Writes to disk that the facts of the programs in the records so far have
@@ -136,6 +147,7 @@
   boost::asio::steady_timer timer_;
   std::unique_ptr<view_manager> view_manager_;
   program_expiry expiry_;
+  fact_copier copier_;
   journal_counters counters_;
   // Facts in memory that were rejected by the full queue of the log. They are
   // written with the next batch.
--- a/source/core/journal/view_manager.cc
+++ b/source/core/journal/view_manager.cc
@@ -12,35 +12,9 @@
 #include "journal/journal_node.h"
 
 namespace daisywind::journal {
-namespace {
 
 namespace asio = boost::asio;
 
-using hash_list = std::vector<history::fact_hash>;
-
-// Maximum number of facts in one message, and their maximum size in bytes
-// unless there is only one. Some of these messages share a link between regions
-// with the requests of callers.
-constexpr auto kFactsPerBatch = std::size_t{32};
-constexpr auto kBatchBytes = std::size_t{256} * 1024;
-
-auto BatchAt(const hash_list& all, std::size_t begin) -> hash_list {
-  const auto first = all.begin() + static_cast<std::ptrdiff_t>(begin);
-  const auto size = std::min(kFactsPerBatch, all.size() - begin);
-  return {first, first + static_cast<std::ptrdiff_t>(size)};
-}
-
-// Removes the first hashes, or all if their number is zero, as in replies of
-// members of earlier versions.
-auto RemoveExamined(hash_list& hashes, std::size_t examined) -> void {
-  const auto count =
-      examined == 0 ? hashes.size() : std::min(examined, hashes.size());
-  hashes.erase(hashes.begin(),
-               hashes.begin() + static_cast<std::ptrdiff_t>(count));
-}
-
-}  // namespace
-
 view_manager::view_manager(asio::io_context& context,
                            journal_node& node,
                            kv::store& store,
@@ -77,7 +51,10 @@
 }
 
 auto view_manager::OnSnapshot(const kv::listing& all) -> void {
-  has_read_view_ = true;
+  if (!has_read_view_) {
+    has_read_view_ = true;
+    timer_.cancel();
+  }
   node_.mirror().Replace(all);
   retiring_.clear();
   for (const auto& item : all.items) {
@@ -167,6 +144,8 @@
     if (!co_await JoinView()) {
       co_await ProbeMembers();
     }
+  }
+  if (!IsMember()) {
     co_return;
   }
   if (!node_.replica().IsComplete()) {
@@ -308,8 +287,8 @@
                      return Distance(a.peer, self) < Distance(b.peer, self);
                    });
   const auto lists = co_await FetchFactLists(sources);
-  const auto is_pulled =
-      lists.size() == sources.size() && co_await PullMissingFacts(lists);
+  const auto is_pulled = lists.size() == sources.size() &&
+                         co_await node_.copier().CopyMissing(view, lists);
   if (!is_pulled || stored_view_.number != view) {
     co_return;
   }
@@ -340,77 +319,6 @@
   co_return lists;
 }
 
-auto view_manager::HashesOf(const std::vector<fact_list>& lists)
-    -> std::vector<std::vector<history::fact_hash>> {
-  auto all = std::vector<std::vector<history::fact_hash>>{};
-  for (const auto& item : lists) {
-    all.push_back(item.hashes);
-  }
-  return all;
-}
-
-// Reads the facts that fewer of the other members hold than a write quorum. All
-// other facts are already replicated enough without this member, and every read
-// quorum includes one of their copies.
-auto view_manager::PullMissingFacts(const std::vector<fact_list>& lists)
-    -> asio::awaitable<bool> {
-  const auto wanted =
-      history::PlanPulls(node_.replica().facts().Hashes(), HashesOf(lists),
-                         options_.tolerated_losses + 1);
-  for (auto i = std::size_t{0}; i < lists.size(); ++i) {
-    const auto& item = lists[i];
-    auto work = std::make_shared<pull_work>();
-    work->from = item.peer;
-    work->wanted = wanted[i];
-    // Several connections, because the window of a single one limits throughput
-    // over a long distance.
-    constexpr auto kConnections = std::size_t{4};
-    work->running_connections = kConnections;
-    for (auto j = std::size_t{0}; j < kConnections; ++j) {
-      asio::co_spawn(context_, PullBatches(work), asio::detached);
-    }
-    while (work->running_connections > 0) {
-      co_await Pause(options_.request_timeout);
-    }
-    if (work->has_failed) {
-      Log(log_events::kPullFailed,
-          {{"vm", std::string_view(item.peer.vm.value)},
-           {"reason", "member did not send the requested facts"}});
-      co_return false;
-    }
-  }
-  co_return true;
-}
-
-auto view_manager::PullBatches(std::shared_ptr<pull_work> work)
-    -> asio::awaitable<void> {
-  auto client = history::member_client(context_, work->from.address);
-  while (work->next_index < work->wanted.size() && !work->has_failed) {
-    auto hashes = BatchAt(work->wanted, work->next_index);
-    work->next_index += hashes.size();
-    while (!hashes.empty() && !work->has_failed) {
-      auto request = history::pull_request{hashes, kBatchBytes};
-      auto reply = co_await client.SendAndWaitForLong(
-          stored_view_.number, std::move(request),
-          3 * options_.request_timeout);
-      auto* pulled =
-          reply ? std::get_if<history::pull_reply>(&*reply) : nullptr;
-      if (pulled == nullptr) {
-        work->has_failed = true;
-        break;
-      }
-      RemoveExamined(hashes, pulled->examined);
-      auto added = node_.replica().MergeFacts(pulled->facts);
-      node_.counters().facts_pulled += added.size();
-      if (!added.empty()) {
-        node_.Persist(std::move(added), [](bool) {});
-      }
-    }
-  }
-  --work->running_connections;
-  timer_.cancel();
-}
-
 // Sends the facts that lack copies to other members and removes this VM from
 // the view. Reports that it has retired only when every fact is on a write
 // quorum of other disks.
@@ -450,26 +358,17 @@
   if (lists.size() != OtherMembers().size()) {
     co_return false;
   }
-  const auto missing_by_member =
-      history::PlanCopies(node_.replica().facts().Hashes(), HashesOf(lists),
-                          options_.tolerated_losses + 1);
+  auto hashes = std::vector<std::vector<history::fact_hash>>{};
+  for (const auto& item : lists) {
+    hashes.push_back(item.hashes);
+  }
+  auto missing_by_member = history::PlanCopies(
+      node_.replica().facts().Hashes(), hashes, options_.tolerated_losses + 1);
   for (auto i = std::size_t{0}; i < lists.size(); ++i) {
-    const auto& item = lists[i];
-    auto missing_copies = missing_by_member[i];
-    while (!missing_copies.empty()) {
-      auto batch =
-          node_.replica().facts().FindBatch(missing_copies, kBatchBytes);
-      RemoveExamined(missing_copies, batch.examined);
-      auto request = history::record_request{std::move(batch.facts)};
-      const auto reply =
-          co_await clients_.ClientFor(item.peer.address)
-              ->SendAndWait(stored_view_.number, std::move(request),
-                            3 * options_.request_timeout);
-      const auto* recorded =
-          reply ? std::get_if<history::record_reply>(&*reply) : nullptr;
-      if (recorded == nullptr || !recorded->is_durable) {
-        co_return false;
-      }
+    if (!co_await node_.copier().Push(stored_view_.number,
+                                      lists[i].peer.address,
+                                      std::move(missing_by_member[i]))) {
+      co_return false;
     }
   }
   co_return true;
--- a/source/core/journal/view_manager.h
+++ b/source/core/journal/view_manager.h
@@ -17,6 +17,7 @@
 #include "history/view.h"
 #include "history_client/member_client.h"
 #include "history_client/mirrored_store.h"
+#include "journal/fact_copier.h"
 #include "kv/store.h"
 #include "kv/store_watch.h"
 
@@ -91,22 +92,6 @@
     bool is_complete = false;
   };
 
-  // Hashes of the facts that a member holds.
-  struct fact_list {
-    history::member peer;
-    std::vector<history::fact_hash> hashes;
-  };
-
-  // Facts to be read from one member by several connections at once.
-  struct pull_work {
-    history::member from;
-    std::vector<history::fact_hash> wanted;
-    // Index in `wanted` of the first fact that has not been requested.
-    std::size_t next_index = 0;
-    std::size_t running_connections = 0;
-    bool has_failed = false;
-  };
-
   auto OnSnapshot(const kv::listing& all) -> void;
   auto OnChanges(const kv::change_list& list) -> void;
   auto OnItem(const kv::key_value& item) -> void;
@@ -132,13 +117,6 @@
   // read until then.
   auto FetchFactLists(const std::vector<reachable_member>& from)
       -> boost::asio::awaitable<std::vector<fact_list>>;
-  static auto HashesOf(const std::vector<fact_list>& lists)
-      -> std::vector<std::vector<history::fact_hash>>;
-  // Returns whether the members replied to all requests for facts.
-  auto PullMissingFacts(const std::vector<fact_list>& lists)
-      -> boost::asio::awaitable<bool>;
-  auto PullBatches(std::shared_ptr<pull_work> work)
-      -> boost::asio::awaitable<void>;
   auto Retire() -> boost::asio::awaitable<void>;
   // Sends the facts that fewer than a write quorum of the other members hold to
   // as many more of them as needed. Returns whether all other members sent
--- a/source/unit_tests/history_wire/codec_test.cc
+++ b/source/unit_tests/history_wire/codec_test.cc
@@ -82,7 +82,9 @@
       copy_reply{},
       copy_reply{store_copy{9, {{"k", "v", 3, 4}}}, true, {"gone"}, 250ms},
       lifetimes_request{{program_name("p"), program_name("q")}},
-      lifetimes_reply{true, {0, 81'000}}};
+      lifetimes_reply{true, {0, 81'000}},
+      forward_request{"10.0.0.1:7380", {1, 2, 3}},
+      forward_reply{2}};
 }
 
 TEST_CASE("every message type decodes to what was encoded") {
--- a/source/unit_tests/journal/journal_node_test.cc
+++ b/source/unit_tests/journal/journal_node_test.cc
@@ -96,10 +96,11 @@
   // Starts a journal node, which keeps the port of its number over restarts.
   auto Start(int number) -> journal_node& {
     const auto vm = "vm" + std::to_string(number);
+    const auto region = regions.contains(number) ? regions.at(number) : "r";
     auto values = settings(JournalSchema());
     const auto text =
-        R"({"vm":")" + vm +
-        R"(","failure_domain":"d","region":"r","listen":{"journal":"127.0.0.1:)" +
+        R"({"vm":")" + vm + R"(","failure_domain":"d-)" + region +
+        R"(","region":")" + region + R"(","listen":{"journal":"127.0.0.1:)" +
         std::to_string(Port(number)) +
         R"("},"store":{"address":"127.0.0.1:1"},"data":{"folder":")" +
         (folder_ / vm).string() +
@@ -263,6 +264,9 @@
   // Of the journals that are started from now on; 0 for none.
   int memory_limit_mb = 0;
   program_expiry_options expiry_options = {50ms, 500ms};
+  // Regions of the VMs that are not in "r", by number. Each region has one
+  // failure domain.
+  std::map<int, std::string> regions;
 
  private:
   auto Port(int number) -> int {
@@ -430,6 +434,40 @@
   CHECK(cluster.At(3).replica().facts().size() == kFacts);
 }
 
+// Regression: a new disk had to read all that the lost one had over the link
+// between the regions, and the next disk was lost before it had.
+TEST_CASE("near members copy facts to each other for a disk that is far away") {
+  auto cluster = journal_cluster();
+  cluster.regions = {{3, "far"}};
+  cluster.StartThree();
+  constexpr auto kFacts = 600;
+  for (auto i = 0; i < kFacts; ++i) {
+    auto fact = AgedFact("t" + std::to_string(i), 0);
+    fact.content = history::turn_content{};
+    // The other copy was on the disk that is lost.
+    cluster.At(1 + i % 2).replica().MergeFacts({fact});
+  }
+  cluster.Stop(3);
+  cluster.LoseDisk(3);
+  const auto before = cluster.View().number;
+  cluster.Start(3);
+  REQUIRE(cluster.RunUntil([&] {
+    return cluster.View().number > before &&
+           cluster.IsSettled({"vm1", "vm2", "vm3"});
+  }));
+  CHECK(cluster.At(1).replica().facts().size() > kFacts / 2);
+  CHECK(cluster.At(2).replica().facts().size() > kFacts / 2);
+  auto copies = std::map<history::fact_hash, int>{};
+  for (auto number = 1; number <= 3; ++number) {
+    for (const auto hash : cluster.At(number).replica().facts().Hashes()) {
+      ++copies[hash];
+    }
+  }
+  CHECK(copies.size() == kFacts);
+  CHECK(std::all_of(copies.begin(), copies.end(),
+                    [](const auto& item) { return item.second == 2; }));
+}
+
 // Regression: a chain larger than a frame was never read.
 TEST_CASE("a chain that does not fit into one message is continued") {
   auto cluster = journal_cluster();
