net: limit the buffer of each connection

Report of operators: a faulty replica sent bytes that were no answer, without end, and the machine that had called it ran out of memory.

Cause: the HTTP parser needs the line of a chunk and the trailer as a whole, and the buffer of a connection was unlimited, in the client and in the server. Heads, bodies, events, comment lines and responses to other requests were limited before; the test has them as well.

Change: 64 KiB for each connection of the client, 64 KiB beyond the head limit in the server.

Measured: peak growth under 8 MB in each of 11 kinds of responses, under 16 MB in 3 kinds of requests of 32 MiB.

--- a/source/core/common/log_events.h
+++ b/source/core/common/log_events.h
@@ -73,6 +73,9 @@
 inline constexpr auto kFrameNotSent =
     log_event{1106, log_subsystem::kNet, log_level::kWarning,
               "frame not sent, too large or the queue is full"};
+inline constexpr auto kMessageTooLarge =
+    log_event{1107, log_subsystem::kNet, log_level::kWarning,
+              "message exceeds a memory limit, exchange ended"};
 inline constexpr auto kFaultApplied =
     log_event{1801, log_subsystem::kStandin, log_level::kInfo,
               "fault applied to a request"};
--- a/source/core/front/front_node.cc
+++ b/source/core/front/front_node.cc
@@ -236,6 +236,10 @@
                     static_cast<double>(directory_.routes().version()));
   metrics_.SetGauge("daisywind_front_endpoint_connections_opened", {},
                     static_cast<double>(endpoint_client_.OpenedConnections()));
+  metrics_.SetGauge("daisywind_front_messages_too_large", {},
+                    static_cast<double>(net::OversizedMessages()));
+  metrics_.SetGauge("daisywind_front_frames_dropped", {},
+                    static_cast<double>(net::DroppedFrames()));
   metrics_.SetGauge("daisywind_front_log_lines_dropped", {},
                     static_cast<double>(DroppedLogLines()));
   co_await exchange.Respond(net::TextResponse(metrics_.Render()));
--- a/source/core/journal/journal_node.cc
+++ b/source/core/journal/journal_node.cc
@@ -511,6 +511,7 @@
   add("view", replica_.current().number);
   add("complete", replica_.IsComplete() ? 1 : 0);
   add("frames_dropped_total", net::DroppedFrames());
+  add("messages_too_large_total", net::OversizedMessages());
   add("log_lines_dropped_total", DroppedLogLines());
   return text;
 }
--- a/source/core/net/http_client.cc
+++ b/source/core/net/http_client.cc
@@ -136,6 +136,7 @@
       const auto [error, size] = co_await http::async_read_header(
           connection_->stream, connection_->buffer, *parser_, kAsTuple);
       if (error) {
+        ReportIfOversized(error);
         co_return error;
       }
       head_ = ToResponseHead(parser_->get().base());
@@ -217,6 +218,7 @@
           connection_->stream, connection_->buffer, *parser_, kAsTuple);
       if (error && error != http::error::need_buffer) {
         has_failed_ = true;
+        ReportIfOversized(error);
         break;
       }
       const auto read = space.size() - parser_->get().body().size;
@@ -226,6 +228,7 @@
         ScanEvents(part);
         if (PartialEventBytes() > sse_parser::kMaxEventBytes) {
           has_failed_ = true;
+          ReportOversized("server", "event too large");
           break;
         }
         co_return part;
@@ -234,6 +237,15 @@
     co_return std::nullopt;
   }
 
+  static auto ReportIfOversized(const beast::error_code& error) -> void {
+    if (error == http::error::buffer_overflow ||
+        error == http::error::header_limit ||
+        error == http::error::body_limit) {
+      const auto reason = error.message();
+      ReportOversized("server", reason);
+    }
+  }
+
   auto NotifyReceived() -> void {
     if (options_.on_received) {
       options_.on_received();
--- a/source/core/net/http_connection_pool.h
+++ b/source/core/net/http_connection_pool.h
@@ -31,7 +31,7 @@
   }
 
   boost::beast::tcp_stream stream;
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer{kMaxParserBytes};
   std::string outgoing;
   std::size_t bytes_written = 0;
   bool is_written = true;
--- a/source/core/net/http_server.cc
+++ b/source/core/net/http_server.cc
@@ -116,7 +116,9 @@
 class connection : public http_exchange {
  public:
   connection(tcp::socket socket, const http_limits& limits)
-      : stream_(std::move(socket)), limits_(limits) {}
+      : stream_(std::move(socket)),
+        limits_(limits),
+        buffer_(limits.max_head_bytes + kMaxParserBytes) {}
 
   [[nodiscard]] auto request() const -> const http_request& override {
     return request_;
@@ -306,6 +308,9 @@
       co_return;
     }
     const auto reason = error.message();
+    if (error == http::error::buffer_overflow) {
+      ReportOversized("caller", reason);
+    }
     Log(log_events::kRequestRejected, {{"reason", std::string_view(reason)}});
     keep_alive_ = false;
     co_await Respond(ErrorResponse(error));
--- a/source/unit_tests/net/http_test.cc
+++ b/source/unit_tests/net/http_test.cc
@@ -3,6 +3,7 @@
 #include <boost/asio.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <fstream>
 #include <memory>
 #include <sstream>
 #include <string>
@@ -178,6 +179,35 @@
   return result.outcome;
 }
 
+// A value of /proc/self/status, in bytes.
+auto StatusBytes(const std::string& name) -> std::size_t {
+  auto status = std::ifstream("/proc/self/status");
+  auto line = std::string{};
+  while (std::getline(status, line)) {
+    if (line.starts_with(name + ":")) {
+      return std::stoull(line.substr(name.size() + 1)) * 1024;
+    }
+  }
+  return 0;
+}
+
+// The growth of this process's memory beyond what it used at the start.
+class memory_growth {
+ public:
+  memory_growth() : before_(StatusBytes("VmRSS")) {
+    // Resets the peak.
+    std::ofstream("/proc/self/clear_refs") << "5";
+  }
+
+  [[nodiscard]] auto PeakBytes() const -> std::size_t {
+    const auto peak = StatusBytes("VmHWM");
+    return peak > before_ ? peak - before_ : 0;
+  }
+
+ private:
+  std::size_t before_;
+};
+
 // Renders a response head and a body under one framing.
 auto Framed(body_framing framing, std::string head, const std::string& body)
     -> std::string {
@@ -344,6 +374,74 @@
   }
 }
 
+// Regression: a replica that sent bytes without end in the line of a chunk or
+// in a trailer used up the memory of the process.
+TEST_CASE("a response without end takes a bounded amount of memory") {
+  const auto head = std::string("HTTP/1.1 200 OK\r\n");
+  const auto chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  const auto events =
+      head + "Content-Type: text/event-stream\r\n\r\ndata: one\n\n";
+  const auto cases = std::vector<std::pair<std::string, std::string>>{
+      {chunked + "5;", "extension"},
+      {chunked + "5\r\nbytes\r\n0\r\nA: ", "trailer"},
+      {chunked + "5\r\nbytes\r\n0\r\n", "A: b\r\n"},
+      {chunked + "0", "0"},
+      {head + "A: ", "a"},
+      {head, "A: b\r\n"},
+      {"", "no response"},
+      {head + "\r\n", "body"},
+      {chunked, "5\r\nbytes\r\n"},
+      {events + "data: ", "two"},
+      {events + ": ", "comment"}};
+  constexpr auto kRepeats = 8000;
+  constexpr auto kMaxGrowth = std::size_t{8} << 20U;
+  for (const auto& [start, word] : cases) {
+    CAPTURE(start);
+    CAPTURE(word);
+    auto piece = std::string{};
+    for (auto i = 0; i < kRepeats; ++i) {
+      piece += word;
+    }
+    auto context = asio::io_context{};
+    auto server = endless_server(context, start, piece);
+    auto client = http_client(context);
+    auto options = http_options{};
+    options.max_body_bytes = std::size_t{1} << 20U;
+    const auto reported_before = OversizedMessages();
+    const auto growth = memory_growth();
+    auto result = http_result{};
+    RunUntilDone(context, [&]() -> asio::awaitable<void> {
+      result = co_await client.Send({"127.0.0.1", server.port()},
+                                    {"GET", "/", {}, ""}, options);
+    }());
+    CHECK(result.outcome == http_outcome::kNoAnswer);
+    CHECK(server.pieces() < endless_server::kMaxPieces);
+    CHECK(growth.PeakBytes() < kMaxGrowth);
+    // Other errors end bytes that are malformed at once.
+    CHECK(OversizedMessages() <= reported_before + 1);
+  }
+}
+
+TEST_CASE("a request without end takes a bounded amount of memory") {
+  auto limits = http_limits{};
+  limits.max_body_bytes = std::size_t{1} << 20U;
+  auto served = fixture(limits);
+  const auto head = std::string(
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n");
+  constexpr auto kBytes = std::size_t{32} << 20U;
+  constexpr auto kMaxGrowth = std::size_t{16} << 20U;
+  for (const auto* start : {"\r\n5;", "\r\n5\r\nbytes\r\n0\r\nA: ", "A: "}) {
+    CAPTURE(start);
+    auto bytes = head + start + std::string(kBytes, 'x');
+    const auto growth = memory_growth();
+    const auto answer = served.SendRaw(std::move(bytes));
+    // A server that closes with unread bytes resets the connection, and the
+    // answer may be lost.
+    CHECK(answer.find(" 200 ") == std::string::npos);
+    CHECK(growth.PeakBytes() < kMaxGrowth);
+  }
+}
+
 TEST_CASE("a response head without end fails at the head time-out") {
   const auto chunked = std::string(
       "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n");
