net: refuse requests with a transfer coding that is not decoded

Cause: the HTTP parser takes a request whose Transfer-Encoding does not end in "chunked", or one in HTTP/1.0, for one without a body, and http_server read the body as the next request.

Change: 400 and the end of the connection for every transfer coding but a single "chunked" in HTTP/1.1. The gateway and the stand-ins use the same server. By reading: responses with such a coding end with their connection, which is not reused.

--- a/source/core/net/http_server.cc
+++ b/source/core/net/http_server.cc
@@ -63,6 +63,21 @@
   return to;
 }
 
+// Whether a request has a transfer coding that this server does not decode. The
+// parser takes such a body for empty, or leaves its coding in it, and what
+// follows the head must then not be read as another request.
+auto HasUnknownFraming(const http::request_parser<http::string_body>& parser)
+    -> bool {
+  constexpr auto kHttp11 = 11U;
+  const auto& request = parser.get();
+  const auto codings = request.count(http::field::transfer_encoding);
+  if (codings == 0) {
+    return false;
+  }
+  return codings > 1 || request.version() < kHttp11 || !parser.chunked() ||
+         !beast::iequals(request[http::field::transfer_encoding], "chunked");
+}
+
 auto ErrorResponse(const beast::error_code& error) -> http_response {
   auto status = 400U;
   auto title = std::string("malformed request");
@@ -282,6 +297,10 @@
                                    : error);
       co_return false;
     }
+    if (HasUnknownFraming(parser)) {
+      co_await Reject(make_error_code(http::error::bad_transfer_encoding));
+      co_return false;
+    }
     keep_alive_ = keep_alive_ && parser.get().keep_alive();
     request_ = ToHttpRequest(parser.release());
     co_return true;
--- a/source/unit_tests/net/http_test.cc
+++ b/source/unit_tests/net/http_test.cc
@@ -272,6 +272,43 @@
   CHECK(net.Send({"POST", "/", {}, "{}"}).response.status == 200);
 }
 
+// Regression: a body with a transfer coding that is not decoded was read as the
+// next request.
+TEST_CASE("a request inside a body of unknown framing is not served") {
+  const auto inner = std::string(
+      "POST /inner HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\ninner");
+  const auto chunk = std::string("5\r\nouter\r\n0\r\n\r\n");
+  const auto heads = std::vector<std::string>{
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: identity\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: odd\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked, x\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n"
+      "Content-Length: 0\r\n\r\n",
+      "POST / HTTP/1.0\r\nHost: a\r\nConnection: keep-alive\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n"
+      "\r\n" +
+          chunk,
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+      "Transfer-Encoding: identity\r\n\r\n" +
+          chunk};
+  for (const auto& head : heads) {
+    CAPTURE(head);
+    auto served = fixture();
+    const auto answer = served.SendRaw(head + inner);
+    CHECK(answer.starts_with("HTTP/1.1 400"));
+    CHECK(answer.find("inner") == std::string::npos);
+    CHECK(answer.find("HTTP/1.1 200") == std::string::npos);
+  }
+  auto served = fixture();
+  const auto known = served.SendRaw(
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: Chunked\r\n"
+      "Connection: close\r\n\r\n" +
+      chunk);
+  CHECK(known.starts_with("HTTP/1.1 200"));
+}
+
 TEST_CASE("a request that arrives too slowly gets an error response") {
   auto limits = http_limits{};
   limits.read_timeout = 50ms;
