--- a/source/core/history/fact_table.cc
+++ b/source/core/history/fact_table.cc
@@ -173,12 +173,30 @@
 }
 
 auto fact_table::RecordedBefore(std::int64_t cutoff_ms) const
-    -> std::vector<turn_fact> {
-  auto facts = std::vector<turn_fact>{};
+    -> std::vector<turn_id> {
+  auto turns = std::vector<turn_id>{};
   for (const auto& [turn, known] : facts_) {
     if (known.recorded_ms < cutoff_ms) {
-      facts.push_back(known);
+      turns.push_back(turn);
+    }
+  }
+  return turns;
+}
+
+auto fact_table::TakeBatch(std::vector<turn_id>& turns,
+                           std::size_t max_bytes) const
+    -> std::vector<turn_fact> {
+  auto facts = std::vector<turn_fact>{};
+  auto bytes = std::size_t{0};
+  while (!turns.empty()) {
+    if (const auto found = facts_.find(turns.back()); found != facts_.end()) {
+      bytes += SizeOf(found->second);
+      if (bytes > max_bytes && !facts.empty()) {
+        break;
+      }
+      facts.push_back(found->second);
     }
+    turns.pop_back();
   }
   return facts;
 }
--- a/source/core/history/fact_table.h
+++ b/source/core/history/fact_table.h
@@ -73,8 +73,14 @@
   [[nodiscard]] auto FindBatch(const std::vector<fact_hash>& hashes,
                                std::size_t max_bytes) const -> fact_batch;
 
-  // Facts recorded before a Unix time in milliseconds.
+  // Turns recorded before a Unix time in milliseconds.
   [[nodiscard]] auto RecordedBefore(std::int64_t cutoff_ms) const
+      -> std::vector<turn_id>;
+
+  // Takes turns from the end of a list and returns their facts, as many as fit
+  // into a size in bytes and at least one. Skips unknown turns.
+  [[nodiscard]] auto TakeBatch(std::vector<turn_id>& turns,
+                               std::size_t max_bytes) const
       -> std::vector<turn_fact>;
 
   // Hashes of all facts.
--- a/source/core/journal/disk_log.cc
+++ b/source/core/journal/disk_log.cc
@@ -33,6 +33,8 @@
 // Header before each record: length in 4 bytes and checksum in 8 bytes.
 constexpr auto kHeaderBytes = std::size_t{12};
 constexpr auto kChecksumSeed = std::uint64_t{0x6a6f75726e616c};
+// Size from which joined records are written, in bytes.
+constexpr auto kWriteBytes = std::size_t{256} * 1024;
 // Pause before a failed write is retried.
 constexpr auto kRetryPause = std::chrono::milliseconds(100);
 
@@ -183,12 +185,8 @@
 
   auto WriteBatch(const std::vector<queued_record>& batch) -> bool {
     const auto began = std::chrono::steady_clock::now();
-    auto bytes = std::string{};
-    for (const auto& item : batch) {
-      bytes += item.bytes;
-    }
     const auto is_written =
-        OpenSegment() && WriteAll(file, bytes) && ::fdatasync(file) == 0;
+        OpenSegment() && WriteRecords(batch) && ::fdatasync(file) == 0;
     if (!is_written) {
       const auto reason = std::string(std::strerror(errno));
       Log(log_events::kDiskWriteFailed, {{"reason", std::string_view(reason)}});
@@ -197,7 +195,9 @@
       CloseSegment();
       return false;
     }
-    segment_size += bytes.size();
+    for (const auto& item : batch) {
+      segment_size += item.bytes.size();
+    }
     if (segment_size >= options.segment_bytes) {
       CloseSegment();
     }
@@ -208,6 +208,21 @@
     return true;
   }
 
+  // Joins small records, so that a batch takes few calls and little memory.
+  auto WriteRecords(const std::vector<queued_record>& batch) const -> bool {
+    auto bytes = std::string{};
+    for (const auto& item : batch) {
+      bytes += item.bytes;
+      if (bytes.size() >= kWriteBytes) {
+        if (!WriteAll(file, bytes)) {
+          return false;
+        }
+        bytes.clear();
+      }
+    }
+    return WriteAll(file, bytes);
+  }
+
   auto OpenSegment() -> bool {
     if (file >= 0) {
       return true;
@@ -298,7 +313,7 @@
 auto disk_log::Append(std::string_view record, append_handler handler) -> void {
   auto framed = FrameRecord(record);
   const auto size = framed.size();
-  if (state_->queued_bytes + size > state_->options.max_queued_bytes) {
+  if (!HasRoom(record.size())) {
     handler(false);
     return;
   }
@@ -310,6 +325,11 @@
   state_->wake.notify_one();
 }
 
+auto disk_log::HasRoom(std::size_t bytes) const -> bool {
+  return state_->queued_bytes + kHeaderBytes + bytes <=
+         state_->options.max_queued_bytes;
+}
+
 auto disk_log::CurrentSegment() const -> segment_number {
   return state_->current_segment;
 }
--- a/source/core/journal/disk_log.h
+++ b/source/core/journal/disk_log.h
@@ -62,6 +62,9 @@
   // A failed write is retried until it succeeds.
   auto Append(std::string_view record, append_handler handler) -> void;
 
+  // Whether a record of this size, in bytes, can be queued.
+  [[nodiscard]] auto HasRoom(std::size_t bytes) const -> bool;
+
   // The segment that the next record will be written to, or a later one.
   [[nodiscard]] auto CurrentSegment() const -> segment_number;
 
--- a/source/core/journal/fact_copier.cc
+++ b/source/core/journal/fact_copier.cc
@@ -195,8 +195,9 @@
       RemoveExamined(hashes, pulled->examined);
       auto added = node_.replica().MergeFacts(pulled->facts);
       node_.counters().facts_pulled += added.size();
-      if (!added.empty()) {
-        node_.Persist(std::move(added), [](bool) {});
+      // A disk slower than the network holds the next request back.
+      if (!added.empty() && !co_await node_.PersistAndWait(std::move(added))) {
+        work->has_failed = true;
       }
     }
   }
--- a/source/core/journal/journal_node.cc
+++ b/source/core/journal/journal_node.cc
@@ -32,6 +32,13 @@
 // Minimum time between two writes of the store mirror to disk, so that changes
 // of the platform's store are written in batches.
 constexpr auto kMirrorWriteInterval = duration(1s);
+// Size of the facts in one record while old segments are rewritten, in bytes.
+constexpr auto kRewriteBytes = std::size_t{1} << 20U;
+// Maximum size of a record beyond that of the request that it stores, in bytes.
+constexpr auto kRecordOverheadBytes = std::size_t{4} * 1024;
+// Pause before a write is tried again that the queue of the log had no room
+// for.
+constexpr auto kQueueFullPause = std::chrono::milliseconds(50);
 // Time between the newest facts of two sweeps while a log is read.
 constexpr auto kLoadExpiryIntervalMs = std::int64_t{5000};
 
@@ -150,7 +157,6 @@
   }
   LoadRecords();
   RecordRemoval({});
-  RewriteOldSegments();
   const auto address = net::ParseSocketAddress(listen_address_);
   if (!address || server_.Listen(*address) == 0) {
     return false;
@@ -293,6 +299,17 @@
     }
     return;
   }
+  const auto is_write =
+      begin != nullptr ||
+      std::holds_alternative<history::record_request>(request->body);
+  if (is_write && !HasRoomOnDisk(frame.size())) {
+    ++counters_.refused_writes;
+    if (const auto open = channel.lock()) {
+      open->Send(history::EncodeMessage({request->id, replica_.current().number,
+                                         history::record_reply{false}}));
+    }
+    return;
+  }
   auto effect = replica_.Handle(*request, UnixMs());
   if (!effect.reply) {
     return;
@@ -380,9 +397,13 @@
 
 auto journal_node::Persist(std::vector<history::turn_fact> facts,
                            append_handler done) -> void {
-  facts.insert(facts.end(), std::make_move_iterator(facts_to_retry_.begin()),
-               std::make_move_iterator(facts_to_retry_.end()));
-  facts_to_retry_.clear();
+  if (!RetryFacts()) {
+    facts_to_retry_.insert(facts_to_retry_.end(),
+                           std::make_move_iterator(facts.begin()),
+                           std::make_move_iterator(facts.end()));
+    done(false);
+    return;
+  }
   // An empty batch is written as well, because its sync covers all records that
   // were queued before it.
   if (facts.empty()) {
@@ -398,6 +419,50 @@
   });
 }
 
+auto journal_node::RetryFacts() -> bool {
+  while (!facts_to_retry_.empty()) {
+    const auto record =
+        history::EncodeRecord({{facts_to_retry_.front()}, 0, std::nullopt});
+    if (!log_.HasRoom(record.size())) {
+      return false;
+    }
+    log_.Append(record, [](bool) {});
+    facts_to_retry_.pop_front();
+  }
+  return true;
+}
+
+auto journal_node::HasRoomOnDisk(std::size_t bytes) -> bool {
+  return RetryFacts() && log_.HasRoom(bytes + kRecordOverheadBytes);
+}
+
+auto journal_node::PersistAndWait(std::vector<history::turn_fact> facts)
+    -> asio::awaitable<bool> {
+  struct wait_state {
+    explicit wait_state(asio::io_context& io)
+        : wake(io, asio::steady_timer::time_point::max()) {}
+
+    asio::steady_timer wake;
+    std::optional<bool> is_durable;
+  };
+  while (!is_stopped_) {
+    const auto shared = std::make_shared<wait_state>(context_);
+    Persist(std::exchange(facts, {}), [shared](bool is_durable) {
+      shared->is_durable = is_durable;
+      shared->wake.cancel();
+    });
+    while (!shared->is_durable) {
+      co_await shared->wake.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    if (*shared->is_durable) {
+      co_return true;
+    }
+    shared->wake.expires_after(kQueueFullPause);
+    co_await shared->wake.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  co_return false;
+}
+
 auto journal_node::PersistComplete(history::view_number since,
                                    append_handler done) -> void {
   replica_.SetComplete(since);
@@ -444,6 +509,7 @@
 }
 
 auto journal_node::ExpireFacts() -> asio::awaitable<void> {
+  co_await RewriteOldSegments();
   while (!is_stopped_) {
     timer_.expires_after(expiry_.options().interval);
     co_await timer_.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -452,42 +518,52 @@
     }
     co_await expiry_.Sweep();
     if (!is_stopped_) {
-      RewriteOldSegments();
+      RetryFacts();
+      co_await RewriteOldSegments();
     }
   }
 }
 
 // Rewrites the facts that are still needed to the current segment before it
-// deletes the old segments that hold them.
-auto journal_node::RewriteOldSegments() -> void {
+// deletes the old segments that hold them. Their size is that of the replica,
+// so they are written in parts.
+auto journal_node::RewriteOldSegments() -> asio::awaitable<void> {
   const auto now = UnixMs();
   if (segments_.back().second != log_.CurrentSegment()) {
     segments_.emplace_back(now, log_.CurrentSegment());
   }
-  // A segment ends when the next one begins.
-  auto first_kept = segment_number{0};
-  auto ended_ms = std::int64_t{0};
   // A fact of another VM may bear a time after that of its segment's end.
   const auto kept_ms =
       replica_.LongestLifetimeMs() + history::kRetentionSlackMs;
-  while (segments_.size() > 1 && segments_[1].first < now - kept_ms) {
-    first_kept = segments_[1].second;
-    ended_ms = segments_[1].first;
-    segments_.erase(segments_.begin());
+  // A segment ends when the next one begins.
+  auto old_segments = std::size_t{0};
+  while (old_segments + 1 < segments_.size() &&
+         segments_[old_segments + 1].first < now - kept_ms) {
+    ++old_segments;
   }
-  if (first_kept == 0) {
-    return;
+  if (old_segments == 0) {
+    co_return;
   }
+  const auto [ended_ms, first_kept] = segments_[old_segments];
   auto needed =
       replica_.facts().RecordedBefore(ended_ms + history::kRetentionSlackMs);
   RecordRemoval({});
   log_.Append(history::EncodeRecord({{}, 0, mirror_.CopyIfNewer(0)}),
               [](bool) {});
-  Persist(std::move(needed), [this, first_kept](bool is_durable) {
-    if (is_durable) {
-      log_.RemoveBefore(first_kept);
-    }
-  });
+  auto is_durable = true;
+  while (is_durable && !needed.empty()) {
+    is_durable = co_await PersistAndWait(
+        replica_.facts().TakeBatch(needed, kRewriteBytes));
+  }
+  // The records of the state and of the store are before this one.
+  is_durable = is_durable && co_await PersistAndWait({});
+  if (!is_durable) {
+    co_return;
+  }
+  log_.RemoveBefore(first_kept);
+  segments_.erase(
+      segments_.begin(),
+      segments_.begin() + static_cast<std::ptrdiff_t>(old_segments));
 }
 
 auto journal_node::RenderMetrics() const -> std::string {
--- a/source/core/journal/journal_node.h
+++ b/source/core/journal/journal_node.h
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -82,9 +83,14 @@
   auto PersistMirror() -> void;
 
   // Writes facts to disk. The handler is called with whether that succeeded.
+  // Facts for which the queue of the log has no room are written later.
   auto Persist(std::vector<history::turn_fact> facts, append_handler done)
       -> void;
 
+  // Likewise. Returns once the facts are on disk, or false at a stop.
+  auto PersistAndWait(std::vector<history::turn_fact> facts)
+      -> boost::asio::awaitable<bool>;
+
   // Removes those of the programs that are still outlived, from memory and from
   // what a restart loads. Returns the number of removed facts.
   auto RemoveOutlived(const std::vector<history::program_name>& programs)
@@ -123,7 +129,14 @@
   // been removed.
   auto RecordRemoval(std::vector<history::program_name> programs) -> void;
   auto ExpireFacts() -> boost::asio::awaitable<void>;
-  auto RewriteOldSegments() -> void;
+  auto RewriteOldSegments() -> boost::asio::awaitable<void>;
+  // Queues facts that found no room in the log before, as far as there is some
+  // now. Returns whether none is left.
+  auto RetryFacts() -> bool;
+  // Whether a request of this size, in bytes, can be written. Refused requests
+  // leave no trace in memory, so that memory has no more than the disk for
+  // long.
+  auto HasRoomOnDisk(std::size_t bytes) -> bool;
 
   boost::asio::io_context& context_;
   std::string folder_;
@@ -149,9 +162,9 @@
   program_expiry expiry_;
   fact_copier copier_;
   journal_counters counters_;
-  // Facts in memory that were rejected by the full queue of the log. They are
-  // written with the next batch.
-  std::vector<history::turn_fact> facts_to_retry_;
+  // Facts in memory that were rejected by the full queue of the log. Nothing
+  // else is written before them.
+  std::deque<history::turn_fact> facts_to_retry_;
   // Segments with the wall-clock time at which each was started, in
   // milliseconds since 1970.
   std::vector<std::pair<std::int64_t, segment_number>> segments_;
--- a/source/unit_tests/journal/journal_node_test.cc
+++ b/source/unit_tests/journal/journal_node_test.cc
@@ -610,6 +610,39 @@
   CHECK(cluster.SegmentCount(1) <= 2);
 }
 
+// Regression: the facts that were still needed from old segments were appended
+// as one record, which the log refused, and every later write with it.
+TEST_CASE("facts larger than the queue of the log are rewritten in parts") {
+  auto cluster = journal_cluster();
+  // Old turns stay although the newest one is not stored yet.
+  cluster.expiry_options.interval = std::chrono::hours(1);
+  cluster.Start(1);
+  REQUIRE(cluster.RunUntil([&] { return cluster.IsSettled({"vm1"}); }));
+  constexpr auto kHourMs = std::int64_t{3'600'000};
+  constexpr auto kBytes = std::size_t{1} << 20U;
+  constexpr auto kTurns = 30;
+  auto recent = AgedFact("recent", 0);
+  recent.program = history::program_name("p");
+  for (auto i = 0; i < kTurns; ++i) {
+    auto fact = AgedFact("t" + std::to_string(i), kHourMs);
+    fact.program = recent.program;
+    fact.content = history::turn_content{};
+    fact.content->input.assign(kBytes, 'x');
+    cluster.Store(1, fact);
+  }
+  cluster.Store(1, recent);
+  const auto segments_before = cluster.SegmentCount(1);
+  cluster.Stop(1);
+  cluster.Start(1);
+  cluster.Store(1, AgedFact("later", 0));
+  CHECK(cluster.At(1).counters().refused_writes == 0);
+  cluster.Stop(1);
+  cluster.Start(1);
+  CHECK(cluster.At(1).replica().facts().size() == kTurns + 2);
+  CHECK(cluster.RunUntil(
+      [&] { return cluster.SegmentCount(1) <= segments_before + 2; }));
+}
+
 TEST_CASE("journals without memory refuse new turns at once") {
   auto cluster = journal_cluster();
   cluster.memory_limit_mb = 1;
