--- a/source/core/journal/fact_copier.cc
+++ b/source/core/journal/fact_copier.cc
@@ -20,14 +20,16 @@
 // Maximum number of facts in one message, and their maximum size in bytes
 // unless there is only one. Some of these messages share a link between regions
 // with the requests of callers.
-constexpr auto kFactsPerBatch = std::size_t{32};
+constexpr auto kFactsPerBatch = std::size_t{256};
 constexpr auto kBatchBytes = std::size_t{256} * 1024;
+// Members of earlier versions do not limit the size of a reply.
+constexpr auto kFactsPerUnlimitedBatch = std::size_t{32};
 // Several connections, because the window of a single one limits throughput
 // over a long distance.
 constexpr auto kPullConnections = std::size_t{4};
-constexpr auto kForwardConnections = std::size_t{2};
+constexpr auto kForwardConnections = std::size_t{4};
 // Requests of other members to forward facts that are served at the same time.
-constexpr auto kMaxForwards = std::size_t{8};
+constexpr auto kMaxForwards = std::size_t{16};
 
 // Removes the first hashes, or all if their number is zero, as in replies of
 // members of earlier versions.
@@ -47,7 +49,7 @@
   // Takes facts from the front, which only this replica can read, or from the
   // back, which the partner lacks as well.
   auto TakeFront() -> hash_list {
-    const auto count = std::min(kFactsPerBatch, wanted.size());
+    const auto count = std::min(facts_per_batch, wanted.size());
     const auto last = wanted.begin() + static_cast<std::ptrdiff_t>(count);
     auto batch = hash_list(wanted.begin(), last);
     wanted.erase(wanted.begin(), last);
@@ -82,6 +84,7 @@
   hash_list wanted;
   // Number of facts in front of `wanted` that the partner has already.
   std::size_t not_forwardable = 0;
+  std::size_t facts_per_batch = kFactsPerUnlimitedBatch;
   std::size_t running = 0;
   std::size_t forwarded = 0;
   bool has_failed = false;
@@ -192,6 +195,9 @@
         work->has_failed = true;
         break;
       }
+      if (pulled->examined > 0) {
+        work->facts_per_batch = kFactsPerBatch;
+      }
       RemoveExamined(hashes, pulled->examined);
       auto added = node_.replica().MergeFacts(pulled->facts);
       node_.counters().facts_pulled += added.size();
