process: try a failed start again

Change: StartUntilDone tries a start again with line 1007; signals that are no reason to end are ignored from the first instruction; an exception in a handler ends its exchange, with line 1008. A folder or segment that can't be read is no empty disk any more (2211).

--- a/source/core/common/log_events.cc
+++ b/source/core/common/log_events.cc
@@ -10,7 +10,8 @@
 constexpr auto kCatalogue = std::to_array<log_event>({
     kProcessStarted,       kProcessStopping,
     kProcessStopped,       kInvariantBroken,
-    kLogLinesDropped,      kEventLoopLate,
+    kLogLinesDropped,      kStartFailed,
+    kHandlerFailed,        kEventLoopLate,
     kListenFailed,         kRequestRejected,
     kFrameRejected,        kPeerConnected,
     kPeerDisconnected,     kFrameNotSent,
@@ -39,7 +40,7 @@
     kCopyComplete,         kPullFailed,
     kRetireProgress,       kFactsExpired,
     kViewAdopted,          kFactsMayBeLost,
-    kMemoryFull,
+    kMemoryFull,           kDiskUnreadable,
 });
 
 }  // namespace
--- a/source/core/common/log_events.h
+++ b/source/core/common/log_events.h
@@ -57,6 +57,12 @@
 inline constexpr auto kEventLoopLate =
     log_event{1006, log_subsystem::kCommon, log_level::kWarning,
               "event loop late, input processed with a delay"};
+inline constexpr auto kStartFailed =
+    log_event{1007, log_subsystem::kCommon, log_level::kError,
+              "start failed, trying again"};
+inline constexpr auto kHandlerFailed =
+    log_event{1008, log_subsystem::kCommon, log_level::kError,
+              "exception in a handler, its exchange ended"};
 inline constexpr auto kListenFailed =
     log_event{1101, log_subsystem::kNet, log_level::kError,
               "listening on address failed"};
@@ -208,6 +214,9 @@
 inline constexpr auto kFactsMayBeLost =
     log_event{2209, log_subsystem::kJournal, log_level::kError,
               "more disks lost than tolerated, facts may be lost"};
+inline constexpr auto kDiskUnreadable =
+    log_event{2211, log_subsystem::kJournal, log_level::kError,
+              "records could not be read from disk"};
 inline constexpr auto kMemoryFull =
     log_event{2210, log_subsystem::kJournal, log_level::kWarning,
               "turns refused or accepted again, by the memory for facts"};
--- a/source/core/journal/disk_log.cc
+++ b/source/core/journal/disk_log.cc
@@ -17,7 +17,9 @@
 #include <fstream>
 #include <iterator>
 #include <mutex>
+#include <optional>
 #include <thread>
+#include <tuple>
 #include <utility>
 
 #include "common/digest.h"
@@ -60,12 +62,13 @@
   return number;
 }
 
-// Segments in ascending order. Empty when the folder can't be read.
-auto ListSegments(const std::string& folder) -> std::vector<segment_number> {
+// Segments in ascending order. Nothing when the folder can't be read.
+auto ListSegments(const std::string& folder)
+    -> std::optional<std::vector<segment_number>> {
   auto list = std::vector<segment_number>{};
   auto* directory = ::opendir(folder.c_str());
   if (directory == nullptr) {
-    return list;
+    return std::nullopt;
   }
   while (const auto* item = ::readdir(directory)) {
     const auto number =
@@ -192,6 +195,7 @@
       Log(log_events::kDiskWriteFailed, {{"reason", std::string_view(reason)}});
       // Loading a segment stops at the first torn record, so the retry must go
       // to a new segment.
+      RemoveTornWrite();
       CloseSegment();
       return false;
     }
@@ -240,6 +244,19 @@
     return file >= 0;
   }
 
+  // On a full disk, what failed writes leave would take the room of the next.
+  auto RemoveTornWrite() -> void {
+    if (file < 0) {
+      return;
+    }
+    if (segment_size == 0) {
+      ::unlink(Path(current_segment).c_str());
+    } else {
+      // Without success the torn record is skipped by its checksum.
+      std::ignore = ::ftruncate(file, static_cast<off_t>(segment_size));
+    }
+  }
+
   auto CloseSegment() -> void {
     if (file >= 0) {
       ::close(file);
@@ -295,17 +312,23 @@
 auto disk_log::Load(const record_visitor& visit) -> log_load_result {
   auto load = log_load_result{};
   const auto segments = ListSegments(state_->folder);
-  load.is_readable = true;
-  for (const auto number : segments) {
+  if (!segments) {
+    return load;
+  }
+  for (const auto number : *segments) {
     auto stream = std::ifstream(state_->Path(number), std::ios::binary);
+    const auto is_open = stream.is_open();
     const auto bytes = std::string(std::istreambuf_iterator<char>(stream),
                                    std::istreambuf_iterator<char>());
-    load.is_readable = load.is_readable && !stream.bad();
+    if (!is_open || stream.bad()) {
+      return load;
+    }
     if (!VisitRecords(number, bytes, visit, load)) {
       ++load.damaged_segments;
     }
   }
-  state_->current_segment = segments.empty() ? 1 : segments.back() + 1;
+  load.is_readable = true;
+  state_->current_segment = segments->empty() ? 1 : segments->back() + 1;
   state_->writer = std::thread([self = state_.get()] { self->Run(); });
   return load;
 }
@@ -335,7 +358,9 @@
 }
 
 auto disk_log::RemoveBefore(segment_number first_kept) -> void {
-  for (const auto number : ListSegments(state_->folder)) {
+  const auto segments =
+      ListSegments(state_->folder).value_or(std::vector<segment_number>{});
+  for (const auto number : segments) {
     if (number < first_kept) {
       ::unlink(state_->Path(number).c_str());
     }
--- a/source/core/journal/disk_log.h
+++ b/source/core/journal/disk_log.h
@@ -29,7 +29,8 @@
   std::uint64_t bytes = 0;
   // Segments with a damaged record, as an interrupted write leaves at the end.
   std::uint64_t damaged_segments = 0;
-  // False when reading a segment file failed.
+  // False when the folder or a segment file could not be read. The log is then
+  // not started.
   bool is_readable = false;
 };
 
@@ -55,7 +56,8 @@
   ~disk_log();
 
   // Reads all segments, oldest first, and starts the writer thread, which
-  // begins a new segment. Must be called once, before the first append.
+  // begins a new segment. Must be called once, before the first append. The
+  // thread may fail to start, with std::system_error.
   auto Load(const record_visitor& visit) -> log_load_result;
 
   // Queues a record. The handler is called with false when the queue is full.
--- a/source/core/journal/journal_node.cc
+++ b/source/core/journal/journal_node.cc
@@ -20,6 +20,7 @@
 #include "history_wire/codec.h"
 #include "journal/journal_settings.h"
 #include "journal/view_manager.h"
+#include "net/acceptor.h"
 
 namespace daisywind::journal {
 namespace {
@@ -42,10 +43,12 @@
 // Time between the newest facts of two sweeps while a log is read.
 constexpr auto kLoadExpiryIntervalMs = std::int64_t{5000};
 
-auto FindIdentity(const std::string& folder) -> std::string {
+// Returns an empty text when the disk has no identity yet, and nothing when it
+// can't be read, which must not look like a new disk.
+auto FindIdentity(const std::string& folder) -> std::optional<std::string> {
   auto* directory = ::opendir(folder.c_str());
   if (directory == nullptr) {
-    return {};
+    return std::nullopt;
   }
   auto found = std::string{};
   while (const auto* item = ::readdir(directory)) {
@@ -109,7 +112,7 @@
 journal_node::journal_node(asio::io_context& context,
                            const settings& values,
                            kv::store& store,
-                           view_manager_options view_options,
+                           const view_manager_options& view_options,
                            program_expiry_options expiry_options)
     : context_(context),
       folder_(values.Get(kDataFolder)),
@@ -149,20 +152,26 @@
 journal_node::~journal_node() = default;
 
 auto journal_node::Start() -> bool {
+  const auto address = net::ParseSocketAddress(listen_address_);
+  const auto seed = net::ParseSocketAddress(seed_address_);
+  // Requests are served only once the records are loaded, which takes long.
+  if (!address || !net::CanListen(*address) ||
+      (seed && !net::CanListen(*seed))) {
+    return false;
+  }
   ::mkdir(folder_.c_str(), 0755);
   if (!LoadIdentity()) {
     Log(log_events::kDiskWriteFailed,
-        {{"reason", "disk identity file could not be created"}});
+        {{"reason", "disk identity could not be read or created"}});
     return false;
   }
-  LoadRecords();
-  RecordRemoval({});
-  const auto address = net::ParseSocketAddress(listen_address_);
-  if (!address || server_.Listen(*address) == 0) {
+  if (!LoadRecords()) {
+    Log(log_events::kDiskUnreadable);
     return false;
   }
-  const auto seed = net::ParseSocketAddress(seed_address_);
-  if (seed && seed_server_.Listen(*seed) == 0) {
+  RecordRemoval({});
+  if (server_.Listen(*address) == 0 ||
+      (seed && seed_server_.Listen(*seed) == 0)) {
     return false;
   }
   view_manager_->Start();
@@ -180,17 +189,20 @@
 
 auto journal_node::LoadIdentity() -> bool {
   auto identity = FindIdentity(folder_);
-  if (identity.empty()) {
+  if (!identity) {
+    return false;
+  }
+  if (identity->empty()) {
     identity = ToHex(SystemSeed());
-    if (!CreateIdentity(folder_, identity)) {
+    if (!CreateIdentity(folder_, *identity)) {
       return false;
     }
   }
-  self_.disk = history::disk_id(identity);
+  self_.disk = history::disk_id(*identity);
   return true;
 }
 
-auto journal_node::LoadRecords() -> void {
+auto journal_node::LoadRecords() -> bool {
   const auto began = Now();
   const auto began_ms = UnixMs();
   auto unreadable = std::int64_t{0};
@@ -232,6 +244,9 @@
           replica_.SetComplete(record->complete_in_view);
         }
       });
+  if (!load.is_readable) {
+    return false;
+  }
   segments_.emplace_back(UnixMs(), log_.CurrentSegment());
   persisted_mirror_revision_ = mirror_.revision_at();
   Log(log_events::kDiskLoaded,
@@ -243,6 +258,7 @@
        {"facts", static_cast<std::int64_t>(replica_.facts().size())},
        {"complete", replica_.IsComplete()},
        {"took_us", (Now() - began).count()}});
+  return true;
 }
 
 auto journal_node::MakeChannelHandlers(
--- a/source/core/journal/journal_node.h
+++ b/source/core/journal/journal_node.h
@@ -60,14 +60,15 @@
   journal_node(boost::asio::io_context& context,
                const settings& values,
                kv::store& store,
-               view_manager_options view_options,
+               const view_manager_options& view_options,
                program_expiry_options expiry_options = {});
   journal_node(const journal_node&) = delete;
   auto operator=(const journal_node&) -> journal_node& = delete;
   ~journal_node();
 
-  // Loads the log and starts serving. Returns false when the disk identity
-  // can't be created or an address can't be listened on.
+  // Loads the log and starts serving. Returns false when the disk can't be
+  // read, its identity can't be created or an address can't be listened on.
+  // Another start then needs a new object.
   auto Start() -> bool;
 
   // Stops serving requests and managing the view.
@@ -107,7 +108,8 @@
 
  private:
   auto LoadIdentity() -> bool;
-  auto LoadRecords() -> void;
+  // Returns false when the disk can't be read.
+  auto LoadRecords() -> bool;
   auto MakeChannelHandlers(const std::shared_ptr<net::frame_channel>& channel)
       -> net::channel_handlers;
   // Whether there is memory for one more turn. Logs when the memory for first
--- a/source/core/net/acceptor.cc
+++ b/source/core/net/acceptor.cc
@@ -19,12 +19,16 @@
   }
   if (!error) {
     acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) {
     acceptor.bind(listen_endpoint, error);
   }
   if (!error) {
     acceptor.listen(asio::socket_base::max_listen_connections, error);
   }
   if (error) {
+    auto ignored = boost::system::error_code{};
+    acceptor.close(ignored);
     const auto text = ToString(address);
     const auto reason = error.message();
     Log(log_events::kListenFailed, {{"address", std::string_view(text)},
@@ -34,4 +38,10 @@
   return acceptor.local_endpoint().port();
 }
 
+auto CanListen(const socket_address& address) -> bool {
+  auto context = asio::io_context(1);
+  auto acceptor = asio::ip::tcp::acceptor(context);
+  return OpenAcceptor(acceptor, address) != 0;
+}
+
 }  // namespace daisywind::net
--- a/source/core/net/acceptor.h
+++ b/source/core/net/acceptor.h
@@ -14,6 +14,9 @@
 auto OpenAcceptor(boost::asio::ip::tcp::acceptor& acceptor,
                   const socket_address& address) -> std::uint16_t;
 
+// Whether an address can be listened on now; the reason is logged if not.
+auto CanListen(const socket_address& address) -> bool;
+
 }  // namespace daisywind::net
 
 #endif  // DAISYWIND_NET_ACCEPTOR_H_
--- a/source/core/process/process_main.cc
+++ b/source/core/process/process_main.cc
@@ -1,9 +1,16 @@
 #include "process/process_main.h"
 
+#include <boost/json.hpp>
 #include <boost/leaf/handle_errors.hpp>
+#include <chrono>
+#include <csignal>
 #include <cstdlib>
 #include <cxxopts.hpp>
+#include <exception>
+#include <fstream>
 #include <iostream>
+#include <iterator>
+#include <thread>
 #include <vector>
 
 #include "common/logging.h"
@@ -13,6 +20,36 @@
 namespace {
 
 constexpr auto kUsageErrorStatus = 2;
+// Pause before a start is tried again.
+constexpr auto kStartPause = std::chrono::milliseconds(200);
+// A settings file that is being replaced is incomplete for a moment.
+constexpr auto kSettingsFileTries = 15;
+
+// Whether the file holds a JSON value, valid as settings or not.
+auto IsWholeFile(const std::string& path) -> bool {
+  auto stream = std::ifstream(path);
+  const auto text = std::string(std::istreambuf_iterator<char>(stream),
+                                std::istreambuf_iterator<char>());
+  auto error = boost::json::error_code{};
+  boost::json::parse(text, error);
+  return !error;
+}
+
+auto WaitForSettingsFile(const std::string& path) -> void {
+  for (auto tries = 1; tries < kSettingsFileTries && !IsWholeFile(path);
+       ++tries) {
+    std::cerr << path << ": expected a complete JSON file, trying again\n";
+    std::this_thread::sleep_for(kStartPause);
+  }
+}
+
+// Signals that would end the process by default and are no reason to. A reload
+// before the settings are in force has nothing to do.
+auto IgnoreSignals() -> void {
+  for (const auto signal : {SIGPIPE, SIGHUP, SIGXFSZ}) {
+    std::signal(signal, SIG_IGN);
+  }
+}
 
 auto LoadSettings(const program& definition,
                   const cxxopts::ParseResult& arguments)
@@ -66,6 +103,11 @@
 
 auto RunWith(const program& definition, const cxxopts::ParseResult& arguments)
     -> int {
+  const auto is_check = arguments.count("print-settings") != 0 ||
+                        arguments.count("check-settings") != 0;
+  if (!is_check) {
+    WaitForSettingsFile(arguments["settings"].as<std::string>());
+  }
   const auto values = LoadSettingsOrReport(
       definition, arguments,
       [](const std::string& problem) { std::cerr << problem << '\n'; });
@@ -92,6 +134,7 @@
 }  // namespace
 
 auto Main(const program& definition, int argc, char** argv) -> int {
+  IgnoreSignals();
   try {
     auto options = MakeOptions(definition);
     const auto arguments = options.parse(argc, argv);
@@ -115,6 +158,22 @@
   }
 }
 
+auto StartUntilDone(const std::function<std::optional<int>()>& attempt) -> int {
+  while (true) {
+    auto reason = std::string("an address or the disk is not available");
+    try {
+      if (const auto status = attempt()) {
+        return *status;
+      }
+    } catch (const std::exception& error) {
+      reason = error.what();
+    }
+    Log(log_events::kStartFailed, {{"reason", std::string_view(reason)}});
+    FlushLogs();
+    std::this_thread::sleep_for(kStartPause);
+  }
+}
+
 auto StartLog(std::string_view program, const settings& values) -> void {
   StartBoundedLogging(ParseLogLevel(values.Get(vm_settings::kLogLevel)));
   const auto vm = values.Get(vm_settings::kVm);
--- a/source/core/process/process_main.h
+++ b/source/core/process/process_main.h
@@ -30,6 +30,12 @@
 // Returns the exit status: 2 on an invalid command line or invalid settings.
 auto Main(const program& definition, int argc, char** argv) -> int;
 
+// Calls `attempt` until it returns an exit status. Without one, or with an
+// exception before that, the program could not start: an address, a file or
+// another resource may be taken for a moment, so it is tried again after a
+// pause and a line in the log.
+auto StartUntilDone(const std::function<std::optional<int>()>& attempt) -> int;
+
 // Starts bounded logging at the configured severity and logs the start of the
 // program.
 auto StartLog(std::string_view program, const settings& values) -> void;
--- a/source/core/process/signals.cc
+++ b/source/core/process/signals.cc
@@ -2,6 +2,8 @@
 
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <exception>
+#include <string>
 #include <utility>
 
 #include "common/logging.h"
@@ -23,9 +25,6 @@
 
 signals::signals(boost::asio::io_context& context, signal_handlers handlers)
     : set_(context, SIGTERM, SIGINT), handlers_(std::move(handlers)) {
-  // A write to a connection that the peer has closed then fails with an error
-  // instead of ending the process.
-  std::signal(SIGPIPE, SIG_IGN);
   set_.add(SIGHUP);
   Wait();
 }
@@ -52,7 +51,17 @@
 auto RunUntilStopped(boost::asio::io_context& context, signal_handlers handlers)
     -> void {
   const auto on_signal = signals(context, std::move(handlers));
-  context.run();
+  auto has_ended = false;
+  while (!has_ended) {
+    try {
+      context.run();
+      has_ended = true;
+    } catch (const std::exception& error) {
+      // Ends the exchange whose handler threw; the others go on.
+      const auto reason = std::string(error.what());
+      Log(log_events::kHandlerFailed, {{"reason", std::string_view(reason)}});
+    }
+  }
   Log(log_events::kProcessStopped);
 }
 
--- a/source/daisywind_front/main.cc
+++ b/source/daisywind_front/main.cc
@@ -16,9 +16,10 @@
 namespace daisywind::front {
 namespace {
 
-auto Run(const settings& values,
-         const std::function<std::optional<settings>()>& reload) -> int {
-  process::StartLog("daisywind-front", values);
+// Returns nothing if the front could not start.
+auto Attempt(const settings& values,
+             const std::function<std::optional<settings>()>& reload)
+    -> std::optional<int> {
   auto context = boost::asio::io_context(1);
   const auto request_codec = platform::http_request_codec();
   const auto directory_codec = platform::directory_json();
@@ -30,8 +31,7 @@
   auto node =
       front_node(context, values, {request_codec, directory_codec, store});
   if (!node.Start()) {
-    FlushLogs();
-    return EXIT_FAILURE;
+    return std::nullopt;
   }
   process::RunUntilStopped(
       context, {[&] { node.Stop([&] { context.stop(); }); }, reload});
@@ -39,6 +39,12 @@
   return EXIT_SUCCESS;
 }
 
+auto Run(const settings& values,
+         const std::function<std::optional<settings>()>& reload) -> int {
+  process::StartLog("daisywind-front", values);
+  return process::StartUntilDone([&] { return Attempt(values, reload); });
+}
+
 }  // namespace
 }  // namespace daisywind::front
 
--- a/source/daisywind_gateway/main.cc
+++ b/source/daisywind_gateway/main.cc
@@ -14,15 +14,14 @@
 namespace daisywind::gateway {
 namespace {
 
-auto Run(const settings& values,
-         const std::function<std::optional<settings>()>& reload) -> int {
-  StartLogging(
-      values.Get(kLogFormat) == "json" ? log_format::kJson : log_format::kText,
-      process::ParseLogLevel(values.Get(kLogLevel)));
+// Returns nothing if the gateway could not start.
+auto Attempt(const settings& values,
+             const std::function<std::optional<settings>()>& reload)
+    -> std::optional<int> {
   auto context = boost::asio::io_context(1);
   auto self = node(context, values);
   if (!self.Start()) {
-    return EXIT_FAILURE;
+    return std::nullopt;
   }
   const auto vm = values.Get(kVm);
   Log(log_events::kProcessStarted,
@@ -32,6 +31,14 @@
   return EXIT_SUCCESS;
 }
 
+auto Run(const settings& values,
+         const std::function<std::optional<settings>()>& reload) -> int {
+  StartLogging(
+      values.Get(kLogFormat) == "json" ? log_format::kJson : log_format::kText,
+      process::ParseLogLevel(values.Get(kLogLevel)));
+  return process::StartUntilDone([&] { return Attempt(values, reload); });
+}
+
 }  // namespace
 }  // namespace daisywind::gateway
 
--- a/source/daisywind_journal/main.cc
+++ b/source/daisywind_journal/main.cc
@@ -31,9 +31,10 @@
   });
 }
 
-auto Run(const settings& values,
-         const std::function<std::optional<settings>()>& reload) -> int {
-  process::StartLog("daisywind-journal", values);
+// Returns nothing if the journal could not start.
+auto Attempt(const settings& values,
+             const std::function<std::optional<settings>()>& reload)
+    -> std::optional<int> {
   auto context = boost::asio::io_context(1);
   auto store =
       platform::store_client(context,
@@ -47,20 +48,15 @@
   view_options.mirror =
       history::MirroredStoreOptionsFor(ChangeTimeLimit(values));
   view_options.retire = platform::RetireKeys();
-  auto node = journal_node(context, values, store, std::move(view_options));
-  if (!node.Start()) {
-    FlushLogs();
-    return EXIT_FAILURE;
-  }
+  auto node = journal_node(context, values, store, view_options);
   auto metrics = net::http_server(
       context, {},
       [&](net::http_exchange& exchange) -> boost::asio::awaitable<void> {
         co_await exchange.Respond(net::TextResponse(node.RenderMetrics()));
       });
   const auto address = net::ParseSocketAddress(values.Get(kMetricsAddress));
-  if (address && metrics.Listen(*address) == 0) {
-    FlushLogs();
-    return EXIT_FAILURE;
+  if ((address && metrics.Listen(*address) == 0) || !node.Start()) {
+    return std::nullopt;
   }
   auto timer = boost::asio::steady_timer(context);
   FlushRegularly(timer);
@@ -73,6 +69,12 @@
   return EXIT_SUCCESS;
 }
 
+auto Run(const settings& values,
+         const std::function<std::optional<settings>()>& reload) -> int {
+  process::StartLog("daisywind-journal", values);
+  return process::StartUntilDone([&] { return Attempt(values, reload); });
+}
+
 }  // namespace
 }  // namespace daisywind::journal
 
