history: end a chain that names one of its own turns

Cause: fact_table::Chain followed parents without a limit. Found by reading; with the check taken out the new test ends in std::bad_alloc at 4 GB.

Change: a chain that comes back to one of its turns is unknown, in one message and over the parts of several.

--- a/source/core/history/fact_table.cc
+++ b/source/core/history/fact_table.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 #include <map>
+#include <unordered_set>
 #include <utility>
 
 #include "common/digest.h"
@@ -113,9 +114,12 @@
   auto chain = turn_chain{};
   auto turn = newest;
   auto bytes = std::size_t{0};
+  auto seen = std::unordered_set<turn_id>{};
   while (!turn.empty()) {
     const auto found = facts_.find(turn);
-    if (found == facts_.end() || !found->second.content) {
+    // A turn that was sent again under its own id may name itself.
+    const auto is_cycle = !seen.insert(turn).second;
+    if (is_cycle || found == facts_.end() || !found->second.content) {
       chain.state = chain_state::kMissing;
       chain.missing = turn;
       break;
--- a/source/core/history/quorum.cc
+++ b/source/core/history/quorum.cc
@@ -57,6 +57,7 @@
     return;
   }
   for (const auto& turn : chain.turns) {
+    has_cycle_ = has_cycle_ || !seen_.insert(turn.turn).second;
     bytes_ += turn.content
                   ? turn.content->input.size() + turn.content->output.size()
                   : 0;
@@ -80,6 +81,9 @@
   if (has_complete_chain_) {
     return decision_state::kYes;
   }
+  if (has_cycle_) {
+    return decision_state::kNo;
+  }
   return members_without_next_wanted_.size() >= sizes_.read
              ? decision_state::kNo
              : decision_state::kOpen;
--- a/source/core/history/quorum.h
+++ b/source/core/history/quorum.h
@@ -80,6 +80,8 @@
   std::set<vm_id> members_without_next_wanted_;
   std::vector<turn_fact> turns_;
   std::size_t bytes_ = 0;
+  std::set<turn_id> seen_;
+  bool has_cycle_ = false;
   bool has_complete_chain_ = false;
 };
 
--- a/source/unit_tests/history/fact_table_test.cc
+++ b/source/unit_tests/history/fact_table_test.cc
@@ -79,6 +79,18 @@
   CHECK(table.Chain(turn_id("")).state == chain_state::kNone);
 }
 
+// Regression: a chain that comes back to one of its turns was followed without
+// end, until the memory of the process was used up.
+TEST_CASE("a chain that names one of its own turns ends") {
+  auto table = fact_table{};
+  table.Apply(CompleteTurn("p", "t1", "t3"));
+  table.Apply(CompleteTurn("p", "t2", "t1"));
+  table.Apply(CompleteTurn("p", "t3", "t2"));
+  table.Apply(CompleteTurn("p", "self", "self"));
+  CHECK(table.Chain(turn_id("t3")).state == chain_state::kMissing);
+  CHECK(table.Chain(turn_id("self")).state == chain_state::kMissing);
+}
+
 TEST_CASE("facts are found by hash, and unknown hashes are skipped") {
   auto table = fact_table{};
   for (const auto* turn : {"a", "b", "c"}) {
--- a/source/unit_tests/history/quorum_test.cc
+++ b/source/unit_tests/history/quorum_test.cc
@@ -100,6 +100,18 @@
   CHECK(decision.turns() == std::vector{Turn("t1"), Turn("t2"), Turn("t3")});
 }
 
+TEST_CASE("a chain that comes back in parts is unknown") {
+  auto decision = chain_decision(turn_id("t2"), kSizes);
+  decision.Add(vm_id("a"), true,
+               {chain_state::kPartial, turn_id("t1"), {Turn("t2")}});
+  decision.Add(vm_id("a"), true,
+               {chain_state::kPartial, turn_id("t2"), {Turn("t1")}});
+  CHECK(decision.state() == decision_state::kOpen);
+  decision.Add(vm_id("a"), true,
+               {chain_state::kPartial, turn_id("t1"), {Turn("t2")}});
+  CHECK(decision.state() == decision_state::kNo);
+}
+
 TEST_CASE("a program is removed only when a read quorum keeps none of it") {
   const auto programs = std::vector{program_name("p"), program_name("q")};
   auto decision = removal_decision(programs, kSizes);
