--- a/source/core/journal/fact_copier.cc
+++ b/source/core/journal/fact_copier.cc
@@ -46,8 +46,9 @@
   explicit copy_work(asio::io_context& context)
       : wake(context, asio::steady_timer::time_point::max()) {}
 
-  // Takes facts from the front, which only this replica can read, or from the
-  // back, which the partner lacks as well.
+  // Takes facts from the front, where those are that only this replica can
+  // read, or from the back. What a message has no room for is returned at once,
+  // so that the faster path can take it.
   auto TakeFront() -> hash_list {
     const auto count = std::min(facts_per_batch, wanted.size());
     const auto last = wanted.begin() + static_cast<std::ptrdiff_t>(count);
@@ -57,19 +58,30 @@
     return batch;
   }
 
+  auto ReturnFront(const hash_list& hashes, std::size_t only_here) -> void {
+    wanted.insert(wanted.begin(), hashes.begin(), hashes.end());
+    not_forwardable += only_here;
+  }
+
   auto TakeBack() -> hash_list {
     const auto count =
-        std::min(kFactsPerBatch, wanted.size() - not_forwardable);
+        std::min(facts_per_batch, wanted.size() - not_forwardable);
     const auto first = wanted.end() - static_cast<std::ptrdiff_t>(count);
     auto batch = hash_list(first, wanted.end());
     wanted.erase(first, wanted.end());
     return batch;
   }
 
-  // Gives facts back that the partner did not get.
-  auto Return(const hash_list& hashes) -> void {
-    wanted.insert(wanted.begin(), hashes.begin(), hashes.end());
-    not_forwardable += hashes.size();
+  auto ReturnBack(const hash_list& hashes) -> void {
+    wanted.insert(wanted.end(), hashes.begin(), hashes.end());
+  }
+
+  // Takes about as many facts as a message has room for, so that none wait for
+  // the answer to a message that they are not part of. Members of earlier
+  // versions, which answer zero, do not limit the size of a reply.
+  auto AdaptBatch(std::size_t answered) -> void {
+    facts_per_batch = answered == 0 ? kFactsPerUnlimitedBatch
+                                    : std::min(2 * answered, kFactsPerBatch);
   }
 
   auto End() -> void {
@@ -184,27 +196,27 @@
     -> asio::awaitable<void> {
   auto client = history::member_client(context_, work->source.address);
   while (!work->wanted.empty() && !work->has_failed) {
+    const auto only_here_before = work->not_forwardable;
     auto hashes = work->TakeFront();
-    while (!hashes.empty() && !work->has_failed) {
-      auto request = history::pull_request{hashes, kBatchBytes};
-      auto reply = co_await client.SendAndWaitForLong(
-          work->view, std::move(request), options_.request_timeout);
-      auto* pulled =
-          reply ? std::get_if<history::pull_reply>(&*reply) : nullptr;
-      if (pulled == nullptr) {
-        work->has_failed = true;
-        break;
-      }
-      if (pulled->examined > 0) {
-        work->facts_per_batch = kFactsPerBatch;
-      }
-      RemoveExamined(hashes, pulled->examined);
-      auto added = node_.replica().MergeFacts(pulled->facts);
-      node_.counters().facts_pulled += added.size();
-      // A disk slower than the network holds the next request back.
-      if (!added.empty() && !co_await node_.PersistAndWait(std::move(added))) {
-        work->has_failed = true;
-      }
+    const auto only_here = only_here_before - work->not_forwardable;
+    auto request = history::pull_request{hashes, kBatchBytes};
+    auto reply = co_await client.SendAndWaitForLong(
+        work->view, std::move(request), options_.request_timeout);
+    auto* pulled = reply ? std::get_if<history::pull_reply>(&*reply) : nullptr;
+    if (pulled == nullptr) {
+      work->has_failed = true;
+      break;
+    }
+    work->AdaptBatch(pulled->examined);
+    const auto asked = hashes.size();
+    RemoveExamined(hashes, pulled->examined);
+    const auto answered = asked - hashes.size();
+    work->ReturnFront(hashes, only_here - std::min(only_here, answered));
+    auto added = node_.replica().MergeFacts(pulled->facts);
+    node_.counters().facts_pulled += added.size();
+    // A disk slower than the network holds the next request back.
+    if (!added.empty() && !co_await node_.PersistAndWait(std::move(added))) {
+      work->has_failed = true;
     }
   }
   work->End();
@@ -217,19 +229,20 @@
   while (is_served && !work->has_failed &&
          work->wanted.size() > work->not_forwardable) {
     auto hashes = work->TakeBack();
-    while (is_served && !hashes.empty()) {
-      auto request = history::forward_request{work->partner->address, hashes};
-      auto reply = co_await client.SendAndWait(work->view, std::move(request),
-                                               options_.request_timeout);
-      const auto* forwarded =
-          reply ? std::get_if<history::forward_reply>(&*reply) : nullptr;
-      is_served = forwarded != nullptr && forwarded->stored > 0;
-      if (is_served) {
-        work->forwarded += forwarded->stored;
-        RemoveExamined(hashes, forwarded->stored);
-      }
+    auto request = history::forward_request{work->partner->address, hashes};
+    auto reply = co_await client.SendAndWait(work->view, std::move(request),
+                                             options_.request_timeout);
+    const auto* forwarded =
+        reply ? std::get_if<history::forward_reply>(&*reply) : nullptr;
+    is_served = forwarded != nullptr && forwarded->stored > 0;
+    if (is_served) {
+      work->forwarded += forwarded->stored;
+      work->AdaptBatch(forwarded->stored);
+      RemoveExamined(hashes, forwarded->stored);
+      work->ReturnBack(hashes);
+    } else {
+      work->ReturnFront(hashes, hashes.size());
     }
-    work->Return(hashes);
   }
   work->End();
 }
