--- a/source/core/history/fact_replica.h
+++ b/source/core/history/fact_replica.h
@@ -56,6 +56,10 @@
       -> std::vector<program_name> {
     return facts_.Outlived(now_ms, default_lifetime_ms_);
   }
+  [[nodiscard]] auto IsOutlived(const program_name& program,
+                                std::int64_t now_ms) const -> bool {
+    return facts_.IsOutlived(program, now_ms, default_lifetime_ms_);
+  }
   [[nodiscard]] auto LongestLifetimeMs() const -> std::int64_t {
     return facts_.LongestLifetimeMs(default_lifetime_ms_);
   }
--- a/source/core/history/fact_table.cc
+++ b/source/core/history/fact_table.cc
@@ -230,6 +230,15 @@
   return outlived;
 }
 
+auto fact_table::IsOutlived(const program_name& program,
+                            std::int64_t now_ms,
+                            std::int64_t default_lifetime_ms) const -> bool {
+  const auto found = by_program_.find(program);
+  return found == by_program_.end() ||
+         (found->second.kept_until_ms < now_ms &&
+          EndOfLifeMs(found->second, default_lifetime_ms) < now_ms);
+}
+
 auto fact_table::LifetimeLeftMs(const program_name& program,
                                 std::int64_t now_ms,
                                 std::int64_t default_lifetime_ms) const
--- a/source/core/history/fact_table.h
+++ b/source/core/history/fact_table.h
@@ -94,6 +94,11 @@
                               std::int64_t default_lifetime_ms) const
       -> std::vector<program_name>;
 
+  // Whether the program is one of the outlived ones, or unknown.
+  [[nodiscard]] auto IsOutlived(const program_name& program,
+                                std::int64_t now_ms,
+                                std::int64_t default_lifetime_ms) const -> bool;
+
   // Time until the program is outlived by the facts in the table, in
   // milliseconds; zero when it is already, or when the program is unknown. Keep
   // does not count, so that no two members keep a program for each other.
--- a/source/core/journal/fact_copier.cc
+++ b/source/core/journal/fact_copier.cc
@@ -58,8 +58,13 @@
     return batch;
   }
 
+  // Returns facts of which the first ones can only be read here. The others go
+  // to the back, because those in front may have been returned meanwhile.
   auto ReturnFront(const hash_list& hashes, std::size_t only_here) -> void {
-    wanted.insert(wanted.begin(), hashes.begin(), hashes.end());
+    const auto first_other =
+        hashes.begin() + static_cast<std::ptrdiff_t>(only_here);
+    wanted.insert(wanted.end(), first_other, hashes.end());
+    wanted.insert(wanted.begin(), hashes.begin(), first_other);
     not_forwardable += only_here;
   }
 
--- a/source/core/journal/journal_node.cc
+++ b/source/core/journal/journal_node.cc
@@ -11,7 +11,6 @@
 #include <cstdint>
 #include <iterator>
 #include <limits>
-#include <unordered_set>
 #include <utility>
 
 #include "common/logging.h"
@@ -496,12 +495,10 @@
 
 auto journal_node::RemoveOutlived(
     const std::vector<history::program_name>& programs) -> std::size_t {
-  const auto outlived = replica_.Outlived(UnixMs());
-  const auto still_outlived = std::unordered_set<history::program_name>(
-      outlived.begin(), outlived.end());
+  const auto now = UnixMs();
   auto removed = programs;
   std::erase_if(removed, [&](const history::program_name& program) {
-    return !still_outlived.contains(program);
+    return !replica_.IsOutlived(program, now);
   });
   if (removed.empty()) {
     return 0;
--- a/source/unit_tests/history/fact_table_test.cc
+++ b/source/unit_tests/history/fact_table_test.cc
@@ -213,7 +213,9 @@
   CHECK(table.Outlived(5000, kLifetimeMs).empty());
   // What is kept for another member is not a reason for others to keep it.
   CHECK(table.LifetimeLeftMs(program, 1101, kLifetimeMs) == 0);
+  CHECK_FALSE(table.IsOutlived(program, 5000, kLifetimeMs));
   CHECK(table.Outlived(5001, kLifetimeMs) == std::vector{program});
+  CHECK(table.IsOutlived(program, 5001, kLifetimeMs));
   CHECK(table.Remove({program, program_name("unknown")}) == 1);
   CHECK(table.size() == 0);
   CHECK(table.LifetimeLeftMs(program, 0, kLifetimeMs) == 0);
--- a/source/unit_tests/journal/journal_node_test.cc
+++ b/source/unit_tests/journal/journal_node_test.cc
@@ -115,6 +115,7 @@
         [] { return false; });
     REQUIRE(is_read);
     auto view_options = view_manager_options{};
+    view_options.tolerated_losses = tolerated;
     view_options.step_interval = 10ms;
     view_options.replace_after = 200ms;
     view_options.successor_wait = 50ms;
@@ -264,6 +265,8 @@
   // Of the journals that are started from now on; 0 for none.
   int memory_limit_mb = 0;
   program_expiry_options expiry_options = {50ms, 500ms};
+  // Disks that may be lost at once.
+  std::size_t tolerated = 1;
   // Regions of the VMs that are not in "r", by number. Each region has one
   // failure domain.
   std::map<int, std::string> regions;
@@ -468,6 +471,43 @@
                     [](const auto& item) { return item.second == 2; }));
 }
 
+// A fact that a near member has already needs a copy on the new disk.
+TEST_CASE("a far disk reads what near members cannot copy to each other") {
+  auto cluster = journal_cluster();
+  cluster.tolerated = 2;
+  cluster.regions = {{5, "far"}};
+  for (auto number = 1; number <= 5; ++number) {
+    cluster.Start(number);
+  }
+  const auto all = std::set<std::string>{"vm1", "vm2", "vm3", "vm4", "vm5"};
+  REQUIRE(cluster.RunUntil([&] { return cluster.IsSettled(all); }));
+  constexpr auto kFacts = 900;
+  for (auto i = 0; i < kFacts; ++i) {
+    auto fact = AgedFact("t" + std::to_string(i), 0);
+    fact.content = history::turn_content{};
+    fact.content->input.assign(i % 7 * 1000, 'x');
+    // On two of the first four; the third copy was on the disk that is lost.
+    cluster.At(1 + i % 4).replica().MergeFacts({fact});
+    cluster.At(1 + (i + 1 + i / 4 % 3) % 4).replica().MergeFacts({fact});
+  }
+  cluster.Stop(5);
+  cluster.LoseDisk(5);
+  const auto before = cluster.View().number;
+  cluster.Start(5);
+  REQUIRE(cluster.RunUntil([&] {
+    return cluster.View().number > before && cluster.IsSettled(all);
+  }));
+  auto copies = std::map<history::fact_hash, int>{};
+  for (auto number = 1; number <= 5; ++number) {
+    for (const auto hash : cluster.At(number).replica().facts().Hashes()) {
+      ++copies[hash];
+    }
+  }
+  CHECK(copies.size() == kFacts);
+  CHECK(std::all_of(copies.begin(), copies.end(),
+                    [](const auto& item) { return item.second >= 3; }));
+}
+
 // Regression: a chain larger than a frame was never read.
 TEST_CASE("a chain that does not fit into one message is continued") {
   auto cluster = journal_cluster();
