net, relay, tests: findings of the linter

channel_options holds a shared pointer now, so it is moved or passed by reference; strings of a test are joined in one place, structured bindings are no longer captured.

--- a/source/core/net/frame_channel.cc
+++ b/source/core/net/frame_channel.cc
@@ -210,7 +210,8 @@
                              const socket_address& address,
                              channel_options options,
                              channel_handlers handlers)
-    : state_(std::make_shared<state>(tcp::socket(context), options)) {
+    : state_(
+          std::make_shared<state>(tcp::socket(context), std::move(options))) {
   state_->handlers = std::move(handlers);
   state_->Connect(address);
 }
@@ -317,7 +318,7 @@
                                channel_acceptor on_accept)
     : state_(std::make_shared<state>(context,
                                      max_channels,
-                                     options,
+                                     std::move(options),
                                      std::move(on_accept))) {}
 
 channel_server::~channel_server() {
--- a/source/core/relay/relay_client.cc
+++ b/source/core/relay/relay_client.cc
@@ -44,7 +44,7 @@
 struct relay_link : std::enable_shared_from_this<relay_link> {
   auto Connect(asio::io_context& context,
                const net::socket_address& address,
-               net::channel_options options) -> void {
+               const net::channel_options& options) -> void {
     const auto weak = weak_from_this();
     auto handlers = net::channel_handlers{};
     handlers.on_frame = [weak](std::string_view frame) {
@@ -215,7 +215,8 @@
 
 relay_client::relay_client(asio::io_context& context,
                            net::channel_options options)
-    : state_(std::make_shared<state>(state{context, options, {}, 0})) {}
+    : state_(
+          std::make_shared<state>(state{context, std::move(options), {}, 0})) {}
 
 relay_client::~relay_client() = default;
 
--- a/source/unit_tests/journal/journal_node_test.cc
+++ b/source/unit_tests/journal/journal_node_test.cc
@@ -482,10 +482,13 @@
   const auto all = std::set<std::string>{"vm1", "vm2", "vm3", "vm4", "vm5"};
   REQUIRE(cluster.RunUntil([&] { return cluster.IsSettled(all); }));
   constexpr auto kFacts = 900;
+  constexpr auto kSizes = std::size_t{7};
+  constexpr auto kSizeStep = std::size_t{1000};
   for (auto i = 0; i < kFacts; ++i) {
     auto fact = AgedFact("t" + std::to_string(i), 0);
     fact.content = history::turn_content{};
-    fact.content->input.assign(i % 7 * 1000, 'x');
+    fact.content->input.assign(static_cast<std::size_t>(i) % kSizes * kSizeStep,
+                               'x');
     // On two of the first four; the third copy was on the disk that is lost.
     cluster.At(1 + i % 4).replica().MergeFacts({fact});
     cluster.At(1 + (i + 1 + i / 4 % 3) % 4).replica().MergeFacts({fact});
--- a/source/unit_tests/net/http_test.cc
+++ b/source/unit_tests/net/http_test.cc
@@ -279,21 +279,19 @@
   const auto inner = std::string(
       "POST /inner HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\ninner");
   const auto chunk = std::string("5\r\nouter\r\n0\r\n\r\n");
+  const auto post = std::string("POST / HTTP/1.1\r\nHost: a\r\n");
+  const auto coding = std::string("Transfer-Encoding: ");
+  const auto chunked = coding + "chunked\r\n";
   const auto heads = std::vector<std::string>{
-      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\n",
-      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: identity\r\n\r\n",
-      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: odd\r\n\r\n",
-      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked, x\r\n\r\n",
-      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n"
-      "Content-Length: 0\r\n\r\n",
-      "POST / HTTP/1.0\r\nHost: a\r\nConnection: keep-alive\r\n"
-      "Transfer-Encoding: chunked\r\n\r\n",
-      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n"
-      "\r\n" +
-          chunk,
-      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
-      "Transfer-Encoding: identity\r\n\r\n" +
-          chunk};
+      post + coding + "gzip\r\n\r\n",
+      post + coding + "identity\r\n\r\n",
+      post + coding + "odd\r\n\r\n",
+      post + coding + "chunked, x\r\n\r\n",
+      post + coding + "gzip\r\nContent-Length: 0\r\n\r\n",
+      "POST / HTTP/1.0\r\nHost: a\r\nConnection: keep-alive\r\n" + chunked +
+          "\r\n",
+      post + coding + "gzip, chunked\r\n\r\n" + chunk,
+      post + chunked + coding + "identity\r\n\r\n" + chunk};
   for (const auto& head : heads) {
     CAPTURE(head);
     auto served = fixture();
@@ -304,9 +302,7 @@
   }
   auto served = fixture();
   const auto known = served.SendRaw(
-      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: Chunked\r\n"
-      "Connection: close\r\n\r\n" +
-      chunk);
+      post + coding + "Chunked\r\nConnection: close\r\n\r\n" + chunk);
   CHECK(known.starts_with("HTTP/1.1 200"));
 }
 
@@ -433,15 +429,15 @@
       {events + ": ", "comment"}};
   constexpr auto kRepeats = 8000;
   constexpr auto kMaxGrowth = std::size_t{8} << 20U;
-  for (const auto& [start, word] : cases) {
-    CAPTURE(start);
-    CAPTURE(word);
+  for (const auto& item : cases) {
+    CAPTURE(item.first);
+    CAPTURE(item.second);
     auto piece = std::string{};
     for (auto i = 0; i < kRepeats; ++i) {
-      piece += word;
+      piece += item.second;
     }
     auto context = asio::io_context{};
-    auto server = endless_server(context, start, piece);
+    auto server = endless_server(context, item.first, piece);
     auto client = http_client(context);
     auto options = http_options{};
     options.max_body_bytes = std::size_t{1} << 20U;
