--- a/source/core/history/fact_table.cc
+++ b/source/core/history/fact_table.cc
@@ -140,13 +140,7 @@
 
 auto fact_table::FindByHashes(const std::vector<fact_hash>& hashes) const
     -> std::vector<turn_fact> {
-  auto facts = std::vector<turn_fact>{};
-  for (const auto hash : hashes) {
-    if (const auto found = by_hash_.find(hash); found != by_hash_.end()) {
-      facts.push_back(facts_.at(found->second));
-    }
-  }
-  return facts;
+  return FindBatch(hashes, kAnySize).facts;
 }
 
 auto fact_table::FindBatch(const std::vector<fact_hash>& hashes,
--- a/source/core/journal/fact_copier.cc
+++ b/source/core/journal/fact_copier.cc
@@ -40,6 +40,14 @@
                hashes.begin() + static_cast<std::ptrdiff_t>(count));
 }
 
+auto HashesOf(const std::vector<fact_list>& lists) -> std::vector<hash_list> {
+  auto hashes = std::vector<hash_list>{};
+  for (const auto& item : lists) {
+    hashes.push_back(item.hashes);
+  }
+  return hashes;
+}
+
 }  // namespace
 
 struct fact_copier::copy_work {
@@ -117,12 +125,8 @@
 auto fact_copier::CopyMissing(history::view_number view,
                               std::vector<fact_list> lists)
     -> asio::awaitable<bool> {
-  auto hashes = std::vector<hash_list>{};
-  for (const auto& item : lists) {
-    hashes.push_back(item.hashes);
-  }
-  auto wanted = history::PlanPulls(node_.replica().facts().Hashes(), hashes,
-                                   options_.copies);
+  auto wanted = history::PlanPulls(node_.replica().facts().Hashes(),
+                                   HashesOf(lists), options_.copies);
   auto works = std::vector<std::shared_ptr<copy_work>>{};
   for (auto i = std::size_t{0}; i < lists.size(); ++i) {
     works.push_back(MakeWork(view, lists, i, std::move(wanted[i])));
@@ -252,6 +256,19 @@
   work->End();
 }
 
+auto fact_copier::PushMissing(history::view_number view,
+                              std::vector<fact_list> lists)
+    -> asio::awaitable<bool> {
+  auto missing = history::PlanCopies(node_.replica().facts().Hashes(),
+                                     HashesOf(lists), options_.copies);
+  for (auto i = std::size_t{0}; i < lists.size(); ++i) {
+    if (!co_await Push(view, lists[i].peer.address, std::move(missing[i]))) {
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
 auto fact_copier::Push(history::view_number view,
                        std::string address,
                        hash_list hashes) -> asio::awaitable<bool> {
--- a/source/core/journal/fact_copier.h
+++ b/source/core/journal/fact_copier.h
@@ -49,10 +49,10 @@
   auto CopyMissing(history::view_number view, std::vector<fact_list> lists)
       -> boost::asio::awaitable<bool>;
 
-  // Sends facts of this replica to a member. Returns whether it has stored all.
-  auto Push(history::view_number view,
-            std::string address,
-            std::vector<history::fact_hash> hashes)
+  // Sends the facts of this replica that fewer members hold than a write needs
+  // to as many more of them, given the lists of all. Returns whether they have
+  // stored all.
+  auto PushMissing(history::view_number view, std::vector<fact_list> lists)
       -> boost::asio::awaitable<bool>;
 
   // Sends the first facts of a request to the member at its address.
@@ -68,6 +68,10 @@
                 std::size_t source,
                 std::vector<history::fact_hash> wanted)
       -> std::shared_ptr<copy_work>;
+  auto Push(history::view_number view,
+            std::string address,
+            std::vector<history::fact_hash> hashes)
+      -> boost::asio::awaitable<bool>;
   auto Copy(std::shared_ptr<copy_work> work) -> boost::asio::awaitable<void>;
   // Several of these run for one source. They stop when nothing is left or when
   // one has failed.
--- a/source/core/journal/journal_node.cc
+++ b/source/core/journal/journal_node.cc
@@ -105,6 +105,15 @@
   return options;
 }
 
+auto SendReply(const std::weak_ptr<net::frame_channel>& channel,
+               std::uint64_t id,
+               history::view_number view,
+               history::message_body body) -> void {
+  if (const auto open = channel.lock()) {
+    open->Send(history::EncodeMessage({id, view, std::move(body)}));
+  }
+}
+
 auto ToHex(std::uint64_t value) -> std::string {
   constexpr auto kDigits = std::string_view("0123456789abcdef");
   auto text = std::string{};
@@ -290,21 +299,18 @@
     return;
   }
   ++counters_.requests;
+  const auto reply_now = [&](history::message_body body) {
+    SendReply(channel, request->id, replica_.current().number, std::move(body));
+  };
   if (const auto* wanted = std::get_if<history::copy_request>(&request->body)) {
-    if (const auto open = channel.lock()) {
-      auto reply = mirror_.ReplyTo(*wanted);
-      reply.store_age = view_manager_->StoreAge(Now());
-      open->Send(history::EncodeMessage(
-          {request->id, replica_.current().number, std::move(reply)}));
-    }
+    auto reply = mirror_.ReplyTo(*wanted);
+    reply.store_age = view_manager_->StoreAge(Now());
+    reply_now(std::move(reply));
     return;
   }
   if (const auto* limits =
           std::get_if<history::limits_request>(&request->body)) {
-    if (const auto open = channel.lock()) {
-      open->Send(history::EncodeMessage({request->id, replica_.current().number,
-                                         limits_.Handle(*limits, Now())}));
-    }
+    reply_now(limits_.Handle(*limits, Now()));
     return;
   }
   if (auto* forward = std::get_if<history::forward_request>(&request->body)) {
@@ -317,10 +323,7 @@
   const auto* begin = std::get_if<history::begin_request>(&request->body);
   if (begin != nullptr && !HasMemoryFor(*begin)) {
     ++counters_.refused_reservations;
-    if (const auto open = channel.lock()) {
-      open->Send(history::EncodeMessage({request->id, replica_.current().number,
-                                         history::record_reply{false}}));
-    }
+    reply_now(history::record_reply{false});
     return;
   }
   const auto is_write =
@@ -328,10 +331,7 @@
       std::holds_alternative<history::record_request>(request->body);
   if (is_write && !HasRoomOnDisk(frame.size())) {
     ++counters_.refused_writes;
-    if (const auto open = channel.lock()) {
-      open->Send(history::EncodeMessage({request->id, replica_.current().number,
-                                         history::record_reply{false}}));
-    }
+    reply_now(history::record_reply{false});
     return;
   }
   auto effect = replica_.Handle(*request, UnixMs());
@@ -345,9 +345,7 @@
   const auto send =
       [channel, id = request->id,
        view = replica_.current().number](history::message_body body) {
-        if (const auto open = channel.lock()) {
-          open->Send(history::EncodeMessage({id, view, std::move(body)}));
-        }
+        SendReply(channel, id, view, std::move(body));
       };
   // Facts that were already in memory may not be on disk yet, so a request that
   // records nothing new also waits for a sync.
@@ -378,9 +376,7 @@
                                 history::forward_request request)
     -> asio::awaitable<void> {
   const auto reply = co_await copier_.Forward(view, std::move(request));
-  if (const auto open = channel.lock()) {
-    open->Send(history::EncodeMessage({id, view, reply}));
-  }
+  SendReply(channel, id, view, reply);
 }
 
 auto journal_node::HasMemoryFor(const history::begin_request& request) -> bool {
--- a/source/core/journal/view_manager.cc
+++ b/source/core/journal/view_manager.cc
@@ -358,20 +358,7 @@
   if (lists.size() != OtherMembers().size()) {
     co_return false;
   }
-  auto hashes = std::vector<std::vector<history::fact_hash>>{};
-  for (const auto& item : lists) {
-    hashes.push_back(item.hashes);
-  }
-  auto missing_by_member = history::PlanCopies(
-      node_.replica().facts().Hashes(), hashes, options_.tolerated_losses + 1);
-  for (auto i = std::size_t{0}; i < lists.size(); ++i) {
-    if (!co_await node_.copier().Push(stored_view_.number,
-                                      lists[i].peer.address,
-                                      std::move(missing_by_member[i]))) {
-      co_return false;
-    }
-  }
-  co_return true;
+  co_return co_await node_.copier().PushMissing(stored_view_.number, lists);
 }
 
 auto view_manager::AreMembersComplete() -> asio::awaitable<bool> {
--- a/source/unit_tests/journal/journal_node_test.cc
+++ b/source/unit_tests/journal/journal_node_test.cc
@@ -180,6 +180,27 @@
     return true;
   }
 
+  // Restarts a journal with an empty disk and waits until these VMs are the
+  // members of a new view and complete.
+  auto ReplaceDisk(int number, const std::set<std::string>& vms) -> void {
+    Stop(number);
+    LoseDisk(number);
+    const auto before = View().number;
+    Start(number);
+    REQUIRE(RunUntil([&] { return View().number > before && IsSettled(vms); }));
+  }
+
+  // Number of journals that hold each fact.
+  auto CountCopies() -> std::map<history::fact_hash, int> {
+    auto copies = std::map<history::fact_hash, int>{};
+    for (const auto& [number, node] : nodes_) {
+      for (const auto hash : node->replica().facts().Hashes()) {
+        ++copies[hash];
+      }
+    }
+    return copies;
+  }
+
   auto StartThree() -> void {
     for (auto number = 1; number <= 3; ++number) {
       Start(number);
@@ -400,14 +421,7 @@
   cluster.StartThree();
   REQUIRE(cluster.Record(*cluster.Client(), "t1", ""));
   for (const auto number : {1, 2, 3, 1, 2}) {
-    cluster.Stop(number);
-    cluster.LoseDisk(number);
-    const auto before = cluster.View().number;
-    cluster.Start(number);
-    REQUIRE(cluster.RunUntil([&] {
-      return cluster.View().number > before &&
-             cluster.IsSettled({"vm1", "vm2", "vm3"});
-    }));
+    cluster.ReplaceDisk(number, {"vm1", "vm2", "vm3"});
   }
   const auto begun = cluster.Begin(*cluster.Client(), "t2", "t1");
   CHECK(begun.outcome == history::begin_outcome::kGranted);
@@ -426,14 +440,7 @@
     fact.content->input.assign(kBytes, 'x');
     cluster.Store(1, fact);
   }
-  cluster.Stop(3);
-  cluster.LoseDisk(3);
-  const auto before = cluster.View().number;
-  cluster.Start(3);
-  REQUIRE(cluster.RunUntil([&] {
-    return cluster.View().number > before &&
-           cluster.IsSettled({"vm1", "vm2", "vm3"});
-  }));
+  cluster.ReplaceDisk(3, {"vm1", "vm2", "vm3"});
   CHECK(cluster.At(3).replica().facts().size() == kFacts);
 }
 
@@ -450,22 +457,10 @@
     // The other copy was on the disk that is lost.
     cluster.At(1 + i % 2).replica().MergeFacts({fact});
   }
-  cluster.Stop(3);
-  cluster.LoseDisk(3);
-  const auto before = cluster.View().number;
-  cluster.Start(3);
-  REQUIRE(cluster.RunUntil([&] {
-    return cluster.View().number > before &&
-           cluster.IsSettled({"vm1", "vm2", "vm3"});
-  }));
+  cluster.ReplaceDisk(3, {"vm1", "vm2", "vm3"});
   CHECK(cluster.At(1).replica().facts().size() > kFacts / 2);
   CHECK(cluster.At(2).replica().facts().size() > kFacts / 2);
-  auto copies = std::map<history::fact_hash, int>{};
-  for (auto number = 1; number <= 3; ++number) {
-    for (const auto hash : cluster.At(number).replica().facts().Hashes()) {
-      ++copies[hash];
-    }
-  }
+  const auto copies = cluster.CountCopies();
   CHECK(copies.size() == kFacts);
   CHECK(std::all_of(copies.begin(), copies.end(),
                     [](const auto& item) { return item.second == 2; }));
@@ -493,19 +488,8 @@
     cluster.At(1 + i % 4).replica().MergeFacts({fact});
     cluster.At(1 + (i + 1 + i / 4 % 3) % 4).replica().MergeFacts({fact});
   }
-  cluster.Stop(5);
-  cluster.LoseDisk(5);
-  const auto before = cluster.View().number;
-  cluster.Start(5);
-  REQUIRE(cluster.RunUntil([&] {
-    return cluster.View().number > before && cluster.IsSettled(all);
-  }));
-  auto copies = std::map<history::fact_hash, int>{};
-  for (auto number = 1; number <= 5; ++number) {
-    for (const auto hash : cluster.At(number).replica().facts().Hashes()) {
-      ++copies[hash];
-    }
-  }
+  cluster.ReplaceDisk(5, all);
+  const auto copies = cluster.CountCopies();
   CHECK(copies.size() == kFacts);
   CHECK(std::all_of(copies.begin(), copies.end(),
                     [](const auto& item) { return item.second >= 3; }));
@@ -739,14 +723,7 @@
   cluster.StartThree();
   const auto client = cluster.Client();
   REQUIRE(cluster.Record(*client, "t1", ""));
-  cluster.Stop(1);
-  cluster.LoseDisk(1);
-  const auto before = cluster.View().number;
-  cluster.Start(1);
-  REQUIRE(cluster.RunUntil([&] {
-    return cluster.View().number > before &&
-           cluster.IsSettled({"vm1", "vm2", "vm3"});
-  }));
+  cluster.ReplaceDisk(1, {"vm1", "vm2", "vm3"});
   CHECK(cluster.Begin(*client, "t2", "t1").outcome ==
         history::begin_outcome::kGranted);
   CHECK(client->current().number == cluster.View().number);
