--- a/source/core/journal/journal_node.cc
+++ b/source/core/journal/journal_node.cc
@@ -353,6 +353,7 @@
       std::holds_alternative<history::read_request>(request->body) ||
       std::holds_alternative<history::list_request>(request->body) ||
       std::holds_alternative<history::pull_request>(request->body) ||
+      std::holds_alternative<history::lifetimes_request>(request->body) ||
       std::holds_alternative<history::adopt_request>(request->body) ||
       std::holds_alternative<history::stale_view>(*effect.reply);
   if (is_read) {
