--- a/source/core/history_client/turn_client.cc
+++ b/source/core/history_client/turn_client.cc
@@ -338,7 +338,7 @@
         co_return result;
       }
     }
-    if (is_refused()) {
+    if (is_refused() || chain.bytes() > options_.max_chain_bytes) {
       co_return result;
     }
     co_await PauseBeforeRetry(*request_round, result.view);
