history: messages for request limits, paces of load samples, owners of turns

Change: new optional fields and two message types; a message or record of an earlier version reads as without them. No program sends them yet.

--- a/source/core/history/load_change_feed.h
+++ b/source/core/history/load_change_feed.h
@@ -27,6 +27,9 @@
   duration age{};
   // Time since it last failed a request; absent when it has not recently.
   std::optional<duration> failed_age = std::nullopt;
+  // How long work takes at the endpoint, in percent of the usual; zero when it
+  // is not known.
+  std::uint32_t pace_percent = 0;
 
   auto operator<=>(const load_sample&) const = default;
 };
--- a/source/core/history/messages.h
+++ b/source/core/history/messages.h
@@ -14,6 +14,7 @@
 #include "history/fact_table.h"
 #include "history/limit_registry.h"
 #include "history/load_change_feed.h"
+#include "history/quota_messages.h"
 #include "history/types.h"
 #include "history/view.h"
 
@@ -195,6 +196,10 @@
   // Time since the store last answered the receiver; empty when it never has,
   // and from receivers of earlier versions.
   std::optional<duration> store_age = std::nullopt;
+  // Time since the receiver asked the store the question whose answer the copy
+  // includes: the copy has everything that the store had acknowledged before.
+  // Empty when that is not known, and from receivers of earlier versions.
+  std::optional<duration> proof_age = std::nullopt;
 
   auto operator<=>(const copy_reply&) const = default;
 };
@@ -226,7 +231,9 @@
                                   lifetimes_request,
                                   lifetimes_reply,
                                   forward_request,
-                                  forward_reply>;
+                                  forward_reply,
+                                  quota_request,
+                                  quota_reply>;
 
 // One frame. A reply carries the id of its request.
 struct message {
--- a/source/core/history/types.h
+++ b/source/core/history/types.h
@@ -36,6 +36,9 @@
   // Prompt tokens that the endpoint processed for it, including the chain
   // before.
   std::uint32_t prompt_tokens = 0;
+  // The organisation of the turn's caller; empty without one, and in facts of
+  // earlier versions.
+  organisation_id organisation = {};
 
   auto operator<=>(const turn_content&) const = default;
 };
--- a/source/core/history_wire/codec.cc
+++ b/source/core/history_wire/codec.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <utility>
 #include <variant>
@@ -62,6 +63,7 @@
   to.retention_ms = from.retention_ms;
   to.wants_chain = from.wants_chain;
   to.loads = Convert(from.loads);
+  to.paces = PacesOf(from.loads);
   to.wants_loads = from.loads_known.has_value();
   to.loads_known = from.loads_known.value_or(0);
   to.max_chain_bytes = from.max_chain_bytes;
@@ -74,7 +76,7 @@
           turn_id(std::move(from.parent)),
           from.reserved_tokens,
           from.wants_chain,
-          Convert(from.loads),
+          WithPaces(Convert(from.loads), from.paces),
           from.wants_loads ? std::optional(from.loads_known) : std::nullopt,
           from.retention_ms,
           from.max_chain_bytes};
@@ -91,6 +93,7 @@
     to.spending.push_back(std::move(object));
   }
   to.loads = Convert(from.loads);
+  to.paces = PacesOf(from.loads);
   to.loads_up_to = from.loads_up_to;
   return to;
 }
@@ -99,7 +102,7 @@
   auto to = begin_reply{from.is_complete,
                         ChainFrom(from),
                         {},
-                        Convert(from.loads),
+                        WithPaces(Convert(from.loads), from.paces),
                         from.loads_up_to};
   to.spent.reserve(from.spending.size());
   for (auto& item : from.spending) {
@@ -240,6 +243,11 @@
   to.has_only_changes = from.has_only_changes;
   to.removed = from.removed;
   to.store_age_ms = from.store_age ? Milliseconds(*from.store_age) : kNoAge;
+  to.proof_age_ms =
+      from.proof_age
+          ? std::chrono::ceil<std::chrono::milliseconds>(*from.proof_age)
+                .count()
+          : kNoAge;
   return to;
 }
 
@@ -253,6 +261,9 @@
   if (from.store_age_ms >= 0) {
     to.store_age = std::chrono::milliseconds(from.store_age_ms);
   }
+  if (from.proof_age_ms >= 0) {
+    to.proof_age = std::chrono::milliseconds(from.proof_age_ms);
+  }
   return to;
 }
 
@@ -340,6 +351,57 @@
   return {from.stored};
 }
 
+auto ToObject(const quota_request& from) -> fbs::QuotaRequestT {
+  auto to = fbs::QuotaRequestT{};
+  for (const auto& demand : from.demands) {
+    auto object = std::make_unique<fbs::QuotaDemandT>();
+    object->organisation = demand.organisation.value;
+    object->limit = std::make_unique<fbs::QuotaLimit>(
+        demand.limit.version, demand.limit.per_second, demand.limit.burst,
+        demand.wanted, demand.returned);
+    to.demands.push_back(std::move(object));
+  }
+  return to;
+}
+
+auto FromObject(fbs::QuotaRequestT& from) -> quota_request {
+  auto to = quota_request{};
+  to.demands.reserve(from.demands.size());
+  for (auto& object : from.demands) {
+    const auto& limit = *object->limit;
+    to.demands.push_back({organisation_id(std::move(object->organisation)),
+                          {limit.version(), limit.per_second(), limit.burst()},
+                          limit.wanted(),
+                          limit.returned()});
+  }
+  return to;
+}
+
+auto ToObject(const quota_reply& from) -> fbs::QuotaReplyT {
+  auto to = fbs::QuotaReplyT{};
+  for (const auto& grant : from.grants) {
+    auto object = std::make_unique<fbs::QuotaGrantT>();
+    object->organisation = grant.organisation.value;
+    object->granted = grant.granted;
+    object->retry_after_ms = static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(Milliseconds(grant.retry_after), 0,
+                                 std::numeric_limits<std::uint32_t>::max()));
+    to.grants.push_back(std::move(object));
+  }
+  return to;
+}
+
+auto FromObject(fbs::QuotaReplyT& from) -> quota_reply {
+  auto to = quota_reply{};
+  to.grants.reserve(from.grants.size());
+  for (auto& object : from.grants) {
+    to.grants.push_back({organisation_id(std::move(object->organisation)),
+                         object->granted,
+                         std::chrono::milliseconds(object->retry_after_ms)});
+  }
+  return to;
+}
+
 auto BodyFrom(fbs::BodyUnion& from) -> std::optional<message_body> {
   switch (from.type) {
     case fbs::Body_BeginRequest:
@@ -384,6 +446,10 @@
       return FromObject(*from.AsForwardRequest());
     case fbs::Body_ForwardReply:
       return FromObject(*from.AsForwardReply());
+    case fbs::Body_QuotaRequest:
+      return FromObject(*from.AsQuotaRequest());
+    case fbs::Body_QuotaReply:
+      return FromObject(*from.AsQuotaReply());
     case fbs::Body_NONE:
       break;
   }
--- a/source/core/history_wire/parts.cc
+++ b/source/core/history_wire/parts.cc
@@ -42,6 +42,7 @@
     to->content->output = from.content->output;
     to->content->endpoint = from.content->endpoint.value;
     to->content->prompt_tokens = from.content->prompt_tokens;
+    to->content->organisation = from.content->organisation.value;
   }
   return to;
 }
@@ -57,11 +58,13 @@
   to.recorded_ms = from.recorded_ms;
   to.retention_ms = from.retention_ms;
   if (from.content != nullptr) {
-    to.content = turn_content{turn_id(std::move(from.content->parent)),
-                              std::move(from.content->input),
-                              std::move(from.content->output),
-                              endpoint_id(std::move(from.content->endpoint)),
-                              from.content->prompt_tokens};
+    to.content =
+        turn_content{turn_id(std::move(from.content->parent)),
+                     std::move(from.content->input),
+                     std::move(from.content->output),
+                     endpoint_id(std::move(from.content->endpoint)),
+                     from.content->prompt_tokens,
+                     organisation_id(std::move(from.content->organisation))};
   }
   return to;
 }
@@ -77,11 +80,13 @@
   to.recorded_ms = from.recorded_ms();
   to.retention_ms = from.retention_ms();
   if (const auto* content = from.content()) {
-    to.content = turn_content{turn_id(StringOrEmpty(content->parent())),
-                              StringOrEmpty(content->input()),
-                              StringOrEmpty(content->output()),
-                              endpoint_id(StringOrEmpty(content->endpoint())),
-                              content->prompt_tokens()};
+    to.content =
+        turn_content{turn_id(StringOrEmpty(content->parent())),
+                     StringOrEmpty(content->input()),
+                     StringOrEmpty(content->output()),
+                     endpoint_id(StringOrEmpty(content->endpoint())),
+                     content->prompt_tokens(),
+                     organisation_id(StringOrEmpty(content->organisation()))};
   }
   return to;
 }
@@ -233,4 +238,33 @@
   return to;
 }
 
+auto PacesOf(const std::vector<load_sample>& from)
+    -> std::vector<std::uint16_t> {
+  const auto has_pace = std::any_of(
+      from.begin(), from.end(),
+      [](const load_sample& sample) { return sample.pace_percent != 0; });
+  auto paces = std::vector<std::uint16_t>{};
+  if (!has_pace) {
+    return paces;
+  }
+  constexpr auto kMaxPace =
+      std::uint32_t{std::numeric_limits<std::uint16_t>::max()};
+  paces.reserve(from.size());
+  for (const auto& sample : from) {
+    paces.push_back(
+        static_cast<std::uint16_t>(std::min(sample.pace_percent, kMaxPace)));
+  }
+  return paces;
+}
+
+auto WithPaces(std::vector<load_sample> samples,
+               const std::vector<std::uint16_t>& paces)
+    -> std::vector<load_sample> {
+  for (auto i = std::size_t{0}; i < std::min(samples.size(), paces.size());
+       ++i) {
+    samples[i].pace_percent = paces[i];
+  }
+  return samples;
+}
+
 }  // namespace daisywind::history
--- a/source/core/history_wire/parts.h
+++ b/source/core/history_wire/parts.h
@@ -6,6 +6,7 @@
 
 #include <history_generated.h>
 
+#include <cstdint>
 #include <memory>
 #include <vector>
 
@@ -40,6 +41,14 @@
 auto Convert(const std::vector<fbs::LoadSample>& from)
     -> std::vector<load_sample>;
 
+// The pace of each sample's endpoint; empty when none is known.
+auto PacesOf(const std::vector<load_sample>& from)
+    -> std::vector<std::uint16_t>;
+// Adds paces to samples; there may be fewer of them.
+auto WithPaces(std::vector<load_sample> samples,
+               const std::vector<std::uint16_t>& paces)
+    -> std::vector<load_sample>;
+
 // Reads a fact directly from the buffer, which is faster than unpacking it to
 // an object first.
 auto ReadFact(const fbs::Fact& from) -> turn_fact;
