front, platform: organisations, API keys and proofs that keys are still valid

Change: the configuration's organisations are decoded, callers without a known key get 401 on routes that aren't public, endpoints get the organisation's name and never the key, a turn belongs to its organisation. Ruled out: asking the store from every front (73 fronts, a call every 0.5 s each).

--- a/source/core/common/vm_settings.h
+++ b/source/core/common/vm_settings.h
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
+#include <optional>
 
 #include "common/settings.h"
 #include "common/time.h"
@@ -33,6 +34,12 @@
 inline constexpr auto kMemoryLimitMb = integer_setting{
     "memory.limit_mb", 0,
     "memory at which the VM ends the process, in MB; 0 for none", 0, 1'048'576};
+inline constexpr auto kKeysWithdrawnMs =
+    integer_setting{"api_keys.withdrawn_ms", 0,
+                    "time after which a withdrawn API key serves no request on "
+                    "any VM, in touch "
+                    "with the store or not; 0 for no such time",
+                    0, 600'000};
 inline constexpr auto kLogLevel = string_setting{
     "log.level", "info", "least severity: debug, info, warning or error"};
 
@@ -52,6 +59,15 @@
       std::min(values.Get(kInForceMs), values.Get(kDrainedMs)));
 }
 
+// Time for which a VM may serve API keys without proof that they are still
+// valid; nothing when there is no limit.
+inline auto KeyProofLifetime(const settings& values)
+    -> std::optional<duration> {
+  const auto limit = values.Get(kKeysWithdrawnMs);
+  return limit == 0 ? std::nullopt
+                    : std::optional<duration>(std::chrono::milliseconds(limit));
+}
+
 }  // namespace daisywind::vm_settings
 
 #endif  // DAISYWIND_COMMON_VM_SETTINGS_H_
--- a/source/core/dispatch/route_table.cc
+++ b/source/core/dispatch/route_table.cc
@@ -27,6 +27,7 @@
   for (const auto& item : newest.services) {
     services_.emplace(item.id, item);
   }
+  organisations_.Install(newest.organisations);
   return true;
 }
 
--- a/source/core/dispatch/route_table.h
+++ b/source/core/dispatch/route_table.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "dispatch/organisation_table.h"
 #include "dispatch/types.h"
 
 namespace daisywind::dispatch {
@@ -31,6 +32,10 @@
 
   [[nodiscard]] auto FindService(const service_id& id) const -> const service*;
 
+  [[nodiscard]] auto organisations() const -> const organisation_table& {
+    return organisations_;
+  }
+
   [[nodiscard]] auto services() const
       -> const std::unordered_map<service_id, service>& {
     return services_;
@@ -43,6 +48,7 @@
   request_limits limits_;
   std::unordered_map<std::string, route_list> by_host_;
   std::unordered_map<service_id, service> services_;
+  organisation_table organisations_;
 };
 
 // Picks one of a route's services by weight. The same key always gets the same
--- a/source/core/dispatch/types.h
+++ b/source/core/dispatch/types.h
@@ -64,6 +64,8 @@
   // Whether requests have endpoint affinity: endpoints that have already seen a
   // request's object process it faster.
   bool is_sticky = false;
+  // Whether callers need no API key.
+  bool is_public = false;
 
   auto operator<=>(const route&) const = default;
 };
@@ -87,6 +89,19 @@
   auto operator<=>(const service&) const = default;
 };
 
+// An organisation whose callers identify themselves by API keys.
+struct organisation {
+  organisation_id id;
+  std::vector<std::string> api_keys;
+  // Limit on its requests over all VMs together; zero for none.
+  double requests_per_second = 0;
+  double burst = 0;
+  // Priority of its requests in place of their routes'.
+  std::optional<std::uint32_t> priority;
+
+  auto operator<=>(const organisation&) const = default;
+};
+
 // Limits on what a caller may send.
 struct request_limits {
   std::size_t max_head_bytes = std::size_t{16} * 1024;
@@ -103,6 +118,8 @@
   std::vector<route> routes;
   std::vector<service> services;
   request_limits limits;
+  // Empty when callers need no API keys.
+  std::optional<std::vector<organisation>> organisations;
 
   auto operator<=>(const configuration&) const = default;
 };
@@ -171,6 +188,8 @@
 
   auto operator<=>(const call&) const = default;
 };
+  // Empty without a key, or with several different ones.
+  std::string api_key;
 
 }  // namespace daisywind::dispatch
 
--- a/source/core/front/directory.cc
+++ b/source/core/front/directory.cc
@@ -62,6 +62,15 @@
   OnSnapshot(copy.items, item_source::kCopy, true);
 }
 
+auto directory::ImportProof(instant as_of) -> void {
+  copy_as_of_ = std::max(copy_as_of_, std::optional(as_of));
+}
+
+auto directory::ProvenAt() const -> std::optional<instant> {
+  return is_configuration_valid_ ? std::max(watch_.known_as_of(), copy_as_of_)
+                                 : std::nullopt;
+}
+
 auto directory::Start() -> void {
   watch_.Start();
 }
@@ -158,6 +167,7 @@
 auto directory::OnConfiguration(const kv::key_value& item, item_source source)
     -> void {
   const auto newest = codec_.ReadConfiguration(item.value);
+  is_configuration_valid_ = newest.has_value();
   if (!newest) {
     Log(log_events::kEntryIgnored, {{"key", std::string_view(item.key)},
                                     {"reason", "not a valid configuration"}});
--- a/source/core/front/directory.h
+++ b/source/core/front/directory.h
@@ -61,6 +61,10 @@
   // grace period.
   auto ImportCopy(const history::store_copy& copy) -> void;
 
+  // Records that another VM's copy, if it is no newer than what is known here,
+  // includes all that the store had acknowledged at a time.
+  auto ImportProof(instant as_of) -> void;
+
   // The newest store revision received, from the store or from a copy.
   [[nodiscard]] auto revision_at() const -> kv::revision { return revision_; }
 
@@ -68,6 +72,10 @@
   // answer.
   [[nodiscard]] auto StoreAge(instant now) const -> std::optional<duration>;
 
+  // The configuration in force was the newest at this time; empty when that is
+  // not known, as while the newest one can't be read.
+  [[nodiscard]] auto ProvenAt() const -> std::optional<instant>;
+
   // False while the store is unreachable.
   [[nodiscard]] auto IsStoreReachable() const -> bool { return is_reachable_; }
 
@@ -116,6 +124,10 @@
   dispatch::endpoint_table endpoints_;
   kv::store_watch watch_;
   kv::revision revision_ = 0;
+  // What copies of other VMs prove.
+  std::optional<instant> copy_as_of_;
+  // Whether the newest configuration could be read.
+  bool is_configuration_valid_ = false;
   bool is_reachable_ = true;
   instant removals_uncertain_until_{};
 };
--- a/source/core/front/front_node.cc
+++ b/source/core/front/front_node.cc
@@ -67,6 +67,9 @@
 auto DirectoryOptions(const settings& values) -> directory_options {
   auto options = directory_options{};
   options.watch = kv::WatchOptionsFor(ChangeTimeLimit(values));
+  if (const auto lifetime = KeyProofLifetime(values)) {
+    options.watch = kv::WithMaxAge(options.watch, *lifetime);
+  }
   return options;
 }
 
@@ -104,13 +107,14 @@
                  endpoints.OnSharedFailure(sample.endpoint,
                                            now - *sample.failed_age);
                }
+      key_proof_lifetime_(KeyProofLifetime(values)),
              }),
       store_(
           context,
           platform.store,
           region_id(values.Get(kRegion)),
           [this]() -> const history::view& { return turns_.current(); },
-          history::MirroredStoreOptionsFor(ChangeTimeLimit(values))),
+          MirrorOptions(values)),
       directory_(context,
                  store_,
                  platform.directory,
@@ -272,7 +276,7 @@
   // Without a quorum of journals no turn can begin, and without a path no
   // request can be served, so callers are better served by another front.
   const auto is_ready = directory_.IsConfigured() && turns_.HasQuorum() &&
-                        paths_.IsUsable() && !is_stopping_;
+                        paths_.IsUsable() && knows_keys && !is_stopping_;
   if (is_ready == is_ready_) {
     return;
   }
@@ -287,6 +291,8 @@
 auto front_node::Place(const dispatch::placement_request& request,
                        const std::optional<history::sender_state>& relay)
     -> std::optional<dispatch::placement_choice> {
+  const auto knows_keys = !directory_.routes().organisations().RequiresKeys() ||
+                          AreKeysProven(Now());
   if (!relay) {
     return dispatch::Place(directory_.endpoints(), request, location_,
                            placement_, Now(), random_);
@@ -295,11 +301,20 @@
   from.failure_domain = relay->location.failure_domain;
   from.region = relay->location.region;
   return dispatch::Place(directory_.endpoints(), request, from, placement_,
+       {"knows_keys", knows_keys},
                          Now(), random_);
 }
 
 auto front_node::Stop(std::function<void()> on_stopped) -> void {
   if (is_stopping_) {
+auto front_node::AreKeysProven(instant now) const -> bool {
+  if (!key_proof_lifetime_) {
+    return true;
+  }
+  const auto proven_at = directory_.ProvenAt();
+  return proven_at && now - *proven_at < *key_proof_lifetime_;
+}
+
     return;
   }
   is_stopping_ = true;
--- a/source/core/front/front_node.h
+++ b/source/core/front/front_node.h
@@ -108,6 +108,9 @@
   // Requests under way, which a stop ends when its time is over.
   auto AddFlow(request_flow& flow) -> void { flows_.insert(&flow); }
   auto RemoveFlow(request_flow& flow) -> void { flows_.erase(&flow); }
+  // Whether no API key may have been withdrawn for longer than the settings
+  // allow without this front knowing it.
+  [[nodiscard]] auto AreKeysProven(instant now) const -> bool;
   [[nodiscard]] auto FlowCount() const -> std::size_t { return flows_.size(); }
 
   // Chooses an endpoint from the current tables, for an attempt from this VM or
--- a/source/core/front/front_settings.cc
+++ b/source/core/front/front_settings.cc
@@ -19,6 +19,7 @@
           Declare(kMaxConnections),
           Declare(kResponseMemoryMb),
           Declare(kMemoryLimitMb),
+          Declare(kKeysWithdrawnMs),
           Declare(kGraceSeconds),
           Declare(kLeaveMs),
           Declare(kLogLevel)};
--- a/source/core/front/platform_codecs.cc
+++ b/source/core/front/platform_codecs.cc
@@ -10,6 +10,14 @@
       return "no_route";
     case refusal_reason::kBadRequest:
       return "bad_request";
+    case refusal_reason::kUnknownKey:
+      return "unknown_key";
+    case refusal_reason::kKeysOutdated:
+      return "keys_outdated";
+    case refusal_reason::kQuotaExceeded:
+      return "quota_exceeded";
+    case refusal_reason::kQuotaUnknown:
+      return "quota_unknown";
     case refusal_reason::kNoEndpoint:
       return "no_endpoint";
     case refusal_reason::kOverloaded:
--- a/source/core/front/platform_codecs.h
+++ b/source/core/front/platform_codecs.h
@@ -28,6 +28,9 @@
   // Version of the model's weights that an endpoint must have to continue the
   // stream; empty for any.
   std::optional<std::uint64_t> weights_version;
+  // The caller's organisation, empty for a caller without a key. Nothing when
+  // the configuration has no organisations; API keys mean nothing then.
+  std::optional<organisation_id> organisation;
 
   auto operator<=>(const attempt_metadata&) const = default;
 };
@@ -61,6 +64,14 @@
   kNotReady,
   kNoRoute,
   kBadRequest,
+  // The route needs an API key, and the caller has none that is known.
+  kUnknownKey,
+  // The front can't prove that it knows which API keys are withdrawn.
+  kKeysOutdated,
+  // The organisation has used up its request limit.
+  kQuotaExceeded,
+  // No journal says whether the organisation's request limit allows a request.
+  kQuotaUnknown,
   kNoEndpoint,
   kOverloaded,
   kBudgetSpent,
--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -25,6 +25,8 @@
 // A front without a configuration waits for the platform's store, which may be
 // unreachable for seconds.
 constexpr auto kUnconfiguredRetry = duration(1s);
+// Another front may be in touch with the store.
+constexpr auto kKeysOutdatedRetry = duration(300ms);
 
 auto AttemptResultName(attempt_result end) -> std::string_view {
   return end == attempt_result::kNotRun ? "not_run" : "may_have_run";
@@ -38,12 +40,42 @@
 auto LogRefusal(const dispatch::call& call,
                 refusal_reason reason,
                 const directory& from) -> void {
+  const auto now = Now();
+  const auto proven_at = from.ProvenAt();
   Log(log_events::kRequestRefused,
       {{"request", std::string_view(call.request_id)},
        {"program", std::string_view(call.program)},
        {"reason", ReasonName(reason)},
        {"version", static_cast<std::int64_t>(from.routes().version())},
-       {"store_age_ms", Milliseconds(from.StoreAge(Now()))}});
+       {"store_age_ms", Milliseconds(from.StoreAge(now))},
+       {"keys_age_ms", proven_at ? Milliseconds(now - *proven_at) : kNoTime}});
+}
+
+// Why a caller's API key does not let it use a route, or nothing.
+auto CheckKey(const front_node& node,
+              const dispatch::organisation_table& organisations,
+              const dispatch::route& route,
+              std::string_view api_key) -> std::optional<refusal_reason> {
+  if (!organisations.RequiresKeys() || route.is_public) {
+    return std::nullopt;
+  }
+  if (!node.AreKeysProven(Now())) {
+    return refusal_reason::kKeysOutdated;
+  }
+  return organisations.FindByKey(api_key) == nullptr
+             ? std::optional(refusal_reason::kUnknownKey)
+             : std::nullopt;
+}
+
+auto RetryAfter(refusal_reason reason) -> std::optional<duration> {
+  switch (reason) {
+    case refusal_reason::kNotReady:
+      return kUnconfiguredRetry;
+    case refusal_reason::kKeysOutdated:
+      return kKeysOutdatedRetry;
+    default:
+      return std::nullopt;
+  }
 }
 
 }  // namespace
@@ -61,33 +93,36 @@
     reason = refusal_reason::kNotReady;
   } else {
     matched_route = service_directory.routes().Find(call->host, call->path);
-    if (matched_route == nullptr) {
-      reason = refusal_reason::kNoRoute;
-    }
+    reason = matched_route == nullptr
+                 ? refusal_reason::kNoRoute
+                 : CheckKey(node, service_directory.routes().organisations(),
+                            *matched_route, call->api_key);
   }
   if (reason) {
     LogRefusal(*call, *reason, service_directory);
     CountRefusal(node.metrics_registry(), *reason);
-    const auto retry_after = *reason == refusal_reason::kNotReady
-                                 ? std::optional<duration>(kUnconfiguredRetry)
-                                 : std::nullopt;
     co_await exchange.Respond(
-        node.requests().MakeRefusal({*reason, retry_after}));
+        node.requests().MakeRefusal({*reason, RetryAfter(*reason)}));
     co_return;
   }
+  auto caller =
+      service_directory.routes().organisations().FindByKey(call->api_key);
   const auto flow = std::make_shared<request_flow>(
-      node, exchange, std::move(*call), std::move(matched_route));
+      node, exchange, std::move(*call), std::move(matched_route),
+      std::move(caller));
   co_await flow->Run();
 }
 
 request_flow::request_flow(front_node& node,
                            net::http_exchange& exchange,
                            dispatch::call call,
-                           std::shared_ptr<const dispatch::route> matched_route)
+                           std::shared_ptr<const dispatch::route> matched_route,
+                           std::shared_ptr<const dispatch::organisation> caller)
     : node_(node),
       exchange_(exchange),
       call_(std::move(call)),
       route_(std::move(matched_route)),
+      organisation_(std::move(caller)),
       version_(node.service_directory().routes().version()),
       started_at_(Now()),
       store_age_(node.service_directory().StoreAge(started_at_)),
@@ -173,6 +208,11 @@
       }
       placement.excluded.clear();
     }
+    if (const auto reason = KeyRefusal()) {
+      co_await Refuse(attempts_.runs > 0 ? refusal_reason::kNoAnswer : *reason,
+                      RetryAfter(*reason));
+      co_return;
+    }
     if (choice) {
       summary_.choice = choice;
       const auto path = ChoosePath(*choice, relay);
@@ -231,8 +271,8 @@
                            const dispatch::placement_choice& choice,
                            const attempt_path& path)
     -> asio::awaitable<std::optional<attempt_result>> {
-  auto metadata =
-      attempt_metadata{choice.endpoint, TimeLeft(), Urgency(), {}, {}};
+  auto metadata = attempt_metadata{
+      choice.endpoint, TimeLeft(), Urgency(), {}, {}, CallerIdentity()};
   if (attempts_.is_answered) {
     metadata.resume_after = progress_.last_event_id();
     metadata.weights_version = progress_.weights_version();
@@ -427,14 +467,29 @@
 }
 
 auto request_flow::Urgency() const -> std::uint32_t {
-  return route_->priority;
+  return organisation_ != nullptr
+             ? organisation_->priority.value_or(route_->priority)
+             : route_->priority;
+}
+
+auto request_flow::KeyRefusal() const -> std::optional<refusal_reason> {
+  return CheckKey(node_, node_.service_directory().routes().organisations(),
+                  *route_, call_.api_key);
+}
+
+auto request_flow::CallerIdentity() const -> std::optional<organisation_id> {
+  if (!node_.service_directory().routes().organisations().RequiresKeys()) {
+    return std::nullopt;
+  }
+  return organisation_ != nullptr ? organisation_->id : organisation_id{};
 }
 
 auto request_flow::LogEnd() -> void {
   const auto took = Now() - started_at_;
-  node_.metrics_registry().Observe("daisywind_front_request_seconds",
-                                   organisation_id{},
-                                   class_id(route_->id.value), took);
+  node_.metrics_registry().Observe(
+      "daisywind_front_request_seconds",
+      organisation_ != nullptr ? organisation_->id : organisation_id{},
+      class_id(route_->id.value), took);
   const auto choice = summary_.choice.value_or(dispatch::placement_choice{});
   Log(log_events::kRequestEnded,
       {{"request", std::string_view(call_.request_id)},
@@ -453,6 +508,9 @@
         choice.report_age ? Milliseconds(*choice.report_age) : -1.0},
        {"missing_tokens", static_cast<std::int64_t>(choice.missing_tokens)},
        {"rate_limit", choice.rate_limit.value_or(kNoLimit)},
+       {"organisation", organisation_ != nullptr
+                            ? std::string_view(organisation_->id.value)
+                            : std::string_view()},
        {"reused", summary_.is_reused},
        {"first_byte_ms",
         summary_.first_byte ? Milliseconds(*summary_.first_byte) : -1.0},
--- a/source/core/front/request_flow.h
+++ b/source/core/front/request_flow.h
@@ -39,7 +39,8 @@
   request_flow(front_node& node,
                net::http_exchange& exchange,
                dispatch::call call,
-               std::shared_ptr<const dispatch::route> matched_route);
+               std::shared_ptr<const dispatch::route> matched_route,
+               std::shared_ptr<const dispatch::organisation> caller);
   request_flow(const request_flow&) = delete;
   auto operator=(const request_flow&) -> request_flow& = delete;
   ~request_flow();
@@ -74,6 +75,17 @@
   // memory for requests does not suffice.
   auto MakeBody(const std::vector<history::turn_fact>& chain, std::string& body)
       -> bool;
+  // Why the caller's API key does not allow an attempt now; nothing when it
+  // does. A key may be withdrawn while its request waits.
+  [[nodiscard]] auto KeyRefusal() const -> std::optional<refusal_reason>;
+  // The caller's organisation for an endpoint.
+  [[nodiscard]] auto CallerIdentity() const -> std::optional<organisation_id>;
+  // The program's name at the journals. Organisations choose the names of their
+  // programs independently.
+  [[nodiscard]] auto ProgramName() const -> history::program_name;
+  // Whether the caller may continue a turn. A turn that an earlier version
+  // stored belongs to no organisation.
+  [[nodiscard]] auto MayContinue(const history::turn_fact& turn) const -> bool;
   // Whether the request reserves tokens at the journals: a turn of a route that
   // stores turns, or any stream that counts against a budget.
   [[nodiscard]] auto IsTurn() const -> bool;
@@ -174,6 +186,8 @@
   std::shared_ptr<const dispatch::route> route_;
   // Version of the configuration that selected the route.
   version_number version_ = 0;
+  // The organisation that owns the caller's API key; null without one.
+  std::shared_ptr<const dispatch::organisation> organisation_;
   dispatch::service_id service_;
   // Set when the endpoints of the service are model replicas.
   std::optional<dispatch::engine_profile> engine_;
--- a/source/core/front/store_fallback.cc
+++ b/source/core/front/store_fallback.cc
@@ -63,14 +63,28 @@
     if (is_newest) {
       settles_at = newest ? settles_at : Now() + settle_time;
       newest = std::move(*received->copy);
+      newest_as_of = AsOf(*received);
+    } else if (received != nullptr && !received->copy) {
+      unchanged_as_of = std::max(unchanged_as_of, AsOf(*received));
     }
     wake.cancel();
   }
 
+  // The reply's copy has all that the store had acknowledged at this time.
+  [[nodiscard]] auto AsOf(const history::copy_reply& reply) const
+      -> std::optional<instant> {
+    return reply.proof_age ? std::optional(sent_at - *reply.proof_age)
+                           : std::nullopt;
+  }
+
   asio::steady_timer wake;
+  instant sent_at = Now();
   duration settle_time{};
   std::size_t pending = 0;
   std::optional<history::store_copy> newest;
+  std::optional<instant> newest_as_of;
+  // Of replies that had no copy newer than what is known here.
+  std::optional<instant> unchanged_as_of;
   // Set with the first copy.
   instant settles_at = instant::max();
 };
@@ -94,9 +108,17 @@
     round->wake.expires_after(remaining);
     co_await round->wake.async_wait(asio::as_tuple(asio::use_awaitable));
   }
-  if (round->newest && !is_stopped_) {
+  if (is_stopped_) {
+    co_return;
+  }
+  if (round->newest) {
     service_directory_.ImportCopy(*round->newest);
   }
+  const auto as_of =
+      round->newest ? round->newest_as_of : round->unchanged_as_of;
+  if (as_of) {
+    service_directory_.ImportProof(*as_of);
+  }
 }
 
 auto store_fallback::JournalAddresses() const -> std::vector<std::string> {
--- a/source/core/front/turn_flow.cc
+++ b/source/core/front/turn_flow.cc
@@ -70,6 +70,18 @@
          call_.token_budget.has_value() && !call_.program.empty();
 }
 
+auto request_flow::ProgramName() const -> history::program_name {
+  return history::program_name(
+      organisation_ != nullptr ? organisation_->id.value + '/' + call_.program
+                               : call_.program);
+}
+
+auto request_flow::MayContinue(const history::turn_fact& turn) const -> bool {
+  const auto& owner = turn.content->organisation;
+  return owner.empty() ||
+         (organisation_ != nullptr && organisation_->id == owner);
+}
+
 auto request_flow::RunTurn() -> asio::awaitable<void> {
   if (call_.request_id.empty()) {
     co_await Refuse(refusal_reason::kBadRequest, std::nullopt);
@@ -77,7 +89,7 @@
   }
   // The id of a turn is that of its request.
   auto begin = history::turn_begin{
-      history::program_name(call_.program),
+      ProgramName(),
       history::turn_id(call_.request_id),
       history::turn_id(route_->stores_turns ? call_.previous_turn
                                             : std::string()),
@@ -105,6 +117,8 @@
        {"took_us", (Now() - requested_at).count()}});
   if (IsOver()) {
     co_await GiveUp();
+  } else if (!begun.chain.empty() && !MayContinue(begun.chain.back())) {
+    co_await Refuse(refusal_reason::kUnknownTurn, std::nullopt);
   } else if (begun.outcome != history::begin_outcome::kGranted) {
     const auto retry_after =
         begun.outcome == history::begin_outcome::kUnavailable
@@ -112,9 +126,8 @@
             : std::nullopt;
     co_await Refuse(ReasonFor(begun.outcome), retry_after);
   } else {
-    for (auto& fact :
-         history::Renewals(begun.chain, history::program_name(call_.program),
-                           UnixMs(), RetentionMs())) {
+    for (auto& fact : history::Renewals(begun.chain, ProgramName(), UnixMs(),
+                                        RetentionMs())) {
       node_.turns().Settle(std::move(fact));
     }
     auto body = std::string{};
@@ -170,8 +183,12 @@
   }
   auto fact = MakeTurnFact();
   fact.content = history::turn_content{
-      history::turn_id(call_.previous_turn), exchange_.request().body,
-      std::move(output_), endpoint, call_.prompt_tokens};
+      history::turn_id(call_.previous_turn),
+      exchange_.request().body,
+      std::move(output_),
+      endpoint,
+      call_.prompt_tokens,
+      organisation_ != nullptr ? organisation_->id : organisation_id{}};
   const auto is_recorded = co_await node_.turns().Record(
       std::move(fact), std::max(kMinRecordTimeout, TimeLeft()));
   if (is_recorded) {
@@ -201,7 +218,7 @@
 
 auto request_flow::MakeTurnFact() const -> history::turn_fact {
   auto fact = history::turn_fact{};
-  fact.program = history::program_name(call_.program);
+  fact.program = ProgramName();
   fact.turn = history::turn_id(call_.request_id);
   fact.reserved_tokens = call_.max_output_tokens;
   fact.retention_ms = RetentionMs();
--- a/source/core/history_client/mirrored_store.cc
+++ b/source/core/history_client/mirrored_store.cc
@@ -13,9 +13,11 @@
 
 namespace asio = boost::asio;
 
-auto ChangesFrom(const copy_reply& reply, kv::revision after)
-    -> kv::change_list {
+auto ChangesFrom(const copy_reply& reply,
+                 kv::revision after,
+                 std::optional<instant> as_of) -> kv::change_list {
   auto list = kv::change_list{{}, after, false};
+  list.as_of = as_of;
   if (!reply.copy) {
     return list;
   }
@@ -42,6 +44,16 @@
   return options;
 }
 
+auto WithProofs(mirrored_store_options options, duration max_age)
+    -> mirrored_store_options {
+  options.max_proof_age = 3 * max_age / 10;
+  options.poll_interval = std::min(options.poll_interval, max_age / 20);
+  // Includes journals of other regions, as the store may turn away those of one
+  // region.
+  options.max_journals = 4;
+  return options;
+}
+
 mirrored_store::mirrored_store(asio::io_context& context,
                                kv::store& source,
                                region_id region,
@@ -82,13 +94,16 @@
   const auto end = Now() + wait;
   auto timer = asio::steady_timer(context_);
   while (prefix.empty()) {
+    if (options_.max_proof_age) {
+      co_await WaitForPoll();
+    }
     auto list = co_await RequestFromAny(after);
     if (!list) {
       break;
     }
     const auto remaining = end - Now();
     if (!list->changes.empty() || list->is_snapshot ||
-        remaining <= duration(0)) {
+        remaining <= duration(0) || options_.max_proof_age) {
       co_return kv::store_result<kv::change_list>{
           kv::outcome::kAnswered, std::move(list), std::string()};
     }
@@ -104,6 +119,16 @@
   co_return result;
 }
 
+auto mirrored_store::WaitForPoll() -> asio::awaitable<void> {
+  const auto next_poll = polled_at_ + options_.poll_interval;
+  if (const auto wait = next_poll - Now(); wait > duration(0)) {
+    auto timer = asio::steady_timer(context_);
+    timer.expires_after(wait);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  polled_at_ = Now();
+}
+
 auto mirrored_store::SourceAge(instant now) const -> std::optional<duration> {
   return source_answered_at_ ? std::optional(now - *source_answered_at_)
                              : std::nullopt;
@@ -139,13 +164,19 @@
   const auto age = received != nullptr && received->store_age
                        ? std::optional(*received->store_age + (Now() - sent_at))
                        : std::nullopt;
-  if (!age || *age > options_.max_age) {
+  const auto as_of = received != nullptr && received->proof_age
+                         ? std::optional(sent_at - *received->proof_age)
+                         : std::nullopt;
+  const auto is_proven = !options_.max_proof_age ||
+                         (as_of && Now() - *as_of <= *options_.max_proof_age);
+  if (!age || *age > options_.max_age || !is_proven) {
     Log(log_events::kMirrorUnused, {{"journal", std::string_view(address)},
                                     {"is_answered", received != nullptr},
-                                    {"store_age_ms", Milliseconds(age)}});
+                                    {"store_age_ms", Milliseconds(age)},
+                                    {"is_proven", is_proven}});
     co_return std::nullopt;
   }
-  co_return ChangesFrom(*received, after);
+  co_return ChangesFrom(*received, after, as_of);
 }
 
 auto mirrored_store::NextJournal() -> std::optional<std::string> {
@@ -159,9 +190,13 @@
   };
   const auto has_near = std::any_of(members.begin(), members.end(), is_near);
   auto candidates = std::vector<std::string>{};
+  auto far = std::vector<std::string>{};
   for (const auto& member : members) {
-    if ((has_near && !is_near(member)) ||
-        excluded_until_.contains(member.address)) {
+    if (excluded_until_.contains(member.address)) {
+      continue;
+    }
+    if (has_near && !is_near(member)) {
+      far.push_back(member.address);
       continue;
     }
     if (member.address == last_journal_) {
@@ -169,6 +204,9 @@
     }
     candidates.push_back(member.address);
   }
+  if (candidates.empty() && options_.max_proof_age) {
+    candidates = std::move(far);
+  }
   if (candidates.empty()) {
     return std::nullopt;
   }
--- a/source/core/history_client/mirrored_store.h
+++ b/source/core/history_client/mirrored_store.h
@@ -33,12 +33,21 @@
   duration retry_after = 2s;
   // Number of journals asked in a row before the store itself is.
   std::size_t max_journals = 2;
+  // When set, a copy serves only if the journal asked the store for it within
+  // this time, and calls for changes also return without changes, with the time
+  // of that question.
+  std::optional<duration> max_proof_age = std::nullopt;
 };
 
 // Returns the timing with which a change is known within `time_limit` although
 // the journal that is asked, or its watch of the store, has just failed.
 auto MirroredStoreOptionsFor(duration time_limit) -> mirrored_store_options;
 
+// Makes a mirrored store prove how new its changes are, for a VM that has to
+// know within `max_age` that it has missed none.
+auto WithProofs(mirrored_store_options options, duration max_age)
+    -> mirrored_store_options;
+
 // Waits for changes at a journal of the VM's region, which watches the store
 // for all VMs there, or at any journal if the region has none, and at the store
 // itself if no such journal has an up-to-date copy. So a change crosses the
@@ -78,6 +87,8 @@
       -> boost::asio::awaitable<std::optional<kv::change_list>>;
   // The journal to be asked next: the one that served last, or any other.
   auto NextJournal() -> std::optional<std::string>;
+  // Waits until the poll interval since the last request to a journal is over.
+  auto WaitForPoll() -> boost::asio::awaitable<void>;
 
   boost::asio::io_context& context_;
   kv::store& source_;
@@ -87,6 +98,8 @@
   random_source random_;
   member_clients clients_;
   std::optional<instant> source_answered_at_;
+  // When a journal was last asked.
+  instant polled_at_{};
   // The address of the journal that served last.
   std::string last_journal_;
   // When journals whose copies did not serve may be asked again, by address.
--- a/source/core/journal/journal_node.cc
+++ b/source/core/journal/journal_node.cc
@@ -348,6 +348,7 @@
   if (const auto* wanted = std::get_if<history::copy_request>(&request->body)) {
     auto reply = mirror_.ReplyTo(*wanted);
     reply.store_age = view_manager_->StoreAge(Now());
+    reply.proof_age = view_manager_->ProofAge(Now());
     reply_now(std::move(reply));
     return;
   }
--- a/source/core/journal/journal_settings.cc
+++ b/source/core/journal/journal_settings.cc
@@ -17,6 +17,7 @@
           Declare(kToleratedDiskLosses),
           Declare(kRetentionMs),
           Declare(kMemoryLimitMb),
+          Declare(kKeysWithdrawnMs),
           Declare(kLogLevel)};
 }
 
--- a/source/core/journal/view_manager.h
+++ b/source/core/journal/view_manager.h
@@ -87,6 +87,13 @@
     return followed_store_.SourceAge(now);
   }
 
+  // Time since the store was asked the question whose answer the mirror
+  // includes; empty before the first one.
+  [[nodiscard]] auto ProofAge(instant now) const -> std::optional<duration> {
+    const auto as_of = watch_.known_as_of();
+    return as_of ? std::optional(now - *as_of) : std::nullopt;
+  }
+
  private:
   struct reachable_member {
     history::member peer;
--- a/source/core/kv/store.h
+++ b/source/core/kv/store.h
@@ -17,6 +17,9 @@
 struct listing {
   std::vector<key_value> items;
   revision revision_at = 0;
+  // The listing has everything that the store had acknowledged by this time;
+  // empty when that is not known.
+  std::optional<instant> as_of = std::nullopt;
 
   auto operator<=>(const listing&) const = default;
 };
@@ -38,6 +41,8 @@
   bool is_history_lost = false;
   // Whether the changes are all keys that exist, in place of what has changed.
   bool is_snapshot = false;
+  // As in listing, together with what the receiver knew before.
+  std::optional<instant> as_of = std::nullopt;
 
   auto operator<=>(const change_list&) const = default;
 };
--- a/source/core/kv/store_watch.cc
+++ b/source/core/kv/store_watch.cc
@@ -43,6 +43,14 @@
   return options;
 }
 
+auto WithMaxAge(watch_options options, duration max_age) -> watch_options {
+  constexpr auto kCallsInMaxAge = 10;
+  options.wait = std::min(options.wait, max_age / kCallsInMaxAge);
+  options.coalesce = std::min(options.coalesce, max_age / (2 * kCallsInMaxAge));
+  options.max_backoff = std::min(options.max_backoff, max_age / kCallsInMaxAge);
+  return options;
+}
+
 store_watch::store_watch(asio::io_context& context,
                          store& source,
                          std::string prefix,
@@ -104,6 +112,7 @@
   needs_refresh_ =
       changes > 0 && IsListingSmaller(static_cast<std::size_t>(changes));
   handlers_.on_snapshot(*result.value);
+  known_as_of_ = std::max(known_as_of_, result.value->as_of);
   if (needs_refresh_) {
     co_await Pause(options_.coalesce);
   }
@@ -137,6 +146,7 @@
       all.items.push_back(std::move(change.item));
     }
     handlers_.on_snapshot(all);
+    known_as_of_ = std::max(known_as_of_, result.value->as_of);
     co_await Pause(options_.coalesce);
     co_return true;
   }
@@ -152,7 +162,10 @@
     bytes_per_change_ = bytes / changes.size();
     needs_refresh_ = IsListingSmaller(changes.size());
     handlers_.on_changes(*result.value);
+    known_as_of_ = std::max(known_as_of_, result.value->as_of);
     co_await Pause(options_.coalesce);
+  } else {
+    known_as_of_ = std::max(known_as_of_, result.value->as_of);
   }
   co_return true;
 }
--- a/source/core/kv/store_watch.h
+++ b/source/core/kv/store_watch.h
@@ -56,6 +56,10 @@
 // limit.
 auto RelayingWatchOptionsFor(duration time_limit) -> watch_options;
 
+// Shortens the calls of a watch so that the store is asked several times within
+// a time, also after failures.
+auto WithMaxAge(watch_options options, duration max_age) -> watch_options;
+
 // Watches one prefix from Start until Stop.
 class store_watch {
  public:
@@ -72,6 +76,12 @@
   // the first one.
   [[nodiscard]] auto Age(instant now) const -> std::optional<duration>;
 
+  // The owner has been told of everything that the store had acknowledged by
+  // this time; empty until the first complete response whose time is known.
+  [[nodiscard]] auto known_as_of() const -> std::optional<instant> {
+    return known_as_of_;
+  }
+
   // How long the call that got this response took.
   [[nodiscard]] auto last_call_duration() const -> duration {
     return last_call_duration_;
@@ -96,6 +106,7 @@
   boost::asio::steady_timer timer_;
   revision next_ = 0;
   std::optional<instant> answered_at_;
+  std::optional<instant> known_as_of_;
   duration last_call_duration_{};
   // Size of the last listing, and the average size of the changes in the last
   // call that reported any.
--- a/source/daisywind_journal/main.cc
+++ b/source/daisywind_journal/main.cc
@@ -47,6 +47,9 @@
   view_options.watch = kv::RelayingWatchOptionsFor(ChangeTimeLimit(values));
   view_options.mirror =
       history::MirroredStoreOptionsFor(ChangeTimeLimit(values));
+  if (const auto lifetime = KeyProofLifetime(values)) {
+    view_options.watch = kv::WithMaxAge(view_options.watch, *lifetime);
+  }
   view_options.retire = platform::RetireKeys();
   auto node = journal_node(context, values, store, view_options);
   auto metrics = net::http_server(
