dispatch: home engines of programs, paces of shared machines

The fourth load figure was ignored. Change: programs are ranked over the region's engines by rendezvous hashing; the first two are candidates, the first is taken to lack what a turn adds on average (learned from consecutive turns). Costs are multiplied by the reported pace, averaged over half a second and shared with the load samples. Routes that store turns have no home: their chain names the engines.

--- a/source/core/dispatch/endpoint_table.cc
+++ b/source/core/dispatch/endpoint_table.cc
@@ -13,45 +13,12 @@
   return std::min(1.0, quota.available + quota.per_second * age.count());
 }
 
-auto ApplyReport(endpoint_state& state,
-                 const load_report& report,
-                 instant taken_at) -> void {
-  if (state.report && taken_at < state.reported_at) {
-    return;
-  }
-  state.report = report;
-  state.reported_at = taken_at;
-  const auto total = double(report.running) + double(report.waiting);
-  state.others_in_flight = std::max(0.0, total - double(state.in_flight));
-}
-
 }  // namespace
 
 auto RunOf(const endpoint& entry) -> endpoint_run {
   return {entry.service, entry.address, entry.started_ms};
 }
 
-auto prompt_part_cache::Add(const prompt_part& part) -> void {
-  if (const auto found = entries_.find(part.id); found != entries_.end()) {
-    auto& known = *found->second;
-    known.tokens = std::max(known.tokens, part.tokens);
-    by_recency_.splice(by_recency_.begin(), by_recency_, found->second);
-    return;
-  }
-  by_recency_.push_front(part);
-  entries_.emplace(part.id, by_recency_.begin());
-  if (by_recency_.size() > capacity_) {
-    entries_.erase(by_recency_.back().id);
-    by_recency_.pop_back();
-  }
-}
-
-auto prompt_part_cache::TokensOf(const prompt_part_id& part) const
-    -> std::uint32_t {
-  const auto found = entries_.find(part);
-  return found == entries_.end() ? 0 : found->second->tokens;
-}
-
 auto endpoint_table::Put(const endpoint& entry, instant now) -> void {
   const auto found = states_.find(entry.id);
   if (found != states_.end() &&
@@ -65,6 +32,7 @@
   }
   auto state = endpoint_state{};
   state.entry = entry;
+  state.key = KeyOf(entry.id);
   state.registered_at = now;
   if (const auto left = leaving_.find(entry.id); left != leaving_.end()) {
     state.has_said_it_leaves = left->second.run == RunOf(entry);
@@ -195,9 +163,41 @@
   ApplyReport(found->second.state, report, now);
 }
 
+auto endpoint_table::ApplyReport(endpoint_state& state,
+                                 const load_report& report,
+                                 instant taken_at) const -> void {
+  if (state.report && taken_at < state.reported_at) {
+    return;
+  }
+  state.report = report;
+  state.reported_at = taken_at;
+  const auto total = double(report.running) + double(report.waiting);
+  state.others_in_flight = std::max(0.0, total - double(state.in_flight));
+  if (!report.pace) {
+    return;
+  }
+  // Reports of the same moment count as well: their paces are noisy.
+  constexpr auto kMinWeight = 0.2;
+  const auto age = std::chrono::duration<double>(taken_at - state.paced_at);
+  const auto half_life = std::chrono::duration<double>(options_.pace_half_life);
+  const auto weight = std::max(kMinWeight, 1.0 - std::exp2(-(age / half_life)));
+  const auto before = state.pace.value_or(*report.pace);
+  state.pace = before + (*report.pace - before) * weight;
+  state.paced_at = taken_at;
+}
+
+auto endpoint_table::ExpectedPace(const endpoint_state& state,
+                                  instant now) const -> double {
+  if (!state.pace) {
+    return 1.0;
+  }
+  const auto age = std::chrono::duration<double>(now - state.paced_at);
+  const auto half_life = std::chrono::duration<double>(options_.pace_half_life);
+  return 1.0 + (*state.pace - 1.0) * std::exp2(-(age / half_life));
+}
+
 auto endpoint_table::OnSharedReport(endpoint_key key,
-                                    std::uint32_t running,
-                                    std::uint32_t waiting,
+                                    const load_report& report,
                                     instant taken_at) -> void {
   const auto id = by_key_.find(key);
   if (id == by_key_.end()) {
@@ -208,7 +208,9 @@
   if (taken_at < state.registered_at) {
     return;
   }
-  ApplyReport(state, {running, waiting, state.entry.slots}, taken_at);
+  auto with_slots = report;
+  with_slots.slots = state.entry.slots;
+  ApplyReport(state, with_slots, taken_at);
 }
 
 auto endpoint_table::OnSharedFailure(endpoint_key key, instant failed_at)
--- a/source/core/dispatch/endpoint_table.h
+++ b/source/core/dispatch/endpoint_table.h
@@ -4,7 +4,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <list>
 #include <map>
 #include <optional>
 #include <string>
@@ -15,6 +14,7 @@
 #include "common/endpoint_key.h"
 #include "common/ids.h"
 #include "common/time.h"
+#include "dispatch/prompt_part_cache.h"
 #include "dispatch/types.h"
 
 namespace daisywind::dispatch {
@@ -46,6 +46,9 @@
   duration max_pause = 4s;
   // The same pause after an endpoint stated that it is full.
   duration full_pause = 60ms;
+  // Half-life of the weight of earlier reports in the mean pace, and of the
+  // difference of that mean from the usual. Paces change many times a second.
+  duration pace_half_life = 500ms;
   // Half-life of the weight that a load report has in the estimate of the
   // requests that other VMs have in flight at an endpoint. The rest of the
   // weight goes to the mean over the service's endpoints.
@@ -93,6 +96,7 @@
 // An endpoint with its observed load and health.
 struct endpoint_state {
   endpoint entry;
+  endpoint_key key = 0;
   // Its responses to this VM say that it leaves, whatever its entry says.
   bool has_said_it_leaves = false;
   // Requests in flight from this VM.
@@ -101,6 +105,9 @@
   instant reported_at{};
   // Requests in flight from other VMs at the time of the report.
   double others_in_flight = 0;
+  // Mean pace over the last reports that had one, as of paced_at.
+  std::optional<double> pace;
+  instant paced_at{};
   // Failures of this VM's requests since the last complete answer, without the
   // requests that got no response.
   std::uint32_t consecutive_failures = 0;
@@ -124,24 +131,6 @@
   }
 };
 
-// The most recently used prompt parts, up to a maximum number, as a model of an
-// endpoint's prefix cache. The lengths are stored because a session's part
-// grows from turn to turn under one id.
-class prompt_part_cache {
- public:
-  explicit prompt_part_cache(std::size_t capacity) : capacity_(capacity) {}
-
-  auto Add(const prompt_part& part) -> void;
-  // Returns the length of a part, or zero if it is not in the cache.
-  [[nodiscard]] auto TokensOf(const prompt_part_id& part) const
-      -> std::uint32_t;
-
- private:
-  std::size_t capacity_;
-  std::list<prompt_part> by_recency_;
-  std::unordered_map<prompt_part_id, std::list<prompt_part>::iterator> entries_;
-};
-
 // Endpoints by id and by service. Reads no clock: callers pass the time.
 class endpoint_table {
  public:
@@ -177,8 +166,7 @@
       -> void;
   // Applies a load report that the endpoint gave to another VM.
   auto OnSharedReport(endpoint_key key,
-                      std::uint32_t running,
-                      std::uint32_t waiting,
+                      const load_report& report,
                       instant taken_at) -> void;
   // Applies a failed request of another VM at the endpoint.
   auto OnSharedFailure(endpoint_key key, instant failed_at) -> void;
@@ -228,6 +216,10 @@
                                   double mean_others_in_flight,
                                   instant now) const -> double;
 
+  // Expected time of work at an endpoint, as a multiple of the usual.
+  [[nodiscard]] auto ExpectedPace(const endpoint_state& state,
+                                  instant now) const -> double;
+
  private:
   struct table_entry {
     endpoint_state state;
@@ -236,6 +228,9 @@
 
   auto Erase(const endpoint_id& id) -> void;
   auto CountFailure(endpoint_state& state, instant failed_at) const -> void;
+  auto ApplyReport(endpoint_state& state,
+                   const load_report& report,
+                   instant taken_at) const -> void;
 
   endpoint_options options_;
   // Elements of an unordered_map keep their addresses, so the other tables hold
--- a/source/core/dispatch/placement.cc
+++ b/source/core/dispatch/placement.cc
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <utility>
 
+#include "dispatch/home_ranking.h"
+
 namespace daisywind::dispatch {
 namespace {
 
@@ -18,20 +20,6 @@
       static_cast<duration::rep>(static_cast<double>(base.count()) * factor));
 }
 
-// Topological distance of an endpoint from this VM. The value is an index into
-// the groups from which SampleCandidates draws.
-enum class distance : std::uint8_t { kSameDomain, kSameRegion, kOtherRegion };
-
-auto DistanceOf(const endpoint& entry, const location& here) -> distance {
-  if (entry.failure_domain == here.failure_domain) {
-    return distance::kSameDomain;
-  }
-  const auto region = here.regions.find(entry.failure_domain);
-  const auto is_same_region =
-      region != here.regions.end() && region->second == here.region;
-  return is_same_region ? distance::kSameRegion : distance::kOtherRegion;
-}
-
 auto DistanceCost(distance value, const placement_options& options)
     -> duration {
   switch (value) {
@@ -80,6 +68,21 @@
   return std::min(missing_by_parts, missing_by_chain);
 }
 
+// Tokens that the home of a request's program is taken to lack. An earlier turn
+// may have come through another VM, so the tokens known here are a maximum.
+auto MissingAtHome(std::uint64_t known_missing,
+                   const placement_request& request) -> std::uint64_t {
+  if (!request.prompt_growth || request.prompt.empty()) {
+    return known_missing;
+  }
+  const auto growth = *request.prompt_growth;
+  const auto missing = std::min(known_missing, growth);
+  // Every engine lacks the last part of a first prompt. At another engine than
+  // its home, the next turn would have it read again.
+  const auto last = std::uint64_t{request.prompt.back().tokens};
+  return last <= growth ? missing - std::min(missing, last) : missing;
+}
+
 // Endpoints that can be chosen for the request.
 using candidate_list = std::vector<const endpoint_state*>;
 
@@ -112,6 +115,7 @@
 }
 
 auto SampleCandidates(const candidate_list& candidates,
+                      const candidate_list& homes,
                       const placement_request& request,
                       const location& here,
                       const placement_options& options,
@@ -119,7 +123,8 @@
   auto sampled = candidate_list{};
   auto groups = std::array<candidate_list, 3>{};
   for (const auto* state : candidates) {
-    if (request.cached_tokens.contains(state->entry.id)) {
+    if (request.cached_tokens.contains(state->entry.id) ||
+        std::find(homes.begin(), homes.end(), state) != homes.end()) {
       sampled.push_back(state);
     } else {
       groups.at(static_cast<std::size_t>(DistanceOf(state->entry, here)))
@@ -149,12 +154,20 @@
   const auto mean_others_in_flight =
       endpoints.MeanOthersInFlight(request.service, now);
   const auto candidates = CandidatesOf(endpoints, request, now);
+  const auto homes = request.home_key.empty()
+                         ? candidate_list{}
+                         : RankHomes(endpoints.OfService(request.service), here,
+                                     request.home_key, options.ranked_homes);
   for (const auto* state :
-       SampleCandidates(candidates, request, here, options, random)) {
+       SampleCandidates(candidates, homes, request, here, options, random)) {
     const auto& id = state->entry.id;
     const auto load =
         endpoints.ExpectedLoad(*state, mean_others_in_flight, now);
-    const auto missing_tokens = MissingPromptTokens(endpoints, id, request);
+    const auto is_home = !homes.empty() && state == homes.front();
+    const auto known_missing = MissingPromptTokens(endpoints, id, request);
+    const auto missing_tokens =
+        is_home ? MissingAtHome(known_missing, request) : known_missing;
+    const auto pace = endpoints.ExpectedPace(*state, now);
     const auto failure_score = std::min(endpoints.FailureScore(*state, now),
                                         options.max_failure_score);
     const auto cost =
@@ -162,10 +175,18 @@
                                  : options.unrepeatable_failure_cost,
               failure_score) +
         DistanceCost(DistanceOf(state->entry, here), options) +
-        (request.is_engine ? EngineCost(load, missing_tokens, options)
-                           : PlainCost(load, state->entry.slots, options));
-    auto choice = placement_choice{
-        id, cost, load, missing_tokens, state->rate_limit, std::nullopt};
+        (request.is_engine
+             ? Scale(EngineCost(load, missing_tokens, options), pace)
+             : Scale(PlainCost(load, state->entry.slots, options), pace) +
+                   Scale(options.plain_service_time, pace - 1.0));
+    auto choice = placement_choice{id,
+                                   cost,
+                                   load,
+                                   missing_tokens,
+                                   pace,
+                                   is_home,
+                                   state->rate_limit,
+                                   std::nullopt};
     if (state->report) {
       choice.report_age = now - state->reported_at;
     }
--- a/source/core/dispatch/placement.h
+++ b/source/core/dispatch/placement.h
@@ -8,26 +8,18 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 #include "common/ids.h"
 #include "common/random.h"
 #include "common/time.h"
 #include "dispatch/endpoint_table.h"
+#include "dispatch/location.h"
 #include "dispatch/types.h"
 
 namespace daisywind::dispatch {
 
-// Location of this VM in the topology.
-struct location {
-  failure_domain_id failure_domain;
-  region_id region;
-  // The region of each failure domain.
-  std::map<failure_domain_id, region_id> regions;
-
-  auto operator<=>(const location&) const = default;
-};
-
 // Weights of the cost estimate for an endpoint. Every cost is a time.
 struct placement_options {
   // Prompt tokens that an engine prefills per millisecond, from the users' data
@@ -61,6 +53,12 @@
   std::size_t sampled_in_domain = 2;
   std::size_t sampled_in_region = 2;
   std::size_t sampled_elsewhere = 1;
+  // Number of engines considered from the ranking of a program's homes. The
+  // second one takes the program's turns while the first is overloaded.
+  std::size_t ranked_homes = 2;
+  // Time that work of usual length takes at an endpoint without an engine;
+  // multiplied by the pace that the endpoint reports.
+  duration plain_service_time = 60ms;
 
   auto operator<=>(const placement_options&) const = default;
 };
@@ -75,6 +73,12 @@
   // Prompt tokens that endpoints have cached from earlier turns of the chain.
   std::map<endpoint_id, std::uint64_t> cached_tokens;
   std::set<endpoint_id> excluded;
+  // Key of the ranking of home engines; empty when the request has no home.
+  std::string home_key;
+  // Mean number of tokens by which the request's prompt exceeds that of the
+  // turn before, which its home is taken to have cached; empty when it is not
+  // known.
+  std::optional<std::uint64_t> prompt_growth;
 };
 
 // The chosen endpoint and the figures behind the choice.
@@ -83,6 +87,9 @@
   duration cost{};
   double load = 0;
   std::uint64_t missing_tokens = 0;
+  double pace = 1.0;
+  // Whether it is the first of the program's homes.
+  bool is_home = false;
   // The endpoint's rate limit for all VMs together, if it names one.
   std::optional<double> rate_limit;
   // Age of the endpoint's load report, if there is one.
--- a/source/core/dispatch/types.h
+++ b/source/core/dispatch/types.h
@@ -149,6 +149,9 @@
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
   std::uint32_t slots = 1;
+  // How long work takes on the endpoint's machine, as a multiple of the usual;
+  // empty when the endpoint does not say.
+  std::optional<double> pace = std::nullopt;
 
   auto operator<=>(const load_report&) const = default;
 };
@@ -185,11 +188,11 @@
   // The id of the event after which its stream is to go on; empty when it is to
   // start at the first.
   std::string last_event_id;
+  // Empty without a key, or with several different ones.
+  std::string api_key;
 
   auto operator<=>(const call&) const = default;
 };
-  // Empty without a key, or with several different ones.
-  std::string api_key;
 
 }  // namespace daisywind::dispatch
 
--- a/source/core/front/front_node.cc
+++ b/source/core/front/front_node.cc
@@ -73,6 +73,22 @@
   return options;
 }
 
+auto MirrorOptions(const settings& values) -> history::mirrored_store_options {
+  const auto options =
+      history::MirroredStoreOptionsFor(ChangeTimeLimit(values));
+  const auto lifetime = KeyProofLifetime(values);
+  return lifetime ? history::WithProofs(options, *lifetime) : options;
+}
+
+auto ReportOf(const history::load_sample& sample) -> dispatch::load_report {
+  constexpr auto kPercent = 100.0;
+  auto report = dispatch::load_report{sample.running, sample.waiting};
+  if (sample.pace_percent != 0) {
+    report.pace = sample.pace_percent / kPercent;
+  }
+  return report;
+}
+
 auto Listen(net::http_server& server, const std::string& address) -> bool {
   const auto parsed = net::ParseSocketAddress(address);
   return parsed && server.Listen(*parsed) != 0;
@@ -91,6 +107,7 @@
     : context_(context),
       platform_(platform),
       location_(LocationFrom(values)),
+      key_proof_lifetime_(KeyProofLifetime(values)),
       random_(SystemSeed()),
       response_memory_(static_cast<std::size_t>(values.Get(kResponseMemoryMb))
                        << 20U),
@@ -101,13 +118,12 @@
              nullptr,
              [this](const history::load_sample& sample, instant now) {
                auto& endpoints = directory_.endpoints();
-               endpoints.OnSharedReport(sample.endpoint, sample.running,
-                                        sample.waiting, now - sample.age);
+               endpoints.OnSharedReport(sample.endpoint, ReportOf(sample),
+                                        now - sample.age);
                if (sample.failed_age) {
                  endpoints.OnSharedFailure(sample.endpoint,
                                            now - *sample.failed_age);
                }
-      key_proof_lifetime_(KeyProofLifetime(values)),
              }),
       store_(
           context,
@@ -275,6 +291,8 @@
 auto front_node::UpdateReadiness() -> void {
   // Without a quorum of journals no turn can begin, and without a path no
   // request can be served, so callers are better served by another front.
+  const auto knows_keys = !directory_.routes().organisations().RequiresKeys() ||
+                          AreKeysProven(Now());
   const auto is_ready = directory_.IsConfigured() && turns_.HasQuorum() &&
                         paths_.IsUsable() && knows_keys && !is_stopping_;
   if (is_ready == is_ready_) {
@@ -283,16 +301,23 @@
   is_ready_ = is_ready;
   Log(log_events::kReadinessChanged,
       {{"ready", is_ready},
+       {"knows_keys", knows_keys},
        {"version", static_cast<std::int64_t>(directory_.routes().version())},
        {"endpoints", static_cast<std::int64_t>(directory_.endpoints().size())},
        {"view", static_cast<std::int64_t>(turns_.current().number)}});
 }
 
+auto front_node::AreKeysProven(instant now) const -> bool {
+  if (!key_proof_lifetime_) {
+    return true;
+  }
+  const auto proven_at = directory_.ProvenAt();
+  return proven_at && now - *proven_at < *key_proof_lifetime_;
+}
+
 auto front_node::Place(const dispatch::placement_request& request,
                        const std::optional<history::sender_state>& relay)
     -> std::optional<dispatch::placement_choice> {
-  const auto knows_keys = !directory_.routes().organisations().RequiresKeys() ||
-                          AreKeysProven(Now());
   if (!relay) {
     return dispatch::Place(directory_.endpoints(), request, location_,
                            placement_, Now(), random_);
@@ -301,20 +326,11 @@
   from.failure_domain = relay->location.failure_domain;
   from.region = relay->location.region;
   return dispatch::Place(directory_.endpoints(), request, from, placement_,
-       {"knows_keys", knows_keys},
                          Now(), random_);
 }
 
 auto front_node::Stop(std::function<void()> on_stopped) -> void {
   if (is_stopping_) {
-auto front_node::AreKeysProven(instant now) const -> bool {
-  if (!key_proof_lifetime_) {
-    return true;
-  }
-  const auto proven_at = directory_.ProvenAt();
-  return proven_at && now - *proven_at < *key_proof_lifetime_;
-}
-
     return;
   }
   is_stopping_ = true;
--- a/source/core/front/front_node.h
+++ b/source/core/front/front_node.h
@@ -18,6 +18,7 @@
 #include "common/random.h"
 #include "common/settings.h"
 #include "dispatch/placement.h"
+#include "dispatch/prompt_growth.h"
 #include "dispatch/retry_rules.h"
 #include "front/directory.h"
 #include "front/endpoint_paths.h"
@@ -101,16 +102,18 @@
     return endpoint_client_;
   }
   [[nodiscard]] auto metrics_registry() -> metrics& { return metrics_; }
+  // How the prompts of routes that store no turns grow.
+  [[nodiscard]] auto prompts() -> dispatch::prompt_growth& { return prompts_; }
   [[nodiscard]] auto retries() const -> const dispatch::retry_options& {
     return retries_;
   }
   [[nodiscard]] auto IsStopping() const -> bool { return is_stopping_; }
-  // Requests under way, which a stop ends when its time is over.
-  auto AddFlow(request_flow& flow) -> void { flows_.insert(&flow); }
-  auto RemoveFlow(request_flow& flow) -> void { flows_.erase(&flow); }
   // Whether no API key may have been withdrawn for longer than the settings
   // allow without this front knowing it.
   [[nodiscard]] auto AreKeysProven(instant now) const -> bool;
+  // Requests under way, which a stop ends when its time is over.
+  auto AddFlow(request_flow& flow) -> void { flows_.insert(&flow); }
+  auto RemoveFlow(request_flow& flow) -> void { flows_.erase(&flow); }
   [[nodiscard]] auto FlowCount() const -> std::size_t { return flows_.size(); }
 
   // Chooses an endpoint from the current tables, for an attempt from this VM or
@@ -142,6 +145,8 @@
   dispatch::location location_;
   dispatch::placement_options placement_;
   dispatch::retry_options retries_;
+  std::optional<duration> key_proof_lifetime_;
+  dispatch::prompt_growth prompts_;
   random_source random_;
   metrics metrics_;
   byte_budget response_memory_;
--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -180,21 +180,39 @@
 }
 
 auto request_flow::RunPlain() -> asio::awaitable<void> {
+  co_await Dispatch(exchange_.request().body, MakePlacement());
+}
+
+auto request_flow::MakePlacement() -> dispatch::placement_request {
   auto placement = dispatch::placement_request{};
+  placement.service = service_;
+  placement.is_engine = engine_.has_value();
+  placement.may_repeat = dispatch::MayRepeat(*route_);
   placement.prompt = call_.prompt;
   placement.prompt_tokens = call_.prompt_tokens;
-  co_await Dispatch(exchange_.request().body, std::move(placement));
+  // A stored chain names the engines that have it cached.
+  if (engine_ && !route_->stores_turns && !call_.prompt.empty()) {
+    // Sub-agents share their parent's program, and so the engine that has its
+    // prompt.
+    placement.home_key = call_.program.empty() ? call_.prompt.back().id.value
+                                               : ProgramName().value;
+    node_.prompts().Observe(route_->id, call_.prompt.back());
+    placement.prompt_growth = node_.prompts().Mean(route_->id);
+  }
+  return placement;
 }
 
 auto request_flow::Dispatch(const std::string& body,
                             dispatch::placement_request placement)
     -> asio::awaitable<void> {
-  placement.service = service_;
-  placement.is_engine = engine_.has_value();
-  placement.may_repeat = dispatch::MayRepeat(*route_);
   // The timer of the deadline may run late, after what a paused process had
   // waited for.
   while (!IsOver() && TimeLeft() > duration(0)) {
+    if (const auto reason = KeyRefusal()) {
+      co_await Refuse(attempts_.runs > 0 ? refusal_reason::kNoAnswer : *reason,
+                      RetryAfter(*reason));
+      co_return;
+    }
     const auto relay = node_.paths().IsClosed()
                            ? node_.paths().PickRelay(unusable_relays_)
                            : std::nullopt;
@@ -208,11 +226,6 @@
       }
       placement.excluded.clear();
     }
-    if (const auto reason = KeyRefusal()) {
-      co_await Refuse(attempts_.runs > 0 ? refusal_reason::kNoAnswer : *reason,
-                      RetryAfter(*reason));
-      co_return;
-    }
     if (choice) {
       summary_.choice = choice;
       const auto path = ChoosePath(*choice, relay);
@@ -495,6 +508,9 @@
       {{"request", std::string_view(call_.request_id)},
        {"program", std::string_view(call_.program)},
        {"route", std::string_view(route_->id.value)},
+       {"organisation", organisation_ != nullptr
+                            ? std::string_view(organisation_->id.value)
+                            : std::string_view()},
        {"version", static_cast<std::int64_t>(version_)},
        {"store_age_ms", Milliseconds(store_age_)},
        {"status", std::int64_t{summary_.status}},
@@ -507,10 +523,9 @@
        {"load_age_ms",
         choice.report_age ? Milliseconds(*choice.report_age) : -1.0},
        {"missing_tokens", static_cast<std::int64_t>(choice.missing_tokens)},
+       {"pace", choice.pace},
+       {"home", choice.is_home},
        {"rate_limit", choice.rate_limit.value_or(kNoLimit)},
-       {"organisation", organisation_ != nullptr
-                            ? std::string_view(organisation_->id.value)
-                            : std::string_view()},
        {"reused", summary_.is_reused},
        {"first_byte_ms",
         summary_.first_byte ? Milliseconds(*summary_.first_byte) : -1.0},
--- a/source/core/front/request_flow.h
+++ b/source/core/front/request_flow.h
@@ -158,6 +158,8 @@
   auto RecordTurn(const endpoint_id& endpoint) -> boost::asio::awaitable<bool>;
   // Reports what a turn without a recorded response has spent, without waiting.
   auto SettleTurn() -> void;
+  // Where the request may be placed, without its chain.
+  [[nodiscard]] auto MakePlacement() -> dispatch::placement_request;
   // The turn's fact for the journals, without its content. Its settled tokens
   // are those generated so far, computed from the number of stream events.
   [[nodiscard]] auto MakeTurnFact() const -> history::turn_fact;
@@ -184,10 +186,10 @@
   net::http_exchange& exchange_;
   dispatch::call call_;
   std::shared_ptr<const dispatch::route> route_;
-  // Version of the configuration that selected the route.
-  version_number version_ = 0;
   // The organisation that owns the caller's API key; null without one.
   std::shared_ptr<const dispatch::organisation> organisation_;
+  // Version of the configuration that selected the route.
+  version_number version_ = 0;
   dispatch::service_id service_;
   // Set when the endpoints of the service are model replicas.
   std::optional<dispatch::engine_profile> engine_;
--- a/source/core/front/response_flow.cc
+++ b/source/core/front/response_flow.cc
@@ -36,6 +36,11 @@
   return held - std::min(held, kOrdinaryBytes);
 }
 
+auto PacePercent(const dispatch::load_report& report) -> std::uint32_t {
+  constexpr auto kPercent = 100.0;
+  return static_cast<std::uint32_t>(report.pace.value_or(0.0) * kPercent);
+}
+
 }  // namespace
 
 request_flow::~request_flow() {
@@ -52,7 +57,8 @@
   if (metadata.load) {
     endpoints.OnReport(endpoint, *metadata.load, Now());
     node_.turns().ReportLoad({KeyOf(endpoint), metadata.load->running,
-                              metadata.load->waiting, duration(0)});
+                              metadata.load->waiting, duration(0), std::nullopt,
+                              PacePercent(*metadata.load)});
   }
   if (!metadata.is_misdirected) {
     node_.limits().OnResponse(endpoint, metadata.rate_limit, call_.request_id,
--- a/source/core/front/turn_flow.cc
+++ b/source/core/front/turn_flow.cc
@@ -136,9 +136,7 @@
       SettleTurn();
       co_return;
     }
-    auto placement = dispatch::placement_request{};
-    placement.prompt = call_.prompt;
-    placement.prompt_tokens = call_.prompt_tokens;
+    auto placement = MakePlacement();
     for (const auto& turn : begun.chain) {
       const auto cached = std::uint64_t{turn.content->prompt_tokens} +
                           turn.settled_tokens.value_or(0);
--- a/source/unit_tests/dispatch/endpoint_table_test.cc
+++ b/source/unit_tests/dispatch/endpoint_table_test.cc
@@ -174,14 +174,14 @@
   const auto load = [&](instant now) {
     return table.ExpectedLoad(*table.Find(id), 0, now);
   };
-  table.OnSharedReport(key, 9, 1, kStart - 1ms);
+  table.OnSharedReport(key, {9, 1}, kStart - 1ms);
   CHECK_FALSE(table.Find(id)->report);
-  table.OnSharedReport(key, 6, 1, kStart + 1s);
+  table.OnSharedReport(key, {6, 1}, kStart + 1s);
   CHECK(load(kStart + 1s) == doctest::Approx(7));
   table.OnReport(id, {2, 0, 4}, kStart + 2s);
-  table.OnSharedReport(key, 6, 1, kStart + 1900ms);
+  table.OnSharedReport(key, {6, 1}, kStart + 1900ms);
   CHECK(load(kStart + 2s) == doctest::Approx(2));
-  table.OnSharedReport(KeyOf(endpoint_id("unknown")), 6, 1, kStart + 3s);
+  table.OnSharedReport(KeyOf(endpoint_id("unknown")), {6, 1}, kStart + 3s);
 }
 
 TEST_CASE("shared failures count once each and decay with age") {
