--- a/source/core/common/log_events.h
+++ b/source/core/common/log_events.h
@@ -190,6 +190,9 @@
 inline constexpr auto kStreamResumed =
     log_event{2111, log_subsystem::kFront, log_level::kInfo,
               "stream broken off by its endpoint, continued at another"};
+inline constexpr auto kQuotaRefused =
+    log_event{2112, log_subsystem::kFront, log_level::kInfo,
+              "request limit of the organisation allows no request now"};
 inline constexpr auto kDiskLoaded =
     log_event{2201, log_subsystem::kJournal, log_level::kInfo,
               "records loaded from disk"};
--- a/source/core/front/front_node.cc
+++ b/source/core/front/front_node.cc
@@ -158,6 +158,7 @@
                 paths_.SetFronts(std::move(senders));
               },
               {}),
+      quotas_(context, SelfFrom(values).vm, turns_, {}),
       callers_(context,
                {},
                [this](net::http_exchange& exchange) -> asio::awaitable<void> {
@@ -273,6 +274,7 @@
   while (!is_stopping_) {
     directory_.Tick(Now());
     limits_.Tick(Now());
+    quotas_.Tick(Now());
     paths_.Tick(Now());
     UpdateReadiness();
     FlushLogs();
--- a/source/core/front/front_node.h
+++ b/source/core/front/front_node.h
@@ -18,12 +18,14 @@
 #include "common/random.h"
 #include "common/settings.h"
 #include "dispatch/placement.h"
+#include "dispatch/program_starts.h"
 #include "dispatch/prompt_growth.h"
 #include "dispatch/retry_rules.h"
 #include "front/directory.h"
 #include "front/endpoint_paths.h"
 #include "front/limit_coordinator.h"
 #include "front/platform_codecs.h"
+#include "front/quota_client.h"
 #include "front/relay_service.h"
 #include "front/store_fallback.h"
 #include "history_client/mirrored_store.h"
@@ -86,6 +88,10 @@
   [[nodiscard]] auto service_directory() -> directory& { return directory_; }
   [[nodiscard]] auto turns() -> history::turn_client& { return turns_; }
   [[nodiscard]] auto limits() -> limit_coordinator& { return limits_; }
+  [[nodiscard]] auto quotas() -> quota_client& { return quotas_; }
+  [[nodiscard]] auto programs() -> dispatch::program_starts& {
+    return programs_;
+  }
   // Memory for parts of responses that are held until their end.
   [[nodiscard]] auto response_memory() -> byte_budget& {
     return response_memory_;
@@ -147,6 +153,7 @@
   dispatch::retry_options retries_;
   std::optional<duration> key_proof_lifetime_;
   dispatch::prompt_growth prompts_;
+  dispatch::program_starts programs_;
   random_source random_;
   metrics metrics_;
   byte_budget response_memory_;
@@ -160,6 +167,7 @@
   relay_service relay_service_;
   store_fallback fallback_;
   limit_coordinator limits_;
+  quota_client quotas_;
   net::http_server callers_;
   net::http_server ready_;
   net::http_server metrics_server_;
--- /dev/null
+++ b/source/core/front/quota_client.cc
@@ -0,0 +1,186 @@
+#include "front/quota_client.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "common/process_clock.h"
+
+namespace daisywind::front {
+
+namespace asio = boost::asio;
+using history::quota_state;
+
+// A request that waits for a credit.
+struct quota_client::waiter {
+  explicit waiter(asio::io_context& context) : timer(context) {}
+
+  asio::steady_timer timer;
+  std::optional<quota_result> result;
+};
+
+struct quota_client::pending_request {
+  explicit pending_request(asio::io_context& context) : slow_timer(context) {}
+
+  history::quota_request request;
+  instant sent_at{};
+  asio::steady_timer slow_timer;
+};
+
+quota_client::quota_client(asio::io_context& context,
+                           vm_id self,
+                           history::turn_client& turns,
+                           quota_client_options options)
+    : context_(context),
+      self_(std::move(self)),
+      turns_(turns),
+      options_(options),
+      clients_(context) {}
+
+quota_client::~quota_client() = default;
+
+auto quota_client::Acquire(organisation_id organisation,
+                           history::request_limit limit)
+    -> asio::awaitable<quota_result> {
+  const auto now = Now();
+  if (view_ != turns_.current().number) {
+    view_ = turns_.current().number;
+    auto addresses = std::vector<std::string>{};
+    for (const auto& member : turns_.MembersNearestTo(self_)) {
+      addresses.push_back(member.address);
+    }
+    credits_.SetMembers(std::move(addresses));
+    clients_.CloseNonMembers(turns_.current());
+  }
+  credits_.OnArrival(organisation, limit, now);
+  // Those that wait already come first.
+  const auto is_first = !waiting_.contains(organisation);
+  auto result = quota_result{};
+  if (is_first) {
+    result.credit = credits_.Take(organisation, now);
+  }
+  result.state = result.credit ? quota_state::kGranted
+                               : credits_.StateOf(organisation, now);
+  if (!result.credit && (result.state == quota_state::kPending || !is_first)) {
+    result = co_await Wait(organisation);
+  }
+  if (result.state == quota_state::kExceeded) {
+    result.retry_after = credits_.RetryAfter(organisation, Now());
+  }
+  co_return result;
+}
+
+auto quota_client::Wait(const organisation_id& organisation)
+    -> asio::awaitable<quota_result> {
+  const auto self = std::make_shared<waiter>(context_);
+  self->timer.expires_after(options_.timeout);
+  auto& queue = waiting_[organisation];
+  queue.push_back(self);
+  credits_.SetWaiting(organisation, static_cast<std::uint32_t>(queue.size()));
+  SendRequests();
+  co_await self->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  if (self->result) {
+    co_return *self->result;
+  }
+  const auto found = waiting_.find(organisation);
+  if (found != waiting_.end()) {
+    std::erase(found->second, self);
+    credits_.SetWaiting(organisation,
+                        static_cast<std::uint32_t>(found->second.size()));
+    if (found->second.empty()) {
+      waiting_.erase(found);
+    }
+  }
+  co_return quota_result{};
+}
+
+auto quota_client::Return(const organisation_id& organisation,
+                          const history::quota_credit& credit) -> void {
+  credits_.Return(organisation, credit, Now());
+  ServeWaiters();
+}
+
+auto quota_client::Tick(instant now) -> void {
+  credits_.Tick(now);
+  ServeWaiters();
+  SendRequests();
+}
+
+auto quota_client::SendRequests() -> void {
+  for (const auto& member : credits_.members()) {
+    if (pending_.contains(member)) {
+      continue;
+    }
+    if (auto request = credits_.MakeRequest(member, Now())) {
+      Send(member, std::move(*request));
+    }
+  }
+}
+
+auto quota_client::Send(const std::string& member,
+                        history::quota_request request) -> void {
+  auto& pending = pending_[member];
+  pending = std::make_unique<pending_request>(context_);
+  pending->request = request;
+  pending->sent_at = Now();
+  pending->slow_timer.expires_after(options_.hedge_delay);
+  pending->slow_timer.async_wait(
+      [this, member](const boost::system::error_code& error) {
+        if (error) {
+          return;
+        }
+        credits_.OnSlow(member, pending_.at(member)->request);
+        ServeWaiters();
+        SendRequests();
+      });
+  clients_.ClientFor(member)->SendRequest(
+      turns_.current().number, std::move(request), options_.timeout,
+      [this, member](std::optional<history::message_body> reply) {
+        OnReply(member, std::move(reply));
+      });
+}
+
+auto quota_client::OnReply(const std::string& member,
+                           std::optional<history::message_body> reply) -> void {
+  const auto pending = std::move(pending_.extract(member).mapped());
+  const auto* granted =
+      reply ? std::get_if<history::quota_reply>(&*reply) : nullptr;
+  if (granted != nullptr) {
+    credits_.ProcessReply(member, pending->request, *granted, pending->sent_at,
+                          Now());
+  } else {
+    credits_.OnFailure(member, pending->request, Now());
+  }
+  const auto* stale =
+      reply ? std::get_if<history::stale_view>(&*reply) : nullptr;
+  if (stale != nullptr) {
+    turns_.Adopt(stale->newest);
+  }
+  ServeWaiters();
+  SendRequests();
+}
+
+auto quota_client::ServeWaiters() -> void {
+  const auto now = Now();
+  for (auto entry = waiting_.begin(); entry != waiting_.end();) {
+    auto& [organisation, queue] = *entry;
+    while (!queue.empty()) {
+      auto result = quota_result{};
+      result.credit = credits_.Take(organisation, now);
+      result.state = result.credit ? quota_state::kGranted
+                                   : credits_.StateOf(organisation, now);
+      if (result.state == quota_state::kPending) {
+        break;
+      }
+      queue.front()->result = std::move(result);
+      queue.front()->timer.cancel();
+      queue.pop_front();
+    }
+    credits_.SetWaiting(organisation, static_cast<std::uint32_t>(queue.size()));
+    entry = queue.empty() ? waiting_.erase(entry) : std::next(entry);
+  }
+}
+
+}  // namespace daisywind::front
--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -25,6 +25,11 @@
 // A front without a configuration waits for the platform's store, which may be
 // unreachable for seconds.
 constexpr auto kUnconfiguredRetry = duration(1s);
+// Bounds how often the callers of an organisation that has used up its limit
+// ask again.
+constexpr auto kMinQuotaRetry = duration(50ms);
+// A journal that failed is asked again after a second, others at once.
+constexpr auto kQuotaUnknownRetry = duration(300ms);
 // Another front may be in touch with the store.
 constexpr auto kKeysOutdatedRetry = duration(300ms);
 
@@ -137,20 +142,91 @@
   }
   deadline_ = started_at_ + std::min(route_->timeout,
                                      call_.deadline.value_or(route_->timeout));
+  const auto program = ProgramName().value;
+  is_program_start_ = node_.programs().IsStart(
+      call_, *route_, program, node_.prompts().Mean(route_->id));
+  node_.programs().OnRequest(program, is_program_start_, started_at_);
   node_.AddFlow(*this);
 }
 
 auto request_flow::Run() -> asio::awaitable<void> {
   WatchForCancellation();
-  if (IsTurn()) {
-    co_await RunTurn();
-  } else {
-    co_await RunPlain();
+  if (co_await AcquireQuota()) {
+    if (IsTurn()) {
+      co_await RunTurn();
+    } else {
+      co_await RunPlain();
+    }
+  }
+  if (attempts_.attempts == 0) {
+    ReturnCredits();
   }
   deadline_timer_.cancel();
   LogEnd();
 }
 
+auto request_flow::AcquireQuota() -> asio::awaitable<bool> {
+  if (organisation_ == nullptr || organisation_->requests_per_second <= 0) {
+    co_return true;
+  }
+  const auto version = node_.service_directory().routes().version();
+  const auto& id = organisation_->id;
+  if (is_program_start_) {
+    // Turns and calls that exceed the limit would fail programs that have run
+    // for long, so as many programs are let in as the limit lets finish.
+    const auto limit = dispatch::ProgramLimit(
+        *organisation_, node_.programs().RequestsPerProgram());
+    const auto is_granted =
+        co_await AcquireCredit(organisation_id(id.value + " programs"),
+                               {version, limit.per_second, limit.burst});
+    if (!is_granted) {
+      co_return false;
+    }
+  }
+  co_return co_await AcquireCredit(
+      id, {version, organisation_->requests_per_second, organisation_->burst});
+}
+
+auto request_flow::AcquireCredit(organisation_id account,
+                                 history::request_limit limit)
+    -> asio::awaitable<bool> {
+  const auto result = co_await node_.quotas().Acquire(account, limit);
+  if (result.credit) {
+    credits_.emplace_back(account, *result.credit);
+    co_return true;
+  }
+  if (IsOver()) {
+    co_await GiveUp();
+    co_return false;
+  }
+  const auto is_exceeded = result.state == history::quota_state::kExceeded;
+  Log(log_events::kQuotaRefused,
+      {{"request", std::string_view(call_.request_id)},
+       {"account", std::string_view(account.value)},
+       {"exceeded", is_exceeded},
+       {"per_second", limit.per_second},
+       {"burst", limit.burst},
+       {"version", static_cast<std::int64_t>(limit.version)},
+       {"retry_after_ms", Milliseconds(result.retry_after)},
+       {"waited_ms", Milliseconds(Now() - started_at_)}});
+  node_.metrics_registry().Count(
+      "daisywind_front_quota_refusals_total",
+      {{"organisation", organisation_->id.value},
+       {"state", is_exceeded ? "exceeded" : "unknown"}});
+  co_await Refuse(is_exceeded ? refusal_reason::kQuotaExceeded
+                              : refusal_reason::kQuotaUnknown,
+                  is_exceeded ? std::max(result.retry_after, kMinQuotaRetry)
+                              : kQuotaUnknownRetry);
+  co_return false;
+}
+
+auto request_flow::ReturnCredits() -> void {
+  for (const auto& [account, credit] : credits_) {
+    node_.quotas().Return(account, credit);
+  }
+  credits_.clear();
+}
+
 auto request_flow::WatchForCancellation() -> void {
   const auto weak = weak_from_this();
   deadline_timer_.expires_after(std::max(TimeLeft(), duration(0)));
--- a/source/core/front/request_flow.h
+++ b/source/core/front/request_flow.h
@@ -12,6 +12,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "common/byte_budget.h"
@@ -69,6 +70,15 @@
   // Cancels the attempt in flight when the deadline passes or the caller
   // disconnects.
   auto WatchForCancellation() -> void;
+  // Takes the request from its organisation's limit. Returns false when the
+  // request was refused.
+  auto AcquireQuota() -> boost::asio::awaitable<bool>;
+  // Takes one credit. Returns false when there is none, after refusing the
+  // request.
+  auto AcquireCredit(organisation_id account, history::request_limit limit)
+      -> boost::asio::awaitable<bool>;
+  // Gives back the credits of a request that was not sent to any endpoint.
+  auto ReturnCredits() -> void;
   auto RunPlain() -> boost::asio::awaitable<void>;
   auto RunTurn() -> boost::asio::awaitable<void>;
   // Joins the turns of a chain and the request's body. Returns false when the
@@ -217,6 +227,10 @@
   std::size_t held_bytes_ = 0;
   // The body with its chain, which is sent to endpoints.
   byte_share body_memory_;
+  // What was taken from the organisation's limits, by account.
+  std::vector<std::pair<organisation_id, history::quota_credit>> credits_;
+  // Whether the request is the first of its program.
+  bool is_program_start_ = false;
   // Why the request may be over before its response is.
   bool is_caller_disconnected_ = false;
   bool is_timed_out_ = false;
--- /dev/null
+++ b/source/core/history/quota_registry.h
@@ -0,0 +1,61 @@
+// A member's shares of the request limits of organisations. Does no I/O and
+// reads no clock.
+#ifndef DAISYWIND_HISTORY_QUOTA_REGISTRY_H_
+#define DAISYWIND_HISTORY_QUOTA_REGISTRY_H_
+
+#include <compare>
+#include <cstddef>
+#include <unordered_map>
+
+#include "common/ids.h"
+#include "common/time.h"
+#include "history/quota_messages.h"
+
+namespace daisywind::history {
+
+struct quota_registry_options {
+  // How long a member keeps the state of a limit for which nobody asks.
+  duration idle_lifetime = 60s;
+  // When a member that is in no view may be asked again.
+  duration no_member_retry = 300ms;
+
+  auto operator<=>(const quota_registry_options&) const = default;
+};
+
+// Each member of a view of n grants one n-th of every limit, so that no two of
+// them have to agree on a request: a token bucket for each organisation.
+class quota_registry {
+ public:
+  // A bucket is as full as if it had been filling since `started_at`, the start
+  // of the process. What an earlier run granted is not granted again.
+  explicit quota_registry(instant started_at,
+                          quota_registry_options options = {})
+      : options_(options), started_at_(started_at) {}
+
+  // `members` is the number of members of the view; zero if this VM is none of
+  // them.
+  auto Handle(const quota_request& request, std::size_t members, instant now)
+      -> quota_reply;
+
+  [[nodiscard]] auto size() const -> std::size_t { return buckets_.size(); }
+
+ private:
+  struct bucket {
+    request_limit limit;
+    double level = 0;
+    instant updated_at;
+  };
+
+  auto Grant(const quota_demand& demand, double members, instant now)
+      -> quota_grant;
+  auto RemoveIdle(instant now) -> void;
+
+  quota_registry_options options_;
+  instant started_at_;
+  instant cleanup_at_{};
+  std::unordered_map<organisation_id, bucket> buckets_;
+};
+
+}  // namespace daisywind::history
+
+#endif  // DAISYWIND_HISTORY_QUOTA_REGISTRY_H_
--- a/source/core/history_client/turn_client.cc
+++ b/source/core/history_client/turn_client.cc
@@ -225,6 +225,19 @@
        {"members", static_cast<std::int64_t>(view_.members.size())}});
 }
 
+auto turn_client::MembersNearestTo(const vm_id& self) const
+    -> std::vector<member> {
+  auto members = view_.members;
+  const auto order = [&](const member& to) {
+    return std::pair(Distance(to, options_),
+                     PlacementHash(self.value + to.vm.value));
+  };
+  std::sort(
+      members.begin(), members.end(),
+      [&](const member& a, const member& b) { return order(a) < order(b); });
+  return members;
+}
+
 auto turn_client::MembersByDistance(const program_name& program) const
     -> std::vector<member> {
   auto members = view_.members;
--- a/source/core/history_client/turn_client.h
+++ b/source/core/history_client/turn_client.h
@@ -88,6 +88,11 @@
 
   [[nodiscard]] auto current() const -> const view& { return view_; }
 
+  // The members, nearest first. The order of equally near ones differs by VM,
+  // so that requests are spread over them.
+  [[nodiscard]] auto MembersNearestTo(const vm_id& self) const
+      -> std::vector<member>;
+
   // False while too few members reply. Begin then fails at once, so that its
   // callers can go elsewhere without waiting.
   [[nodiscard]] auto HasQuorum() const -> bool { return has_quorum_; }
--- a/source/core/journal/journal_node.cc
+++ b/source/core/journal/journal_node.cc
@@ -357,6 +357,10 @@
     reply_now(limits_.Handle(*limits, Now()));
     return;
   }
+  if (const auto* quota = std::get_if<history::quota_request>(&request->body)) {
+    reply_now(GrantQuota(*quota, request->view));
+    return;
+  }
   if (auto* forward = std::get_if<history::forward_request>(&request->body)) {
     asio::co_spawn(
         context_,
@@ -429,6 +433,20 @@
           });
 }
 
+auto journal_node::GrantQuota(const history::quota_request& request,
+                              history::view_number view)
+    -> history::message_body {
+  const auto& current = replica_.current();
+  if (view < current.number) {
+    ++counters_.stale_requests;
+    return history::stale_view{current};
+  }
+  const auto is_member = std::any_of(
+      current.members.begin(), current.members.end(),
+      [&](const auto& member) { return member.disk == self_.disk; });
+  return quotas_.Handle(request, is_member ? current.members.size() : 0, Now());
+}
+
 auto journal_node::SendWhenDurable(
     const std::weak_ptr<net::frame_channel>& channel,
     std::string frame) -> bool {
--- a/source/core/journal/journal_node.h
+++ b/source/core/journal/journal_node.h
@@ -15,10 +15,12 @@
 #include <vector>
 
 #include "common/byte_budget.h"
+#include "common/process_clock.h"
 #include "common/random.h"
 #include "common/settings.h"
 #include "history/fact_replica.h"
 #include "history/messages.h"
+#include "history/quota_registry.h"
 #include "history/view.h"
 #include "journal/disk_log.h"
 #include "journal/durable_folder.h"
@@ -145,6 +147,10 @@
   auto ExchangeLoads(const history::message_body& request,
                      history::message_body& reply) -> void;
   // Forwards facts to another member and replies when it has stored them.
+  // Grants parts of this member's shares of request limits, or rejects a
+  // request from an older view.
+  auto GrantQuota(const history::quota_request& request,
+                  history::view_number view) -> history::message_body;
   auto ServeForward(std::weak_ptr<net::frame_channel> channel,
                     std::uint64_t id,
                     history::view_number view,
@@ -180,6 +186,7 @@
   // Not kept on disk, because it fills again within a second of a restart.
   history::load_change_feed loads_;
   history::limit_registry limits_{SystemSeed()};
+  history::quota_registry quotas_{Now()};
   disk_log log_;
   store_mirror mirror_;
   kv::revision persisted_mirror_revision_ = 0;
