quota_client: ask empty members less often, spread the callers that are refused

Change: a partial grant counts as empty until the member's own time, at least 250 ms; a wait that ends with an empty member is 429; Retry-After gets up to half of it in addition, at random, so that callers don't come back together.

--- a/source/core/front/front_node.cc
+++ b/source/core/front/front_node.cc
@@ -317,6 +317,12 @@
   return proven_at && now - *proven_at < *key_proof_lifetime_;
 }
 
+auto front_node::Spread(duration time) -> duration {
+  const auto extra = static_cast<std::uint64_t>(time.count() / 2);
+  return time +
+         duration(static_cast<duration::rep>(random_.UniformBelow(extra + 1)));
+}
+
 auto front_node::Place(const dispatch::placement_request& request,
                        const std::optional<history::sender_state>& relay)
     -> std::optional<dispatch::placement_choice> {
--- a/source/core/front/front_node.h
+++ b/source/core/front/front_node.h
@@ -122,6 +122,10 @@
   auto RemoveFlow(request_flow& flow) -> void { flows_.erase(&flow); }
   [[nodiscard]] auto FlowCount() const -> std::size_t { return flows_.size(); }
 
+  // A random time up to half as long again, so that callers which are refused
+  // together don't return together.
+  [[nodiscard]] auto Spread(duration time) -> duration;
+
   // Chooses an endpoint from the current tables, for an attempt from this VM or
   // from the given one. Returns nothing when none may be used.
   auto Place(const dispatch::placement_request& request,
--- a/source/core/front/quota_client.cc
+++ b/source/core/front/quota_client.cc
@@ -93,7 +93,13 @@
       waiting_.erase(found);
     }
   }
-  co_return quota_result{};
+  // Some members may have said that they have nothing left, and none has
+  // anything for so many requests.
+  auto result = quota_result{};
+  result.state = credits_.HasEmptyMember(organisation, Now())
+                     ? quota_state::kExceeded
+                     : quota_state::kUnknown;
+  co_return result;
 }
 
 auto quota_client::Return(const organisation_id& organisation,
--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -213,10 +213,11 @@
       "daisywind_front_quota_refusals_total",
       {{"organisation", organisation_->id.value},
        {"state", is_exceeded ? "exceeded" : "unknown"}});
-  co_await Refuse(is_exceeded ? refusal_reason::kQuotaExceeded
-                              : refusal_reason::kQuotaUnknown,
-                  is_exceeded ? std::max(result.retry_after, kMinQuotaRetry)
-                              : kQuotaUnknownRetry);
+  co_await Refuse(
+      is_exceeded ? refusal_reason::kQuotaExceeded
+                  : refusal_reason::kQuotaUnknown,
+      is_exceeded ? node_.Spread(std::max(result.retry_after, kMinQuotaRetry))
+                  : kQuotaUnknownRetry);
   co_return false;
 }
 
--- a/source/core/history/quota_messages.h
+++ b/source/core/history/quota_messages.h
@@ -44,7 +44,7 @@
 struct quota_grant {
   organisation_id organisation;
   std::uint32_t granted = 0;
-  // When nothing was granted: time until the member can grant a request.
+  // When less was granted than wanted: time until the member can grant more.
   duration retry_after{};
 
   auto operator<=>(const quota_grant&) const = default;
--- a/source/core/history_client/quota_credits.cc
+++ b/source/core/history_client/quota_credits.cc
@@ -86,6 +86,16 @@
   return is_empty ? quota_state::kExceeded : quota_state::kUnknown;
 }
 
+auto quota_credits::HasEmptyMember(const organisation_id& organisation,
+                                   instant now) const -> bool {
+  const auto found = accounts_.find(organisation);
+  return found != accounts_.end() &&
+         std::any_of(members_.begin(), members_.end(),
+                     [&](const std::string& member) {
+                       return IsEmpty(found->second, member, now);
+                     });
+}
+
 auto quota_credits::RetryAfter(const organisation_id& organisation,
                                instant now) const -> duration {
   const auto found = accounts_.find(organisation);
@@ -149,8 +159,9 @@
     for (auto j = std::uint32_t{0}; j < granted; ++j) {
       item.credits.push_back({member, sent_at + options_.credit_lifetime});
     }
-    if (granted == 0) {
-      item.shares[member].empty_until = now + grant.retry_after;
+    if (granted < demand.wanted) {
+      item.shares[member].empty_until =
+          now + std::max(grant.retry_after, options_.min_empty_time);
     }
     DropLapsed(item, now);
   }
--- a/source/core/history_client/quota_credits.h
+++ b/source/core/history_client/quota_credits.h
@@ -29,6 +29,9 @@
   duration return_delay = 500ms;
   // A member that has not replied is asked last for this long.
   duration failure_memory = 1s;
+  // A member that has nothing left is not asked again for at least this long,
+  // which bounds the requests of an organisation that has used up its limit.
+  duration min_empty_time = 250ms;
   // Maximum number of organisations in one request.
   std::size_t max_demands = 64;
 
@@ -86,6 +89,9 @@
   // again if the limit is used up.
   [[nodiscard]] auto StateOf(const organisation_id& organisation,
                              instant now) const -> quota_state;
+  // Whether any member has said that it has nothing left.
+  [[nodiscard]] auto HasEmptyMember(const organisation_id& organisation,
+                                    instant now) const -> bool;
   [[nodiscard]] auto RetryAfter(const organisation_id& organisation,
                                 instant now) const -> duration;
 
