--- a/source/unit_tests/dispatch/endpoint_table_test.cc
+++ b/source/unit_tests/dispatch/endpoint_table_test.cc
@@ -308,5 +308,76 @@
   CHECK(table.HasQuota(*table.Find(entry.id), kStart));
 }
 
+// Guards against choices that follow one noisy report.
+TEST_CASE("a pace is averaged over the last reports") {
+  auto table = endpoint_table({});
+  const auto id = endpoint_id("a");
+  table.Put(Endpoint("a"), kStart);
+  const auto pace = [&](instant now) {
+    return table.ExpectedPace(*table.Find(id), now);
+  };
+  CHECK(pace(kStart) == 1.0);
+  table.OnReport(id, {1, 0, 4, 2.0}, kStart);
+  CHECK(pace(kStart) == doctest::Approx(2.0));
+  table.OnReport(id, {1, 0, 4, 4.0}, kStart + 10ms);
+  CHECK(pace(kStart + 10ms) > 2.0);
+  CHECK(pace(kStart + 10ms) < 3.0);
+  auto now = kStart + 10ms;
+  for (auto i = 0; i < 100; ++i) {
+    now += 50ms;
+    table.OnReport(id, {1, 0, 4, i % 2 == 0 ? 1.0 : 3.0}, now);
+  }
+  CHECK(pace(now) > 1.5);
+  CHECK(pace(now) < 2.5);
+}
+
+// Guards against a machine that is avoided for good after one slow moment: it
+// gets no request, so it reports nothing.
+TEST_CASE("a pace fades to the usual as its report ages") {
+  auto table = endpoint_table({});
+  const auto id = endpoint_id("a");
+  table.Put(Endpoint("a"), kStart);
+  table.OnReport(id, {1, 0, 4, 5.0}, kStart);
+  const auto pace = [&](duration age) {
+    return table.ExpectedPace(*table.Find(id), kStart + age);
+  };
+  CHECK(pace(500ms) == doctest::Approx(3.0));
+  CHECK(pace(1s) == doctest::Approx(2.0));
+  CHECK(pace(60s) == doctest::Approx(1.0));
+  // Reports without a pace do not renew it.
+  table.OnReport(id, {1, 0, 4}, kStart + 1s);
+  CHECK(pace(1s) == doctest::Approx(2.0));
+}
+
+TEST_CASE("a pace that another VM was told counts as one's own") {
+  auto table = endpoint_table({});
+  const auto id = endpoint_id("a");
+  table.Put(Endpoint("a"), kStart);
+  const auto pace = [&](instant now) {
+    return table.ExpectedPace(*table.Find(id), now);
+  };
+  auto shared = load_report{1, 0};
+  shared.pace = 3.0;
+  table.OnSharedReport(KeyOf(id), shared, kStart + 1s);
+  CHECK(pace(kStart + 1s) == doctest::Approx(3.0));
+  CHECK(table.Find(id)->report->slots == 4);
+  // An older one than the newest report does not.
+  shared.pace = 9.0;
+  table.OnSharedReport(KeyOf(id), shared, kStart + 900ms);
+  CHECK(pace(kStart + 1s) == doctest::Approx(3.0));
+}
+
+// Guards against a pace of the machine that an endpoint ran on before.
+TEST_CASE("a new run of an endpoint has no pace") {
+  auto table = endpoint_table({});
+  const auto id = endpoint_id("a");
+  auto entry = Endpoint("a");
+  table.Put(entry, kStart);
+  table.OnReport(id, {1, 0, 4, 5.0}, kStart);
+  entry.started_ms = 2;
+  table.Put(entry, kStart);
+  CHECK(table.ExpectedPace(*table.Find(id), kStart) == 1.0);
+}
+
 }  // namespace
 }  // namespace daisywind::dispatch
--- a/source/unit_tests/dispatch/placement_test.cc
+++ b/source/unit_tests/dispatch/placement_test.cc
@@ -3,8 +3,11 @@
 #include <doctest/doctest.h>
 
 #include <map>
+#include <optional>
+#include <string>
 
 #include "common/endpoint_key.h"
+#include "dispatch/home_ranking.h"
 
 namespace daisywind::dispatch {
 namespace {
@@ -247,5 +250,167 @@
   CHECK(Chosen().empty());
 }
 
+// A program whose prompt is not known to be cached anywhere, on a service of
+// twelve engines of one region.
+struct home_fixture : fixture {
+  home_fixture() {
+    for (auto i = 0; i < kEngines; ++i) {
+      const auto id = Add(("e" + std::to_string(i)).c_str(),
+                          i % 2 == 0 ? "near" : "beside");
+      table.OnReport(id, {4, 0, 16}, kNow);
+    }
+    request.is_engine = true;
+    request.home_key = "program";
+    request.prompt_growth = 600;
+    SetOwnPart(3000);
+  }
+
+  auto SetOwnPart(std::uint32_t tokens) -> void {
+    request.prompt = {{prompt_part_id("shared"), 2560},
+                      {prompt_part_id("own"), tokens}};
+    request.prompt_tokens = 2560 + std::uint64_t{tokens};
+  }
+
+  [[nodiscard]] auto Home(std::size_t rank = 0) const -> endpoint_id {
+    return RankHomes(table.OfService(service_id("s")), here, request.home_key,
+                     rank + 1)
+        .at(rank)
+        ->entry.id;
+  }
+
+  static constexpr auto kEngines = 12;
+};
+
+// Guards against turns that are sent to engines that have to read the whole
+// prompt again.
+TEST_CASE_FIXTURE(home_fixture,
+                  "a program's turns go to its home while loads are alike") {
+  const auto home = Home().value;
+  for (auto i = 0; i < 50; ++i) {
+    CHECK(Chosen() == home);
+  }
+  const auto choice = Place(table, request, here, {}, kNow, random);
+  CHECK(choice->is_home);
+  CHECK(choice->missing_tokens == 600);
+  // Another front of the region, which is nearer to other engines.
+  here.failure_domain = failure_domain_id("beside");
+  for (auto i = 0; i < 50; ++i) {
+    CHECK(Chosen() == home);
+  }
+}
+
+// Guards against hot programs that queue at one engine while others are idle.
+TEST_CASE_FIXTURE(home_fixture, "a full home is passed over") {
+  const auto home = Home();
+  table.OnReport(home, {16, 30, 16}, kNow);
+  for (auto i = 0; i < 50; ++i) {
+    CHECK(Chosen() != home.value);
+  }
+}
+
+TEST_CASE_FIXTURE(home_fixture, "a home that can't be used is passed over") {
+  const auto home = Home();
+  SUBCASE("excluded") {
+    request.excluded.insert(home);
+  }
+  SUBCASE("leaving") {
+    table.SetLeaving(table.Find(home)->entry, kNow);
+  }
+  SUBCASE("paused") {
+    table.OnHealthSignal(home, health_signal::kFailed, kNow);
+  }
+  for (auto i = 0; i < 50; ++i) {
+    const auto choice = Place(table, request, here, {}, kNow, random);
+    REQUIRE(choice);
+    CHECK(choice->endpoint != home);
+  }
+}
+
+// Guards against a first turn whose engine differs from that of the turns after
+// it: every engine lacks its own part alike.
+TEST_CASE_FIXTURE(home_fixture, "a program's first turn goes to its home") {
+  SetOwnPart(500);
+  for (auto i = 0; i < kEngines; ++i) {
+    table.OnPromptProcessed(endpoint_id("e" + std::to_string(i)),
+                            {{prompt_part_id("shared"), 2560}});
+  }
+  const auto home = Home().value;
+  for (auto i = 0; i < 50; ++i) {
+    CHECK(Chosen() == home);
+  }
+}
+
+// The home has everything cached that this VM has sent there itself.
+TEST_CASE_FIXTURE(home_fixture, "a home lacks no more than is known here") {
+  table.OnPromptProcessed(Home(), {{prompt_part_id("shared"), 2560},
+                                   {prompt_part_id("own"), 2900}});
+  const auto choice = Place(table, request, here, {}, kNow, random);
+  CHECK(choice->is_home);
+  CHECK(choice->missing_tokens == 100);
+}
+
+// Until a growth is known, nothing is assumed to be cached.
+TEST_CASE_FIXTURE(home_fixture, "without a mean growth a home lacks all") {
+  request.prompt_growth = std::nullopt;
+  table.OnReport(Home(), {4, 0, 16}, kNow);
+  for (auto i = 0; i < 50; ++i) {
+    const auto choice = Place(table, request, here, {}, kNow, random);
+    CHECK(choice->missing_tokens == 5560);
+  }
+}
+
+// Guards against homes for services and routes that have none.
+TEST_CASE_FIXTURE(home_fixture, "a request without a key has no home") {
+  request.home_key.clear();
+  auto counts = std::map<std::string, int>{};
+  for (auto i = 0; i < 600; ++i) {
+    const auto choice = Place(table, request, here, {}, kNow, random);
+    CHECK_FALSE(choice->is_home);
+    ++counts[choice->endpoint.value];
+  }
+  // The engines of this VM's failure domain.
+  CHECK(counts.size() == kEngines / 2);
+}
+
+// Guards against requests that wait at a machine that others slow down.
+TEST_CASE_FIXTURE(fixture, "a slow machine is avoided") {
+  const auto slow = Add("slow", "near");
+  const auto usual = Add("usual", "near");
+  SUBCASE("engine") {
+    request.is_engine = true;
+    request.prompt_tokens = 3000;
+  }
+  SUBCASE("plain endpoint") {
+    request.is_engine = false;
+  }
+  table.OnReport(slow, {2, 0, 4, 4.0}, kNow);
+  table.OnReport(usual, {2, 0, 4, 1.0}, kNow);
+  for (auto i = 0; i < 50; ++i) {
+    CHECK(Chosen() == "usual");
+  }
+  CHECK(Place(table, request, here, {}, kNow, random)->pace == 1.0);
+  request.excluded.insert(usual);
+  CHECK(Place(table, request, here, {}, kNow, random)->pace == 4.0);
+}
+
+// Guards against a slow machine that is avoided at any price.
+TEST_CASE_FIXTURE(fixture, "a slow machine is better than a long queue") {
+  const auto slow = Add("slow", "near");
+  const auto full = Add("full", "near");
+  request.is_engine = true;
+  request.prompt_tokens = 500;
+  table.OnReport(slow, {0, 0, 4, 1.5}, kNow);
+  table.OnReport(full, {4, 30, 4, 1.0}, kNow);
+  CHECK(Chosen() == "slow");
+}
+
+TEST_CASE_FIXTURE(fixture, "costs without paces are those of the usual pace") {
+  const auto id = Add("a", "near");
+  table.OnReport(id, {2, 1, 4}, kNow);
+  const auto without = Place(table, request, here, {}, kNow, random);
+  table.OnReport(id, {2, 1, 4, 1.0}, kNow);
+  CHECK(Place(table, request, here, {}, kNow, random)->cost == without->cost);
+}
+
 }  // namespace
 }  // namespace daisywind::dispatch
