--- a/source/core/history/quota_registry.cc
+++ b/source/core/history/quota_registry.cc
@@ -19,31 +19,40 @@
 }
 
 // A bucket that holds less than one request would never grant any.
-auto Capacity(const request_limit& limit, double members) -> double {
-  return std::max(1.0, limit.burst / members);
+auto Capacity(const request_limit& limit, std::size_t members) -> double {
+  return std::max(1.0, limit.burst / static_cast<double>(members));
+}
+
+auto RateOf(const request_limit& limit, std::size_t members) -> double {
+  return limit.per_second / static_cast<double>(members);
 }
 
 }  // namespace
 
+auto quota_registry::OnJoined(instant now) -> void {
+  buckets_.clear();
+  started_at_ = now;
+}
+
 auto quota_registry::Handle(const quota_request& request,
                             std::size_t members,
                             instant now) -> quota_reply {
-  if (now >= cleanup_at_) {
-    RemoveIdle(now);
+  if (members > 0 && now >= cleanup_at_) {
+    RemoveIdle(members, now);
   }
   auto reply = quota_reply{};
   reply.grants.reserve(request.demands.size());
   for (const auto& demand : request.demands) {
     reply.grants.push_back(
         members > 0 && IsValid(demand.limit)
-            ? Grant(demand, double(members), now)
+            ? Grant(demand, members, now)
             : quota_grant{demand.organisation, 0, options_.no_member_retry});
   }
   return reply;
 }
 
 auto quota_registry::Grant(const quota_demand& demand,
-                           double members,
+                           std::size_t members,
                            instant now) -> quota_grant {
   const auto [found, is_new] = buckets_.try_emplace(
       demand.organisation, bucket{demand.limit, 0, started_at_});
@@ -52,7 +61,7 @@
   if (demand.limit.version >= item.limit.version) {
     item.limit = demand.limit;
   }
-  const auto rate = item.limit.per_second / members;
+  const auto rate = RateOf(item.limit, members);
   const auto capacity = Capacity(item.limit, members);
   const auto filled = item.level + rate * Seconds(now - item.updated_at) +
                       double(demand.returned);
@@ -64,16 +73,24 @@
   auto grant =
       quota_grant{demand.organisation, static_cast<std::uint32_t>(granted), {}};
   if (granted == 0) {
+    const auto until_next =
+        std::min((1.0 - item.level) / rate, Seconds(options_.max_retry));
     grant.retry_after = std::chrono::ceil<duration>(
-        std::chrono::duration<double>((1.0 - item.level) / rate));
+        std::chrono::duration<double>(std::max(0.0, until_next)));
   }
   return grant;
 }
 
-auto quota_registry::RemoveIdle(instant now) -> void {
+auto quota_registry::RemoveIdle(std::size_t members, instant now) -> void {
   cleanup_at_ = now + options_.idle_lifetime;
+  // A bucket that is asked about anew counts as full, so one is kept until it
+  // is.
   std::erase_if(buckets_, [&](const auto& entry) {
-    return now - entry.second.updated_at > options_.idle_lifetime;
+    const auto& item = entry.second;
+    const auto age = now - item.updated_at;
+    const auto filled = item.level + RateOf(item.limit, members) * Seconds(age);
+    return age > options_.idle_lifetime &&
+           filled >= Capacity(item.limit, members);
   });
 }
 
--- a/source/core/history/quota_registry.h
+++ b/source/core/history/quota_registry.h
@@ -14,10 +14,14 @@
 namespace daisywind::history {
 
 struct quota_registry_options {
-  // How long a member keeps the state of a limit for which nobody asks.
+  // How long a member keeps the state of a limit for which nobody asks. It
+  // keeps it longer if the bucket is not full by then.
   duration idle_lifetime = 60s;
   // When a member that is in no view may be asked again.
   duration no_member_retry = 300ms;
+  // Longest time after which a front is told to ask again. Also keeps the time
+  // that a very low rate takes in the range of a duration.
+  duration max_retry = 60s;
 
   auto operator<=>(const quota_registry_options&) const = default;
 };
@@ -27,11 +31,16 @@
 class quota_registry {
  public:
   // A bucket is as full as if it had been filling since `started_at`, the start
-  // of the process. What an earlier run granted is not granted again.
+  // of the process, or since this VM became a member if that was later. What an
+  // earlier run granted is not granted again.
   explicit quota_registry(instant started_at,
                           quota_registry_options options = {})
       : options_(options), started_at_(started_at) {}
 
+  // Call when this VM becomes a member. Empties all buckets: the members before
+  // it have granted what a full one would grant again.
+  auto OnJoined(instant now) -> void;
+
   // `members` is the number of members of the view; zero if this VM is none of
   // them.
   auto Handle(const quota_request& request, std::size_t members, instant now)
@@ -46,11 +55,12 @@
     instant updated_at;
   };
 
-  auto Grant(const quota_demand& demand, double members, instant now)
+  auto Grant(const quota_demand& demand, std::size_t members, instant now)
       -> quota_grant;
-  auto RemoveIdle(instant now) -> void;
+  auto RemoveIdle(std::size_t members, instant now) -> void;
 
   quota_registry_options options_;
+  // When buckets that nobody has asked about began to fill.
   instant started_at_;
   instant cleanup_at_{};
   std::unordered_map<organisation_id, bucket> buckets_;
--- a/source/core/journal/journal_node.h
+++ b/source/core/journal/journal_node.h
@@ -91,6 +91,7 @@
 
   [[nodiscard]] auto replica() -> history::fact_replica& { return replica_; }
   [[nodiscard]] auto self() const -> const history::member& { return self_; }
+  [[nodiscard]] auto quotas() -> history::quota_registry& { return quotas_; }
   [[nodiscard]] auto mirror() -> store_mirror& { return mirror_; }
 
   [[nodiscard]] auto copier() -> fact_copier& { return copier_; }
@@ -146,11 +147,11 @@
   // asks for to the reply.
   auto ExchangeLoads(const history::message_body& request,
                      history::message_body& reply) -> void;
-  // Forwards facts to another member and replies when it has stored them.
   // Grants parts of this member's shares of request limits, or rejects a
   // request from an older view.
   auto GrantQuota(const history::quota_request& request,
                   history::view_number view) -> history::message_body;
+  // Forwards facts to another member and replies when it has stored them.
   auto ServeForward(std::weak_ptr<net::frame_channel> channel,
                     std::uint64_t id,
                     history::view_number view,
--- a/source/core/journal/view_manager.cc
+++ b/source/core/journal/view_manager.cc
@@ -99,12 +99,16 @@
   if (item.mod_revision <= view_revision_) {
     return;
   }
+  const auto was_member = IsMember();
   stored_view_ = *read;
   view_revision_ = item.mod_revision;
   followed_members_ = {stored_view_.number, IsMember()
                                                 ? std::vector<history::member>{}
                                                 : OtherMembers()};
   node_.replica().Adopt(stored_view_);
+  if (IsMember() && !was_member) {
+    node_.quotas().OnJoined(Now());
+  }
   Log(log_events::kViewAdopted,
       {{"view", static_cast<std::int64_t>(stored_view_.number)},
        {"members", static_cast<std::int64_t>(stored_view_.members.size())},
