history_wire: the time until a request is granted is rounded up

Cause: the time was cut to whole milliseconds, and to none below one, so that a front asked a member again before it had a request left. Change: it is rounded up. Tests of the new messages, paces, the age of a proof, the organisation of a turn, and of messages and records without these fields. The new cases were not run on the code before.

--- a/source/core/history_wire/codec.cc
+++ b/source/core/history_wire/codec.cc
@@ -383,9 +383,10 @@
     auto object = std::make_unique<fbs::QuotaGrantT>();
     object->organisation = grant.organisation.value;
     object->granted = grant.granted;
-    object->retry_after_ms = static_cast<std::uint32_t>(
-        std::clamp<std::int64_t>(Milliseconds(grant.retry_after), 0,
-                                 std::numeric_limits<std::uint32_t>::max()));
+    object
+        ->retry_after_ms = static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+        std::chrono::ceil<std::chrono::milliseconds>(grant.retry_after).count(),
+        0, std::numeric_limits<std::uint32_t>::max()));
     to.grants.push_back(std::move(object));
   }
   return to;
--- a/source/unit_tests/history_wire/codec_test.cc
+++ b/source/unit_tests/history_wire/codec_test.cc
@@ -1,6 +1,11 @@
 #include "history_wire/codec.h"
 
 #include <doctest/doctest.h>
+#include <history_generated.h>
+
+#include <optional>
+#include <utility>
+#include <variant>
 
 #include "common/random.h"
 
@@ -13,7 +18,7 @@
           50,
           20U,
           turn_content{turn_id("s"), std::string("in\0put", 6), "output\n",
-                       endpoint_id("e"), 3500},
+                       endpoint_id("e"), 3500, organisation_id("o")},
           1'700'000'000'000,
           66'000};
 }
@@ -49,6 +54,17 @@
       begin_reply{true, Chain(), {{turn_id("y"), 3}}},
       begin_reply{
           true, Chain(), {}, {{7, 3, 2, 120ms, 0ms}, {8, 0, 0, 0ms, 31s}}, 12},
+      begin_request{program_name("p"),
+                    turn_id("t"),
+                    turn_id("s"),
+                    50,
+                    true,
+                    {{7, 3, 2, 120ms}, {8, 3, 2, 120ms, std::nullopt, 250}}},
+      begin_reply{true,
+                  Chain(),
+                  {},
+                  {{7, 3, 2, 120ms, std::nullopt, 65'535}, {8, 0, 0, 0ms}},
+                  12},
       record_request{{Fact(), FactWithoutContent()}},
       record_reply{true},
       read_request{turn_id("t")},
@@ -81,6 +97,14 @@
       copy_reply{store_copy{9, {{"k", "v", 3, 4}}}},
       copy_reply{},
       copy_reply{store_copy{9, {{"k", "v", 3, 4}}}, true, {"gone"}, 250ms},
+      copy_reply{std::nullopt, true, {}, 250ms, 1700ms},
+      copy_reply{std::nullopt, true, {}, 250ms, 0ms},
+      quota_request{},
+      quota_request{{{organisation_id("o"), {7, 12.5, 40}, 9, 3},
+                     {organisation_id("p"), {8, 0.1, 0}, 0, 1}}},
+      quota_reply{},
+      quota_reply{
+          {{organisation_id("o"), 9, 0ms}, {organisation_id("p"), 0, 1250ms}}},
       lifetimes_request{{program_name("p"), program_name("q")}},
       lifetimes_reply{true, {0, 81'000}},
       forward_request{"10.0.0.1:7380", {1, 2, 3}},
@@ -112,6 +136,94 @@
   CHECK(DecodeRecord(EncodeRecord(copy)) == copy);
 }
 
+// Facts of earlier versions name no organisation, and their loads no paces.
+TEST_CASE("parts without the newer fields are read") {
+  auto old_fact = Fact();
+  old_fact.content->organisation = {};
+  const auto record = disk_record{{old_fact}, 0, std::nullopt};
+  CHECK(DecodeRecord(EncodeRecord(record)) == record);
+  const auto without = EncodeMessage({1, 9, record_request{{old_fact}}});
+  const auto with = EncodeMessage({1, 9, record_request{{Fact()}}});
+  CHECK(without.size() < with.size());
+  const auto read = DecodeMessage(without);
+  REQUIRE(read);
+  const auto& facts = std::get<record_request>(read->body).facts;
+  REQUIRE(facts.size() == 1);
+  CHECK(facts[0].content->organisation.empty());
+}
+
+// Sends a message as another version may write it.
+auto Received(fbs::MessageT& from) -> std::optional<message> {
+  auto builder = flatbuffers::FlatBufferBuilder{};
+  builder.Finish(fbs::Message::Pack(builder, &from), fbs::MessageIdentifier());
+  return DecodeMessage(
+      {reinterpret_cast<const char*>(builder.GetBufferPointer()),
+       builder.GetSize()});
+}
+
+// Guards against a proof that a journal of an earlier version has not given.
+TEST_CASE("a copy without a proof has none") {
+  auto from = fbs::MessageT{};
+  from.body.Set(fbs::CopyReplyT{});
+  const auto read = Received(from);
+  REQUIRE(read);
+  const auto& reply = std::get<copy_reply>(read->body);
+  CHECK_FALSE(reply.store_age);
+  CHECK_FALSE(reply.proof_age);
+}
+
+// Guards against reads past the end of a list of another length.
+TEST_CASE("paces that are fewer or more than the samples are read") {
+  for (const auto paces : {std::size_t{0}, std::size_t{1}, std::size_t{5}}) {
+    auto body = fbs::BeginRequestT{};
+    body.program = "p";
+    body.turn = "t";
+    body.loads.resize(2);
+    body.paces.resize(paces, 150);
+    auto from = fbs::MessageT{};
+    from.body.Set(std::move(body));
+    const auto read = Received(from);
+    REQUIRE(read);
+    const auto& loads = std::get<begin_request>(read->body).loads;
+    REQUIRE(loads.size() == 2);
+    CHECK(loads[0].pace_percent == (paces > 0 ? 150U : 0U));
+    CHECK(loads[1].pace_percent == (paces > 1 ? 150U : 0U));
+  }
+}
+
+TEST_CASE("a pace that is too large to be sent is cut") {
+  const auto sent = message{
+      1, 9,
+      begin_reply{true, Chain(), {}, {{7, 0, 0, 0ms, std::nullopt, 99'999}}}};
+  const auto read = DecodeMessage(EncodeMessage(sent));
+  REQUIRE(read);
+  CHECK(std::get<begin_reply>(read->body).loads[0].pace_percent == 65'535);
+}
+
+// Guards against a proof that looks newer than it is.
+TEST_CASE("the age of a proof is rounded up") {
+  const auto sent =
+      message{1, 9, copy_reply{std::nullopt, true, {}, 250ms, 1700001us}};
+  const auto read = DecodeMessage(EncodeMessage(sent));
+  REQUIRE(read);
+  CHECK(std::get<copy_reply>(read->body).proof_age == 1701ms);
+}
+
+// Guards against fronts that ask a member before it has a request left, one
+// message for each fraction of a millisecond.
+TEST_CASE("the time until a request is granted is rounded up and bounded") {
+  const auto read_back = [](duration retry_after) {
+    const auto read = DecodeMessage(EncodeMessage(
+        {1, 9, quota_reply{{{organisation_id("o"), 0, retry_after}}}}));
+    REQUIRE(read);
+    return std::get<quota_reply>(read->body).grants[0].retry_after;
+  };
+  CHECK(read_back(1us) == 1ms);
+  CHECK(read_back(1900us) == 2ms);
+  CHECK(read_back(-5ms) == 0ms);
+  CHECK(read_back(duration::max()) == 4'294'967'295ms);
+}
+
 TEST_CASE("truncated and corrupted input is decoded without a crash") {
   auto random = random_source(1);
   for (const auto& body : AllBodies()) {
