kv_test, history_client_test: proofs of how new a copy of the store is

Change: tests of known_as_of after each kind of answer, of journals with an old proof or none, and of journals of another region. The fake store names the time of each call.

--- a/source/testing/fake_store.cc
+++ b/source/testing/fake_store.cc
@@ -7,6 +7,8 @@
 #include <utility>
 #include <variant>
 
+#include "common/process_clock.h"
+
 namespace daisywind::testing {
 namespace {
 
@@ -42,6 +44,7 @@
     co_return Refused<kv::listing>();
   }
   auto all = kv::listing{{}, revision_};
+  all.as_of = Now();
   for (const auto& [key, item] : items_) {
     if (key.starts_with(prefix)) {
       all.items.push_back(item);
@@ -88,12 +91,14 @@
     -> asio::awaitable<kv::store_result<kv::change_list>> {
   ++waits_;
   longest_wait_ = std::max(longest_wait_, wait);
+  const auto called_at = Now();
   const auto until = std::chrono::steady_clock::now() + wait;
   while (true) {
     if (is_down_) {
       co_return Refused<kv::change_list>();
     }
     auto list = kv::change_list{{}, revision_, after < oldest_revision_};
+    list.as_of = called_at;
     for (const auto& item : history_) {
       if (item.at > after && item.what.item.key.starts_with(prefix)) {
         list.changes.push_back(item.what);
--- a/source/unit_tests/history_client/mirrored_store_test.cc
+++ b/source/unit_tests/history_client/mirrored_store_test.cc
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <utility>
 
 #include "common/process_clock.h"
@@ -174,6 +175,152 @@
   CHECK(mirrored.SourceAge(Now()));
 }
 
+// Journals in the region and elsewhere, of a VM that has to prove how new its
+// changes are.
+struct proof_fixture {
+  proof_fixture() {
+    SetReplies(near, near_proof);
+    SetReplies(far, far_proof);
+    current = {1,
+               {Member("n", near.address(), "r"),
+                Member("f", far.address(), "elsewhere")}};
+  }
+
+  static auto Member(const char* name, std::string address, const char* region)
+      -> member {
+    return {vm_id(name), disk_id(name), std::move(address),
+            failure_domain_id(name), region_id(region)};
+  }
+
+  static auto SetReplies(testing::fake_journal& journal,
+                         const std::optional<duration>& proof_age) -> void {
+    journal.on_request = [&proof_age](const copy_request&) {
+      auto reply = copy_reply{};
+      reply.store_age = duration(0);
+      reply.proof_age = proof_age;
+      return reply;
+    };
+  }
+
+  static auto Options() -> mirrored_store_options {
+    auto options = mirrored_store_options{};
+    options.request_timeout = 20s;
+    options.max_age = 60s;
+    options.retry_after = 60s;
+    // Proofs serve up to 60 s.
+    options = WithProofs(options, 200s);
+    options.poll_interval = 1ms;
+    return options;
+  }
+
+  auto Wait() -> kv::change_list {
+    auto result = std::optional<kv::store_result<kv::change_list>>{};
+    asio::co_spawn(context, mirrored.WaitForChanges("", 1, 0s),
+                   [&](const std::exception_ptr&,
+                       kv::store_result<kv::change_list> received) {
+                     result = std::move(received);
+                   });
+    const auto end = Now() + kStepTimeout;
+    while (!result && Now() < end) {
+      context.restart();
+      context.run_for(std::chrono::milliseconds(5));
+    }
+    REQUIRE(result);
+    REQUIRE(result->value);
+    return *result->value;
+  }
+
+  asio::io_context context{1};
+  testing::fake_store store{context};
+  testing::fake_journal near{context};
+  testing::fake_journal far{context};
+  std::optional<duration> near_proof = duration(5s);
+  std::optional<duration> far_proof = duration(3s);
+  view current;
+  mirrored_store mirrored{context, store, region_id("r"),
+                          [this]() -> const view& { return current; },
+                          Options()};
+};
+
+// Guards against a proof that looks newer than it is by the time that the
+// journal's reply was on its way, or waited at a paused VM.
+TEST_CASE_FIXTURE(proof_fixture,
+                  "a proof's age counts from when the journal was asked") {
+  auto answered_at = instant{};
+  const auto asked_at = Now();
+  const auto reply = near.on_request;
+  near.on_request = [&](const copy_request& request) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    answered_at = Now();
+    return reply(request);
+  };
+  const auto list = Wait();
+  REQUIRE(list.as_of);
+  CHECK(*list.as_of >= asked_at - 5s);
+  CHECK(*list.as_of <= answered_at - 20ms - 5s);
+  CHECK(list.changes.empty());
+  CHECK(near.requests == 1);
+  CHECK(far.requests == 0);
+  CHECK(store.waits() == 0);
+}
+
+// Guards against a call that returns only once there is a change: the proof
+// would be too old meanwhile.
+TEST_CASE_FIXTURE(proof_fixture, "a call without changes brings a proof") {
+  const auto first = Wait();
+  const auto second = Wait();
+  CHECK(second.as_of > first.as_of);
+  CHECK(near.requests == 2);
+}
+
+// Guards against keys that are refused in a region whose journals the store
+// turns away, while those of another region have proofs.
+TEST_CASE_FIXTURE(proof_fixture,
+                  "a journal elsewhere is asked after those of the region") {
+  SUBCASE("without a proof") {
+    near_proof = std::nullopt;
+  }
+  SUBCASE("with a proof that is too old") {
+    near_proof = 61s;
+  }
+  const auto asked_at = Now();
+  const auto list = Wait();
+  CHECK(near.requests == 1);
+  CHECK(far.requests == 1);
+  CHECK(store.waits() == 0);
+  REQUIRE(list.as_of);
+  CHECK(*list.as_of >= asked_at - 3s);
+}
+
+// Guards against changes that are taken for complete without a proof.
+TEST_CASE_FIXTURE(proof_fixture, "the store is asked if no journal has proof") {
+  near_proof = std::nullopt;
+  far_proof = std::nullopt;
+  store.Put("configuration", "1");
+  const auto asked_at = Now();
+  const auto list = Wait();
+  CHECK(near.requests == 1);
+  CHECK(far.requests == 1);
+  CHECK(store.waits() == 1);
+  REQUIRE(list.as_of);
+  CHECK(*list.as_of >= asked_at);
+  CHECK(list.changes.size() == 1);
+}
+
+// Without proofs, the link between regions carries no calls for them.
+TEST_CASE_FIXTURE(mirror_fixture,
+                  "a journal elsewhere is not asked without proofs") {
+  auto far = testing::fake_journal(context);
+  far.on_request = journal.on_request;
+  current.members.push_back(
+      proof_fixture::Member("f", far.address(), "elsewhere"));
+  journal_age = std::nullopt;
+  Wait(1, 0s);
+  CHECK(journal.requests == 1);
+  CHECK(far.requests == 0);
+  CHECK(store.waits() == 1);
+}
+
 TEST_CASE("a copy serves for longer than a journal waits for the store") {
   for (const auto limit : {duration(2s), duration(2500ms), duration(14s)}) {
     const auto watch = kv::RelayingWatchOptionsFor(limit);
--- a/source/unit_tests/kv/store_watch_test.cc
+++ b/source/unit_tests/kv/store_watch_test.cc
@@ -4,6 +4,7 @@
 
 #include <boost/asio.hpp>
 #include <chrono>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -227,6 +228,133 @@
   context.run();
 }
 
+// A store whose answers are written by the test, the last one again and again.
+class scripted_store : public forgetful_store {
+ public:
+  scripted_store() : forgetful_store(true) {}
+
+  auto List(std::string) -> asio::awaitable<store_result<listing>> override {
+    co_await asio::post(asio::use_awaitable);
+    ++lists;
+    co_return listed;
+  }
+
+  auto WaitForChanges(std::string, revision, duration)
+      -> asio::awaitable<store_result<change_list>> override {
+    co_await asio::post(asio::use_awaitable);
+    ++calls;
+    auto answer = changes.front();
+    if (changes.size() > 1) {
+      changes.erase(changes.begin());
+    }
+    co_return answer;
+  }
+
+  auto AddAnswer(change_list list, std::optional<instant> as_of) -> void {
+    list.as_of = as_of;
+    changes.push_back({outcome::kAnswered, std::move(list), ""});
+  }
+
+  store_result<listing> listed;
+  std::vector<store_result<change_list>> changes;
+  int lists = 0;
+  int calls = 0;
+};
+
+struct proof_fixture {
+  proof_fixture() {
+    auto all = listing{{}, 5};
+    all.as_of = instant(10s);
+    source.listed = {outcome::kAnswered, std::move(all), ""};
+    options.coalesce = duration(0);
+    options.initial_backoff = duration(0);
+    options.max_backoff = duration(0);
+  }
+
+  // Runs a watch until it has made a number of calls. Returns what is proven
+  // then.
+  auto ProvenAfter(int calls) -> std::optional<instant> {
+    auto watch = store_watch(
+        context, source, "", options,
+        {[](const listing&) {}, [](const change_list&) {}, [](bool) {}});
+    CHECK_FALSE(watch.known_as_of());
+    watch.Start();
+    while (source.calls < calls && context.run_one() > 0) {
+    }
+    watch.Stop();
+    const auto proven = watch.known_as_of();
+    context.run();
+    return proven;
+  }
+
+  static auto Change(revision at) -> change_list {
+    return {{{{"key", "value", at, at}, false}}, at, false};
+  }
+
+  asio::io_context context{1};
+  scripted_store source;
+  watch_options options;
+};
+
+// Guards against a proof that is older than need be, which would refuse keys
+// that are valid.
+TEST_CASE_FIXTURE(proof_fixture, "a listing proves what is known") {
+  source.AddAnswer({{}, 5, false}, std::nullopt);
+  CHECK(ProvenAfter(2) == instant(10s));
+}
+
+TEST_CASE_FIXTURE(proof_fixture, "answers without changes prove it as well") {
+  source.AddAnswer({{}, 5, false}, instant(11s));
+  CHECK(ProvenAfter(2) == instant(11s));
+}
+
+TEST_CASE_FIXTURE(proof_fixture, "answers with changes prove it") {
+  source.AddAnswer(Change(6), instant(12s));
+  source.AddAnswer({{}, 6, false}, std::nullopt);
+  CHECK(ProvenAfter(3) == instant(12s));
+}
+
+TEST_CASE_FIXTURE(proof_fixture, "a copy of all keys proves it") {
+  auto copy = Change(7);
+  copy.is_snapshot = true;
+  source.AddAnswer(copy, instant(13s));
+  source.AddAnswer({{}, 7, false}, std::nullopt);
+  CHECK(ProvenAfter(3) == instant(13s));
+}
+
+// Guards against a proof that goes back in time with a journal that lags, and
+// against one by an answer whose time is not known.
+TEST_CASE_FIXTURE(proof_fixture, "an older proof or none changes nothing") {
+  source.AddAnswer({{}, 5, false}, instant(12s));
+  source.AddAnswer({{}, 5, false}, instant(11s));
+  source.AddAnswer({{}, 5, false}, std::nullopt);
+  CHECK(ProvenAfter(5) == instant(12s));
+}
+
+// Guards against a proof by an answer that leaves changes out.
+TEST_CASE_FIXTURE(proof_fixture,
+                  "an answer after lost history proves nothing") {
+  source.AddAnswer({{}, 9, true}, instant(20s));
+  CHECK(ProvenAfter(4) == instant(10s));
+  CHECK(source.lists > 1);
+}
+
+TEST_CASE_FIXTURE(proof_fixture, "a call without an answer proves nothing") {
+  source.changes.push_back({outcome::kUnknown, std::nullopt, "no response"});
+  source.listed.value->as_of = std::nullopt;
+  CHECK_FALSE(ProvenAfter(3));
+}
+
+TEST_CASE("a watch that has to prove its age asks several times within it") {
+  for (const auto age : {duration(1s), duration(5s), duration(600s)}) {
+    const auto before = RelayingWatchOptionsFor(2500ms);
+    const auto options = WithMaxAge(before, age);
+    CHECK(options.wait + options.coalesce + options.max_backoff <= age / 3);
+    CHECK(options.wait <= before.wait);
+    CHECK(options.coalesce <= before.coalesce);
+  }
+}
+
 TEST_CASE("a store that refuses calls for changes is not flooded with lists") {
   // The pauses up to the tenth listing add up to more than five seconds.
   constexpr auto kMaxLists = 10;
