history: buckets of request limits hold some more requests than the burst

Cause: an organisation with 5 requests a second and a burst of 5 was refused at a fifth of its limit: its programs make several calls at once, at one front, which asks one member, and that one held a single request.

--- a/source/core/history/quota_registry.h
+++ b/source/core/history/quota_registry.h
@@ -14,6 +14,10 @@
 namespace daisywind::history {
 
 struct quota_registry_options {
+  // Added to each burst, over all members. Programs make several calls at once,
+  // at one front, which asks one member: its share of a small burst alone would
+  // refuse most of them although the organisation is far below its limit.
+  double extra_burst = 15;
   // How long a member keeps the state of a limit for which nobody asks. It
   // keeps it longer if the bucket is not full by then.
   duration idle_lifetime = 60s;
@@ -55,6 +59,9 @@
     instant updated_at;
   };
 
+  // Size of this member's bucket.
+  [[nodiscard]] auto Capacity(const request_limit& limit,
+                              std::size_t members) const -> double;
   auto Grant(const quota_demand& demand, std::size_t members, instant now)
       -> quota_grant;
   auto RemoveIdle(std::size_t members, instant now) -> void;
