front: keys are proven again through journals, callers wait as long as all fronts do

Cause: while the store was away for 6.1 s, each front asked it every 0.5 s and the journals every second, and callers came back after 0.3 s: three tries of a turn fell into the 2.4 s without proof, which ended their programs. Change: with a limit for withdrawn keys, journals are asked ten times in it and the store at most every 2 s; Retry-After is 1 s while journals reply that the store is away for them as well, else 0.3 s, plus up to half.

--- a/source/core/front/front_node.cc
+++ b/source/core/front/front_node.cc
@@ -25,6 +25,9 @@
 // still under way and to exit, if the period is long.
 constexpr auto kStopReserve = duration(700ms);
 constexpr auto kDrainPollInterval = duration(50ms);
+// Longest time between calls to the store while it is away, if the journals are
+// asked as well.
+constexpr auto kStoreRetry = duration(2s);
 constexpr auto kMaxProbeConnections = std::size_t{32};
 
 auto LocationFrom(const settings& values) -> dispatch::location {
@@ -69,6 +72,17 @@
   options.watch = kv::WatchOptionsFor(ChangeTimeLimit(values));
   if (const auto lifetime = KeyProofLifetime(values)) {
     options.watch = kv::WithMaxAge(options.watch, *lifetime);
+    // The journals tell sooner that the store is back, and each call of every
+    // front is charged.
+    options.watch.max_backoff = kStoreRetry;
+  }
+  return options;
+}
+
+auto FallbackOptions(const settings& values) -> store_fallback_options {
+  auto options = store_fallback_options{};
+  if (const auto lifetime = KeyProofLifetime(values)) {
+    options.interval = std::min(options.interval, *lifetime / 10);
   }
   return options;
 }
@@ -148,7 +162,11 @@
                      directory_.endpoints(),
                      paths_,
                      endpoint_client_),
-      fallback_(context, directory_, turns_, values.GetList(kJournalSeeds), {}),
+      fallback_(context,
+                directory_,
+                turns_,
+                values.GetList(kJournalSeeds),
+                FallbackOptions(values)),
       limits_(context,
               SelfFrom(values),
               directory_.endpoints(),
@@ -317,6 +335,13 @@
   return proven_at && now - *proven_at < *key_proof_lifetime_;
 }
 
+auto front_node::KeysOutdatedRetry(instant now) const -> duration {
+  // Another front may be in touch with the store, unless the journals are not.
+  constexpr auto kShort = duration(300ms);
+  constexpr auto kLong = duration(1s);
+  return fallback_.IsStoreAwayForJournals(now) ? kLong : kShort;
+}
+
 auto front_node::Spread(duration time) -> duration {
   const auto extra = static_cast<std::uint64_t>(time.count() / 2);
   return time +
--- a/source/core/front/front_node.h
+++ b/source/core/front/front_node.h
@@ -122,6 +122,9 @@
   auto RemoveFlow(request_flow& flow) -> void { flows_.erase(&flow); }
   [[nodiscard]] auto FlowCount() const -> std::size_t { return flows_.size(); }
 
+  // When a caller may return whose API key can't be proven now.
+  [[nodiscard]] auto KeysOutdatedRetry(instant now) const -> duration;
+
   // A random time up to half as long again, so that callers which are refused
   // together don't return together.
   [[nodiscard]] auto Spread(duration time) -> duration;
--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -30,8 +30,6 @@
 constexpr auto kMinQuotaRetry = duration(50ms);
 // A journal that failed is asked again after a second, others at once.
 constexpr auto kQuotaUnknownRetry = duration(300ms);
-// Another front may be in touch with the store.
-constexpr auto kKeysOutdatedRetry = duration(300ms);
 
 auto AttemptResultName(attempt_result end) -> std::string_view {
   return end == attempt_result::kNotRun ? "not_run" : "may_have_run";
@@ -72,12 +70,13 @@
              : std::nullopt;
 }
 
-auto RetryAfter(refusal_reason reason) -> std::optional<duration> {
+auto RetryAfter(front_node& node, refusal_reason reason)
+    -> std::optional<duration> {
   switch (reason) {
     case refusal_reason::kNotReady:
       return kUnconfiguredRetry;
     case refusal_reason::kKeysOutdated:
-      return kKeysOutdatedRetry;
+      return node.Spread(node.KeysOutdatedRetry(Now()));
     default:
       return std::nullopt;
   }
@@ -107,7 +106,7 @@
     LogRefusal(*call, *reason, service_directory);
     CountRefusal(node.metrics_registry(), *reason);
     co_await exchange.Respond(
-        node.requests().MakeRefusal({*reason, RetryAfter(*reason)}));
+        node.requests().MakeRefusal({*reason, RetryAfter(node, *reason)}));
     co_return;
   }
   auto caller =
@@ -287,7 +286,7 @@
   while (!IsOver() && TimeLeft() > duration(0)) {
     if (const auto reason = KeyRefusal()) {
       co_await Refuse(attempts_.runs > 0 ? refusal_reason::kNoAnswer : *reason,
-                      RetryAfter(*reason));
+                      RetryAfter(node_, *reason));
       co_return;
     }
     const auto relay = node_.paths().IsClosed()
--- a/source/core/front/store_fallback.h
+++ b/source/core/front/store_fallback.h
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,10 @@
   auto Start() -> void;
   auto Stop() -> void;
 
+  // Whether journals have replied lately and none of them knows the store's
+  // newest state.
+  [[nodiscard]] auto IsStoreAwayForJournals(instant now) const -> bool;
+
  private:
   // The replies to one round of requests.
   struct copy_round;
@@ -58,6 +63,10 @@
   store_fallback_options options_;
   boost::asio::steady_timer timer_;
   history::member_clients clients_;
+  // The last round in which journals replied, and the newest time up to which
+  // any of them knew the store.
+  std::optional<instant> replied_at_;
+  std::optional<instant> known_as_of_;
   bool is_stopped_ = false;
 };
 
