--- a/source/core/front/quota_client.cc
+++ b/source/core/front/quota_client.cc
@@ -25,6 +25,7 @@
   explicit pending_request(asio::io_context& context) : slow_timer(context) {}
 
   history::quota_request request;
+  history::view_number view = 0;
   instant sent_at{};
   asio::steady_timer slow_timer;
 };
@@ -45,15 +46,7 @@
                            history::request_limit limit)
     -> asio::awaitable<quota_result> {
   const auto now = Now();
-  if (view_ != turns_.current().number) {
-    view_ = turns_.current().number;
-    auto addresses = std::vector<std::string>{};
-    for (const auto& member : turns_.MembersNearestTo(self_)) {
-      addresses.push_back(member.address);
-    }
-    credits_.SetMembers(std::move(addresses));
-    clients_.CloseNonMembers(turns_.current());
-  }
+  UpdateMembers();
   credits_.OnArrival(organisation, limit, now);
   // Those that wait already come first.
   const auto is_first = !waiting_.contains(organisation);
@@ -114,6 +107,19 @@
   SendRequests();
 }
 
+auto quota_client::UpdateMembers() -> void {
+  if (view_ == turns_.current().number) {
+    return;
+  }
+  view_ = turns_.current().number;
+  auto addresses = std::vector<std::string>{};
+  for (const auto& member : turns_.MembersNearestTo(self_)) {
+    addresses.push_back(member.address);
+  }
+  credits_.SetMembers(std::move(addresses));
+  clients_.CloseNonMembers(turns_.current());
+}
+
 auto quota_client::SendRequests() -> void {
   for (const auto& member : credits_.members()) {
     if (pending_.contains(member)) {
@@ -127,42 +133,54 @@
 
 auto quota_client::Send(const std::string& member,
                         history::quota_request request) -> void {
-  auto& pending = pending_[member];
-  pending = std::make_unique<pending_request>(context_);
+  const auto pending = std::make_shared<pending_request>(context_);
+  pending_[member] = pending;
   pending->request = request;
+  pending->view = turns_.current().number;
   pending->sent_at = Now();
+  // The timer's handler may already be queued when the reply arrives, and the
+  // reply's when this object ends.
   pending->slow_timer.expires_after(options_.hedge_delay);
   pending->slow_timer.async_wait(
-      [this, member](const boost::system::error_code& error) {
-        if (error) {
+      [this, member, weak = std::weak_ptr(pending)](
+          const boost::system::error_code& error) {
+        const auto slow = weak.lock();
+        if (error || slow == nullptr) {
           return;
         }
-        credits_.OnSlow(member, pending_.at(member)->request);
+        credits_.OnSlow(member, slow->request);
         ServeWaiters();
         SendRequests();
       });
   clients_.ClientFor(member)->SendRequest(
-      turns_.current().number, std::move(request), options_.timeout,
-      [this, member](std::optional<history::message_body> reply) {
-        OnReply(member, std::move(reply));
+      pending->view, std::move(request), options_.timeout,
+      [this, member, weak = std::weak_ptr(pending)](
+          std::optional<history::message_body> reply) {
+        if (const auto answered = weak.lock()) {
+          pending_.erase(member);
+          OnReply(member, *answered, std::move(reply));
+        }
       });
 }
 
 auto quota_client::OnReply(const std::string& member,
+                           const pending_request& pending,
                            std::optional<history::message_body> reply) -> void {
-  const auto pending = std::move(pending_.extract(member).mapped());
   const auto* granted =
       reply ? std::get_if<history::quota_reply>(&*reply) : nullptr;
-  if (granted != nullptr) {
-    credits_.ProcessReply(member, pending->request, *granted, pending->sent_at,
-                          Now());
-  } else {
-    credits_.OnFailure(member, pending->request, Now());
-  }
   const auto* stale =
       reply ? std::get_if<history::stale_view>(&*reply) : nullptr;
   if (stale != nullptr) {
     turns_.Adopt(stale->newest);
+    UpdateMembers();
+  }
+  if (granted != nullptr) {
+    credits_.ProcessReply(member, pending.request, *granted, pending.sent_at,
+                          Now());
+  } else if (stale != nullptr && view_ > pending.view) {
+    credits_.OnRejected(member, pending.request);
+  } else {
+    credits_.OnFailure(member, pending.request, Now());
   }
   ServeWaiters();
   SendRequests();
--- a/source/core/front/quota_client.h
+++ b/source/core/front/quota_client.h
@@ -69,10 +69,13 @@
 
   auto Wait(const organisation_id& organisation)
       -> boost::asio::awaitable<quota_result>;
+  // Asks the members of the newest view from now on.
+  auto UpdateMembers() -> void;
   // Sends what is to be asked to all members without a request under way.
   auto SendRequests() -> void;
   auto Send(const std::string& member, history::quota_request request) -> void;
   auto OnReply(const std::string& member,
+               const pending_request& pending,
                std::optional<history::message_body> reply) -> void;
   // Wakes the waiting requests that have a result.
   auto ServeWaiters() -> void;
@@ -86,7 +89,7 @@
   std::unordered_map<organisation_id, std::deque<std::shared_ptr<waiter>>>
       waiting_;
   // By the member's address.
-  std::map<std::string, std::unique_ptr<pending_request>> pending_;
+  std::map<std::string, std::shared_ptr<pending_request>> pending_;
   // Ends first: its pending replies refer to this object.
   history::member_clients clients_;
 };
--- a/source/core/history_client/quota_credits.cc
+++ b/source/core/history_client/quota_credits.cc
@@ -180,6 +180,12 @@
   failed_until_[member] = now + options_.failure_memory;
 }
 
+auto quota_credits::OnRejected(const std::string& member,
+                               const quota_request& request) -> void {
+  StopAsking(member, request);
+  failed_until_.erase(member);
+}
+
 auto quota_credits::Tick(instant now) -> void {
   for (auto& [organisation, item] : accounts_) {
     DropLapsed(item, now);
--- a/source/core/history_client/quota_credits.h
+++ b/source/core/history_client/quota_credits.h
@@ -111,6 +111,10 @@
   auto OnFailure(const std::string& member,
                  const quota_request& request,
                  instant now) -> void;
+  // The member rejected the request because of its view, and may be asked again
+  // with a newer one.
+  auto OnRejected(const std::string& member, const quota_request& request)
+      -> void;
 
   // Moves lapsed credits to what is to be returned. Drops what is not needed.
   auto Tick(instant now) -> void;
--- a/source/unit_tests/front/front_harness.cc
+++ b/source/unit_tests/front/front_harness.cc
@@ -4,6 +4,7 @@
 
 #include <boost/asio.hpp>
 #include <boost/leaf/handle_errors.hpp>
+#include <sstream>
 #include <utility>
 
 #include "front/front_settings.h"
@@ -96,6 +97,8 @@
   to.path = std::string(from.Path());
   to.request_id = std::string(from.Header("Id"));
   to.program = std::string(from.Header("Program"));
+  to.previous_turn = std::string(from.Header("Previous"));
+  to.api_key = std::string(from.Header("Key"));
   to.token_budget = NumberIn(from, "Budget");
   to.max_output_tokens =
       static_cast<std::uint32_t>(NumberIn(from, "Max-Tokens").value_or(0));
@@ -113,8 +116,12 @@
                               from.target,
                               {{"Host", "h"},
                                {"Id", std::string(from.Header("Id"))},
-                               {"Endpoint", metadata.endpoint.value}},
+                               {"Endpoint", metadata.endpoint.value},
+                               {"Urgency", std::to_string(metadata.urgency)}},
                               ""};
+  if (metadata.organisation) {
+    to.headers.push_back({"Organisation", metadata.organisation->value});
+  }
   const auto after = metadata.resume_after.empty()
                          ? std::string(from.Header("After"))
                          : metadata.resume_after;
@@ -163,7 +170,14 @@
     -> net::http_response {
   const auto is_failure = from.reason == refusal_reason::kNoAnswer ||
                           from.reason == refusal_reason::kTimeout;
-  return {is_failure ? 502U : 503U, {}, std::string(ReasonName(from.reason))};
+  auto to = net::http_response{
+      is_failure ? 502U : 503U, {}, std::string(ReasonName(from.reason))};
+  if (from.retry_after) {
+    const auto wait =
+        std::chrono::ceil<std::chrono::milliseconds>(*from.retry_after);
+    to.headers.push_back({"Retry-Ms", std::to_string(wait.count())});
+  }
+  return to;
 }
 
 auto test_request_codec::IsReadinessProbe(const net::http_request& from) const
@@ -174,18 +188,35 @@
 auto test_directory_codec::ReadConfiguration(std::string_view value) const
     -> std::optional<dispatch::configuration> {
   auto to = dispatch::configuration{};
-  to.version =
-      static_cast<version_number>(std::atoi(std::string(value).c_str()));
+  auto text = std::istringstream(std::string(value));
+  text >> to.version;
+  auto word = std::string{};
+  if (text >> word) {
+    to.organisations.emplace();
+  }
+  while (text >> word) {
+    auto item = dispatch::organisation{};
+    item.id = organisation_id(word);
+    auto priority = 0;
+    text >> word >> item.requests_per_second >> item.burst >> priority;
+    item.api_keys = {word};
+    if (priority >= 0) {
+      item.priority = static_cast<std::uint32_t>(priority);
+    }
+    to.organisations->push_back(std::move(item));
+  }
   to.routes = {Route("/once/", route_kind::kOnce),
                Route("/again/", route_kind::kIdempotent),
                Route("/stream/", route_kind::kStream),
                Route("/resume/", route_kind::kStream),
                Route("/kept/", route_kind::kStream),
+               Route("/open/", route_kind::kOnce),
                Route("/slow/", route_kind::kOnce)};
   to.routes.back().timeout = kStepTimeout;
   to.routes[3].is_resumable = true;
   to.routes[3].max_attempts = 2;
   to.routes[4].stores_turns = true;
+  to.routes[5].is_public = true;
   to.services = {{dispatch::service_id("s"), 0, std::nullopt}};
   return to.version == 0 ? std::nullopt
                          : std::optional<dispatch::configuration>(to);
@@ -207,22 +238,24 @@
 
 front_harness::front_harness(int response_mb,
                              std::shared_ptr<asio::io_context> shared,
-                             std::chrono::seconds grace)
+                             std::chrono::seconds grace,
+                             std::chrono::milliseconds keys_withdrawn)
     : shared_context_(std::move(shared)),
       context(*shared_context_),
       store(context),
       front_port_(testing::FreePort(context)),
+      ready_port_(testing::FreePort(context)),
       relay_address_("127.0.0.1:" +
                      std::to_string(testing::FreePort(context))) {
   auto values = settings(FrontSchema());
   const auto text =
       R"({"vm":"v","failure_domain":"d","region":"r","listen":{"callers":"127.0.0.1:)" +
       std::to_string(front_port_) + R"(","ready":"127.0.0.1:)" +
-      std::to_string(testing::FreePort(context)) + R"(","relay":")" +
-      relay_address_ +
+      std::to_string(ready_port_) + R"(","relay":")" + relay_address_ +
       R"("},"store":{"address":"127.0.0.1:1"},"limits":{"response_mb":)" +
       std::to_string(response_mb) + R"(},"stop":{"grace_s":)" +
-      std::to_string(grace.count()) + "}}";
+      std::to_string(grace.count()) + R"(},"api_keys":{"withdrawn_ms":)" +
+      std::to_string(keys_withdrawn.count()) + "}}";
   const auto is_read = leaf::try_handle_all(
       [&]() -> leaf::result<bool> {
         BOOST_LEAF_CHECK(values.AddText("test", text));
@@ -308,14 +341,32 @@
   store.Put("endpoints/" + id, "127.0.0.1:" + std::to_string(port));
 }
 
-auto front_harness::Configure() -> void {
-  store.Put("configuration", "1");
+auto front_harness::Configure(const std::string& value) -> void {
+  store.Put("configuration", value);
+  const auto version = std::stoull(value);
   REQUIRE(RunUntil([&] {
-    return node_->service_directory().IsConfigured() &&
+    return node_->service_directory().routes().version() == version &&
            node_->service_directory().endpoints().size() == endpoints_;
   }));
 }
 
+auto front_harness::IsReady() -> bool {
+  auto request = net::http_request{};
+  request.method = "GET";
+  request.target = "/ready";
+  request.headers = {{"Host", "h"}};
+  auto result = std::optional<net::http_result>{};
+  asio::co_spawn(
+      context,
+      client_->Send({"127.0.0.1", static_cast<std::uint16_t>(ready_port_)},
+                    std::move(request), net::http_options{}),
+      [&](const std::exception_ptr&, net::http_result received) {
+        result = std::move(received);
+      });
+  REQUIRE(RunUntil([&] { return result.has_value(); }));
+  return result->response.status == 200;
+}
+
 auto front_harness::Request(const std::string& kind, const std::string& id)
     -> net::http_request {
   auto request = net::http_request{};
--- a/source/unit_tests/front/front_harness.h
+++ b/source/unit_tests/front/front_harness.h
@@ -24,9 +24,11 @@
 // Uses the headers Host, Id (of the request), Deadline-Ms, Endpoint (the id of
 // the chosen endpoint), After (the last event of a resumed stream), Weights
 // (the version that a resumed stream needs, and the one of a response), and for
-// turns Program, Budget and Max-Tokens. An endpoint sets Not-Run in its
-// response when it has not run the request, Leaving when it leaves, and Limit
-// to name a rate limit. A refusal's body is the name of its reason.
+// turns Program, Previous, Budget and Max-Tokens. A caller's Key is its API
+// key; an endpoint gets the Organisation and the Urgency. An endpoint sets
+// Not-Run in its response when it has not run the request, Leaving when it
+// leaves, and Limit to name a rate limit. A refusal's body is the name of its
+// reason, and its header Retry-Ms when the caller should retry.
 class test_request_codec : public request_codec {
  public:
   [[nodiscard]] auto ReadCall(const net::http_request& from) const
@@ -46,8 +48,10 @@
       -> bool override;
 };
 
-// The configuration value is a version number; the routes are fixed. The value
-// of an endpoint entry is its address.
+// The configuration value is a version number; the routes are fixed. The word
+// "keys" and organisations may follow, each as its name, key, requests per
+// second, burst and priority, which is none if it is negative. The value of an
+// endpoint entry is its address.
 class test_directory_codec : public directory_codec {
  public:
   [[nodiscard]] auto configuration_key() const -> std::string_view override {
@@ -69,11 +73,13 @@
  public:
   // `response_mb` is the memory for parts of responses that the front holds.
   // Harnesses that share a context run together. `grace` is the time that the
-  // front has to stop.
+  // front has to stop, and `keys_withdrawn` that of a withdrawn API key to be
+  // refused, zero for no such time.
   explicit front_harness(int response_mb = 32,
                          std::shared_ptr<boost::asio::io_context> shared =
                              std::make_shared<boost::asio::io_context>(1),
-                         std::chrono::seconds grace = std::chrono::seconds(8));
+                         std::chrono::seconds grace = std::chrono::seconds(8),
+                         std::chrono::milliseconds keys_withdrawn = {});
   front_harness(const front_harness&) = delete;
   auto operator=(const front_harness&) -> front_harness& = delete;
   ~front_harness();
@@ -106,13 +112,17 @@
 
   // Stores the configuration and waits until the front has it and all
   // endpoints.
-  auto Configure() -> void;
+  auto Configure(const std::string& value = "1") -> void;
+
+  // Whether the front's response to a readiness probe says that it is ready.
+  auto IsReady() -> bool;
 
   // Sends a request as a caller and waits for its end. `kind` selects the
   // route: "once" (may run once), "slow" (the same with a long time-out),
-  // "again" (idempotent), "stream" (may run once, with a stream of events as
-  // its response), "resume" (a stream that may be resumed) or "kept" (a stream
-  // whose turns are stored). `headers` are added to the request's own.
+  // "open" (the same for callers without an API key), "again" (idempotent),
+  // "stream" (may run once, with a stream of events as its response), "resume"
+  // (a stream that may be resumed) or "kept" (a stream whose turns are stored).
+  // `headers` are added to the request's own.
   auto Send(const std::string& kind,
             const std::string& id,
             net::http_headers headers = {}) -> net::http_result;
@@ -148,6 +158,7 @@
   test_request_codec request_codec_;
   test_directory_codec directory_codec_;
   int front_port_ = 0;
+  int ready_port_ = 0;
   std::string relay_address_;
   std::vector<std::unique_ptr<net::http_server>> servers_;
   // Hold the ports of unreachable endpoints.
--- a/source/unit_tests/front/token_budget_test.cc
+++ b/source/unit_tests/front/token_budget_test.cc
@@ -2,15 +2,10 @@
 #include <doctest/doctest.h>
 
 #include <boost/asio.hpp>
-#include <memory>
 #include <string>
-#include <vector>
 
 #include "front_harness.h"
-#include "history/fact_replica.h"
-#include "history_wire/codec.h"
-#include "history_wire/view_json.h"
-#include "net/frame_channel.h"
+#include "memory_journals.h"
 
 namespace daisywind::front {
 namespace {
@@ -21,89 +16,6 @@
 constexpr auto kEvents = 5;
 constexpr auto kMaxTokens = 8;
 
-// Journal members that keep facts in memory.
-class memory_journals {
- public:
-  static constexpr auto kMembers = 3;
-
-  explicit memory_journals(front_harness& harness) : harness_(harness) {
-    auto view = history::view{1, {}};
-    for (auto i = 0; i < kMembers; ++i) {
-      auto& item = *members_.emplace_back(std::make_unique<member>());
-      item.replica.SetComplete(1);
-      item.server = std::make_unique<net::channel_server>(
-          harness.context, 16, net::channel_options{},
-          [this, &item](const std::shared_ptr<net::frame_channel>& channel) {
-            auto handlers = net::channel_handlers{};
-            handlers.on_frame = [this, &item, weak = std::weak_ptr(channel)](
-                                    std::string_view frame) {
-              OnFrame(item, weak.lock(), frame);
-            };
-            return handlers;
-          });
-      const auto port = item.server->Listen({"127.0.0.1", 0});
-      REQUIRE(port != 0);
-      const auto name = std::to_string(i);
-      view.members.push_back({vm_id("vm" + name), history::disk_id("d" + name),
-                              "127.0.0.1:" + std::to_string(port),
-                              failure_domain_id("d"), region_id("r")});
-    }
-    for (auto& item : members_) {
-      item->replica.Adopt(view);
-    }
-    harness.store.Put(std::string(history::kViewKey),
-                      history::RenderView(view));
-    REQUIRE(harness.RunUntil(
-        [&] { return harness.node().turns().current().number == 1; }));
-  }
-
-  // Members that are silent do not reply.
-  auto SetSilent(bool is_silent) -> void { is_silent_ = is_silent; }
-
-  // The fact about a turn at the first member.
-  auto FindFact(const std::string& turn) -> std::optional<history::turn_fact> {
-    const auto& facts = members_.front()->replica.facts();
-    for (const auto& fact : facts.FindByHashes(facts.Hashes())) {
-      if (fact.turn.value == turn) {
-        return fact;
-      }
-    }
-    return std::nullopt;
-  }
-
-  auto WaitUntilSettled(const std::string& turn) -> void {
-    REQUIRE(harness_.RunUntil([&] {
-      const auto fact = FindFact(turn);
-      return fact && fact->settled_tokens.has_value();
-    }));
-  }
-
- private:
-  struct member {
-    history::fact_replica replica;
-    std::unique_ptr<net::channel_server> server;
-  };
-
-  auto OnFrame(member& to,
-               const std::shared_ptr<net::frame_channel>& channel,
-               std::string_view frame) -> void {
-    const auto request = history::DecodeMessage(frame);
-    if (!request || channel == nullptr || is_silent_) {
-      return;
-    }
-    constexpr auto kNow = std::int64_t{1'000'000};
-    auto effect = to.replica.Handle(*request, kNow);
-    if (effect.reply) {
-      channel->Send(
-          history::EncodeMessage({request->id, 1, std::move(*effect.reply)}));
-    }
-  }
-
-  front_harness& harness_;
-  bool is_silent_ = false;
-  std::vector<std::unique_ptr<member>> members_;
-};
-
 auto ResponseHead(net::http_exchange& exchange) -> net::http_response {
   return {200, {{"Id", std::string(exchange.request().Header("Id"))}}, ""};
 }
