front: names of programs are unique to their organisations

Cause: a program's name at the journals was "organisation/program", and both parts may contain a slash: program "x/y" of organisation "o" and program "y" of "o/x" shared one token budget. Requests without a program counted as one program "organisation/", which made programs look longer than they are and let fewer start. Change: a line end separates the parts, which neither can contain. Without a program there is no name.

--- a/source/core/front/turn_flow.cc
+++ b/source/core/front/turn_flow.cc
@@ -71,9 +71,12 @@
 }
 
 auto request_flow::ProgramName() const -> history::program_name {
+  // Neither an organisation's name nor a header's value contains a line end, so
+  // programs of different organisations never get the same name.
   return history::program_name(
-      organisation_ != nullptr ? organisation_->id.value + '/' + call_.program
-                               : call_.program);
+      organisation_ != nullptr && !call_.program.empty()
+          ? organisation_->id.value + '\n' + call_.program
+          : call_.program);
 }
 
 auto request_flow::MayContinue(const history::turn_fact& turn) const -> bool {
