journal_test: request limits at members, spares and in older views

Change: two cases with journals on loopback. Without the call of OnJoined "a spare that becomes a member starts with empty buckets" fails.

--- a/source/unit_tests/journal/journal_node_test.cc
+++ b/source/unit_tests/journal/journal_node_test.cc
@@ -270,12 +270,16 @@
     At(number).Persist({fact}, [](bool) {});
   }
 
-  // Sends a request to one journal. The result is empty until it replies.
-  auto Ask(int number, history::message_body request)
+  // Sends a request to one journal, in the current view unless another one is
+  // given. The result is empty until it replies.
+  auto Ask(int number,
+           history::message_body request,
+           std::optional<history::view_number> view = std::nullopt)
       -> std::shared_ptr<std::optional<history::message_body>> {
     auto result = std::make_shared<std::optional<history::message_body>>();
     clients_.ClientFor("127.0.0.1:" + std::to_string(Port(number)))
-        ->SendRequest(View().number, std::move(request), kStepTimeout,
+        ->SendRequest(view.value_or(View().number), std::move(request),
+                      kStepTimeout,
                       [result](std::optional<history::message_body> reply) {
                         *result = std::move(reply);
                       });
@@ -1103,6 +1107,68 @@
         history::begin_outcome::kGranted);
 }
 
+// Asks a journal for requests of a limit over all journals.
+auto AskQuota(journal_cluster& cluster,
+              int number,
+              double per_second,
+              std::optional<history::view_number> view = std::nullopt)
+    -> history::message_body {
+  constexpr auto kBurst = 1e9;
+  constexpr auto kAll = std::uint32_t{4'000'000'000};
+  auto request = history::quota_request{};
+  request.demands.push_back(
+      {organisation_id("o"), {1, per_second, kBurst}, kAll, 0});
+  const auto reply = cluster.Ask(number, std::move(request), view);
+  REQUIRE(cluster.RunUntil([&] { return reply->has_value(); }));
+  return **reply;
+}
+
+auto Granted(const history::message_body& reply) -> std::uint32_t {
+  const auto* quota = std::get_if<history::quota_reply>(&reply);
+  REQUIRE(quota != nullptr);
+  REQUIRE(quota->grants.size() == 1);
+  return quota->grants[0].granted;
+}
+
+// Guards against parts of a limit that are granted by more VMs than it is
+// divided among.
+TEST_CASE("a journal grants requests as a member and in its view only") {
+  auto cluster = journal_cluster();
+  cluster.StartThree();
+  cluster.Start(4);
+  const auto view = cluster.View().number;
+  REQUIRE(cluster.RunUntil(
+      [&] { return cluster.At(4).replica().current().number == view; }));
+  cluster.RunFor(std::chrono::milliseconds(50));
+  CHECK(Granted(AskQuota(cluster, 1, 1e6)) > 0);
+  CHECK(Granted(AskQuota(cluster, 4, 1e6)) == 0);
+  for (const auto number : {1, 4}) {
+    const auto rejected = AskQuota(cluster, number, 1e6, view - 1);
+    const auto* stale = std::get_if<history::stale_view>(&rejected);
+    REQUIRE(stale != nullptr);
+    CHECK(stale->newest.number == view);
+  }
+}
+
+// Guards against a spare that grants a full share of the burst when it joins,
+// beside what the member before it has granted.
+TEST_CASE("a spare that becomes a member starts with empty buckets") {
+  constexpr auto kPerSecond = 3000.0;
+  auto cluster = journal_cluster();
+  cluster.StartThree();
+  cluster.Start(4);
+  cluster.RunFor(std::chrono::milliseconds(1000));
+  const auto stopped_at = Now();
+  cluster.Stop(3);
+  REQUIRE(cluster.RunUntil([&] {
+    return cluster.IsSettled({"vm1", "vm2", "vm4"});
+  }));
+  const auto granted = Granted(AskQuota(cluster, 4, kPerSecond));
+  const auto since_stop = std::chrono::duration<double>(Now() - stopped_at);
+  CHECK(granted > 0);
+  CHECK(granted <= kPerSecond / 3 * since_stop.count() + 1);
+}
+
 TEST_CASE("a client with a stale view receives the new one") {
   auto cluster = journal_cluster();
   cluster.StartThree();
