front, dispatch: engines keep within their memory

Cause: an engine crashes when the tokens of its running and waiting requests exceed its memory, and placement did not look at it.

Change: a front counts the tokens of its own requests at each engine and takes those of other fronts to be as large on average. An engine whose estimate with the request exceeds 90 % of the memory is no candidate; one that is idle takes a request up to its whole memory. A request that finds no candidate gets 503 engines_full with Retry-After, one larger than the memory 503 request_too_large at once. In force only under the contract that says so (deployment.contracts).

Not measured under load.

--- a/source/core/common/log_events.h
+++ b/source/core/common/log_events.h
@@ -193,6 +193,9 @@
 inline constexpr auto kQuotaRefused =
     log_event{2112, log_subsystem::kFront, log_level::kInfo,
               "request limit of the organisation allows no request now"};
+inline constexpr auto kEngineMemoryRefused =
+    log_event{2113, log_subsystem::kFront, log_level::kInfo,
+              "no engine has memory for the request"};
 inline constexpr auto kDiskLoaded =
     log_event{2201, log_subsystem::kJournal, log_level::kInfo,
               "records loaded from disk"};
--- a/source/core/dispatch/endpoint_table.cc
+++ b/source/core/dispatch/endpoint_table.cc
@@ -134,10 +134,20 @@
   return ids;
 }
 
-auto endpoint_table::OnRequestSent(const endpoint_id& id, instant now) -> void {
+auto endpoint_table::OnRequestSent(const endpoint_id& id,
+                                   instant now,
+                                   std::uint64_t tokens) -> void {
   if (const auto found = states_.find(id); found != states_.end()) {
     auto& state = found->second.state;
     ++state.in_flight;
+    state.tokens_in_flight += tokens;
+    if (tokens > 0) {
+      // The mean follows a change of the load within some tens of requests.
+      constexpr auto kWeight = 1.0 / 32;
+      const auto [mean, is_first] =
+          mean_request_tokens_.try_emplace(state.entry.service, double(tokens));
+      mean->second += (double(tokens) - mean->second) * kWeight;
+    }
     if (state.quota) {
       state.quota->available = Available(*state.quota, now) - 1.0;
       state.quota->updated_at = now;
@@ -145,11 +155,14 @@
   }
 }
 
-auto endpoint_table::OnRequestEnded(const endpoint_id& id) -> void {
+auto endpoint_table::OnRequestEnded(const endpoint_id& id, std::uint64_t tokens)
+    -> void {
   const auto found = states_.find(id);
   // The endpoint may have restarted since; the new run never saw the request.
   if (found != states_.end() && found->second.state.in_flight > 0) {
-    --found->second.state.in_flight;
+    auto& state = found->second.state;
+    --state.in_flight;
+    state.tokens_in_flight -= std::min(state.tokens_in_flight, tokens);
   }
 }
 
@@ -361,6 +374,13 @@
   return count == 0.0 ? 0.0 : sum / count;
 }
 
+auto endpoint_table::MeanRequestTokens(const service_id& service) const
+    -> std::optional<double> {
+  const auto found = mean_request_tokens_.find(service);
+  return found == mean_request_tokens_.end() ? std::nullopt
+                                             : std::optional(found->second);
+}
+
 auto endpoint_table::ExpectedLoad(const endpoint_state& state,
                                   double mean_others_in_flight,
                                   instant now) const -> double {
--- a/source/core/dispatch/endpoint_table.h
+++ b/source/core/dispatch/endpoint_table.h
@@ -101,6 +101,8 @@
   bool has_said_it_leaves = false;
   // Requests in flight from this VM.
   std::uint32_t in_flight = 0;
+  // Tokens of these requests.
+  std::uint64_t tokens_in_flight = 0;
   std::optional<load_report> report;
   instant reported_at{};
   // Requests in flight from other VMs at the time of the report.
@@ -159,9 +161,12 @@
   // is news.
   auto SetLeaving(const endpoint& entry, instant now) -> bool;
 
-  // Takes the request from the endpoint's quota.
-  auto OnRequestSent(const endpoint_id& id, instant now) -> void;
-  auto OnRequestEnded(const endpoint_id& id) -> void;
+  // Takes the request from the endpoint's quota. `tokens` are those that it
+  // takes in an engine's memory; zero at other endpoints.
+  auto OnRequestSent(const endpoint_id& id,
+                     instant now,
+                     std::uint64_t tokens = 0) -> void;
+  auto OnRequestEnded(const endpoint_id& id, std::uint64_t tokens = 0) -> void;
   auto OnReport(const endpoint_id& id, const load_report& report, instant now)
       -> void;
   // Applies a load report that the endpoint gave to another VM.
@@ -216,6 +221,11 @@
                                   double mean_others_in_flight,
                                   instant now) const -> double;
 
+  // Mean tokens of this VM's requests to a service, with more weight on later
+  // ones; empty before the first request with tokens.
+  [[nodiscard]] auto MeanRequestTokens(const service_id& service) const
+      -> std::optional<double>;
+
   // Expected time of work at an endpoint, as a multiple of the usual.
   [[nodiscard]] auto ExpectedPace(const endpoint_state& state,
                                   instant now) const -> double;
@@ -238,6 +248,7 @@
   std::unordered_map<endpoint_id, table_entry> states_;
   std::unordered_map<service_id, std::vector<const endpoint_state*>>
       by_service_;
+  std::unordered_map<service_id, double> mean_request_tokens_;
   // Keyed by the hash that identifies endpoints in the load samples between
   // VMs.
   std::unordered_map<endpoint_key, endpoint_id> by_key_;
--- a/source/core/dispatch/placement.cc
+++ b/source/core/dispatch/placement.cc
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <utility>
 
+#include "dispatch/engine_memory.h"
 #include "dispatch/home_ranking.h"
 
 namespace daisywind::dispatch {
@@ -87,16 +88,18 @@
 using candidate_list = std::vector<const endpoint_state*>;
 
 // Returns the endpoints of the service that are neither leaving nor excluded
-// and whose rate limits allow a request:
+// and whose rate limits and memory allow a request:
 // those that are not paused, or all of them if every one is.
 auto CandidatesOf(const endpoint_table& endpoints,
                   const placement_request& request,
+                  double mean_others_in_flight,
                   instant now) -> candidate_list {
   auto unpaused = candidate_list{};
   auto paused = candidate_list{};
   for (const auto* state : endpoints.OfService(request.service)) {
     if (state->IsLeaving() || !endpoints.HasQuota(*state, now) ||
-        request.excluded.contains(state->entry.id)) {
+        request.excluded.contains(state->entry.id) ||
+        !HasMemory(endpoints, *state, request, mean_others_in_flight, now)) {
       continue;
     }
     (state->paused_until > now ? paused : unpaused).push_back(state);
@@ -153,7 +156,8 @@
   auto ties = std::uint64_t{0};
   const auto mean_others_in_flight =
       endpoints.MeanOthersInFlight(request.service, now);
-  const auto candidates = CandidatesOf(endpoints, request, now);
+  const auto candidates =
+      CandidatesOf(endpoints, request, mean_others_in_flight, now);
   const auto homes = request.home_key.empty()
                          ? candidate_list{}
                          : RankHomes(endpoints.OfService(request.service), here,
--- a/source/core/dispatch/placement.h
+++ b/source/core/dispatch/placement.h
@@ -79,6 +79,10 @@
   // turn before, which its home is taken to have cached; empty when it is not
   // known.
   std::optional<std::uint64_t> prompt_growth;
+  // What the request takes of an engine's memory, and that memory; zero when
+  // the memory does not limit the choice.
+  std::uint64_t tokens = 0;
+  std::uint64_t memory_tokens = 0;
 };
 
 // The chosen endpoint and the figures behind the choice.
@@ -101,6 +105,7 @@
 // Returns the endpoint with the lowest expected cost among those that ran
 // earlier turns of the chain and a random sample of the others, or nothing when
 // every endpoint of the service is draining, excluded or at its rate limit.
+// Engines without memory for the request are left out.
 // Paused endpoints are considered only when all the remaining ones are paused.
 auto Place(const endpoint_table& endpoints,
            const placement_request& request,
--- a/source/core/dispatch/types.h
+++ b/source/core/dispatch/types.h
@@ -181,6 +181,8 @@
   std::string previous_turn;
   std::uint32_t prompt_tokens = 0;
   std::uint32_t max_output_tokens = 0;
+  // Output tokens that its caller expects; empty when it does not say.
+  std::optional<std::uint32_t> expected_output_tokens;
   // Its prompt in order; the last part belongs to this request or session
   // alone.
   std::vector<prompt_part> prompt;
--- a/source/core/front/front_node.h
+++ b/source/core/front/front_node.h
@@ -42,6 +42,8 @@
   const request_codec& requests;
   const directory_codec& directory;
   kv::store& store;
+  // An engine crashes when its requests exceed its memory.
+  bool engines_crash_when_full = false;
 };
 
 // Times of an orderly stop, counted from its begin.
@@ -85,6 +87,9 @@
   [[nodiscard]] auto requests() const -> const request_codec& {
     return platform_.requests;
   }
+  [[nodiscard]] auto DoEnginesCrashWhenFull() const -> bool {
+    return platform_.engines_crash_when_full;
+  }
   [[nodiscard]] auto service_directory() -> directory& { return directory_; }
   [[nodiscard]] auto turns() -> history::turn_client& { return turns_; }
   [[nodiscard]] auto limits() -> limit_coordinator& { return limits_; }
--- a/source/core/front/front_settings.cc
+++ b/source/core/front/front_settings.cc
@@ -16,6 +16,7 @@
           Declare(kToleratedDiskLosses),
           Declare(kInForceMs),
           Declare(kDrainedMs),
+          DeclareList(kContracts),
           Declare(kMaxConnections),
           Declare(kResponseMemoryMb),
           Declare(kMemoryLimitMb),
--- a/source/core/front/front_settings.h
+++ b/source/core/front/front_settings.h
@@ -23,6 +23,9 @@
 inline constexpr auto kJournalSeeds = list_setting{
     "journals.seeds", "",
     "addresses of some journals, each as ip:port, for when the store is away"};
+inline constexpr auto kContracts = list_setting{
+    "deployment.contracts", "",
+    "names of the agreements on how the deployment's engines behave"};
 inline constexpr auto kMaxConnections = integer_setting{
     "limits.connections", 3000, "open connections of callers", 1, 100'000};
 inline constexpr auto kResponseMemoryMb = integer_setting{
--- a/source/core/front/platform_codecs.cc
+++ b/source/core/front/platform_codecs.cc
@@ -22,6 +22,10 @@
       return "no_endpoint";
     case refusal_reason::kOverloaded:
       return "overloaded";
+    case refusal_reason::kEnginesFull:
+      return "engines_full";
+    case refusal_reason::kRequestTooLarge:
+      return "request_too_large";
     case refusal_reason::kBudgetSpent:
       return "budget_spent";
     case refusal_reason::kUnknownTurn:
--- a/source/core/front/platform_codecs.h
+++ b/source/core/front/platform_codecs.h
@@ -74,6 +74,10 @@
   kQuotaUnknown,
   kNoEndpoint,
   kOverloaded,
+  // No engine has memory for the request now.
+  kEnginesFull,
+  // The request takes more memory than an engine has.
+  kRequestTooLarge,
   kBudgetSpent,
   kUnknownTurn,
   kHistoryUnavailable,
--- a/source/core/front/relay_service.cc
+++ b/source/core/front/relay_service.cc
@@ -6,6 +6,7 @@
 #include "common/log_values.h"
 #include "common/logging.h"
 #include "common/process_clock.h"
+#include "dispatch/engine_memory.h"
 #include "front/attempt_options.h"
 
 namespace daisywind::front {
@@ -106,7 +107,9 @@
   options.matches_request = MatchesRequest(requests_, request.request_id);
   options.cancellation = exchange.cancellation();
   paths_.Observe(id, options);
-  endpoints_.OnRequestSent(id, Now());
+  const auto call = requests_.ReadCall(request.request);
+  const auto tokens = call ? dispatch::RequestTokens(*call) : 0;
+  endpoints_.OnRequestSent(id, Now(), tokens);
   paths_.OnRequestSent(id);
   auto opened = co_await client_.Open(address, std::move(request.request),
                                       std::move(options));
@@ -130,7 +133,7 @@
     end.is_complete = is_sent && opened.body->IsComplete();
     end.partial_event_bytes = opened.body->PartialEventBytes();
   }
-  endpoints_.OnRequestEnded(id);
+  endpoints_.OnRequestEnded(id, tokens);
   paths_.OnRequestEnded(id);
   if (end.is_complete) {
     endpoints_.OnHealthSignal(id, health_signal::kAnswered, Now());
--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -22,6 +22,9 @@
 // could be are at their rate limits.
 constexpr auto kRetryAfterNoEndpoint = duration(200ms);
 constexpr auto kMaxRetryAfterQuota = duration(500ms);
+// Engines free memory with each request that ends, which several do each
+// second.
+constexpr auto kRetryAfterEnginesFull = duration(400ms);
 // A front without a configuration waits for the platform's store, which may be
 // unreachable for seconds.
 constexpr auto kUnconfiguredRetry = duration(1s);
@@ -138,6 +141,7 @@
   if (const auto* profile =
           node.service_directory().routes().FindService(service_)) {
     engine_ = profile->engine;
+    tokens_ = engine_ ? dispatch::RequestTokens(call_) : 0;
   }
   deadline_ = started_at_ + std::min(route_->timeout,
                                      call_.deadline.value_or(route_->timeout));
@@ -150,7 +154,10 @@
 
 auto request_flow::Run() -> asio::awaitable<void> {
   WatchForCancellation();
-  if (co_await AcquireQuota()) {
+  if (node_.DoEnginesCrashWhenFull() && engine_ &&
+      dispatch::ExceedsMemory(tokens_, engine_->memory_tokens)) {
+    co_await RefuseForMemory(std::nullopt);
+  } else if (co_await AcquireQuota()) {
     if (IsTurn()) {
       co_await RunTurn();
     } else {
@@ -266,6 +273,10 @@
   placement.may_repeat = dispatch::MayRepeat(*route_);
   placement.prompt = call_.prompt;
   placement.prompt_tokens = call_.prompt_tokens;
+  if (engine_ && node_.DoEnginesCrashWhenFull()) {
+    placement.tokens = tokens_;
+    placement.memory_tokens = engine_->memory_tokens;
+  }
   // A stored chain names the engines that have it cached.
   if (engine_ && !route_->stores_turns && !call_.prompt.empty()) {
     // Sub-agents share their parent's program, and so the engine that has its
@@ -297,7 +308,13 @@
       // Endpoints that were full may have capacity again. A stream is not
       // resumed at the endpoint that broke it off.
       if (placement.excluded.empty() || attempts_.is_answered) {
-        co_await RefuseUnplaced();
+        const auto shortage = dispatch::FindMemoryShortage(
+            node_.service_directory().endpoints(), placement, Now());
+        if (shortage && attempts_.runs == 0) {
+          co_await RefuseForMemory(shortage);
+        } else {
+          co_await RefuseUnplaced();
+        }
         co_return;
       }
       placement.excluded.clear();
@@ -423,7 +440,8 @@
   }
   cancellation_ = nullptr;
   if (!path.relay) {
-    node_.service_directory().endpoints().OnRequestEnded(choice.endpoint);
+    node_.service_directory().endpoints().OnRequestEnded(choice.endpoint,
+                                                         tokens_);
     node_.paths().OnRequestEnded(choice.endpoint);
   }
   if (end == attempt_result::kMayHaveRun) {
@@ -457,7 +475,7 @@
                      .value_or(net::socket_address{});
   options.connection = path.connection;
   node_.paths().Observe(choice.endpoint, options);
-  endpoints.OnRequestSent(choice.endpoint, Now());
+  endpoints.OnRequestSent(choice.endpoint, Now(), tokens_);
   node_.paths().OnRequestSent(choice.endpoint);
   co_return co_await node_.endpoint_client().Open(
       std::move(address), std::move(request), std::move(options));
@@ -497,6 +515,26 @@
                   std::min(*next_quota, kMaxRetryAfterQuota));
 }
 
+auto request_flow::RefuseForMemory(
+    std::optional<dispatch::memory_shortage> shortage)
+    -> asio::awaitable<void> {
+  const auto mean =
+      node_.service_directory().endpoints().MeanRequestTokens(service_);
+  // No engines are listed for a request that is larger than their memory.
+  Log(log_events::kEngineMemoryRefused,
+      {{"request", std::string_view(call_.request_id)},
+       {"program", std::string_view(call_.program)},
+       {"tokens", static_cast<std::int64_t>(tokens_)},
+       {"memory", static_cast<std::int64_t>(engine_->memory_tokens)},
+       {"engines", static_cast<std::int64_t>(shortage ? shortage->engines : 0)},
+       {"least_tokens", shortage ? shortage->least_tokens : 0.0},
+       {"mean_tokens", mean.value_or(0.0)}});
+  co_await Refuse(shortage ? refusal_reason::kEnginesFull
+                           : refusal_reason::kRequestTooLarge,
+                  shortage ? std::optional<duration>(kRetryAfterEnginesFull)
+                           : std::nullopt);
+}
+
 auto request_flow::GiveUp() -> asio::awaitable<void> {
   if (is_caller_disconnected_) {
     summary_.outcome = "caller_gone";
--- a/source/core/front/request_flow.h
+++ b/source/core/front/request_flow.h
@@ -17,6 +17,7 @@
 
 #include "common/byte_budget.h"
 #include "common/time.h"
+#include "dispatch/engine_memory.h"
 #include "dispatch/placement.h"
 #include "dispatch/retry_rules.h"
 #include "dispatch/stream_progress.h"
@@ -184,6 +185,9 @@
       -> boost::asio::awaitable<void>;
   // Ends a request for which no endpoint can be chosen.
   auto RefuseUnplaced() -> boost::asio::awaitable<void>;
+  // Refuses a request that no engine has memory for.
+  auto RefuseForMemory(std::optional<dispatch::memory_shortage> shortage)
+      -> boost::asio::awaitable<void>;
   // Ends a request that is over before an endpoint has answered it.
   auto GiveUp() -> boost::asio::awaitable<void>;
   [[nodiscard]] auto TimeLeft() const -> duration;
@@ -203,6 +207,8 @@
   dispatch::service_id service_;
   // Set when the endpoints of the service are model replicas.
   std::optional<dispatch::engine_profile> engine_;
+  // What the request takes of an engine's memory; zero without engines.
+  std::uint64_t tokens_ = 0;
   instant started_at_;
   // Time since the store's last answer when the request arrived.
   std::optional<duration> store_age_;
--- a/source/daisywind_front/main.cc
+++ b/source/daisywind_front/main.cc
@@ -7,6 +7,7 @@
 #include "common/logging.h"
 #include "front/front_node.h"
 #include "front/front_settings.h"
+#include "platform/contracts.h"
 #include "platform/directory_json.h"
 #include "platform/http_request_codec.h"
 #include "platform/store_client.h"
@@ -29,7 +30,9 @@
                                  .value_or(net::socket_address{}),
                              {});
   auto node =
-      front_node(context, values, {request_codec, directory_codec, store});
+      front_node(context, values,
+                 {request_codec, directory_codec, store,
+                  platform::EnginesCrashWhenFull(values.GetList(kContracts))});
   if (!node.Start()) {
     return std::nullopt;
   }
--- a/source/unit_tests/front/front_harness.cc
+++ b/source/unit_tests/front/front_harness.cc
@@ -103,6 +103,8 @@
   to.max_output_tokens =
       static_cast<std::uint32_t>(NumberIn(from, "Max-Tokens").value_or(0));
   to.last_event_id = std::string(from.Header("After"));
+  to.prompt_tokens =
+      static_cast<std::uint32_t>(NumberIn(from, "Prompt-Tokens").value_or(0));
   if (const auto deadline = NumberIn(from, "Deadline-Ms")) {
     to.deadline = std::chrono::milliseconds(*deadline);
   }
@@ -213,11 +215,15 @@
                Route("/open/", route_kind::kOnce),
                Route("/slow/", route_kind::kOnce)};
   to.routes.back().timeout = kStepTimeout;
+  to.routes.push_back(Route("/engine/", route_kind::kStream));
+  to.routes.back().services = {{dispatch::service_id("engines"), 1}};
   to.routes[3].is_resumable = true;
   to.routes[3].max_attempts = 2;
   to.routes[4].stores_turns = true;
   to.routes[5].is_public = true;
-  to.services = {{dispatch::service_id("s"), 0, std::nullopt}};
+  to.services = {{dispatch::service_id("s"), 0, std::nullopt},
+                 {dispatch::service_id("engines"), 0,
+                  dispatch::engine_profile{kTestSlots, kTestMemoryTokens, 1}}};
   return to.version == 0 ? std::nullopt
                          : std::optional<dispatch::configuration>(to);
 }
@@ -230,16 +236,18 @@
   }
   auto to = dispatch::endpoint{};
   to.id = id;
-  to.service = dispatch::service_id("s");
+  to.service =
+      dispatch::service_id(id.value.starts_with("engine") ? "engines" : "s");
   to.address = std::string(value);
-  to.slots = 4;
+  to.slots = kTestSlots;
   return to;
 }
 
 front_harness::front_harness(int response_mb,
                              std::shared_ptr<asio::io_context> shared,
                              std::chrono::seconds grace,
-                             std::chrono::milliseconds keys_withdrawn)
+                             std::chrono::milliseconds keys_withdrawn,
+                             bool engines_crash_when_full)
     : shared_context_(std::move(shared)),
       context(*shared_context_),
       store(context),
@@ -264,8 +272,10 @@
       },
       [] { return false; });
   REQUIRE(is_read);
-  node_ = std::make_unique<front_node>(
-      context, values, adapters{request_codec_, directory_codec_, store});
+  node_ =
+      std::make_unique<front_node>(context, values,
+                                   adapters{request_codec_, directory_codec_,
+                                            store, engines_crash_when_full});
   REQUIRE(node_->Start());
   client_ = std::make_unique<net::http_client>(context);
 }
--- a/source/unit_tests/front/front_harness.h
+++ b/source/unit_tests/front/front_harness.h
@@ -24,9 +24,9 @@
 // Uses the headers Host, Id (of the request), Deadline-Ms, Endpoint (the id of
 // the chosen endpoint), After (the last event of a resumed stream), Weights
 // (the version that a resumed stream needs, and the one of a response), and for
-// turns Program, Previous, Budget and Max-Tokens. A caller's Key is its API
-// key; an endpoint gets the Organisation and the Urgency. An endpoint sets
-// Not-Run in its response when it has not run the request, Leaving when it
+// turns Program, Previous, Budget, Prompt-Tokens and Max-Tokens. A caller's Key
+// is its API key; an endpoint gets the Organisation and the Urgency. An endpoint
+// sets Not-Run in its response when it has not run the request, Leaving when it
 // leaves, and Limit to name a rate limit. A refusal's body is the name of its
 // reason, and its header Retry-Ms when the caller should retry.
 class test_request_codec : public request_codec {
@@ -48,10 +48,15 @@
       -> bool override;
 };
 
+// Slots of each endpoint, and memory of the engines.
+inline constexpr auto kTestSlots = 4U;
+inline constexpr auto kTestMemoryTokens = 1000U;
+
 // The configuration value is a version number; the routes are fixed. The word
 // "keys" and organisations may follow, each as its name, key, requests per
 // second, burst and priority, which is none if it is negative. The value of an
-// endpoint entry is its address.
+// endpoint entry is its address. Endpoints whose ids begin with "engine" are
+// model replicas.
 class test_directory_codec : public directory_codec {
  public:
   [[nodiscard]] auto configuration_key() const -> std::string_view override {
@@ -79,7 +84,8 @@
                          std::shared_ptr<boost::asio::io_context> shared =
                              std::make_shared<boost::asio::io_context>(1),
                          std::chrono::seconds grace = std::chrono::seconds(8),
-                         std::chrono::milliseconds keys_withdrawn = {});
+                         std::chrono::milliseconds keys_withdrawn = {},
+                         bool engines_crash_when_full = false);
   front_harness(const front_harness&) = delete;
   auto operator=(const front_harness&) -> front_harness& = delete;
   ~front_harness();
@@ -121,7 +127,8 @@
   // route: "once" (may run once), "slow" (the same with a long time-out),
   // "open" (the same for callers without an API key), "again" (idempotent),
   // "stream" (may run once, with a stream of events as its response), "resume"
-  // (a stream that may be resumed) or "kept" (a stream whose turns are stored).
+  // (a stream that may be resumed), "kept" (a stream whose turns are stored) or
+  // "engine" (a stream of a model replica).
   // `headers` are added to the request's own.
   auto Send(const std::string& kind,
             const std::string& id,
