--- a/source/core/front/quota_client.cc
+++ b/source/core/front/quota_client.cc
@@ -37,8 +37,7 @@
     : context_(context),
       self_(std::move(self)),
       turns_(turns),
-      options_(options),
-      clients_(context) {}
+      options_(options) {}
 
 quota_client::~quota_client() = default;
 
@@ -47,6 +46,15 @@
     -> asio::awaitable<quota_result> {
   const auto now = Now();
   UpdateMembers();
+  // No member can be reached, or too few for turns; another front may reach
+  // them.
+  if (!turns_.HasQuorum()) {
+    had_quorum_ = false;
+    co_return quota_result{};
+  }
+  if (!std::exchange(had_quorum_, true)) {
+    credits_.ForgetFailures();
+  }
   credits_.OnArrival(organisation, limit, now);
   // Those that wait already come first.
   const auto is_first = !waiting_.contains(organisation);
@@ -59,6 +67,9 @@
   if (!result.credit && (result.state == quota_state::kPending || !is_first)) {
     result = co_await Wait(organisation);
   }
+  if (result.state == quota_state::kUnknown && credits_.HaveAllFailed(Now())) {
+    turns_.SuspectQuorumLoss(Now() - now);
+  }
   if (result.state == quota_state::kExceeded) {
     result.retry_after = credits_.RetryAfter(organisation, Now());
   }
@@ -117,7 +128,6 @@
     addresses.push_back(member.address);
   }
   credits_.SetMembers(std::move(addresses));
-  clients_.CloseNonMembers(turns_.current());
 }
 
 auto quota_client::SendRequests() -> void {
@@ -141,18 +151,17 @@
   // The timer's handler may already be queued when the reply arrives, and the
   // reply's when this object ends.
   pending->slow_timer.expires_after(options_.hedge_delay);
-  pending->slow_timer.async_wait(
-      [this, member, weak = std::weak_ptr(pending)](
-          const boost::system::error_code& error) {
-        const auto slow = weak.lock();
-        if (error || slow == nullptr) {
-          return;
-        }
-        credits_.OnSlow(member, slow->request);
-        ServeWaiters();
-        SendRequests();
-      });
-  clients_.ClientFor(member)->SendRequest(
+  pending->slow_timer.async_wait([this, member, weak = std::weak_ptr(pending)](
+                                     const boost::system::error_code& error) {
+    const auto slow = weak.lock();
+    if (error || slow == nullptr) {
+      return;
+    }
+    credits_.OnSlow(member, slow->request);
+    ServeWaiters();
+    SendRequests();
+  });
+  turns_.ClientFor(member)->SendRequest(
       pending->view, std::move(request), options_.timeout,
       [this, member, weak = std::weak_ptr(pending)](
           std::optional<history::message_body> reply) {
--- a/source/core/front/quota_client.h
+++ b/source/core/front/quota_client.h
@@ -86,12 +86,11 @@
   quota_client_options options_;
   history::quota_credits credits_;
   history::view_number view_ = 0;
+  bool had_quorum_ = true;
   std::unordered_map<organisation_id, std::deque<std::shared_ptr<waiter>>>
       waiting_;
   // By the member's address.
   std::map<std::string, std::shared_ptr<pending_request>> pending_;
-  // Ends first: its pending replies refer to this object.
-  history::member_clients clients_;
 };
 
 }  // namespace daisywind::front
--- a/source/core/history_client/quota_credits.cc
+++ b/source/core/history_client/quota_credits.cc
@@ -86,6 +86,12 @@
   return is_empty ? quota_state::kExceeded : quota_state::kUnknown;
 }
 
+auto quota_credits::HaveAllFailed(instant now) const -> bool {
+  return std::all_of(
+      members_.begin(), members_.end(),
+      [&](const std::string& member) { return HasFailed(member, now); });
+}
+
 auto quota_credits::HasEmptyMember(const organisation_id& organisation,
                                    instant now) const -> bool {
   const auto found = accounts_.find(organisation);
--- a/source/core/history_client/quota_credits.h
+++ b/source/core/history_client/quota_credits.h
@@ -89,6 +89,9 @@
   // again if the limit is used up.
   [[nodiscard]] auto StateOf(const organisation_id& organisation,
                              instant now) const -> quota_state;
+  // Whether no member has replied to its last request.
+  [[nodiscard]] auto HaveAllFailed(instant now) const -> bool;
+
   // Whether any member has said that it has nothing left.
   [[nodiscard]] auto HasEmptyMember(const organisation_id& organisation,
                                     instant now) const -> bool;
@@ -116,6 +119,9 @@
   auto OnRejected(const std::string& member, const quota_request& request)
       -> void;
 
+  // Lets all members be asked again, as they have replied to other requests.
+  auto ForgetFailures() -> void { failed_until_.clear(); }
+
   // Moves lapsed credits to what is to be returned. Drops what is not needed.
   auto Tick(instant now) -> void;
 
--- a/source/core/history_client/turn_client.cc
+++ b/source/core/history_client/turn_client.cc
@@ -164,6 +164,12 @@
   load_exchange_.ReportFailure(KeyOf(id), Now());
 }
 
+auto turn_client::SuspectQuorumLoss(duration length) -> void {
+  if (steady::now() - length > quorum_restored_at_) {
+    SetHasQuorum(false);
+  }
+}
+
 auto turn_client::SetHasQuorum(bool has_quorum) -> void {
   if (has_quorum == has_quorum_) {
     return;
--- a/source/core/history_client/turn_client.h
+++ b/source/core/history_client/turn_client.h
@@ -93,6 +93,15 @@
   [[nodiscard]] auto MembersNearestTo(const vm_id& self) const
       -> std::vector<member>;
 
+  // The client for a member, for requests other than those about turns.
+  auto ClientFor(const std::string& address) -> std::shared_ptr<member_client> {
+    return clients_.ClientFor(address);
+  }
+
+  // Reports that no member has replied to requests for a time. The members are
+  // probed until enough of them reply.
+  auto SuspectQuorumLoss(duration length) -> void;
+
   // False while too few members reply. Begin then fails at once, so that its
   // callers can go elsewhere without waiting.
   [[nodiscard]] auto HasQuorum() const -> bool { return has_quorum_; }
