kv, front: watches with proofs repeat failed calls instead of listing everything

Cause: at the end of a cut of 26 fronts, each asked up to eight journals for whole copies of the store every half second; the link between the regions was full for 1.5 s and the fronts of the other region lost the journals. Change: where API keys need proofs, a failed call for changes is repeated from the same position, through the journals first and at the store itself at most every 2 s; whole copies are asked for only without a configuration.

--- a/source/core/front/front_node.cc
+++ b/source/core/front/front_node.cc
@@ -25,9 +25,6 @@
 // still under way and to exit, if the period is long.
 constexpr auto kStopReserve = duration(700ms);
 constexpr auto kDrainPollInterval = duration(50ms);
-// Longest time between calls to the store while it is away, if the journals are
-// asked as well.
-constexpr auto kStoreRetry = duration(2s);
 constexpr auto kMaxProbeConnections = std::size_t{32};
 
 auto LocationFrom(const settings& values) -> dispatch::location {
@@ -72,18 +69,15 @@
   options.watch = kv::WatchOptionsFor(ChangeTimeLimit(values));
   if (const auto lifetime = KeyProofLifetime(values)) {
     options.watch = kv::WithMaxAge(options.watch, *lifetime);
-    // The journals tell sooner that the store is back, and each call of every
-    // front is charged.
-    options.watch.max_backoff = kStoreRetry;
+    options.watch.repeats_failed_calls = true;
   }
   return options;
 }
 
+// The watch asks journals of all regions itself if it needs proofs.
 auto FallbackOptions(const settings& values) -> store_fallback_options {
   auto options = store_fallback_options{};
-  if (const auto lifetime = KeyProofLifetime(values)) {
-    options.interval = std::min(options.interval, *lifetime / 10);
-  }
+  options.asks_while_configured = !KeyProofLifetime(values);
   return options;
 }
 
@@ -339,7 +333,7 @@
   // Another front may be in touch with the store, unless the journals are not.
   constexpr auto kShort = duration(300ms);
   constexpr auto kLong = duration(1s);
-  return fallback_.IsStoreAwayForJournals(now) ? kLong : kShort;
+  return store_.AreJournalsOutdated(now) ? kLong : kShort;
 }
 
 auto front_node::Spread(duration time) -> duration {
--- a/source/core/front/store_fallback.cc
+++ b/source/core/front/store_fallback.cc
@@ -41,7 +41,8 @@
     timer_.expires_after(is_urgent ? options_.urgent_interval
                                    : options_.interval);
     co_await timer_.async_wait(asio::as_tuple(asio::use_awaitable));
-    if (!is_stopped_ && !service_directory_.IsStoreReachable()) {
+    const auto is_needed = is_urgent || options_.asks_while_configured;
+    if (!is_stopped_ && is_needed && !service_directory_.IsStoreReachable()) {
       co_await RequestCopies();
     } else {
       // The store is reachable, so the connections to journals are not needed.
@@ -60,10 +61,6 @@
     const auto is_newest =
         received != nullptr && received->copy &&
         (!newest || received->copy->revision_at > newest->revision_at);
-    if (received != nullptr) {
-      has_reply = true;
-      known_as_of = std::max(known_as_of, AsOf(*received));
-    }
     if (is_newest) {
       settles_at = newest ? settles_at : Now() + settle_time;
       newest = std::move(*received->copy);
@@ -87,9 +84,6 @@
   std::size_t pending = 0;
   std::optional<history::store_copy> newest;
   std::optional<instant> newest_as_of;
-  bool has_reply = false;
-  // Of all replies.
-  std::optional<instant> known_as_of;
   // Of replies that had no copy newer than what is known here.
   std::optional<instant> unchanged_as_of;
   // Set with the first copy.
@@ -118,10 +112,6 @@
   if (is_stopped_) {
     co_return;
   }
-  if (round->has_reply) {
-    replied_at_ = Now();
-    known_as_of_ = round->known_as_of;
-  }
   if (round->newest) {
     service_directory_.ImportCopy(*round->newest);
   }
@@ -132,12 +122,6 @@
   }
 }
 
-auto store_fallback::IsStoreAwayForJournals(instant now) const -> bool {
-  constexpr auto kRecent = duration(2s);
-  return replied_at_ && now - *replied_at_ < kRecent &&
-         (!known_as_of_ || now - *known_as_of_ > kRecent);
-}
-
 auto store_fallback::JournalAddresses() const -> std::vector<std::string> {
   auto addresses = seeds_;
   for (const auto& item : turns_.current().members) {
--- a/source/core/front/store_fallback.h
+++ b/source/core/front/store_fallback.h
@@ -25,6 +25,8 @@
   // in force.
   duration interval = 1s;
   duration request_timeout = 400ms;
+  // Whether journals are asked although a configuration is in force.
+  bool asks_while_configured = true;
   // How long the copies of other journals are waited for after the first one.
   duration settle_time = 60ms;
 };
@@ -44,10 +46,6 @@
   auto Start() -> void;
   auto Stop() -> void;
 
-  // Whether journals have replied lately and none of them knows the store's
-  // newest state.
-  [[nodiscard]] auto IsStoreAwayForJournals(instant now) const -> bool;
-
  private:
   // The replies to one round of requests.
   struct copy_round;
@@ -63,10 +61,6 @@
   store_fallback_options options_;
   boost::asio::steady_timer timer_;
   history::member_clients clients_;
-  // The last round in which journals replied, and the newest time up to which
-  // any of them knew the store.
-  std::optional<instant> replied_at_;
-  std::optional<instant> known_as_of_;
   bool is_stopped_ = false;
 };
 
--- a/source/core/history_client/mirrored_store.cc
+++ b/source/core/history_client/mirrored_store.cc
@@ -51,6 +51,8 @@
   // Includes journals of other regions, as the store may turn away those of one
   // region.
   options.max_journals = 4;
+  options.retry_after = max_age / 10;
+  options.source_retry_after = 2s;
   return options;
 }
 
@@ -111,14 +113,26 @@
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
   const auto has_all_keys = prefix.empty();
+  if (has_all_keys && Now() < source_retry_at_) {
+    co_return kv::store_result<kv::change_list>{
+        kv::outcome::kNotSent, std::nullopt, "failed a moment ago"};
+  }
   auto result = co_await source_.WaitForChanges(
       std::move(prefix), after, std::max(end - Now(), duration(0)));
   if (has_all_keys && result.value && !result.value->is_history_lost) {
     source_answered_at_ = Now();
   }
+  if (has_all_keys && !result.value) {
+    source_retry_at_ = Now() + options_.source_retry_after;
+  }
   co_return result;
 }
 
+auto mirrored_store::AreJournalsOutdated(instant now) const -> bool {
+  constexpr auto kRecent = duration(2s);
+  return outdated_at_ > served_at_ && now - outdated_at_ < kRecent;
+}
+
 auto mirrored_store::WaitForPoll() -> asio::awaitable<void> {
   const auto next_poll = polled_at_ + options_.poll_interval;
   if (const auto wait = next_poll - Now(); wait > duration(0)) {
@@ -169,7 +183,11 @@
                          : std::nullopt;
   const auto is_proven = !options_.max_proof_age ||
                          (as_of && Now() - *as_of <= *options_.max_proof_age);
-  if (!age || *age > options_.max_age || !is_proven) {
+  const auto is_served = age && *age <= options_.max_age && is_proven;
+  if (received != nullptr) {
+    (is_served ? served_at_ : outdated_at_) = Now();
+  }
+  if (!is_served) {
     Log(log_events::kMirrorUnused, {{"journal", std::string_view(address)},
                                     {"is_answered", received != nullptr},
                                     {"store_age_ms", Milliseconds(age)},
--- a/source/core/history_client/mirrored_store.h
+++ b/source/core/history_client/mirrored_store.h
@@ -37,6 +37,9 @@
   // this time, and calls for changes also return without changes, with the time
   // of that question.
   std::optional<duration> max_proof_age = std::nullopt;
+  // The store itself is not asked for changes again for this long after a
+  // failure. Each call is charged, and journals tell soon that it is back.
+  duration source_retry_after{};
 };
 
 // Returns the timing with which a change is known within `time_limit` although
@@ -77,6 +80,9 @@
   // before its first answer. Copies do not count.
   [[nodiscard]] auto SourceAge(instant now) const -> std::optional<duration>;
 
+  // Whether journals have replied lately, but with copies too old to serve.
+  [[nodiscard]] auto AreJournalsOutdated(instant now) const -> bool;
+
  private:
   // Asks one journal for the changes since a revision. Returns nothing if its
   // copy does not serve.
@@ -98,8 +104,12 @@
   random_source random_;
   member_clients clients_;
   std::optional<instant> source_answered_at_;
-  // When a journal was last asked.
+  // When a journal was last asked, and when one last replied with a copy that
+  // served or did not.
   instant polled_at_{};
+  instant served_at_{};
+  instant outdated_at_{};
+  instant source_retry_at_{};
   // The address of the journal that served last.
   std::string last_journal_;
   // When journals whose copies did not serve may be asked again, by address.
--- a/source/core/kv/store_watch.cc
+++ b/source/core/kv/store_watch.cc
@@ -129,7 +129,11 @@
     // Changes may have been missed: the history was dropped, or a response that
     // was lost contained them. The next listing shows whether the store is
     // reachable.
-    needs_refresh_ = true;
+    needs_refresh_ = !options_.repeats_failed_calls || result.value;
+    if (!needs_refresh_) {
+      SetReachable(false, result.error);
+      co_return false;
+    }
     Log(log_events::kStoreWatchEnded,
         {{"prefix", std::string_view(prefix_)},
          {"revision", next_},
@@ -139,6 +143,7 @@
     co_return false;
   }
   OnAnswer(called_at);
+  SetReachable(true, "");
   if (result.value->is_snapshot) {
     next_ = std::max(next_, result.value->next);
     auto all = listing{{}, result.value->next};
--- a/source/core/kv/store_watch.h
+++ b/source/core/kv/store_watch.h
@@ -44,6 +44,10 @@
   // Whether keys are listed in place of a call for changes while a listing is
   // the smaller response: a call for changes has each version of a key whole.
   bool lists_if_smaller = false;
+  // Whether a failed call for changes is repeated from the same position
+  // instead of listing all keys. For a watch through VMs that pass on changes,
+  // which otherwise would all be asked for everything at the end of an outage.
+  bool repeats_failed_calls = false;
 };
 
 // Returns the options of a watch that learns of a change within `time_limit`
