dispatch: half-life of load reports by response time and number of fronts

Cause: a report kept half its weight for 500 ms at every service. Plain endpoints answer in about 60 ms, so all fronts sent their requests to the endpoints that were free at the last shared report and were full by then.

Change: the half-life is the service's mean response time times 4, divided by the number of fronts, at least 0.15 response times, at most 500 ms as before. Fronts know the response times from their own complete responses and the number of fronts from the exchange of rate limits; no message is new.

Own requests since the report gave no gain beyond the noise and are not built.

--- a/source/core/dispatch/endpoint_table.cc
+++ b/source/core/dispatch/endpoint_table.cc
@@ -155,9 +155,18 @@
   }
 }
 
-auto endpoint_table::OnRequestEnded(const endpoint_id& id, std::uint64_t tokens)
+auto endpoint_table::OnRequestEnded(const endpoint_id& id,
+                                    std::uint64_t tokens,
+                                    std::optional<duration> response_time)
     -> void {
   const auto found = states_.find(id);
+  if (found != states_.end() && response_time) {
+    const auto [mean, is_first] = response_times_.try_emplace(
+        found->second.state.entry.service, *response_time);
+    const auto difference = double((*response_time - mean->second).count());
+    mean->second += duration(
+        static_cast<duration::rep>(difference * options_.response_time_weight));
+  }
   // The endpoint may have restarted since; the new run never saw the request.
   if (found != states_.end() && found->second.state.in_flight > 0) {
     auto& state = found->second.state;
@@ -381,6 +390,24 @@
                                              : std::optional(found->second);
 }
 
+auto endpoint_table::ReportHalfLife(const service_id& service) const
+    -> duration {
+  const auto mean = response_times_.find(service);
+  if (front_count_ == 0 || mean == response_times_.end()) {
+    return options_.report_half_life;
+  }
+  // An endpoint that answers at once gives a mean of zero.
+  constexpr auto kMinHalfLife = duration(1ms);
+  const auto responses =
+      std::max(options_.min_report_half_life_responses,
+               options_.report_half_life_responses / double(front_count_));
+  const auto half_life = duration(
+      static_cast<duration::rep>(double(mean->second.count()) * responses));
+  return std::clamp(half_life,
+                    std::min(kMinHalfLife, options_.report_half_life),
+                    options_.report_half_life);
+}
+
 auto endpoint_table::ExpectedLoad(const endpoint_state& state,
                                   double mean_others_in_flight,
                                   instant now) const -> double {
@@ -389,7 +416,7 @@
   }
   const auto age = std::chrono::duration<double>(now - state.reported_at);
   const auto half_life =
-      std::chrono::duration<double>(options_.report_half_life);
+      std::chrono::duration<double>(ReportHalfLife(state.entry.service));
   const auto report_weight = std::exp2(-(age / half_life));
   return mean_others_in_flight +
          (state.others_in_flight - mean_others_in_flight) * report_weight +
--- a/source/core/dispatch/endpoint_table.h
+++ b/source/core/dispatch/endpoint_table.h
@@ -49,10 +49,18 @@
   // Half-life of the weight of earlier reports in the mean pace, and of the
   // difference of that mean from the usual. Paces change many times a second.
   duration pace_half_life = 500ms;
-  // Half-life of the weight that a load report has in the estimate of the
-  // requests that other VMs have in flight at an endpoint. The rest of the
+  // Maximum half-life of the weight that a load report has in the estimate of
+  // the requests that other VMs have in flight at an endpoint. The rest of the
   // weight goes to the mean over the service's endpoints.
   duration report_half_life = 500ms;
+  // The half-life as a multiple of the service's mean response time, divided by
+  // the number of fronts, and the lowest such multiple. Fronts that know the
+  // same reports move the load all together, the faster the more they are; an
+  // older report makes them all choose an endpoint that has filled up since.
+  double report_half_life_responses = 4.0;
+  double min_report_half_life_responses = 0.15;
+  // Weight of a response in the mean response time.
+  double response_time_weight = 0.02;
   // Time in which the weight of a failure in the failure score halves.
   // Endpoints that fail part of their requests do so for seconds.
   duration failure_half_life = 3s;
@@ -166,7 +174,12 @@
   auto OnRequestSent(const endpoint_id& id,
                      instant now,
                      std::uint64_t tokens = 0) -> void;
-  auto OnRequestEnded(const endpoint_id& id, std::uint64_t tokens = 0) -> void;
+  // The time from sending the request to the end of its response is given only
+  // for a complete response.
+  auto OnRequestEnded(const endpoint_id& id,
+                      std::uint64_t tokens = 0,
+                      std::optional<duration> response_time = std::nullopt)
+      -> void;
   auto OnReport(const endpoint_id& id, const load_report& report, instant now)
       -> void;
   // Applies a load report that the endpoint gave to another VM.
@@ -210,6 +223,14 @@
   [[nodiscard]] auto MeanOthersInFlight(const service_id& service,
                                         instant now) const -> double;
 
+  // Sets the number of fronts that choose among the endpoints, with this one.
+  auto SetFrontCount(std::size_t count) -> void { front_count_ = count; }
+
+  // Half-life of a load report's weight. It is the maximum until the number of
+  // fronts and a response time are known.
+  [[nodiscard]] auto ReportHalfLife(const service_id& service) const
+      -> duration;
+
   // Number of failures of an endpoint, each weighted by its age at `now`.
   [[nodiscard]] auto FailureScore(const endpoint_state& state,
                                   instant now) const -> double;
@@ -249,6 +270,10 @@
   std::unordered_map<service_id, std::vector<const endpoint_state*>>
       by_service_;
   std::unordered_map<service_id, double> mean_request_tokens_;
+  // Mean time of the complete responses to this VM.
+  std::unordered_map<service_id, duration> response_times_;
+  // Zero while it is not known.
+  std::size_t front_count_ = 0;
   // Keyed by the hash that identifies endpoints in the load samples between
   // VMs.
   std::unordered_map<endpoint_key, endpoint_id> by_key_;
--- a/source/core/front/front_node.cc
+++ b/source/core/front/front_node.cc
@@ -167,6 +167,8 @@
               turns_,
               location_,
               [this](std::vector<history::sender_state> senders) {
+                directory_.endpoints().SetFrontCount(
+                    std::max<std::size_t>(1, senders.size()));
                 paths_.SetFronts(std::move(senders));
               },
               {}),
--- a/source/core/front/relay_service.cc
+++ b/source/core/front/relay_service.cc
@@ -109,7 +109,8 @@
   paths_.Observe(id, options);
   const auto call = requests_.ReadCall(request.request);
   const auto tokens = call ? dispatch::RequestTokens(*call) : 0;
-  endpoints_.OnRequestSent(id, Now(), tokens);
+  const auto sent_at = Now();
+  endpoints_.OnRequestSent(id, sent_at, tokens);
   paths_.OnRequestSent(id);
   auto opened = co_await client_.Open(address, std::move(request.request),
                                       std::move(options));
@@ -133,7 +134,9 @@
     end.is_complete = is_sent && opened.body->IsComplete();
     end.partial_event_bytes = opened.body->PartialEventBytes();
   }
-  endpoints_.OnRequestEnded(id, tokens);
+  endpoints_.OnRequestEnded(
+      id, tokens,
+      end.is_complete ? std::optional(Now() - sent_at) : std::nullopt);
   paths_.OnRequestEnded(id);
   if (end.is_complete) {
     endpoints_.OnHealthSignal(id, health_signal::kAnswered, Now());
--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -440,8 +440,9 @@
   }
   cancellation_ = nullptr;
   if (!path.relay) {
-    node_.service_directory().endpoints().OnRequestEnded(choice.endpoint,
-                                                         tokens_);
+    node_.service_directory().endpoints().OnRequestEnded(
+        choice.endpoint, tokens_,
+        end ? std::nullopt : std::optional(Now() - sent_at));
     node_.paths().OnRequestEnded(choice.endpoint);
   }
   if (end == attempt_result::kMayHaveRun) {
