front: gauges of how evenly the load of a service is spread

Cause: an operator could not see that some endpoints of a service were full while others had free slots.

The figures are tested in the endpoint table; the HTTP response is not.

--- a/source/core/dispatch/endpoint_table.cc
+++ b/source/core/dispatch/endpoint_table.cc
@@ -390,6 +390,43 @@
                                              : std::optional(found->second);
 }
 
+auto endpoint_table::SpreadOf(const service_id& service, instant now) const
+    -> load_spread {
+  auto spread = load_spread{};
+  auto sum = 0.0;
+  auto squares = 0.0;
+  for (const auto* state : OfService(service)) {
+    if (!state->report || state->IsLeaving() ||
+        now - state->reported_at > options_.report_lifetime) {
+      continue;
+    }
+    const auto& report = *state->report;
+    const auto load = double(report.running) + double(report.waiting);
+    ++spread.reporting;
+    ++(load < double(state->entry.slots) ? spread.with_free_slots
+                                         : spread.full);
+    sum += load;
+    squares += load * load;
+  }
+  if (sum > 0.0) {
+    const auto count = double(spread.reporting);
+    spread.mean = sum / count;
+    spread.variation =
+        std::sqrt(std::max(0.0, squares / count - spread.mean * spread.mean)) /
+        spread.mean;
+  }
+  return spread;
+}
+
+auto endpoint_table::Services() const -> std::vector<service_id> {
+  auto services = std::vector<service_id>{};
+  services.reserve(by_service_.size());
+  for (const auto& [service, endpoints] : by_service_) {
+    services.push_back(service);
+  }
+  return services;
+}
+
 auto endpoint_table::ReportHalfLife(const service_id& service) const
     -> duration {
   const auto mean = response_times_.find(service);
--- a/source/core/dispatch/endpoint_table.h
+++ b/source/core/dispatch/endpoint_table.h
@@ -101,6 +101,21 @@
 // The run that an entry describes.
 auto RunOf(const endpoint& entry) -> endpoint_run;
 
+// How evenly the load of a service is spread, by the last recent report of each
+// endpoint.
+struct load_spread {
+  std::size_t reporting = 0;
+  // Endpoints without and with a free slot.
+  std::size_t full = 0;
+  std::size_t with_free_slots = 0;
+  // Mean number of requests that run or wait at an endpoint, and its
+  // coefficient of variation.
+  double mean = 0;
+  double variation = 0;
+
+  auto operator<=>(const load_spread&) const = default;
+};
+
 // An endpoint with its observed load and health.
 struct endpoint_state {
   endpoint entry;
@@ -223,6 +238,12 @@
   [[nodiscard]] auto MeanOthersInFlight(const service_id& service,
                                         instant now) const -> double;
 
+  // The load of the service's endpoints with a recent report that are not
+  // leaving.
+  [[nodiscard]] auto SpreadOf(const service_id& service, instant now) const
+      -> load_spread;
+  [[nodiscard]] auto Services() const -> std::vector<service_id>;
+
   // Sets the number of fronts that choose among the endpoints, with this one.
   auto SetFrontCount(std::size_t count) -> void { front_count_ = count; }
 
--- a/source/core/front/front_node.cc
+++ b/source/core/front/front_node.cc
@@ -281,9 +281,31 @@
                     static_cast<double>(net::DroppedFrames()));
   metrics_.SetGauge("daisywind_front_log_lines_dropped", {},
                     static_cast<double>(DroppedLogLines()));
+  MeasureLoadSpread(Now());
   co_await exchange.Respond(net::TextResponse(metrics_.Render()));
 }
 
+auto front_node::MeasureLoadSpread(instant now) -> void {
+  // A service without endpoints stays in the set: its gauges become zero.
+  for (auto& service : directory_.endpoints().Services()) {
+    measured_services_.insert(std::move(service));
+  }
+  for (const auto& service : measured_services_) {
+    const auto spread = directory_.endpoints().SpreadOf(service, now);
+    const auto labels = metric_labels{{"service", service.value}};
+    metrics_.SetGauge("daisywind_front_endpoints_reporting", labels,
+                      static_cast<double>(spread.reporting));
+    metrics_.SetGauge("daisywind_front_endpoints_full", labels,
+                      static_cast<double>(spread.full));
+    metrics_.SetGauge("daisywind_front_endpoints_with_free_slots", labels,
+                      static_cast<double>(spread.with_free_slots));
+    metrics_.SetGauge("daisywind_front_endpoint_load_mean", labels,
+                      spread.mean);
+    metrics_.SetGauge("daisywind_front_endpoint_load_variation", labels,
+                      spread.variation);
+  }
+}
+
 auto front_node::Tick() -> asio::awaitable<void> {
   while (!is_stopping_) {
     directory_.Tick(Now());
--- a/source/core/front/front_node.h
+++ b/source/core/front/front_node.h
@@ -144,6 +144,8 @@
   auto ServeReady(net::http_exchange& exchange) -> boost::asio::awaitable<void>;
   auto ServeMetrics(net::http_exchange& exchange)
       -> boost::asio::awaitable<void>;
+  // Sets the gauges of how evenly the load of each service is spread.
+  auto MeasureLoadSpread(instant now) -> void;
   auto Tick() -> boost::asio::awaitable<void>;
   auto DrainAndStop(std::function<void()> on_stopped)
       -> boost::asio::awaitable<void>;
@@ -192,6 +194,7 @@
   duration grace_;
   stop_schedule stop_schedule_;
   std::set<request_flow*> flows_;
+  std::set<dispatch::service_id> measured_services_;
   bool is_ready_ = false;
   bool is_stopping_ = false;
 };
--- a/source/unit_tests/dispatch/even_load_test.cc
+++ b/source/unit_tests/dispatch/even_load_test.cc
@@ -143,6 +143,23 @@
   table.OnSharedReport(KeyOf(entry.id), {6, 9, 6}, kStart + 900ms);
   CHECK(table.ExpectedLoad(*table.Find(entry.id), 0, kStart + 1s) ==
         doctest::Approx(0));
+  CHECK(table.SpreadOf(entry.service, kStart + 1s).reporting == 0);
+}
+
+TEST_CASE("the spread of a service covers recent reports") {
+  auto table = endpoint_table({});
+  const auto service = service_id("s");
+  for (const auto* id : {"a", "b", "old", "silent", "leaving"}) {
+    table.Put(Endpoint(id), kStart);
+  }
+  table.OnReport(endpoint_id("old"), {6, 50, 6}, kStart);
+  table.OnReport(endpoint_id("a"), {2, 0, 6}, kStart + 5s);
+  table.OnReport(endpoint_id("b"), {6, 0, 6}, kStart + 5s);
+  table.OnReport(endpoint_id("leaving"), {6, 50, 6}, kStart + 5s);
+  table.SetLeaving(Endpoint("leaving"), kStart + 5s);
+  const auto spread = table.SpreadOf(service, kStart + 5s);
+  CHECK(spread == load_spread{2, 1, 1, 4.0, 0.5});
+  CHECK(table.SpreadOf(service_id("unknown"), kStart) == load_spread{});
 }
 
 }  // namespace
