control: config check, a check of a configuration file before it is sent

Cause: an operator learned only from a refused patch or init that a document is wrong, and not at all that an entry has no effect.

Change: daisywind-ctl config check FILE [--against FILE] sends nothing. It prints the error of the checks that the VMs make, with its path; warnings for models, adapters and services that no serving endpoint lists, shared keys and addresses, rates of zero and budgets over the rates; and the changes against another file, as a table or JSON.

--- a/source/core/control/arguments.cc
+++ b/source/core/control/arguments.cc
@@ -18,6 +18,8 @@
   config patch FILE        a JSON Patch (array) or merge patch (object)
   config watch             versions as they come, with the VMs they reach
   config history           versions with their authors and paths
+  config check FILE        errors, questionable entries and, with --against FILE,
+                           changes; sends nothing
   config init FILE --kv A  writes version 1 when there is none
   status                   the version in force on each VM
   programs                 programs owned by the VM asked
@@ -49,6 +51,8 @@
        cxxopts::value<std::uint64_t>())  //
       ("patch-id", "repeats a patch that is in doubt",
        cxxopts::value<std::string>())  //
+      ("against", "file that a checked configuration is compared with",
+       cxxopts::value<std::string>())  //
       ("author", "who makes the version",
        cxxopts::value<std::string>()->default_value(""))  //
       ("after", "watch versions above this number",
@@ -142,6 +146,7 @@
   converted.after = OptionalNumber(from, "after");
   converted.until = OptionalNumber(from, "until");
   converted.patch_id = TextOrEmpty(from, "patch-id");
+  converted.against = TextOrEmpty(from, "against");
   converted.author = from["author"].as<std::string>();
   converted.timeout =
       std::chrono::seconds(from["timeout-s"].as<std::uint32_t>());
--- a/source/core/control/arguments.h
+++ b/source/core/control/arguments.h
@@ -37,6 +37,8 @@
   std::optional<version_number> after;
   std::optional<version_number> until;
   std::string patch_id;
+  // File that a configuration is compared with.
+  std::string against;
   std::string author;
   duration timeout = 30s;
   bool wants_help = false;
--- a/source/core/control/commands.cc
+++ b/source/core/control/commands.cc
@@ -100,6 +100,7 @@
     {"config", "watch", 2, true, RunWatch},
     {"config", "history", 2, true, RunHistory},
     {"config", "init", 3, false, RunInit},
+    {"config", "check", 3, false, RunCheck},
     {"status", "", 1, true, RunStatus},
     {"programs", "", 1, true, RunPrograms},
     {"endpoints", "", 1, true, RunEndpoints},
--- a/source/core/control/commands.h
+++ b/source/core/control/commands.h
@@ -37,6 +37,10 @@
 // already is a version that another patch id wrote.
 auto RunInit(command_context context) -> boost::asio::awaitable<exit_code>;
 
+// Checks a configuration file as the processes would, without sending it, and
+// prints errors, entries without effect and the changes against another file.
+auto RunCheck(command_context context) -> boost::asio::awaitable<exit_code>;
+
 // Prints a response in the requested output format and maps its status to an
 // exit code.
 auto PrintAnswer(const command_context& context, const net::http_result& result)
--- a/source/unit_tests/control/commands_test.cc
+++ b/source/unit_tests/control/commands_test.cc
@@ -173,4 +173,55 @@
   CHECK(vm.requests.empty());
 }
 
+constexpr auto kDocument = R"({
+  "failure_domains": {"a": {"region": "r"}},
+  "services": {"cart": {}},
+  "endpoints": {"cart-1": {"address": "127.0.0.1:1", "failure_domain": "a",
+                           "kind": "service", "capacity": 1,
+                           "role": "serving", "services": ["cart"]}},
+  "need": {"cart": 1}
+})";
+
+auto CheckArguments(const std::string& path) -> arguments {
+  auto args = arguments{};
+  args.words = {"config", "check", path};
+  args.output = output_format::kJson;
+  return args;
+}
+
+// Guards against a check that sends something or accepts what a VM refuses.
+TEST_CASE("a check reports the error of an invalid configuration") {
+  auto text = std::string(kDocument);
+  const auto valid = temporary_file(text);
+  const auto needs_two = temporary_file(text.replace(text.rfind('1'), 1, "2"));
+  const auto broken = temporary_file("{");
+  auto vm = fake_vm();
+  CHECK(vm.Run(CheckArguments(valid.path)) == exit_code::kDone);
+  CHECK(vm.Run(CheckArguments(needs_two.path)) == exit_code::kRefused);
+  CHECK(vm.output.str().find("\"/need/cart\"") != std::string::npos);
+  CHECK(vm.Run(CheckArguments(broken.path)) == exit_code::kRefused);
+  CHECK(vm.Run(CheckArguments("no-such-file.json")) == exit_code::kUsage);
+  CHECK(vm.requests.empty());
+}
+
+TEST_CASE("a check lists the changes against another file") {
+  auto text = std::string(kDocument);
+  const auto before = temporary_file(text);
+  const auto after = temporary_file(
+      text.replace(text.find("\"capacity\": 1"), 13, "\"capacity\": 5"));
+  auto vm = fake_vm();
+  auto args = CheckArguments(after.path);
+  args.against = before.path;
+  CHECK(vm.Run(args) == exit_code::kDone);
+  const auto report = ParseJson(vm.output.str()).value();
+  const auto& changes = report.at("changes").as_array();
+  REQUIRE(changes.size() == 1);
+  CHECK(changes[0].at("change") == "changed");
+  args.output = output_format::kTable;
+  CHECK(vm.Run(args) == exit_code::kDone);
+  CHECK(vm.output.str().find("/endpoints/cart-1") != std::string::npos);
+  args.against = "no-such-file.json";
+  CHECK(vm.Run(args) == exit_code::kUsage);
+}
+
 }  // namespace daisywind::control
