front, dispatch: admission control for programs

Cause: under overload every program is let in, and most end late or fail.

Change: dispatch/admission decides without I/O. While the engines are at half of their slots or more, a share of the requests that start a program is refused, rising with the load of the engines and with the expected duration of the program relative to its time, later for better priorities, first for the organisation above its equal part. Programs under way are refused only when a turn can't end in its caller's time. 503 not_admitted or too_late, Retry-After drawn evenly and at most a third of the remaining time; refusals by full engines are spread the same way. Event 2114 and a counter by reason and route. The retry of a refused start counts as a start again.

Not measured on the real programs under full load. No waiting line in the front.

--- a/source/core/common/log_events.h
+++ b/source/core/common/log_events.h
@@ -196,6 +196,9 @@
 inline constexpr auto kEngineMemoryRefused =
     log_event{2113, log_subsystem::kFront, log_level::kInfo,
               "no engine has memory for the request"};
+inline constexpr auto kAdmissionRefused =
+    log_event{2114, log_subsystem::kFront, log_level::kInfo,
+              "request refused by admission control"};
 inline constexpr auto kDiskLoaded =
     log_event{2201, log_subsystem::kJournal, log_level::kInfo,
               "records loaded from disk"};
--- a/source/core/dispatch/program_starts.cc
+++ b/source/core/dispatch/program_starts.cc
@@ -56,6 +56,18 @@
   }
 }
 
+auto program_starts::OnStartRefused(std::string_view program) -> void {
+  const auto found = programs_.find(program);
+  if (found == programs_.end()) {
+    return;
+  }
+  const auto item = found->second;
+  programs_.erase(found);
+  by_recency_.erase(item);
+  requests_ = std::max(0.0, requests_ - 1.0);
+  starts_ = std::max(0.0, starts_ - 1.0);
+}
+
 auto program_starts::RequestsPerProgram() const -> double {
   return starts_ < 1.0 ? std::max(1.0, requests_)
                        : std::max(1.0, requests_ / starts_);
--- a/source/core/dispatch/program_starts.h
+++ b/source/core/dispatch/program_starts.h
@@ -51,6 +51,9 @@
   // Records a request of a program.
   auto OnRequest(std::string_view program, bool is_start, instant now) -> void;
 
+  // Forgets a program whose first request was refused: a retry starts it again.
+  auto OnStartRefused(std::string_view program) -> void;
+
   // Mean number of requests of a program, at least one.
   [[nodiscard]] auto RequestsPerProgram() const -> double;
 
--- a/source/core/front/front_node.h
+++ b/source/core/front/front_node.h
@@ -17,6 +17,7 @@
 #include "common/metrics.h"
 #include "common/random.h"
 #include "common/settings.h"
+#include "dispatch/admission.h"
 #include "dispatch/placement.h"
 #include "dispatch/program_starts.h"
 #include "dispatch/prompt_growth.h"
@@ -97,6 +98,8 @@
   [[nodiscard]] auto programs() -> dispatch::program_starts& {
     return programs_;
   }
+  [[nodiscard]] auto admission() -> dispatch::admission& { return admission_; }
+  [[nodiscard]] auto random() -> random_source& { return random_; }
   // Memory for parts of responses that are held until their end.
   [[nodiscard]] auto response_memory() -> byte_budget& {
     return response_memory_;
@@ -168,6 +171,7 @@
   std::optional<duration> key_proof_lifetime_;
   dispatch::prompt_growth prompts_;
   dispatch::program_starts programs_;
+  dispatch::admission admission_{dispatch::admission_options{}};
   random_source random_;
   metrics metrics_;
   byte_budget response_memory_;
--- a/source/core/front/platform_codecs.cc
+++ b/source/core/front/platform_codecs.cc
@@ -22,6 +22,10 @@
       return "no_endpoint";
     case refusal_reason::kOverloaded:
       return "overloaded";
+    case refusal_reason::kNotAdmitted:
+      return "not_admitted";
+    case refusal_reason::kTooLate:
+      return "too_late";
     case refusal_reason::kEnginesFull:
       return "engines_full";
     case refusal_reason::kRequestTooLarge:
--- a/source/core/front/platform_codecs.h
+++ b/source/core/front/platform_codecs.h
@@ -74,6 +74,10 @@
   kQuotaUnknown,
   kNoEndpoint,
   kOverloaded,
+  // The engines are full, and the request would start a program.
+  kNotAdmitted,
+  // The request can't end in time.
+  kTooLate,
   // No engine has memory for the request now.
   kEnginesFull,
   // The request takes more memory than an engine has.
--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -22,9 +22,13 @@
 // could be are at their rate limits.
 constexpr auto kRetryAfterNoEndpoint = duration(200ms);
 constexpr auto kMaxRetryAfterQuota = duration(500ms);
+// Endpoints that refused have free slots again as their requests end.
+constexpr auto kMinRefusedRetry = duration(100ms);
+constexpr auto kMaxRefusedRetry = duration(300ms);
 // Engines free memory with each request that ends, which several do each
 // second.
-constexpr auto kRetryAfterEnginesFull = duration(400ms);
+constexpr auto kMinEnginesFullRetry = duration(200ms);
+constexpr auto kMaxEnginesFullRetry = duration(600ms);
 // A front without a configuration waits for the platform's store, which may be
 // unreachable for seconds.
 constexpr auto kUnconfiguredRetry = duration(1s);
@@ -43,6 +47,13 @@
                  {{"reason", std::string(ReasonName(reason))}});
 }
 
+auto CountAdmissionRefusal(metrics& registry,
+                           std::string_view reason,
+                           const dispatch::route_id& route) -> void {
+  registry.Count("daisywind_front_admission_refusals_total",
+                 {{"reason", std::string(reason)}, {"route", route.value}});
+}
+
 auto LogRefusal(const dispatch::call& call,
                 refusal_reason reason,
                 const directory& from) -> void {
@@ -157,7 +168,10 @@
   if (node_.DoEnginesCrashWhenFull() && engine_ &&
       dispatch::ExceedsMemory(tokens_, engine_->memory_tokens)) {
     co_await RefuseForMemory(std::nullopt);
-  } else if (co_await AcquireQuota()) {
+  } else if (co_await AdmitProgram() && co_await AcquireQuota()) {
+    if (engine_ && is_program_start_) {
+      node_.admission().OnProgramAdmitted(Owner(), Now());
+    }
     if (IsTurn()) {
       co_await RunTurn();
     } else {
@@ -168,9 +182,98 @@
     ReturnCredits();
   }
   deadline_timer_.cancel();
+  RecordDuration();
   LogEnd();
 }
 
+auto request_flow::AdmitProgram() -> asio::awaitable<bool> {
+  // A caller that continues a stream has a program under way.
+  if (!engine_ || !is_program_start_ || !call_.last_event_id.empty()) {
+    co_return true;
+  }
+  const auto now = Now();
+  const auto load = dispatch::ServiceLoad(node_.service_directory().endpoints(),
+                                          service_, now);
+  auto program = dispatch::program_request{};
+  program.service = service_;
+  program.organisation = Owner();
+  program.priority = Urgency();
+  program.program_time_left = call_.program_deadline;
+  program.requests_per_program = node_.programs().RequestsPerProgram();
+  const auto result =
+      node_.admission().AdmitProgram(program, load, now, node_.random());
+  if (result.outcome == dispatch::admission_outcome::kAdmitted) {
+    co_return true;
+  }
+  node_.programs().OnStartRefused(ProgramName().value);
+  co_await RefuseAdmission(result);
+  co_return false;
+}
+
+auto request_flow::AdmitAttempt(const dispatch::placement_choice& choice)
+    -> asio::awaitable<bool> {
+  // A request that may have run, or whose response has begun, is not refused.
+  const auto& endpoints = node_.service_directory().endpoints();
+  const auto* state = endpoints.Find(choice.endpoint);
+  if (!engine_ || attempts_.runs > 0 || attempts_.is_answered ||
+      state == nullptr || choice.load + 1.0 <= double(state->entry.slots)) {
+    co_return true;
+  }
+  const auto now = Now();
+  const auto result = node_.admission().AdmitAttempt(
+      service_, choice.load, dispatch::MeanLoad(endpoints, service_, now),
+      state->entry.slots, TimeLeft(), now);
+  if (result.outcome == dispatch::admission_outcome::kAdmitted) {
+    co_return true;
+  }
+  co_await RefuseAdmission(result);
+  co_return false;
+}
+
+auto request_flow::RefuseAdmission(const dispatch::admission_result& result)
+    -> asio::awaitable<void> {
+  const auto is_full = result.outcome == dispatch::admission_outcome::kFull;
+  const auto reason = std::string_view(is_full ? "full" : "too_late");
+  const auto& options = node_.admission().options();
+  const auto retry_after =
+      SpreadRetry(options.min_retry_after, options.max_retry_after);
+  const auto organisation = Owner();
+  Log(log_events::kAdmissionRefused,
+      {{"request", std::string_view(call_.request_id)},
+       {"program", std::string_view(call_.program)},
+       {"organisation", std::string_view(organisation.value)},
+       {"priority", std::int64_t{Urgency()}},
+       {"reason", reason},
+       {"start", is_program_start_},
+       {"load", result.load},
+       {"refused_share", result.refused_share},
+       {"expected_ms", Milliseconds(result.expected)},
+       {"left_ms", Milliseconds(TimeLeft())},
+       {"program_left_ms", Milliseconds(call_.program_deadline)},
+       {"retry_after_ms", Milliseconds(retry_after)}});
+  CountAdmissionRefusal(node_.metrics_registry(), reason, route_->id);
+  co_await Refuse(
+      is_full ? refusal_reason::kNotAdmitted : refusal_reason::kTooLate,
+      retry_after);
+}
+
+auto request_flow::RecordDuration() -> void {
+  const auto has_run = attempts_.attempts > 0 &&
+                       (summary_.outcome == "answered" || attempts_.runs > 0);
+  if (has_run && !call_.program.empty() && !is_caller_disconnected_) {
+    const auto now = Now();
+    node_.admission().OnRequestEnded(service_, now - started_at_, now);
+  }
+}
+
+auto request_flow::SpreadRetry(duration earliest, duration latest) const
+    -> std::optional<duration> {
+  const auto left =
+      std::min(TimeLeft(), call_.program_deadline.value_or(TimeLeft()));
+  return dispatch::SpreadRetryAfter(
+      earliest, latest, left, node_.admission().options(), node_.random());
+}
+
 auto request_flow::AcquireQuota() -> asio::awaitable<bool> {
   if (organisation_ == nullptr || organisation_->requests_per_second <= 0) {
     co_return true;
@@ -326,6 +429,9 @@
         co_await RefuseUnplaced();
         co_return;
       }
+      if (!co_await AdmitAttempt(*choice)) {
+        co_return;
+      }
       const auto end = co_await Attempt(body, *choice, *path);
       if (!end) {
         co_return;
@@ -337,7 +443,8 @@
         break;
       }
       if (step == dispatch::next_step::kRefuse) {
-        co_await Refuse(refusal_reason::kOverloaded, 200ms);
+        co_await Refuse(refusal_reason::kOverloaded,
+                        SpreadRetry(kMinRefusedRetry, kMaxRefusedRetry));
         co_return;
       }
       if (step == dispatch::next_step::kFail) {
@@ -532,8 +639,9 @@
        {"mean_tokens", mean.value_or(0.0)}});
   co_await Refuse(shortage ? refusal_reason::kEnginesFull
                            : refusal_reason::kRequestTooLarge,
-                  shortage ? std::optional<duration>(kRetryAfterEnginesFull)
-                           : std::nullopt);
+                  shortage
+                      ? SpreadRetry(kMinEnginesFullRetry, kMaxEnginesFullRetry)
+                      : std::nullopt);
 }
 
 auto request_flow::GiveUp() -> asio::awaitable<void> {
@@ -605,6 +713,10 @@
                   *route_, call_.api_key);
 }
 
+auto request_flow::Owner() const -> organisation_id {
+  return organisation_ != nullptr ? organisation_->id : organisation_id{};
+}
+
 auto request_flow::CallerIdentity() const -> std::optional<organisation_id> {
   if (!node_.service_directory().routes().organisations().RequiresKeys()) {
     return std::nullopt;
--- a/source/core/front/request_flow.h
+++ b/source/core/front/request_flow.h
@@ -17,6 +17,7 @@
 
 #include "common/byte_budget.h"
 #include "common/time.h"
+#include "dispatch/admission.h"
 #include "dispatch/engine_memory.h"
 #include "dispatch/placement.h"
 #include "dispatch/retry_rules.h"
@@ -71,6 +72,22 @@
   // Cancels the attempt in flight when the deadline passes or the caller
   // disconnects.
   auto WatchForCancellation() -> void;
+  // Whether admission control lets the request in, if it starts a program.
+  // Refuses it otherwise.
+  auto AdmitProgram() -> boost::asio::awaitable<bool>;
+  // Whether the request may end in time at the chosen endpoint. Refuses it
+  // otherwise.
+  auto AdmitAttempt(const dispatch::placement_choice& choice)
+      -> boost::asio::awaitable<bool>;
+  // Refuses a request by a decision of admission control.
+  auto RefuseAdmission(const dispatch::admission_result& result)
+      -> boost::asio::awaitable<void>;
+  // Tells admission control how long the request took.
+  auto RecordDuration() -> void;
+  // A time until the caller's retry, drawn from an interval. Nothing if the
+  // caller has no time for one.
+  [[nodiscard]] auto SpreadRetry(duration earliest, duration latest) const
+      -> std::optional<duration>;
   // Takes the request from its organisation's limit. Returns false when the
   // request was refused.
   auto AcquireQuota() -> boost::asio::awaitable<bool>;
@@ -89,6 +106,8 @@
   // Why the caller's API key does not allow an attempt now; nothing when it
   // does. A key may be withdrawn while its request waits.
   [[nodiscard]] auto KeyRefusal() const -> std::optional<refusal_reason>;
+  // The caller's organisation; empty without one.
+  [[nodiscard]] auto Owner() const -> organisation_id;
   // The caller's organisation for an endpoint.
   [[nodiscard]] auto CallerIdentity() const -> std::optional<organisation_id>;
   // The program's name at the journals. Organisations choose the names of their
