front, dispatch: turns wait for engine memory

Cause: a turn of a program under way that no engine had memory for was refused at once, and a turn that is refused three times fails its program.

A start of a program is refused at once and does not overtake them. The retry of a start that was refused for memory counts as a start again.

Not measured under load.

--- a/source/core/front/front_node.cc
+++ b/source/core/front/front_node.cc
@@ -116,6 +116,7 @@
       platform_(platform),
       location_(LocationFrom(values)),
       key_proof_lifetime_(KeyProofLifetime(values)),
+      waiting_(context),
       random_(SystemSeed()),
       response_memory_(static_cast<std::size_t>(values.Get(kResponseMemoryMb))
                        << 20U),
@@ -312,6 +313,7 @@
     limits_.Tick(Now());
     quotas_.Tick(Now());
     paths_.Tick(Now());
+    waiting_.WakeFirstOfAll();
     UpdateReadiness();
     FlushLogs();
     const auto due = Now() + kTickInterval;
--- a/source/core/front/front_node.h
+++ b/source/core/front/front_node.h
@@ -29,6 +29,7 @@
 #include "front/quota_client.h"
 #include "front/relay_service.h"
 #include "front/store_fallback.h"
+#include "front/waiting_requests.h"
 #include "history_client/mirrored_store.h"
 #include "history_client/turn_client.h"
 #include "kv/store.h"
@@ -100,6 +101,7 @@
   }
   [[nodiscard]] auto admission() -> dispatch::admission& { return admission_; }
   [[nodiscard]] auto random() -> random_source& { return random_; }
+  [[nodiscard]] auto waiting() -> waiting_requests& { return waiting_; }
   // Memory for parts of responses that are held until their end.
   [[nodiscard]] auto response_memory() -> byte_budget& {
     return response_memory_;
@@ -172,6 +174,7 @@
   dispatch::prompt_growth prompts_;
   dispatch::program_starts programs_;
   dispatch::admission admission_{dispatch::admission_options{}};
+  waiting_requests waiting_;
   random_source random_;
   metrics metrics_;
   byte_budget response_memory_;
--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -178,6 +178,7 @@
       co_await RunPlain();
     }
   }
+  StopWaiting();
   if (attempts_.attempts == 0) {
     ReturnCredits();
   }
@@ -205,7 +206,6 @@
   if (result.outcome == dispatch::admission_outcome::kAdmitted) {
     co_return true;
   }
-  node_.programs().OnStartRefused(ProgramName().value);
   co_await RefuseAdmission(result);
   co_return false;
 }
@@ -232,6 +232,7 @@
 
 auto request_flow::RefuseAdmission(const dispatch::admission_result& result)
     -> asio::awaitable<void> {
+  ForgetStart();
   const auto is_full = result.outcome == dispatch::admission_outcome::kFull;
   const auto reason = std::string_view(is_full ? "full" : "too_late");
   const auto& options = node_.admission().options();
@@ -257,6 +258,12 @@
       retry_after);
 }
 
+auto request_flow::ForgetStart() -> void {
+  if (is_program_start_) {
+    node_.programs().OnStartRefused(ProgramName().value);
+  }
+}
+
 auto request_flow::RecordDuration() -> void {
   const auto has_run = attempts_.attempts > 0 &&
                        (summary_.outcome == "answered" || attempts_.runs > 0);
@@ -352,17 +359,22 @@
       return;
     }
     self->is_caller_disconnected_ = true;
-    if (self->cancellation_ != nullptr) {
-      self->cancellation_->Cancel();
-    }
+    self->Cancel();
   });
 }
 
 auto request_flow::EndNow() -> void {
   is_timed_out_ = true;
+  Cancel();
+}
+
+auto request_flow::Cancel() -> void {
   if (cancellation_ != nullptr) {
     cancellation_->Cancel();
   }
+  if (waiting_position_) {
+    node_.waiting().Wake(service_, *waiting_position_);
+  }
 }
 
 auto request_flow::RunPlain() -> asio::awaitable<void> {
@@ -406,60 +418,75 @@
     const auto relay = node_.paths().IsClosed()
                            ? node_.paths().PickRelay(unusable_relays_)
                            : std::nullopt;
-    const auto choice = node_.Place(placement, relay);
+    const auto is_next = placement.memory_tokens == 0 || IsNextForMemory();
+    const auto choice = is_next ? node_.Place(placement, relay) : std::nullopt;
     if (!choice) {
-      // Endpoints that were full may have capacity again. A stream is not
-      // resumed at the endpoint that broke it off.
-      if (placement.excluded.empty() || attempts_.is_answered) {
-        const auto shortage = dispatch::FindMemoryShortage(
-            node_.service_directory().endpoints(), placement, Now());
-        if (shortage && attempts_.runs == 0) {
-          co_await RefuseForMemory(shortage);
-        } else {
-          co_await RefuseUnplaced();
-        }
-        co_return;
+      if (co_await HandleUnplaced(placement, is_next)) {
+        continue;
       }
-      placement.excluded.clear();
+      co_return;
     }
-    if (choice) {
-      summary_.choice = choice;
-      const auto path = ChoosePath(*choice, relay);
-      if (!path) {
-        co_await RefuseUnplaced();
-        co_return;
-      }
-      if (!co_await AdmitAttempt(*choice)) {
-        co_return;
-      }
-      const auto end = co_await Attempt(body, *choice, *path);
-      if (!end) {
-        co_return;
-      }
-      placement.excluded.insert(choice->endpoint);
-      const auto step = dispatch::NextStep(*route_, attempts_, *end, TimeLeft(),
-                                           node_.retries());
-      if (IsOver()) {
-        break;
-      }
-      if (step == dispatch::next_step::kRefuse) {
-        co_await Refuse(refusal_reason::kOverloaded,
-                        SpreadRetry(kMinRefusedRetry, kMaxRefusedRetry));
-        co_return;
-      }
-      if (step == dispatch::next_step::kFail) {
-        co_await Refuse(refusal_reason::kNoAnswer, std::nullopt);
-        co_return;
-      }
-      if (step == dispatch::next_step::kBreakOff) {
-        BreakOff();
-        co_return;
-      }
+    StopWaiting();
+    summary_.choice = choice;
+    const auto path = ChoosePath(*choice, relay);
+    if (!path) {
+      co_await RefuseUnplaced();
+      co_return;
+    }
+    if (!co_await AdmitAttempt(*choice)) {
+      co_return;
+    }
+    const auto end = co_await Attempt(body, *choice, *path);
+    if (!end) {
+      co_return;
+    }
+    placement.excluded.insert(choice->endpoint);
+    const auto step = dispatch::NextStep(*route_, attempts_, *end, TimeLeft(),
+                                         node_.retries());
+    if (IsOver()) {
+      break;
+    }
+    if (step == dispatch::next_step::kRefuse) {
+      co_await Refuse(refusal_reason::kOverloaded,
+                      SpreadRetry(kMinRefusedRetry, kMaxRefusedRetry));
+      co_return;
+    }
+    if (step == dispatch::next_step::kFail) {
+      co_await Refuse(refusal_reason::kNoAnswer, std::nullopt);
+      co_return;
+    }
+    if (step == dispatch::next_step::kBreakOff) {
+      BreakOff();
+      co_return;
     }
   }
   co_await GiveUp();
 }
 
+auto request_flow::HandleUnplaced(dispatch::placement_request& placement,
+                                  bool is_next) -> asio::awaitable<bool> {
+  // Endpoints that were full may have capacity again. A stream is not resumed
+  // at the endpoint that broke it off.
+  if (is_next && !placement.excluded.empty() && !attempts_.is_answered) {
+    placement.excluded.clear();
+    co_return true;
+  }
+  const auto shortage =
+      is_next ? dispatch::FindMemoryShortage(
+                    node_.service_directory().endpoints(), placement, Now())
+              : dispatch::memory_shortage{};
+  if (!shortage || attempts_.runs > 0) {
+    co_await RefuseUnplaced();
+  } else if (co_await WaitForMemory()) {
+    co_return true;
+  } else if (IsOver()) {
+    co_await GiveUp();
+  } else {
+    co_await RefuseForMemory(shortage);
+  }
+  co_return false;
+}
+
 auto request_flow::ChoosePath(const dispatch::placement_choice& choice,
                               std::optional<history::sender_state> relay)
     -> std::optional<attempt_path> {
@@ -550,6 +577,7 @@
     node_.service_directory().endpoints().OnRequestEnded(
         choice.endpoint, tokens_,
         end ? std::nullopt : std::optional(Now() - sent_at));
+    node_.waiting().WakeFirst(service_);
     node_.paths().OnRequestEnded(choice.endpoint);
   }
   if (end == attempt_result::kMayHaveRun) {
@@ -623,12 +651,46 @@
                   std::min(*next_quota, kMaxRetryAfterQuota));
 }
 
+auto request_flow::IsNextForMemory() const -> bool {
+  if (attempts_.runs > 0 || attempts_.is_answered) {
+    return true;
+  }
+  return node_.waiting().IsNext(
+      service_, waiting_position_.value_or(
+                    dispatch::waiting_order{Urgency(), deadline_, 0}));
+}
+
+auto request_flow::WaitForMemory() -> asio::awaitable<bool> {
+  // Programs under way go before new ones, which are refused at once.
+  if (is_program_start_ || attempts_.is_answered) {
+    co_return false;
+  }
+  if (!waiting_position_) {
+    waiting_position_ =
+        node_.waiting().Join(service_, {Urgency(), deadline_, 0});
+    waits_until_ =
+        Now() + dispatch::LongestWait(route_->latency_objective, TimeLeft());
+  }
+  if (!waiting_position_ || Now() >= waits_until_) {
+    co_return false;
+  }
+  co_await node_.waiting().Sleep(service_, *waiting_position_, waits_until_);
+  co_return !IsOver();
+}
+
+auto request_flow::StopWaiting() -> void {
+  if (waiting_position_) {
+    node_.waiting().Leave(service_, *waiting_position_);
+    waiting_position_.reset();
+  }
+}
+
 auto request_flow::RefuseForMemory(
     std::optional<dispatch::memory_shortage> shortage)
     -> asio::awaitable<void> {
+  ForgetStart();
   const auto mean =
       node_.service_directory().endpoints().MeanRequestTokens(service_);
-  // No engines are listed for a request that is larger than their memory.
   Log(log_events::kEngineMemoryRefused,
       {{"request", std::string_view(call_.request_id)},
        {"program", std::string_view(call_.program)},
@@ -636,7 +698,9 @@
        {"memory", static_cast<std::int64_t>(engine_->memory_tokens)},
        {"engines", static_cast<std::int64_t>(shortage ? shortage->engines : 0)},
        {"least_tokens", shortage ? shortage->least_tokens : 0.0},
-       {"mean_tokens", mean.value_or(0.0)}});
+       {"mean_tokens", mean.value_or(0.0)},
+       {"too_large", !shortage},
+       {"waited_ms", Milliseconds(Now() - started_at_)}});
   co_await Refuse(shortage ? refusal_reason::kEnginesFull
                            : refusal_reason::kRequestTooLarge,
                   shortage
--- a/source/core/front/request_flow.h
+++ b/source/core/front/request_flow.h
@@ -82,12 +82,16 @@
   // Refuses a request by a decision of admission control.
   auto RefuseAdmission(const dispatch::admission_result& result)
       -> boost::asio::awaitable<void>;
+  // Lets a retry of a refused request start the program again.
+  auto ForgetStart() -> void;
   // Tells admission control how long the request took.
   auto RecordDuration() -> void;
   // A time until the caller's retry, drawn from an interval. Nothing if the
   // caller has no time for one.
   [[nodiscard]] auto SpreadRetry(duration earliest, duration latest) const
       -> std::optional<duration>;
+  // Ends what the request waits for.
+  auto Cancel() -> void;
   // Takes the request from its organisation's limit. Returns false when the
   // request was refused.
   auto AcquireQuota() -> boost::asio::awaitable<bool>;
@@ -125,6 +129,11 @@
   // last two cases.
   auto Dispatch(const std::string& body, dispatch::placement_request placement)
       -> boost::asio::awaitable<void>;
+  // Continues without an endpoint: returns true when one may be found now, and
+  // false after ending the request. `is_next` is false when requests that wait
+  // for memory go before this one.
+  auto HandleUnplaced(dispatch::placement_request& placement, bool is_next)
+      -> boost::asio::awaitable<bool>;
   // Sends the request to one endpoint. Returns nothing when the request is
   // over: its response was forwarded, or its stream was aborted.
   auto Attempt(const std::string& body,
@@ -204,6 +213,12 @@
       -> boost::asio::awaitable<void>;
   // Ends a request for which no endpoint can be chosen.
   auto RefuseUnplaced() -> boost::asio::awaitable<void>;
+  // Whether no request that waits for memory goes before this one.
+  [[nodiscard]] auto IsNextForMemory() const -> bool;
+  // Waits until memory may be free. Returns false when the request may not wait
+  // or has waited for as long as it may.
+  auto WaitForMemory() -> boost::asio::awaitable<bool>;
+  auto StopWaiting() -> void;
   // Refuses a request that no engine has memory for.
   auto RefuseForMemory(std::optional<dispatch::memory_shortage> shortage)
       -> boost::asio::awaitable<void>;
@@ -252,6 +267,9 @@
   std::size_t held_bytes_ = 0;
   // The body with its chain, which is sent to endpoints.
   byte_share body_memory_;
+  // Its place among the requests that wait for memory, and how long it may.
+  std::optional<dispatch::waiting_order> waiting_position_;
+  instant waits_until_{};
   // What was taken from the organisation's limits, by account.
   std::vector<std::pair<organisation_id, history::quota_credit>> credits_;
   // Whether the request is the first of its program.
--- a/source/unit_tests/front/front_harness.cc
+++ b/source/unit_tests/front/front_harness.cc
@@ -218,6 +218,8 @@
   to.routes.push_back(Route("/engine/", route_kind::kStream));
   to.routes.back().services = {{dispatch::service_id("engines"), 1}};
   to.routes.back().timeout = kStepTimeout;
+  // Requests wait for a quarter of it.
+  to.routes.back().latency_objective = 4 * kStepTimeout;
   to.routes[3].is_resumable = true;
   to.routes[3].max_attempts = 2;
   to.routes[4].stores_turns = true;
