--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -54,6 +54,14 @@
                  {{"reason", std::string(reason)}, {"route", route.value}});
 }
 
+auto CountQuotaRefusal(metrics& registry,
+                       const organisation_id& organisation,
+                       bool is_exceeded) -> void {
+  registry.Count("daisywind_front_quota_refusals_total",
+                 {{"organisation", organisation.value},
+                  {"state", is_exceeded ? "exceeded" : "unknown"}});
+}
+
 auto LogRefusal(const dispatch::call& call,
                 refusal_reason reason,
                 const directory& from) -> void {
@@ -325,10 +333,7 @@
        {"version", static_cast<std::int64_t>(limit.version)},
        {"retry_after_ms", Milliseconds(result.retry_after)},
        {"waited_ms", Milliseconds(Now() - started_at_)}});
-  node_.metrics_registry().Count(
-      "daisywind_front_quota_refusals_total",
-      {{"organisation", organisation_->id.value},
-       {"state", is_exceeded ? "exceeded" : "unknown"}});
+  CountQuotaRefusal(node_.metrics_registry(), organisation_->id, is_exceeded);
   co_await Refuse(
       is_exceeded ? refusal_reason::kQuotaExceeded
                   : refusal_reason::kQuotaUnknown,
