front: retries of late programs keep a Retry-After

Cause: a program past its time has no time left, so a refusal of one of its turns had no Retry-After since it is spread within that time. The turn may still be worth a part of its value.

Change: without time left for the program, the time left for the request counts.

--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -283,8 +283,11 @@
 
 auto request_flow::SpreadRetry(duration earliest, duration latest) const
     -> std::optional<duration> {
-  const auto left =
-      std::min(TimeLeft(), call_.program_deadline.value_or(TimeLeft()));
+  // A program that is late already may still be worth something.
+  const auto program_left = call_.program_deadline.value_or(duration(0));
+  const auto left = program_left > duration(0)
+                        ? std::min(TimeLeft(), program_left)
+                        : TimeLeft();
   return dispatch::SpreadRetryAfter(
       earliest, latest, left, node_.admission().options(), node_.random());
 }
