front_test: no lists in coroutines

Cause: six responses of the new tests were built by a list inside a coroutine, which tools/coroutine-lists.query reports. Change: functions that are no coroutines make them.

--- a/source/unit_tests/front/organisations_test.cc
+++ b/source/unit_tests/front/organisations_test.cc
@@ -37,15 +37,25 @@
       keys_withdrawn);
 }
 
+auto ResponseTo(net::http_exchange& exchange, unsigned status)
+    -> net::http_response {
+  return {status, {{"Id", std::string(exchange.request().Header("Id"))}}, ""};
+}
+
+// That of an endpoint which has not run the request.
+auto NotRunResponse(net::http_exchange& exchange) -> net::http_response {
+  auto response = ResponseTo(exchange, 503);
+  response.headers.push_back({"Not-Run", "1"});
+  return response;
+}
+
 // Responds to each request, as a stream if it is one, and keeps their headers.
 auto RecordingEndpoint(std::vector<net::http_request>& requests)
     -> endpoint_handler {
   return [&requests](net::http_exchange& exchange) -> asio::awaitable<void> {
     const auto& request = exchange.request();
     requests.push_back(request);
-    auto response = net::http_response{};
-    response.status = 200;
-    response.headers = {{"Id", std::string(request.Header("Id"))}};
+    auto response = ResponseTo(exchange, 200);
     if (request.Path().starts_with("/kept") ||
         request.Path().starts_with("/stream")) {
       co_await exchange.StartStream(std::move(response));
@@ -190,11 +200,7 @@
       timer.expires_after(std::chrono::milliseconds(5));
       co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
-    auto response = net::http_response{};
-    response.status = 503;
-    response.headers = {{"Id", std::string(exchange.request().Header("Id"))},
-                        {"Not-Run", "1"}};
-    co_await exchange.Respond(std::move(response));
+    co_await exchange.Respond(NotRunResponse(exchange));
   };
   harness->AddEndpoint("a", handler);
   harness->AddEndpoint("b", handler);
@@ -219,11 +225,7 @@
       timer.expires_after(std::chrono::milliseconds(5));
       co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
-    auto response = net::http_response{};
-    response.status = 503;
-    response.headers = {{"Id", std::string(exchange.request().Header("Id"))},
-                        {"Not-Run", "1"}};
-    co_await exchange.Respond(std::move(response));
+    co_await exchange.Respond(NotRunResponse(exchange));
   };
   harness->AddEndpoint("a", handler);
   harness->AddEndpoint("b", handler);
--- a/source/unit_tests/front/quota_client_test.cc
+++ b/source/unit_tests/front/quota_client_test.cc
@@ -25,6 +25,10 @@
   return {{"Key", "k"}};
 }
 
+auto ResponseTo(net::http_exchange& exchange) -> net::http_response {
+  return {200, {{"Id", std::string(exchange.request().Header("Id"))}}, ""};
+}
+
 // Grants a number of requests for each demand, or says when there are some.
 auto Grants(const history::quota_request& request,
             std::uint32_t granted,
@@ -43,10 +47,7 @@
     harness.AddEndpoint(
         "a", [this](net::http_exchange& exchange) -> asio::awaitable<void> {
           ++runs;
-          auto response = net::http_response{};
-          response.status = 200;
-          response.headers = {
-              {"Id", std::string(exchange.request().Header("Id"))}};
+          auto response = ResponseTo(exchange);
           co_await exchange.Respond(std::move(response));
         });
     harness.Configure(kLimited);
@@ -95,10 +96,7 @@
   harness.AddEndpoint(
       "a", [&](net::http_exchange& exchange) -> asio::awaitable<void> {
         ++runs;
-        auto response = net::http_response{};
-        response.status = 200;
-        response.headers = {
-            {"Id", std::string(exchange.request().Header("Id"))}};
+        auto response = ResponseTo(exchange);
         co_await exchange.Respond(std::move(response));
       });
   harness.Configure("1 keys o k 0 50 -1");
@@ -280,10 +278,7 @@
   harness.AddEndpoint(
       "a", [&](net::http_exchange& exchange) -> asio::awaitable<void> {
         ++runs;
-        auto response = net::http_response{};
-        response.status = 200;
-        response.headers = {
-            {"Id", std::string(exchange.request().Header("Id"))}};
+        auto response = ResponseTo(exchange);
         co_await exchange.StartStream(std::move(response));
         co_await exchange.EndStream();
       });
