front: no braced temporaries in co_await of quota requests

Cause: two limits were passed as braced temporaries inside co_await, which CONTRIBUTING.md rules out (clang 14 on arm64 loses them). Change: they are locals.

--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -301,17 +301,20 @@
   if (is_program_start_) {
     // Turns and calls that exceed the limit would fail programs that have run
     // for long, so as many programs are let in as the limit lets finish.
-    const auto limit = dispatch::ProgramLimit(
+    const auto programs = dispatch::ProgramLimit(
         *organisation_, node_.programs().RequestsPerProgram());
-    const auto is_granted =
-        co_await AcquireCredit(organisation_id(id.value + " programs"),
-                               {version, limit.per_second, limit.burst});
+    // No organisation's name contains a space.
+    const auto account = organisation_id(id.value + " programs");
+    const auto limit =
+        history::request_limit{version, programs.per_second, programs.burst};
+    const auto is_granted = co_await AcquireCredit(account, limit);
     if (!is_granted) {
       co_return false;
     }
   }
-  co_return co_await AcquireCredit(
-      id, {version, organisation_->requests_per_second, organisation_->burst});
+  const auto limit = history::request_limit{
+      version, organisation_->requests_per_second, organisation_->burst};
+  co_return co_await AcquireCredit(id, limit);
 }
 
 auto request_flow::AcquireCredit(organisation_id account,
