front: tests of the response times and gauges behind even load

Cause: that a front passes response times of complete responses only, and that /metrics shows the spread of load, was not tested through the front.

Change: two tests in front_test; the harness serves metrics.

--- a/source/unit_tests/front/front_harness.cc
+++ b/source/unit_tests/front/front_harness.cc
@@ -256,13 +256,15 @@
       store(context),
       front_port_(testing::FreePort(context)),
       ready_port_(testing::FreePort(context)),
+      metrics_port_(testing::FreePort(context)),
       relay_address_("127.0.0.1:" +
                      std::to_string(testing::FreePort(context))) {
   auto values = settings(FrontSchema());
   const auto text =
       R"({"vm":"v","failure_domain":"d","region":"r","listen":{"callers":"127.0.0.1:)" +
       std::to_string(front_port_) + R"(","ready":"127.0.0.1:)" +
-      std::to_string(ready_port_) + R"(","relay":")" + relay_address_ +
+      std::to_string(ready_port_) + R"(","metrics":"127.0.0.1:)" +
+      std::to_string(metrics_port_) + R"(","relay":")" + relay_address_ +
       R"("},"store":{"address":"127.0.0.1:1"},"limits":{"response_mb":)" +
       std::to_string(response_mb) + R"(},"stop":{"grace_s":)" +
       std::to_string(grace.count()) + R"(},"api_keys":{"withdrawn_ms":)" +
@@ -415,6 +417,22 @@
       });
 }
 
+auto front_harness::Metrics() -> std::string {
+  auto request = net::http_request{};
+  request.method = "GET";
+  request.target = "/metrics";
+  auto result = std::optional<net::http_result>{};
+  asio::co_spawn(
+      context,
+      client_->Send({"127.0.0.1", static_cast<std::uint16_t>(metrics_port_)},
+                    std::move(request), net::http_options{}),
+      [&](const std::exception_ptr&, net::http_result received) {
+        result = std::move(received);
+      });
+  REQUIRE(RunUntil([&] { return result.has_value(); }));
+  return result->response.body;
+}
+
 auto front_harness::SendAndDisconnect(const std::string& kind,
                                       const std::string& id,
                                       const std::function<bool()>& condition)
--- a/source/unit_tests/front/front_harness.h
+++ b/source/unit_tests/front/front_harness.h
@@ -134,6 +134,9 @@
             const std::string& id,
             net::http_headers headers = {}) -> net::http_result;
 
+  // The metrics that the front serves.
+  auto Metrics() -> std::string;
+
   // Sends a request as a caller. Sets the result, which must outlive the
   // request, at its end.
   auto StartSend(const std::string& kind,
@@ -166,6 +169,7 @@
   test_directory_codec directory_codec_;
   int front_port_ = 0;
   int ready_port_ = 0;
+  int metrics_port_ = 0;
   std::string relay_address_;
   std::vector<std::unique_ptr<net::http_server>> servers_;
   // Hold the ports of unreachable endpoints.
--- a/source/unit_tests/front/request_flow_test.cc
+++ b/source/unit_tests/front/request_flow_test.cc
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "common/process_clock.h"
 #include "front_harness.h"
 
 namespace daisywind::front {
@@ -112,6 +113,47 @@
   CHECK(runs == 2);
 }
 
+// Guards against load reports that count for the maximum time for ever, and
+// against refusals taken for fast responses.
+TEST_CASE("complete responses set the half-life of load reports") {
+  auto harness = front_harness();
+  auto runs = 0;
+  auto refusals = 0;
+  auto& endpoints = harness.node().service_directory().endpoints();
+  const auto service = dispatch::service_id("s");
+  const auto maximum = dispatch::endpoint_options{}.report_half_life;
+  endpoints.SetFrontCount(300);
+  harness.AddEndpoint("a", RefusingEndpoint(refusals));
+  harness.Configure();
+  harness.Send("once", "r1");
+  CHECK(refusals > 0);
+  CHECK(endpoints.ReportHalfLife(service) == maximum);
+  harness.AddEndpoint("b", RespondingEndpoint(runs));
+  harness.Configure();
+  CHECK(harness.Send("once", "r2").response.status == 200);
+  CHECK(endpoints.ReportHalfLife(service) < maximum);
+}
+
+TEST_CASE("the metrics show how evenly the load of a service is spread") {
+  auto harness = front_harness();
+  auto runs = 0;
+  harness.AddEndpoint("a", RespondingEndpoint(runs));
+  harness.AddEndpoint("b", RespondingEndpoint(runs));
+  harness.Configure();
+  auto& endpoints = harness.node().service_directory().endpoints();
+  endpoints.OnReport(endpoint_id("a"), {4, 0, 4}, Now());
+  endpoints.OnReport(endpoint_id("b"), {0, 0, 4}, Now());
+  const auto text = harness.Metrics();
+  for (const auto* line :
+       {"daisywind_front_endpoint_load_variation{service=\"s\"} 1\n",
+        "daisywind_front_endpoint_load_mean{service=\"s\"} 2\n",
+        "daisywind_front_endpoints_full{service=\"s\"} 1\n",
+        "daisywind_front_endpoints_with_free_slots{service=\"s\"} 1\n"}) {
+    CAPTURE(text);
+    CHECK(text.find(line) != std::string::npos);
+  }
+}
+
 TEST_CASE("a request that an endpoint has not run is sent to another") {
   auto harness = front_harness();
   auto runs = 0;
