process, net: memory of large messages is returned when they end

Cause: callers that send whole bodies of legal size one after the other, within the bound of the process, and keep their connections open left one freed block of 2 MB each in the heap: glibc raises the size from which it maps blocks, and small objects of the next connection divide the free block, so that the next body needs a new one. Assigning an empty string also keeps the memory of the old one, so an idle connection held its last body. Cost in time: not measured.

--- a/source/core/common/byte_budget.h
+++ b/source/core/common/byte_budget.h
@@ -60,6 +60,14 @@
   std::size_t held_ = 0;
 };
 
+// Empties a value and frees its memory. Assigning an empty string, or an
+// aggregate of them, keeps the memory of the old one.
+template <class Value>
+auto FreeMemory(Value& value) -> void {
+  auto empty = Value{};
+  std::swap(value, empty);
+}
+
 }  // namespace daisywind
 
 #endif  // DAISYWIND_COMMON_BYTE_BUDGET_H_
--- a/source/core/net/frame_channel.cc
+++ b/source/core/net/frame_channel.cc
@@ -148,7 +148,7 @@
                       [self = shared_from_this()](
                           const boost::system::error_code& error, std::size_t) {
                         self->is_writing = false;
-                        self->write_buffer = {};
+                        FreeMemory(self->write_buffer);
                         self->UpdateMemory(0);
                         if (error) {
                           return self->Fail();
@@ -180,9 +180,9 @@
     auto ignored = boost::system::error_code{};
     socket.close(ignored);
     timer.cancel();
-    send_buffer = {};
+    FreeMemory(send_buffer);
     if (!is_writing) {
-      write_buffer = {};
+      FreeMemory(write_buffer);
     }
     memory.Resize(write_buffer.size());
     if (notify_server) {
--- a/source/core/net/http_client.cc
+++ b/source/core/net/http_client.cc
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <utility>
 
+#include "common/byte_budget.h"
 #include "net/http_connection_pool.h"
 #include "net/message_limits.h"
 #include "net/sse.h"
@@ -331,7 +332,7 @@
         connection->bytes_written += size;
         connection->is_written = !error;
         connection->has_write_failed = error.failed();
-        connection->outgoing = {};
+        FreeMemory(connection->outgoing);
       });
 }
 
@@ -370,7 +371,7 @@
   const auto is_kept = std::exchange(connection->is_used, true);
   StartWrite(connection, RenderRequest(address, request), options.head_timeout);
   if (!is_pooled || !options.resend_on_stale) {
-    request = {};
+    FreeMemory(request);
   }
   auto body = std::make_unique<body_stream>(pool, address, connection, is_kept,
                                             options);
--- a/source/core/process/process_main.cc
+++ b/source/core/process/process_main.cc
@@ -1,5 +1,7 @@
 #include "process/process_main.h"
 
+#include <malloc.h>
+
 #include <boost/json.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <chrono>
@@ -131,10 +133,20 @@
   });
 }
 
+// Makes the allocator return the memory of each large block to the system when
+// it is freed. By default it raises the size from which it does so; small
+// objects then divide the free blocks of bodies, and the next body needs a new
+// one.
+auto ReturnLargeBlocks() -> void {
+  constexpr auto kLargeBlockBytes = 128 * 1024;
+  mallopt(M_MMAP_THRESHOLD, kLargeBlockBytes);
+}
+
 }  // namespace
 
 auto Main(const program& definition, int argc, char** argv) -> int {
   IgnoreSignals();
+  ReturnLargeBlocks();
   try {
     auto options = MakeOptions(definition);
     const auto arguments = options.parse(argc, argv);
