net, front, relay: bounds for heads, unread responses and relayed frames

Cause: message bodies of callers had a bound for the process. Heads (4,000 short fields of 16 KB take 330 to 680 KB), read-ahead, responses that callers don't read, the frames of relays and all requests to the readiness and metrics addresses had none; callers that stop half-way kept their connection, and its memory, until a time-out. Change: the HTTP server parses what it reads step by step and counts buffer, head and body from 8 KB on in one budget, and unsent parts of responses in another. When one is used up, or all connections are, the connection that has waited for its caller for longest ends, if for a second or more; otherwise the new request gets 503, or its connection is closed. Only requests that have not arrived whole and responses that are not read are ended for others. Whole responses of ordinary size wait for a quarter of memory.limit_mb before their body is read. Readiness and metrics take bodies of 64 KiB and 4 MiB in all. Throughput: not measured.

--- a/source/core/front/front_node.cc
+++ b/source/core/front/front_node.cc
@@ -25,7 +25,6 @@
 // still under way and to exit, if the period is long.
 constexpr auto kStopReserve = duration(700ms);
 constexpr auto kDrainPollInterval = duration(50ms);
-constexpr auto kMaxProbeConnections = std::size_t{32};
 
 auto LocationFrom(const settings& values) -> dispatch::location {
   auto location_of_vm =
@@ -120,7 +119,12 @@
       random_(SystemSeed()),
       response_memory_(static_cast<std::size_t>(values.Get(kResponseMemoryMb))
                        << 20U),
+      ordinary_response_memory_(
+          std::make_shared<byte_budget>(MessageMemory(values))),
       request_memory_(std::make_shared<byte_budget>(MessageMemory(values))),
+      unsent_memory_(std::make_shared<byte_budget>(
+          static_cast<std::size_t>(values.Get(kResponseMemoryMb)) << 20U)),
+      relay_memory_(std::make_shared<byte_budget>(MessageMemory(values))),
       endpoint_client_(context),
       turns_(context,
              TurnClientOptions(values),
@@ -156,7 +160,8 @@
                      platform.requests,
                      directory_.endpoints(),
                      paths_,
-                     endpoint_client_),
+                     endpoint_client_,
+                     relay_memory_),
       fallback_(context,
                 directory_,
                 turns_,
@@ -206,10 +211,12 @@
 auto front_node::Start() -> bool {
   ApplyLimits();
   callers_.SetMemory(request_memory_);
-  auto probe_limits = net::http_limits{};
-  probe_limits.max_connections = kMaxProbeConnections;
-  ready_.UpdateLimits(probe_limits);
-  metrics_server_.UpdateLimits(probe_limits);
+  callers_.SetUnsentMemory(unsent_memory_);
+  for (auto* server : {&ready_, &metrics_server_}) {
+    server->UpdateLimits(net::ProbeLimits());
+    server->SetMemory(std::make_shared<byte_budget>(net::kProbeMemory));
+    server->SetUnsentMemory(unsent_memory_);
+  }
   if (!Listen(callers_, caller_address_) || !Listen(ready_, ready_address_)) {
     return false;
   }
--- a/source/core/front/front_node.h
+++ b/source/core/front/front_node.h
@@ -103,6 +103,12 @@
   [[nodiscard]] auto random() -> random_source& { return random_; }
   [[nodiscard]] auto waiting() -> waiting_requests& { return waiting_; }
   // Memory for parts of responses that are held until their end.
+  // For whole responses of ordinary size, from the begin of their body until
+  // they were sent.
+  [[nodiscard]] auto ordinary_response_memory() const
+      -> const std::shared_ptr<byte_budget>& {
+    return ordinary_response_memory_;
+  }
   [[nodiscard]] auto response_memory() -> byte_budget& {
     return response_memory_;
   }
@@ -178,7 +184,12 @@
   random_source random_;
   metrics metrics_;
   byte_budget response_memory_;
+  std::shared_ptr<byte_budget> ordinary_response_memory_;
   std::shared_ptr<byte_budget> request_memory_;
+  // Parts of responses that callers have not read.
+  std::shared_ptr<byte_budget> unsent_memory_;
+  // Frames and requests of other fronts that make attempts through this one.
+  std::shared_ptr<byte_budget> relay_memory_;
   net::http_client endpoint_client_;
   history::turn_client turns_;
   history::mirrored_store store_;
--- a/source/core/front/relay_service.cc
+++ b/source/core/front/relay_service.cc
@@ -43,13 +43,16 @@
                              const request_codec& requests,
                              dispatch::endpoint_table& endpoints,
                              endpoint_paths& paths,
-                             net::http_client& client)
+                             net::http_client& client,
+                             const std::shared_ptr<byte_budget>& memory)
     : requests_(requests),
       endpoints_(endpoints),
       paths_(paths),
       client_(client),
+      memory_(memory),
       server_(context,
               kMaxConnections,
+              memory,
               [this](std::shared_ptr<relay::relay_exchange> exchange) {
                 return Serve(std::move(exchange));
               }) {}
@@ -91,6 +94,10 @@
   if (!endpoints_.HasQuota(*state, Now())) {
     co_return NotSent("the endpoint's rate limit is reached");
   }
+  auto request_share = byte_share(memory_);
+  if (!request_share.Resize(request.request.body.size())) {
+    co_return NotSent("memory for relayed requests used up");
+  }
   auto options = net::http_options{};
   options.connection = path->connection;
   if (request.needs_new_connection) {
@@ -114,6 +121,7 @@
   paths_.OnRequestSent(id);
   auto opened = co_await client_.Open(address, std::move(request.request),
                                       std::move(options));
+  request_share.Resize(0);
   auto end = relay::response_end{};
   end.outcome = opened.outcome;
   end.error = opened.error;
--- a/source/core/front/relay_service.h
+++ b/source/core/front/relay_service.h
@@ -19,11 +19,14 @@
 // neither retries nor relays it further. All arguments must outlive it.
 class relay_service {
  public:
+  // `memory` is for frames under way and requests until their response has
+  // begun.
   relay_service(boost::asio::io_context& context,
                 const request_codec& requests,
                 dispatch::endpoint_table& endpoints,
                 endpoint_paths& paths,
-                net::http_client& client);
+                net::http_client& client,
+                const std::shared_ptr<byte_budget>& memory);
 
   [[nodiscard]] auto server() -> relay::relay_server& { return server_; }
 
@@ -37,6 +40,7 @@
   dispatch::endpoint_table& endpoints_;
   endpoint_paths& paths_;
   net::http_client& client_;
+  std::shared_ptr<byte_budget> memory_;
   relay::relay_server server_;
 };
 
--- a/source/core/front/response_flow.cc
+++ b/source/core/front/response_flow.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio.hpp>
+#include <charconv>
 #include <chrono>
 #include <utility>
 
@@ -29,10 +30,24 @@
          kNotRunStatuses.end();
 }
 
+// Size up to which a response is an ordinary one.
+constexpr auto kOrdinaryBytes = std::size_t{64} * 1024;
+// How often a response looks for memory while it waits for some.
+constexpr auto kMemoryPollInterval = std::chrono::milliseconds(5);
+
+// What a response takes of the memory for ordinary ones.
+auto OrdinaryBytes(const net::http_stream_result& opened) -> std::size_t {
+  auto bytes = kOrdinaryBytes;
+  if (opened.body->Framing() == net::body_framing::kLength) {
+    const auto text = opened.head.Header("Content-Length");
+    std::from_chars(text.data(), text.data() + text.size(), bytes);
+  }
+  return std::min(bytes, kOrdinaryBytes);
+}
+
 // The part of a held response that counts towards the memory of all responses.
 // Ordinary responses do not, so that a few without end do not break them off.
 auto BudgetedBytes(std::size_t held) -> std::size_t {
-  constexpr auto kOrdinaryBytes = std::size_t{64} * 1024;
   return held - std::min(held, kOrdinaryBytes);
 }
 
@@ -111,6 +126,17 @@
 
 auto request_flow::ForwardBuffered(net::http_stream_result& opened)
     -> asio::awaitable<bool> {
+  // Taken at once, so that responses don't wait for each other with a part of
+  // what they need. The endpoint waits as well, since its body is not read.
+  auto memory = byte_share(node_.ordinary_response_memory());
+  while (!memory.Resize(OrdinaryBytes(opened))) {
+    if (IsOver() || TimeLeft() <= duration(0)) {
+      opened.body->Cancel();
+      co_return false;
+    }
+    auto timer = asio::steady_timer(node_.context(), kMemoryPollInterval);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
   auto body = std::string{};
   while (auto part = co_await opened.body->Next()) {
     if (!HoldBytes(part->size())) {
--- a/source/core/net/http_server.cc
+++ b/source/core/net/http_server.cc
@@ -1,5 +1,6 @@
 #include "net/http_server.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -55,6 +56,8 @@
 
 auto ToHttpRequest(http::request<http::string_body>&& from) -> http_request {
   auto to = http_request{};
+  to.headers.reserve(
+      static_cast<std::size_t>(std::distance(from.begin(), from.end())));
   to.method = std::string(from.method_string());
   to.target = std::string(from.target());
   for (const auto& field : from) {
@@ -103,8 +106,33 @@
               std::to_string(status) + R"(,"outcome":"not_run"})"};
 }
 
+// A connection that has waited for its caller for less time is not closed for
+// another: ordinary requests arrive, and responses are read, within it.
+constexpr auto kMinWait = std::chrono::seconds(1);
+
+// Bytes of each request, and of each unsent response, that are not counted
+// towards the memory of all: those of ordinary heads and refusals, so that
+// max_connections alone bounds them.
+constexpr auto kUncountedBytes = std::size_t{8} * 1024;
+
+// Memory of a header field other than its text: its node in the parser and its
+// copy in http_request. 4,000 empty fields took 82 bytes each in the parser and
+// 170 with the request to the endpoint.
+constexpr auto kFieldBytes = std::size_t{128};
+
+auto CountedBytes(std::size_t bytes) -> std::size_t {
+  return bytes - std::min(bytes, kUncountedBytes);
+}
+
 class connection;
 
+// What a connection waits for its caller to do.
+enum class caller_wait : std::uint8_t {
+  kNone,
+  kSendRequest,
+  kReadResponse,
+};
+
 }  // namespace
 
 struct http_server::state : std::enable_shared_from_this<http_server::state> {
@@ -114,10 +142,17 @@
         handler(std::move(handle)),
         acceptor(io) {}
 
+  // Ends the connection, other than `except`, that has waited longest for its
+  // caller, if it has waited for kMinWait. Considers connections of one kind,
+  // or all without one. Returns whether there was one.
+  auto EndLongestWait(std::optional<caller_wait> kind, const connection* except)
+      -> bool;
+
   asio::io_context& context;
   http_limits limits;
   http_handler handler;
   std::shared_ptr<byte_budget> memory;
+  std::shared_ptr<byte_budget> unsent_memory;
   tcp::acceptor acceptor;
   std::set<connection*> connections;
   std::size_t active_requests = 0;
@@ -138,10 +173,12 @@
  public:
   connection(tcp::socket socket,
              const http_limits& limits,
-             std::shared_ptr<byte_budget> memory)
+             std::shared_ptr<byte_budget> memory,
+             std::shared_ptr<byte_budget> unsent_memory)
       : stream_(std::move(socket)),
         limits_(limits),
         memory_(std::move(memory)),
+        unsent_memory_(std::move(unsent_memory)),
         buffer_(limits.max_head_bytes + kMaxParserBytes) {}
 
   [[nodiscard]] auto request() const -> const http_request& override {
@@ -152,10 +189,9 @@
     auto text = RenderHead(response, KeepsAlive());
     text.append("Content-Length: ")
         .append(std::to_string(response.body.size()))
-        .append("\r\n\r\n")
-        .append(response.body);
+        .append("\r\n\r\n");
     has_responded_ = true;
-    co_return co_await Write(std::move(text));
+    co_return co_await Write(std::move(text), std::move(response.body));
   }
 
   auto StartStream(http_response head) -> asio::awaitable<bool> override {
@@ -242,13 +278,15 @@
       }
       ++server->active_requests;
       is_busy_ = true;
+      StartWait(caller_wait::kSendRequest);
       const auto is_read = co_await ReadRequest();
+      EndWait();
       if (is_read) {
         has_responded_ = false;
         co_await server->handler(*this);
       }
       is_busy_ = false;
-      request_ = {};
+      FreeMemory(request_);
       memory_.Resize(0);
       close_handler_ = nullptr;
       keep_alive_ = KeepsAlive();
@@ -266,6 +304,27 @@
     stream_.close();
   }
 
+  // How long the connection has waited for its caller. Zero if it does not, or
+  // waits for something else than is asked for.
+  [[nodiscard]] auto WaitedFor(std::optional<caller_wait> kind) const
+      -> std::chrono::steady_clock::duration {
+    if (wait_ == caller_wait::kNone || is_ended_ || (kind && *kind != wait_)) {
+      return {};
+    }
+    return std::chrono::steady_clock::now() - waiting_since_;
+  }
+
+  // Ends the wait for the caller, and the connection with it. Returns its
+  // memory at once, although its buffers live until its coroutine has
+  // continued.
+  auto EndBecauseOfWait() -> void {
+    ReportOversized("caller", "memory or connections used up by slow callers");
+    is_ended_ = true;
+    memory_.Resize(0);
+    unsent_memory_.Resize(0);
+    Abort();
+  }
+
   auto CloseIfIdle() -> void {
     if (!is_busy_ && (server_->is_aborted || !HasInput())) {
       stream_.close();
@@ -302,6 +361,9 @@
     stream_.expires_never();
     const auto error = co_await ReadInto(parser);
     timer.cancel();
+    if (is_ended_) {
+      co_return false;
+    }
     if (error) {
       co_await Reject(*has_expired ? make_error_code(beast::error::timeout)
                                    : error);
@@ -314,23 +376,112 @@
 
   auto ReadInto(http::request_parser<http::string_body>& parser)
       -> asio::awaitable<beast::error_code> {
-    auto [error, size] =
-        co_await http::async_read_header(stream_, buffer_, parser, kAsTuple);
-    if (!error && HasUnknownFraming(parser)) {
-      co_return make_error_code(http::error::bad_transfer_encoding);
-    }
-    while (!error && !parser.is_done()) {
-      std::tie(error, size) =
-          co_await http::async_read_some(stream_, buffer_, parser, kAsTuple);
-      if (!error && !memory_.Resize(parser.get().body().size())) {
+    head_bytes_ = 0;
+    head_lines_ = 0;
+    while (true) {
+      const auto error = Parse(parser);
+      if (error || parser.is_done()) {
+        ShrinkBuffer();
+        memory_.Resize(CountedBytes(RequestBytes(parser)));
+        co_return error;
+      }
+      if (!TakeMemory(parser)) {
         co_return make_error_code(beast::errc::not_enough_memory);
       }
+      const auto space = ReadSize();
+      if (space == 0) {
+        co_return make_error_code(http::error::buffer_overflow);
+      }
+      auto free = buffer_.prepare(space);
+      const auto [read_error, size] =
+          co_await stream_.async_read_some(free, kAsTuple);
+      if (read_error == asio::error::eof) {
+        co_return parser.got_some()
+            ? make_error_code(http::error::partial_message)
+            : make_error_code(http::error::end_of_stream);
+      }
+      if (read_error || is_ended_) {
+        co_return read_error;
+      }
+      buffer_.commit(size);
+    }
+  }
+
+  // Parses what has arrived. Needs more if it returns no error and the parser
+  // is not done.
+  auto Parse(http::request_parser<http::string_body>& parser)
+      -> beast::error_code {
+    while (buffer_.size() > 0 && !parser.is_done()) {
+      const auto was_header_done = parser.is_header_done();
+      auto error = beast::error_code{};
+      const auto used = parser.put(buffer_.data(), error);
+      if (!was_header_done) {
+        const auto* text = static_cast<const char*>(buffer_.data().data());
+        head_bytes_ += used;
+        head_lines_ +=
+            static_cast<std::size_t>(std::count(text, text + used, '\n'));
+      }
+      buffer_.consume(used);
+      if (error == http::error::need_more) {
+        return {};
+      }
+      if (error) {
+        return error;
+      }
+      if (!was_header_done && parser.is_header_done() &&
+          HasUnknownFraming(parser)) {
+        return make_error_code(http::error::bad_transfer_encoding);
+      }
+      if (used == 0) {
+        return {};
+      }
+    }
+    return {};
+  }
+
+  // Bytes to read next; zero if the buffer is full.
+  [[nodiscard]] auto ReadSize() const -> std::size_t {
+    constexpr auto kMinReadBytes = std::size_t{512};
+    const auto wanted =
+        std::max(kMinReadBytes, buffer_.capacity() - buffer_.size());
+    return std::min(wanted, buffer_.max_size() - buffer_.size());
+  }
+
+  // Memory of the request that is being read.
+  [[nodiscard]] auto RequestBytes(
+      const http::request_parser<http::string_body>& parser) const
+      -> std::size_t {
+    return buffer_.capacity() + 2 * head_bytes_ + head_lines_ * kFieldBytes +
+           parser.get().body().size();
+  }
+
+  auto TakeMemory(const http::request_parser<http::string_body>& parser)
+      -> bool {
+    const auto bytes = CountedBytes(RequestBytes(parser));
+    while (!memory_.Resize(bytes)) {
+      if (!server_->EndLongestWait(caller_wait::kSendRequest, this)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  auto ShrinkBuffer() -> void {
+    if (buffer_.capacity() > std::max(buffer_.size(), kReadAheadBytes)) {
+      buffer_.shrink_to_fit();
     }
-    co_return error;
   }
 
+  auto StartWait(caller_wait kind) -> void {
+    wait_ = kind;
+    waiting_since_ = std::chrono::steady_clock::now();
+  }
+
+  auto EndWait() -> void { wait_ = caller_wait::kNone; }
+
   auto WaitForFirstByte() -> asio::awaitable<bool> {
     stream_.expires_after(limits_.idle_timeout);
+    ShrinkBuffer();
     auto space = buffer_.prepare(kReadAheadBytes);
     const auto [error, size] =
         co_await stream_.async_read_some(space, kAsTuple);
@@ -380,13 +531,49 @@
                            !(server_->is_draining || server_->is_closing));
   }
 
-  auto Write(std::string text) -> asio::awaitable<bool> {
+  auto Write(std::string text, std::string body = {}) -> asio::awaitable<bool> {
+    const auto parts = std::array<asio::const_buffer, 2>{asio::buffer(text),
+                                                         asio::buffer(body)};
+    auto unsent = beast::buffers_suffix(parts);
+    unsent.consume(SendAtOnce(unsent));
+    const auto size = beast::buffer_bytes(unsent);
+    if (size == 0) {
+      // Other connections get their turn between pipelined requests.
+      co_await asio::post(stream_.get_executor(), asio::use_awaitable);
+      co_return true;
+    }
+    if (!TakeUnsentMemory(size)) {
+      ReportOversized("caller", "memory for unread responses used up");
+      Abort();
+      co_return FinishWrite(make_error_code(beast::errc::not_enough_memory));
+    }
+    StartWait(caller_wait::kReadResponse);
     stream_.expires_after(limits_.write_timeout);
-    const auto [error, size] =
-        co_await asio::async_write(stream_, asio::buffer(text), kAsTuple);
+    const auto [error, written] =
+        co_await asio::async_write(stream_, unsent, kAsTuple);
+    EndWait();
+    unsent_memory_.Resize(0);
     co_return FinishWrite(error);
   }
 
+  // Sends what the socket takes without waiting, and returns its size.
+  template <class Buffers>
+  auto SendAtOnce(const Buffers& buffers) -> std::size_t {
+    auto& socket = stream_.socket();
+    auto error = beast::error_code{};
+    socket.non_blocking(true, error);
+    return error ? 0 : socket.write_some(buffers, error);
+  }
+
+  auto TakeUnsentMemory(std::size_t bytes) -> bool {
+    while (!unsent_memory_.Resize(CountedBytes(bytes))) {
+      if (!server_->EndLongestWait(caller_wait::kReadResponse, this)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   auto FinishWrite(const beast::error_code& error) -> bool {
     if (error) {
       keep_alive_ = false;
@@ -399,14 +586,24 @@
 
   beast::tcp_stream stream_;
   const http_limits& limits_;
-  // What the body of the current request has taken.
+  // What the current request has taken, and its response.
   byte_share memory_;
+  byte_share unsent_memory_;
   beast::flat_buffer buffer_;
   http_request request_;
   std::string pending_head_;
   std::function<void()> close_handler_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   http_server::state* server_ = nullptr;
+  // Size and number of lines of the head of the current request, as far as it
+  // was parsed.
+  std::size_t head_bytes_ = 0;
+  std::size_t head_lines_ = 0;
+  // A caller that has connected and sent nothing is waited for.
+  caller_wait wait_ = caller_wait::kSendRequest;
+  std::chrono::steady_clock::time_point waiting_since_ =
+      std::chrono::steady_clock::now();
+  bool is_ended_ = false;
   bool is_watching_ = false;
   bool keep_alive_ = true;
   bool is_busy_ = false;
@@ -415,7 +612,8 @@
 };
 
 auto Serve(server_state server, tcp::socket socket) -> asio::awaitable<void> {
-  auto peer = connection(std::move(socket), server->limits, server->memory);
+  auto peer = connection(std::move(socket), server->limits, server->memory,
+                         server->unsent_memory);
   server->connections.insert(&peer);
   co_await peer.Run(server);
   server->connections.erase(&peer);
@@ -423,7 +621,8 @@
 
 auto StartServing(const server_state& server, tcp::socket socket) -> void {
   auto ignored = beast::error_code{};
-  if (server->connections.size() >= server->limits.max_connections) {
+  if (server->connections.size() >= server->limits.max_connections &&
+      !server->EndLongestWait(std::nullopt, nullptr)) {
     socket.close(ignored);
     return;
   }
@@ -452,6 +651,30 @@
 
 }  // namespace
 
+auto ProbeLimits() -> http_limits {
+  auto limits = http_limits{};
+  limits.max_body_bytes = std::size_t{64} * 1024;
+  limits.max_connections = 32;
+  return limits;
+}
+
+auto http_server::state::EndLongestWait(std::optional<caller_wait> kind,
+                                        const connection* except) -> bool {
+  auto* longest = static_cast<connection*>(nullptr);
+  auto longest_wait = std::chrono::steady_clock::duration(kMinWait);
+  for (auto* peer : connections) {
+    const auto wait = peer->WaitedFor(kind);
+    if (peer != except && wait >= longest_wait) {
+      longest = peer;
+      longest_wait = wait;
+    }
+  }
+  if (longest != nullptr) {
+    longest->EndBecauseOfWait();
+  }
+  return longest != nullptr;
+}
+
 http_server::http_server(asio::io_context& context,
                          http_limits limits,
                          http_handler handler)
@@ -481,6 +704,10 @@
   state_->memory = std::move(memory);
 }
 
+auto http_server::SetUnsentMemory(std::shared_ptr<byte_budget> memory) -> void {
+  state_->unsent_memory = std::move(memory);
+}
+
 auto http_server::CloseAfterResponses() -> void {
   state_->is_draining = true;
 }
--- a/source/core/net/http_server.h
+++ b/source/core/net/http_server.h
@@ -20,6 +20,9 @@
 struct http_limits {
   std::size_t max_head_bytes = std::size_t{16} * 1024;
   std::size_t max_body_bytes = std::size_t{8} * 1024 * 1024;
+  // When they are used up, the connection that has waited longest for its
+  // caller to send its first or the rest of a request, or to read a response,
+  // is closed for a new one if that is a second or more.
   std::size_t max_connections = 4096;
   // Maximum time to read a complete request, from its first byte.
   duration read_timeout = 15s;
@@ -29,6 +32,13 @@
   duration write_timeout = 20s;
 };
 
+// Limits of a server for readiness probes and for reads of metrics, which have
+// no body.
+auto ProbeLimits() -> http_limits;
+
+// Memory for the requests of such a server.
+inline constexpr auto kProbeMemory = std::size_t{4} * 1024 * 1024;
+
 // One active request and the means to respond to it.
 class http_exchange {
  public:
@@ -98,11 +108,19 @@
   // closes no open connection.
   auto UpdateLimits(const http_limits& limits) -> void;
 
-  // Sets the memory for the bodies of all requests that are being read or
-  // served. A request for which it does not suffice is refused with 503.
-  // Applies to connections that are accepted from then on.
+  // Sets the memory for all requests that are being read or served: heads,
+  // bodies and read-ahead. When it is used up, the request that has been
+  // arriving for longest is ended, if that is a second or more; otherwise the
+  // request for which it does not suffice is refused with 503. Applies to
+  // connections that are accepted from then on.
   auto SetMemory(std::shared_ptr<byte_budget> memory) -> void;
 
+  // Sets the memory for parts of responses that callers have not read. When it
+  // is used up, the connection whose caller has not read for longest is reset,
+  // if that is a second or more; otherwise the one for whose response it does
+  // not suffice. Applies to connections that are accepted from then on.
+  auto SetUnsentMemory(std::shared_ptr<byte_budget> memory) -> void;
+
   // Makes each connection close after its next response.
   auto CloseAfterResponses() -> void;
 
--- a/source/core/relay/relay_server.cc
+++ b/source/core/relay/relay_server.cc
@@ -60,7 +60,14 @@
 
   auto SendEnd(response_end end) -> bool override {
     link_->attempts.erase(id_);
-    return Send(std::move(end));
+    const auto is_sent = Send(std::move(end));
+    // The sender would wait for an end that was dropped.
+    if (const auto channel = link_->channel.lock();
+        !is_sent && channel != nullptr && !cancellation_->IsCancelled()) {
+      link_->CancelAll();
+      channel->Close();
+    }
+    return is_sent;
   }
 
  private:
@@ -77,15 +84,25 @@
       std::make_shared<net::http_cancellation>();
 };
 
+auto ChannelOptions(std::shared_ptr<byte_budget> memory)
+    -> net::channel_options {
+  auto options = net::channel_options{};
+  options.memory = std::move(memory);
+  return options;
+}
+
 }  // namespace
 
 struct relay_server::state : std::enable_shared_from_this<state> {
-  state(asio::io_context& io, std::size_t max_connections, relay_handler handle)
+  state(asio::io_context& io,
+        std::size_t max_connections,
+        std::shared_ptr<byte_budget> memory,
+        relay_handler handle)
       : context(io),
         handler(std::move(handle)),
         server(io,
                max_connections,
-               {},
+               ChannelOptions(std::move(memory)),
                [this](const std::shared_ptr<net::frame_channel>& channel) {
                  return MakeHandlers(channel);
                }) {}
@@ -157,9 +174,11 @@
 
 relay_server::relay_server(asio::io_context& context,
                            std::size_t max_connections,
+                           std::shared_ptr<byte_budget> memory,
                            relay_handler handler)
     : state_(std::make_shared<state>(context,
                                      max_connections,
+                                     std::move(memory),
                                      std::move(handler))) {}
 
 relay_server::~relay_server() {
--- a/source/core/relay/relay_server.h
+++ b/source/core/relay/relay_server.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <string>
 
+#include "common/byte_budget.h"
 #include "net/frame_channel.h"
 #include "net/http_client.h"
 #include "relay/messages.h"
@@ -43,9 +44,11 @@
  public:
   struct state;
 
-  // Connections beyond `max_connections` are closed at once.
+  // Connections beyond `max_connections` are closed at once. `memory` is for
+  // the frames under way on all connections; unlimited if null.
   relay_server(boost::asio::io_context& context,
                std::size_t max_connections,
+               std::shared_ptr<byte_budget> memory,
                relay_handler handler);
   relay_server(const relay_server&) = delete;
   auto operator=(const relay_server&) -> relay_server& = delete;
--- a/source/unit_tests/net/http_test.cc
+++ b/source/unit_tests/net/http_test.cc
@@ -514,6 +514,113 @@
   CHECK(answer.starts_with("HTTP/1.1 200"));
 }
 
+// Guards against heads of many short fields, whose parsed form takes more than
+// twenty times their size.
+TEST_CASE("the heads of all requests take a bounded amount of memory") {
+  constexpr auto kRequests = 100;
+  auto served = fixture();
+  served.server.SetMemory(std::make_shared<byte_budget>(std::size_t{4} << 20U));
+  auto head = std::string("POST / HTTP/1.1\r\nHost: a\r\n");
+  while (head.size() < 16'000) {
+    head += "a:\r\n";
+  }
+  head += "Content-Length: 2\r\n\r\n";
+  auto sockets = std::vector<tcp::socket>{};
+  const auto reported_before = OversizedMessages();
+  const auto growth = memory_growth();
+  RunUntilDone(served.context, [&]() -> asio::awaitable<void> {
+    for (auto i = 0; i < kRequests; ++i) {
+      auto socket = tcp::socket(served.context);
+      co_await socket.async_connect(
+          {asio::ip::address_v4::loopback(), served.port}, asio::use_awaitable);
+      co_await asio::async_write(socket, asio::buffer(head),
+                                 asio::as_tuple(asio::use_awaitable));
+      sockets.push_back(std::move(socket));
+    }
+    auto timer =
+        asio::steady_timer(served.context, std::chrono::milliseconds(100));
+    co_await timer.async_wait(asio::use_awaitable);
+  }());
+  served.context.restart();
+  CHECK(growth.PeakBytes() < std::size_t{12} << 20U);
+  // Each of the others has a counted size of half a megabyte.
+  CHECK(OversizedMessages() >= reported_before + kRequests - 9);
+  sockets.clear();
+  const auto answer = served.SendRaw(
+      "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+      "Content-Length: 5\r\n\r\nbytes");
+  CHECK(answer.starts_with("HTTP/1.1 200"));
+}
+
+// Guards against callers that stop half-way and keep others out for as long as
+// they may take to send a request.
+TEST_CASE("a request that stopped half-way makes room for another") {
+  auto limits = http_limits{};
+  limits.max_connections = 3;
+  for (const auto is_memory_used_up : {false, true}) {
+    CAPTURE(is_memory_used_up);
+    if (is_memory_used_up) {
+      limits.max_connections = 100;
+    }
+    constexpr auto kBody = std::size_t{600} * 1024;
+    auto served = fixture(limits);
+    served.server.SetMemory(
+        std::make_shared<byte_budget>(std::size_t{1} << 20U));
+    const auto start =
+        "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+        "Content-Length: " +
+        std::to_string(kBody) + "\r\n\r\n";
+    const auto body = std::string(kBody, 'x');
+    auto sockets = std::vector<tcp::socket>{};
+    RunUntilDone(served.context, [&]() -> asio::awaitable<void> {
+      for (auto i = 0; i < 3; ++i) {
+        auto socket = tcp::socket(served.context);
+        co_await socket.async_connect(
+            {asio::ip::address_v4::loopback(), served.port},
+            asio::use_awaitable);
+        const auto part = start + body.substr(0, kBody / 3);
+        co_await asio::async_write(socket, asio::buffer(part),
+                                   asio::as_tuple(asio::use_awaitable));
+        sockets.push_back(std::move(socket));
+      }
+      auto timer =
+          asio::steady_timer(served.context, std::chrono::milliseconds(1'200));
+      co_await timer.async_wait(asio::use_awaitable);
+    }());
+    served.context.restart();
+    CHECK(served.SendRaw(start + body).starts_with("HTTP/1.1 200"));
+  }
+}
+
+// Guards against callers that send requests and read no response.
+TEST_CASE("unread responses take a bounded amount of memory") {
+  constexpr auto kBytes = std::size_t{16} << 20U;
+  constexpr auto kCallers = 12;
+  auto context = asio::io_context{};
+  auto server = http_server(
+      context, {}, [](http_exchange& exchange) -> asio::awaitable<void> {
+        co_await exchange.Respond(TextResponse(std::string(kBytes, 'x')));
+      });
+  server.SetUnsentMemory(std::make_shared<byte_budget>(2 * kBytes));
+  const auto port = server.Listen({"127.0.0.1", 0});
+  auto sockets = std::vector<tcp::socket>{};
+  const auto growth = memory_growth();
+  RunUntilDone(context, [&]() -> asio::awaitable<void> {
+    const auto request = std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    for (auto i = 0; i < kCallers; ++i) {
+      auto socket = tcp::socket(context);
+      co_await socket.async_connect({asio::ip::address_v4::loopback(), port},
+                                    asio::use_awaitable);
+      co_await asio::async_write(socket, asio::buffer(request),
+                                 asio::use_awaitable);
+      sockets.push_back(std::move(socket));
+      auto timer = asio::steady_timer(context, std::chrono::milliseconds(20));
+      co_await timer.async_wait(asio::use_awaitable);
+    }
+  }());
+  CHECK(growth.PeakBytes() < 5 * kBytes);
+}
+
 TEST_CASE("a response head without end fails at the head time-out") {
   const auto chunked = std::string(
       "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n");
--- a/source/unit_tests/relay/relay_test.cc
+++ b/source/unit_tests/relay/relay_test.cc
@@ -29,7 +29,7 @@
 class fixture {
  public:
   explicit fixture(relay_handler handler)
-      : server(context, 8, std::move(handler)),
+      : server(context, 8, nullptr, std::move(handler)),
         port(server.Listen({"127.0.0.1", 0})) {}
 
   auto Address() const -> std::string {
