--- a/source/core/gateway/gateway_settings.cc
+++ b/source/core/gateway/gateway_settings.cc
@@ -80,6 +80,7 @@
       Declare(kOperatorKeyDigest),
       Declare(kMaxConnections),
       Declare(kMaxBodyBytes),
+      Declare(kMemoryLimitMb),
       Declare(kReadTimeoutMs),
       Declare(kCallTimeoutMs),
       Declare(kTokenIdleTimeoutMs),
--- a/source/core/gateway/gateway_settings.h
+++ b/source/core/gateway/gateway_settings.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 
 #include "common/settings.h"
+#include "common/vm_settings.h"
 
 namespace daisywind::gateway {
 
@@ -45,6 +46,7 @@
 inline constexpr auto kMaxBodyBytes = integer_setting{
     "limits.body_bytes", std::int64_t{8} * 1024 * 1024,
     "size of a request body", 1024, std::int64_t{64} * 1024 * 1024};
+using vm_settings::kMemoryLimitMb;
 inline constexpr auto kReadTimeoutMs =
     integer_setting{"limits.read_timeout_ms", 15'000,
                     "time to read one request", 10, kMaxDurationMs};
--- a/source/core/gateway/node.cc
+++ b/source/core/gateway/node.cc
@@ -178,6 +178,14 @@
   const auto caller_address =
       net::ParseSocketAddress(values.Get(kCallerAddress));
   const auto admin_address = net::ParseSocketAddress(values.Get(kAdminAddress));
+  const auto memory =
+      std::make_shared<byte_budget>(vm_settings::MessageMemory(values));
+  const auto unsent_memory =
+      std::make_shared<byte_budget>(vm_settings::MessageMemory(values));
+  for (auto* server : {&caller_server, &admin_server}) {
+    server->SetMemory(memory);
+    server->SetUnsentMemory(unsent_memory);
+  }
   if (!peers.Listen(peer_address.value_or(net::socket_address{})) ||
       caller_server.Listen(caller_address.value_or(net::socket_address{})) ==
           0 ||
--- a/source/daisywind_journal/main.cc
+++ b/source/daisywind_journal/main.cc
@@ -53,10 +53,12 @@
   view_options.retire = platform::RetireKeys();
   auto node = journal_node(context, values, store, view_options);
   auto metrics = net::http_server(
-      context, {},
+      context, net::ProbeLimits(),
       [&](net::http_exchange& exchange) -> boost::asio::awaitable<void> {
         co_await exchange.Respond(net::TextResponse(node.RenderMetrics()));
       });
+  metrics.SetMemory(std::make_shared<byte_budget>(net::kProbeMemory));
+  metrics.SetUnsentMemory(std::make_shared<byte_budget>(MessageMemory(values)));
   const auto address = net::ParseSocketAddress(values.Get(kMetricsAddress));
   if ((address && metrics.Listen(*address) == 0) || !node.Start()) {
     return std::nullopt;
