net, relay: a status outside 100 to 599 is no response

Cause: the HTTP client took any three digits for a status. An endpoint in trouble sends "HTTP/1.1 000 X"; the caller got it as the answer. Change: the client treats such a head as an invalid response, so the attempt is one that may have run, on the front, on a relay and on the gateway, which share it. A front does so too with a head that a relay of an earlier version passes on.

--- a/source/core/net/http_client.cc
+++ b/source/core/net/http_client.cc
@@ -142,6 +142,9 @@
         co_return error;
       }
       head_ = ToResponseHead(parser_->get().base());
+      if (!IsValidStatus(head_.status)) {
+        co_return http::error::bad_status;
+      }
       is_event_stream_ = IsEventStream(head_) ||
                          (options_.expects_events && IsSuccess(head_.status));
       events_ = sse_scanner{};
--- a/source/core/net/http_types.cc
+++ b/source/core/net/http_types.cc
@@ -86,6 +86,12 @@
   return "unknown";
 }
 
+auto IsValidStatus(unsigned status) -> bool {
+  constexpr auto kMin = 100U;
+  constexpr auto kMax = 599U;
+  return status >= kMin && status <= kMax;
+}
+
 auto IsSuccess(unsigned status) -> bool {
   constexpr auto kFirstSuccess = 200U;
   constexpr auto kPastSuccess = 300U;
--- a/source/core/net/http_types.h
+++ b/source/core/net/http_types.h
@@ -75,6 +75,10 @@
 // The name of a framing in logs.
 auto FramingName(body_framing framing) -> std::string_view;
 
+// Whether a status is one of HTTP, 100 to 599. A message with another one is no
+// response.
+auto IsValidStatus(unsigned status) -> bool;
+
 // Whether a status is one of success, 2xx.
 auto IsSuccess(unsigned status) -> bool;
 
--- a/source/core/relay/relay_client.cc
+++ b/source/core/relay/relay_client.cc
@@ -74,6 +74,10 @@
     }
     const auto attempt = found->second;
     if (auto* head = std::get_if<response_head>(&received->body)) {
+      // A relay of an earlier version passes on any status.
+      if (!net::IsValidStatus(head->head.status)) {
+        return Cancel(found->first, "response with an invalid status");
+      }
       attempt->head = std::move(*head);
       attempt->wake.cancel();
     } else if (auto* part = std::get_if<response_part>(&received->body)) {
--- a/source/unit_tests/front/faulty_response_test.cc
+++ b/source/unit_tests/front/faulty_response_test.cc
@@ -1,6 +1,8 @@
 // Responses of endpoints that are not what they seem.
 #include <doctest/doctest.h>
 
+#include <boost/asio/io_context.hpp>
+#include <memory>
 #include <string>
 
 #include "front_harness.h"
@@ -90,6 +92,46 @@
   }
 }
 
+// Guards against passing such a status on, and against running a request again
+// that may have run.
+TEST_CASE("a response with the status 000 is no answer") {
+  for (const auto* status : {"000 X", "099 X", "600 X"}) {
+    CAPTURE(status);
+    auto harness = front_harness();
+    auto runs = 0;
+    harness.AddRawEndpoint(
+        "a", [&](int /*connection*/, int /*request*/, const std::string& id) {
+          ++runs;
+          return Message(status, id, "answer");
+        });
+    harness.Configure();
+    const auto result = harness.Send("once", "r");
+    CHECK(result.response.status == 502);
+    CHECK(result.response.body == "no_answer");
+    CHECK(runs == 1);
+  }
+}
+
+TEST_CASE("a response with the status 000 through another front is no answer") {
+  auto context = std::make_shared<boost::asio::io_context>(1);
+  auto cut_off = front_harness(32, context);
+  auto sound = front_harness(32, context);
+  auto runs = 0;
+  sound.AddRawEndpoint(
+      "a", [&](int /*connection*/, int /*request*/, const std::string& id) {
+        ++runs;
+        return Message("000 X", id, "answer");
+      });
+  cut_off.AddUnreachableEndpoint("a");
+  cut_off.Configure();
+  sound.Configure();
+  cut_off.SetFronts({sound.relay_address()});
+  const auto result = cut_off.Send("once", "r");
+  CHECK(result.response.status == 502);
+  CHECK(result.response.body == "no_answer");
+  CHECK(runs == 1);
+}
+
 TEST_CASE("a stream that ends inside its head is no answer") {
   const auto head = std::string(
       "HTTP/1.1 200 OK\r\nId: r\r\nContent-Type: text/event-stream\r\n\r\n");
--- a/source/unit_tests/gateway/attempt_runner_test.cc
+++ b/source/unit_tests/gateway/attempt_runner_test.cc
@@ -114,6 +114,15 @@
   CHECK(output == "a" + std::string(kEvents, 'b'));
 }
 
+// Guards against passing a status on that is none.
+TEST_CASE_FIXTURE(runner_fixture, "a response with the status 000 is none") {
+  const auto port = StartRepeatingEndpoint(context, [] {
+    return std::string("HTTP/1.1 000 X\r\nContent-Length: 1\r\n\r\nx");
+  });
+  CHECK(Run(port, false).outcome == attempt_outcome::kUnknown);
+  context.stop();
+}
+
 // Regression: a response that an endpoint sent once more on a kept connection
 // was taken for that of the next call.
 TEST_CASE_FIXTURE(runner_fixture,
--- a/source/unit_tests/net/http_test.cc
+++ b/source/unit_tests/net/http_test.cc
@@ -693,6 +693,26 @@
   }
 }
 
+// Guards against passing a status on that is none: an endpoint in trouble sends
+// 000.
+TEST_CASE("a status outside 100 to 599 is no answer") {
+  for (const auto* status : {"000", "001", "099", "600", "999"}) {
+    CAPTURE(status);
+    const auto head = std::string("HTTP/1.1 ") + status + " X\r\n";
+    for (const auto framing : {body_framing::kLength, body_framing::kChunks,
+                               body_framing::kConnection}) {
+      CHECK(OutcomeOfClosedResponse(Framed(framing, head, "bytes")) ==
+            http_outcome::kNoAnswer);
+    }
+  }
+  for (const auto* status : {"200", "404", "599"}) {
+    CAPTURE(status);
+    const auto head = std::string("HTTP/1.1 ") + status + " X\r\n";
+    CHECK(OutcomeOfClosedResponse(Framed(body_framing::kLength, head,
+                                         "bytes")) == http_outcome::kAnswered);
+  }
+}
+
 TEST_CASE("a successful response is an event stream if its client expects it") {
   auto options = http_options{};
   options.expects_events = true;
--- a/source/unit_tests/relay/relay_test.cc
+++ b/source/unit_tests/relay/relay_test.cc
@@ -125,6 +125,22 @@
   CHECK(!received.is_complete);
 }
 
+// Guards against a relay of an earlier version, which passes such a head on.
+TEST_CASE("a status outside 100 to 599 from a relay is no answer") {
+  for (const auto status : {0U, 99U, 600U}) {
+    CAPTURE(status);
+    auto net = fixture([status](std::shared_ptr<relay_exchange> exchange)
+                           -> asio::awaitable<void> {
+      exchange->SendHead({{status, {}, ""}, net::body_framing::kLength});
+      exchange->SendEnd({http_outcome::kAnswered, true, 0, std::string()});
+      co_return;
+    });
+    const auto received = net.Send(net.Address());
+    CHECK(received.result.response.outcome == http_outcome::kNoAnswer);
+    CHECK(!received.result.is_relay_unusable);
+  }
+}
+
 TEST_CASE("a relay that refuses the connection got no byte of the request") {
   auto net = fixture(RespondWith({}));
   const auto received = net.Send("127.0.0.1:1");
