--- a/source/core/history/quota_registry.cc
+++ b/source/core/history/quota_registry.cc
@@ -48,8 +48,8 @@
 
 auto quota_registry::Capacity(const request_limit& limit,
                               std::size_t members) const -> double {
-  return std::max(1.0, (limit.burst + options_.extra_burst) /
-                           static_cast<double>(members));
+  return std::max(
+      1.0, (limit.burst + options_.extra_burst) / static_cast<double>(members));
 }
 
 auto quota_registry::Grant(const quota_demand& demand,
--- a/source/unit_tests/front/front_harness.h
+++ b/source/unit_tests/front/front_harness.h
@@ -25,10 +25,10 @@
 // the chosen endpoint), After (the last event of a resumed stream), Weights
 // (the version that a resumed stream needs, and the one of a response), and for
 // turns Program, Previous, Budget, Prompt-Tokens and Max-Tokens. A caller's Key
-// is its API key; an endpoint gets the Organisation and the Urgency. An endpoint
-// sets Not-Run in its response when it has not run the request, Leaving when it
-// leaves, and Limit to name a rate limit. A refusal's body is the name of its
-// reason, and its header Retry-Ms when the caller should retry.
+// is its API key; an endpoint gets the Organisation and the Urgency. An
+// endpoint sets Not-Run in its response when it has not run the request,
+// Leaving when it leaves, and Limit to name a rate limit. A refusal's body is
+// the name of its reason, and its header Retry-Ms when the caller should retry.
 class test_request_codec : public request_codec {
  public:
   [[nodiscard]] auto ReadCall(const net::http_request& from) const
