front: rate limits are exchanged on connections of their own again

Cause: full replies about rate limits name all fronts, 23 KB at 255 of them, and would hold up turns and credits on a shared connection.

--- a/source/core/front/limit_coordinator.cc
+++ b/source/core/front/limit_coordinator.cc
@@ -30,7 +30,8 @@
       on_senders_(std::move(on_senders)),
       options_(options),
       exchange_(self_),
-      timer_(context) {}
+      timer_(context),
+      clients_(context) {}
 
 auto limit_coordinator::Start() -> void {
   asio::co_spawn(context_, Run(), asio::detached);
@@ -87,10 +88,9 @@
   sent_at_ = now;
   due_at_ = now + (exchange_.HasLimits() ? options_.busy_interval
                                          : options_.idle_interval);
+  clients_.CloseNonMembers(turns_.current());
   for (const auto& member : turns_.current().members) {
-    // On the connections that turns use, so that one which a partition has
-    // silenced is replaced before the next turn.
-    turns_.ClientFor(member.address)
+    clients_.ClientFor(member.address)
         ->SendRequest(
             turns_.current().number, exchange_.MakeRequest(member.address, now),
             options_.request_timeout,
--- a/source/core/front/limit_coordinator.h
+++ b/source/core/front/limit_coordinator.h
@@ -90,6 +90,8 @@
   instant due_at_{};
   instant applied_at_{};
   bool is_stopped_ = false;
+  // Ends first: its pending replies refer to this object.
+  history::member_clients clients_;
 };
 
 }  // namespace daisywind::front
