journal_test: ask a new member once it knows the view of the request

Since a member grants nothing in a view newer than its own, a request that overtakes the change of view to it gets nothing; the test asked in the newest view of the store. Change: the test waits until the member has that view. Its bounds are unchanged.

--- a/source/unit_tests/journal/journal_node_test.cc
+++ b/source/unit_tests/journal/journal_node_test.cc
@@ -1215,6 +1215,9 @@
   REQUIRE(cluster.RunUntil([&] {
     return cluster.IsSettled({"vm1", "vm2", "vm4"});
   }));
+  // A member grants nothing in a view that it doesn't know yet.
+  REQUIRE(cluster.RunUntil(
+      [&] { return cluster.At(4).replica().current() == cluster.View(); }));
   const auto granted = Granted(AskQuota(cluster, 4, kPerSecond));
   const auto since_stop = std::chrono::duration<double>(Now() - stopped_at);
   CHECK(granted > 0);
