--- a/source/core/front/request_flow.cc
+++ b/source/core/front/request_flow.cc
@@ -52,20 +52,18 @@
        {"keys_age_ms", proven_at ? Milliseconds(now - *proven_at) : kNoTime}});
 }
 
-// Why a caller's API key does not let it use a route, or nothing.
-auto CheckKey(const front_node& node,
-              const dispatch::organisation_table& organisations,
-              const dispatch::route& route,
-              std::string_view api_key) -> std::optional<refusal_reason> {
+// Why a caller's API key does not let it use a route, or nothing. `is_known` is
+// whether an organisation owns the key.
+auto CheckKey(front_node& node, const dispatch::route& route, bool is_known)
+    -> std::optional<refusal_reason> {
+  const auto& organisations = node.service_directory().routes().organisations();
   if (!organisations.RequiresKeys() || route.is_public) {
     return std::nullopt;
   }
   if (!node.AreKeysProven(Now())) {
     return refusal_reason::kKeysOutdated;
   }
-  return organisations.FindByKey(api_key) == nullptr
-             ? std::optional(refusal_reason::kUnknownKey)
-             : std::nullopt;
+  return is_known ? std::nullopt : std::optional(refusal_reason::kUnknownKey);
 }
 
 auto RetryAfter(front_node& node, refusal_reason reason)
@@ -88,6 +86,7 @@
   auto& service_directory = node.service_directory();
   auto reason = std::optional<refusal_reason>{};
   auto matched_route = std::shared_ptr<const dispatch::route>{};
+  auto caller = std::shared_ptr<const dispatch::organisation>{};
   if (!call) {
     reason = refusal_reason::kBadRequest;
     call.emplace();
@@ -95,10 +94,11 @@
     reason = refusal_reason::kNotReady;
   } else {
     matched_route = service_directory.routes().Find(call->host, call->path);
+    caller =
+        service_directory.routes().organisations().FindByKey(call->api_key);
     reason = matched_route == nullptr
                  ? refusal_reason::kNoRoute
-                 : CheckKey(node, service_directory.routes().organisations(),
-                            *matched_route, call->api_key);
+                 : CheckKey(node, *matched_route, caller != nullptr);
   }
   if (reason) {
     LogRefusal(*call, *reason, service_directory);
@@ -107,8 +107,6 @@
         node.requests().MakeRefusal({*reason, RetryAfter(node, *reason)}));
     co_return;
   }
-  auto caller =
-      service_directory.routes().organisations().FindByKey(call->api_key);
   const auto flow = std::make_shared<request_flow>(
       node, exchange, std::move(*call), std::move(matched_route),
       std::move(caller));
@@ -543,8 +541,13 @@
 }
 
 auto request_flow::KeyRefusal() const -> std::optional<refusal_reason> {
-  return CheckKey(node_, node_.service_directory().routes().organisations(),
-                  *route_, call_.api_key);
+  // The owner of a key changes only with the configuration.
+  const auto& routes = node_.service_directory().routes();
+  const auto is_known =
+      routes.version() == version_
+          ? organisation_ != nullptr
+          : routes.organisations().FindByKey(call_.api_key) != nullptr;
+  return CheckKey(node_, *route_, is_known);
 }
 
 auto request_flow::Owner() const -> organisation_id {
@@ -555,23 +558,20 @@
   if (!node_.service_directory().routes().organisations().RequiresKeys()) {
     return std::nullopt;
   }
-  return organisation_ != nullptr ? organisation_->id : organisation_id{};
+  return Owner();
 }
 
 auto request_flow::LogEnd() -> void {
   const auto took = Now() - started_at_;
-  node_.metrics_registry().Observe(
-      "daisywind_front_request_seconds",
-      organisation_ != nullptr ? organisation_->id : organisation_id{},
-      class_id(route_->id.value), took);
+  const auto owner = Owner();
+  node_.metrics_registry().Observe("daisywind_front_request_seconds", owner,
+                                   class_id(route_->id.value), took);
   const auto choice = summary_.choice.value_or(dispatch::placement_choice{});
   Log(log_events::kRequestEnded,
       {{"request", std::string_view(call_.request_id)},
        {"program", std::string_view(call_.program)},
        {"route", std::string_view(route_->id.value)},
-       {"organisation", organisation_ != nullptr
-                            ? std::string_view(organisation_->id.value)
-                            : std::string_view()},
+       {"organisation", std::string_view(owner.value)},
        {"version", static_cast<std::int64_t>(version_)},
        {"store_age_ms", Milliseconds(store_age_)},
        {"status", std::int64_t{summary_.status}},
--- a/source/core/front/store_fallback.cc
+++ b/source/core/front/store_fallback.cc
@@ -65,8 +65,6 @@
       settles_at = newest ? settles_at : Now() + settle_time;
       newest = std::move(*received->copy);
       newest_as_of = AsOf(*received);
-    } else if (received != nullptr && !received->copy) {
-      unchanged_as_of = std::max(unchanged_as_of, AsOf(*received));
     }
     wake.cancel();
   }
@@ -84,8 +82,6 @@
   std::size_t pending = 0;
   std::optional<history::store_copy> newest;
   std::optional<instant> newest_as_of;
-  // Of replies that had no copy newer than what is known here.
-  std::optional<instant> unchanged_as_of;
   // Set with the first copy.
   instant settles_at = instant::max();
 };
@@ -115,10 +111,8 @@
   if (round->newest) {
     service_directory_.ImportCopy(*round->newest);
   }
-  const auto as_of =
-      round->newest ? round->newest_as_of : round->unchanged_as_of;
-  if (as_of) {
-    service_directory_.ImportProof(*as_of);
+  if (round->newest_as_of) {
+    service_directory_.ImportProof(*round->newest_as_of);
   }
 }
 
--- a/source/core/front/turn_flow.cc
+++ b/source/core/front/turn_flow.cc
@@ -183,13 +183,12 @@
     co_return true;
   }
   auto fact = MakeTurnFact();
-  fact.content = history::turn_content{
-      history::turn_id(call_.previous_turn),
-      exchange_.request().body,
-      std::move(output_),
-      endpoint,
-      call_.prompt_tokens,
-      organisation_ != nullptr ? organisation_->id : organisation_id{}};
+  fact.content = history::turn_content{history::turn_id(call_.previous_turn),
+                                       exchange_.request().body,
+                                       std::move(output_),
+                                       endpoint,
+                                       call_.prompt_tokens,
+                                       Owner()};
   const auto is_recorded = co_await node_.turns().Record(
       std::move(fact), std::max(kMinRecordTimeout, TimeLeft()));
   if (is_recorded) {
