--- /dev/null
+++ b/source/unit_tests/net/http_response_test.cc
@@ -0,0 +1,176 @@
+// Responses that the client reads, and those that it takes for broken ones.
+#include <doctest/doctest.h>
+
+#include <boost/asio.hpp>
+#include <cstdint>
+#include <sstream>
+#include <string>
+#include <utility>
+
+#include "net/http_client.h"
+#include "net/sse.h"
+#include "run_until_done.h"
+
+namespace daisywind::net {
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+// Sends the same bytes in response to each request and closes the connection.
+class closing_server {
+ public:
+  closing_server(asio::io_context& context, std::string response)
+      : acceptor_(context, {asio::ip::address_v4::loopback(), 0}),
+        response_(std::move(response)) {
+    asio::co_spawn(context, Serve(), asio::detached);
+  }
+
+  [[nodiscard]] auto port() const -> std::uint16_t {
+    return acceptor_.local_endpoint().port();
+  }
+
+ private:
+  auto Serve() -> asio::awaitable<void> {
+    constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
+    while (true) {
+      auto socket = co_await acceptor_.async_accept(asio::use_awaitable);
+      auto request = std::string{};
+      co_await asio::async_read_until(socket, asio::dynamic_buffer(request),
+                                      "\r\n\r\n", kAsTuple);
+      co_await asio::async_write(socket, asio::buffer(response_), kAsTuple);
+    }
+  }
+
+  tcp::acceptor acceptor_;
+  std::string response_;
+};
+
+// Returns the outcome of a request to a server that sends these bytes and
+// closes the connection.
+auto OutcomeOfClosedResponse(const std::string& response,
+                             const http_options& options = {}) -> http_outcome {
+  auto context = asio::io_context{};
+  const auto server = closing_server(context, response);
+  auto client = http_client(context);
+  auto result = http_result{};
+  RunUntilDone(context, [&]() -> asio::awaitable<void> {
+    result = co_await client.Send({"127.0.0.1", server.port()},
+                                  {"GET", "/", {}, ""}, options);
+  }());
+  return result.outcome;
+}
+
+// Renders a response head and a body under one framing.
+auto Framed(body_framing framing, std::string head, const std::string& body)
+    -> std::string {
+  auto size = std::ostringstream{};
+  size << std::hex << body.size();
+  switch (framing) {
+    case body_framing::kLength:
+      head += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+      return head + body;
+    case body_framing::kChunks:
+      head += "Transfer-Encoding: chunked\r\n\r\n" + size.str() + "\r\n";
+      return head + body + "\r\n0\r\n\r\n";
+    case body_framing::kConnection:
+      break;
+  }
+  return head + "\r\n" + body;
+}
+
+}  // namespace
+
+TEST_CASE("a stream that ends inside an event is incomplete") {
+  const auto head =
+      std::string("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n");
+  for (const auto framing : {body_framing::kLength, body_framing::kChunks,
+                             body_framing::kConnection}) {
+    CAPTURE(FramingName(framing));
+    for (const auto* body :
+         {"data: one\n\n", "data: one\r\n\r\n: a comment\r\n"}) {
+      CHECK(OutcomeOfClosedResponse(Framed(framing, head, body)) ==
+            http_outcome::kAnswered);
+    }
+    for (const auto* body :
+         {"data: one\n\ndata: tw", "data: one\n\ndata: two\n", "id: 1\n"}) {
+      CHECK(OutcomeOfClosedResponse(Framed(framing, head, body)) ==
+            http_outcome::kNoAnswer);
+    }
+  }
+}
+
+TEST_CASE("a stream with an event beyond the maximum size is incomplete") {
+  const auto head =
+      std::string("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n");
+  const auto big = std::string(2 * sse_parser::kMaxEventBytes, 'x');
+  CHECK(OutcomeOfClosedResponse(
+            Framed(body_framing::kLength, head, "data: " + big + "\n\n")) ==
+        http_outcome::kNoAnswer);
+}
+
+TEST_CASE("a body that is shorter than its framing says is incomplete") {
+  const auto head = std::string("HTTP/1.1 200 OK\r\n");
+  for (const auto framing : {body_framing::kLength, body_framing::kChunks}) {
+    const auto whole = Framed(framing, head, "data: one\n\n");
+    CHECK(OutcomeOfClosedResponse(whole) == http_outcome::kAnswered);
+    for (auto size = whole.find("\r\n\r\n"); size < whole.size(); ++size) {
+      CHECK(OutcomeOfClosedResponse(whole.substr(0, size)) ==
+            http_outcome::kNoAnswer);
+    }
+  }
+}
+
+// Guards against passing a status on that is none: an endpoint in trouble sends
+// 000.
+TEST_CASE("a status outside 100 to 599 is no answer") {
+  for (const auto* status : {"000", "001", "099", "600", "999"}) {
+    CAPTURE(status);
+    const auto head = std::string("HTTP/1.1 ") + status + " X\r\n";
+    for (const auto framing : {body_framing::kLength, body_framing::kChunks,
+                               body_framing::kConnection}) {
+      CHECK(OutcomeOfClosedResponse(Framed(framing, head, "bytes")) ==
+            http_outcome::kNoAnswer);
+    }
+  }
+  for (const auto* status : {"200", "404", "599"}) {
+    CAPTURE(status);
+    const auto head = std::string("HTTP/1.1 ") + status + " X\r\n";
+    CHECK(OutcomeOfClosedResponse(Framed(body_framing::kLength, head,
+                                         "bytes")) == http_outcome::kAnswered);
+  }
+}
+
+TEST_CASE("a successful response is an event stream if its client expects it") {
+  auto options = http_options{};
+  options.expects_events = true;
+  const auto body = std::string("\r\n\r\ndata: on");
+  CHECK(OutcomeOfClosedResponse("HTTP/1.1 200 OK" + body, options) ==
+        http_outcome::kNoAnswer);
+  CHECK(OutcomeOfClosedResponse("HTTP/1.1 500 Error" + body, options) ==
+        http_outcome::kAnswered);
+}
+
+TEST_CASE("a body that is no event stream may end anywhere") {
+  const auto head =
+      std::string("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n");
+  for (const auto framing : {body_framing::kLength, body_framing::kChunks,
+                             body_framing::kConnection}) {
+    CHECK(OutcomeOfClosedResponse(Framed(framing, head, "data: one")) ==
+          http_outcome::kAnswered);
+  }
+}
+
+TEST_CASE(
+    "a stream that ends with its connection before any event is incomplete") {
+  const auto head =
+      std::string("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n");
+  for (const auto* body : {"", ": a comment\n"}) {
+    CHECK(OutcomeOfClosedResponse(Framed(body_framing::kConnection, head,
+                                         body)) == http_outcome::kNoAnswer);
+    CHECK(OutcomeOfClosedResponse(Framed(body_framing::kLength, head, body)) ==
+          http_outcome::kAnswered);
+  }
+}
+
+}  // namespace daisywind::net
