net: the reading of responses has a file of its own

Cause: the client reads responses through the composed reads of Beast, which take bytes out of the buffer and errors off the socket before the client can look at them. Change: response_reader holds the parser and the loop of read and parse, as the server does for requests; the client keeps time-outs, events and the pool. Behaviour is meant to be the same.

--- a/source/core/net/http_client.cc
+++ b/source/core/net/http_client.cc
@@ -4,7 +4,7 @@
 #include <array>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
+#include <boost/beast/http/error.hpp>
 #include <charconv>
 #include <chrono>
 #include <utility>
@@ -12,6 +12,7 @@
 #include "common/byte_budget.h"
 #include "net/http_connection_pool.h"
 #include "net/message_limits.h"
+#include "net/response_reader.h"
 #include "net/sse.h"
 
 namespace daisywind::net {
@@ -20,9 +21,7 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
-using tcp = asio::ip::tcp;
 
-constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
 // Responses to other requests that are skipped before the connection is closed.
 constexpr auto kMaxSkippedResponses = 3;
 
@@ -53,16 +52,6 @@
   return text;
 }
 
-auto ToResponseHead(const http::response_header<>& from) -> http_response {
-  auto to = http_response{};
-  to.status = from.result_int();
-  for (const auto& field : from) {
-    to.headers.push_back(
-        {std::string(field.name_string()), std::string(field.value())});
-  }
-  return to;
-}
-
 // How long the connection of a response may stay idle: the timeout of its
 // Keep-Alive header less a margin, at most `upper_limit`.
 auto KeepAliveTimeout(const http_response& head, duration upper_limit)
@@ -132,16 +121,14 @@
     read_until_ = std::min(now + options_.head_timeout, response_until);
     for (auto skipped = 0; skipped <= kMaxSkippedResponses; ++skipped) {
       const auto follows_others = is_kept_ || skipped > 0;
-      parser_.emplace();
-      parser_->body_limit(options_.max_body_bytes);
+      auto& reader = reader_.emplace(options_.max_body_bytes);
       connection_->stream.expires_at(read_until_);
-      const auto [error, size] = co_await http::async_read_header(
-          connection_->stream, connection_->buffer, *parser_, kAsTuple);
+      const auto error = co_await reader.ReadHead(*connection_);
       if (error) {
         ReportIfOversized(error);
         co_return error;
       }
-      head_ = ToResponseHead(parser_->get().base());
+      head_ = reader.Head();
       if (!IsValidStatus(head_.status)) {
         co_return http::error::bad_status;
       }
@@ -186,11 +173,7 @@
   }
 
   [[nodiscard]] auto Framing() const -> body_framing override {
-    if (parser_->chunked()) {
-      return body_framing::kChunks;
-    }
-    return parser_->need_eof() ? body_framing::kConnection
-                               : body_framing::kLength;
+    return reader_->Framing();
   }
 
   [[nodiscard]] auto PartialEventBytes() const -> std::size_t override {
@@ -206,7 +189,7 @@
 
  private:
   auto ReadPart() -> asio::awaitable<std::optional<std::string>> {
-    while (!is_cancelled_ && !has_failed_ && !parser_->is_done()) {
+    while (!is_cancelled_ && !has_failed_ && !reader_->IsDone()) {
       const auto now = std::chrono::steady_clock::now();
       // Checked here as well, because bytes that have already arrived are read
       // without waiting.
@@ -215,21 +198,17 @@
         break;
       }
       auto space = std::array<char, kPartBytes>{};
-      parser_->get().body().data = space.data();
-      parser_->get().body().size = space.size();
       connection_->stream.expires_at(
           std::min(now + options_.idle_timeout, read_until_));
-      const auto [error, size] = co_await http::async_read_some(
-          connection_->stream, connection_->buffer, *parser_, kAsTuple);
-      if (error && error != http::error::need_buffer) {
+      const auto read = co_await reader_->ReadBody(*connection_, space);
+      if (read.error) {
         has_failed_ = true;
-        ReportIfOversized(error);
+        ReportIfOversized(read.error);
         break;
       }
-      const auto read = space.size() - parser_->get().body().size;
-      if (read > 0) {
+      if (read.size > 0) {
         NotifyReceived();
-        auto part = std::string(space.data(), read);
+        auto part = std::string(space.data(), read.size);
         ScanEvents(part);
         if (PartialEventBytes() > sse_parser::kMaxEventBytes) {
           has_failed_ = true;
@@ -259,7 +238,7 @@
 
   // Whether the message has ended as its framing says.
   [[nodiscard]] auto IsMessageComplete() const -> bool {
-    return parser_->is_done() && !has_failed_;
+    return reader_->IsDone() && !has_failed_;
   }
 
   // Whether a stream ended inside an event, or before its first one where
@@ -281,7 +260,7 @@
   auto SkipBody() -> asio::awaitable<bool> {
     while (co_await ReadPart()) {
     }
-    co_return IsMessageComplete() && parser_->get().keep_alive();
+    co_return IsMessageComplete() && reader_->KeepsConnection();
   }
 
   auto ReturnToPool() -> void {
@@ -292,7 +271,7 @@
       options_.cancellation->SetHook(nullptr);
     }
     auto connection = std::exchange(connection_, nullptr);
-    if (has_failed_ || !parser_->get().keep_alive()) {
+    if (has_failed_ || !reader_->KeepsConnection()) {
       connection->Close();
       return;
     }
@@ -307,7 +286,7 @@
   // Whether earlier requests were sent on the connection.
   bool is_kept_;
   http_options options_;
-  std::optional<http::response_parser<http::buffer_body>> parser_;
+  std::optional<response_reader> reader_;
   http_response head_;
   bool is_event_stream_ = false;
   sse_scanner events_;
--- /dev/null
+++ b/source/core/net/response_reader.h
@@ -0,0 +1,59 @@
+// Reads the responses of a connection.
+#ifndef DAISYWIND_NET_RESPONSE_READER_H_
+#define DAISYWIND_NET_RESPONSE_READER_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <cstddef>
+#include <span>
+
+#include "net/http_connection_pool.h"
+#include "net/http_types.h"
+
+namespace daisywind::net {
+
+// Reads one response: its head, and then its body until it is done. No read may
+// follow an error.
+class response_reader {
+ public:
+  // A longer body is an error.
+  explicit response_reader(std::size_t max_body_bytes);
+
+  // Reads the head. Waits until the time set for the connection's stream.
+  auto ReadHead(pooled_connection& connection)
+      -> boost::asio::awaitable<boost::beast::error_code>;
+
+  // Reads bytes of the body into `space`. Returns how many, which is zero after
+  // a step without data, such as the line of a chunk. Waits like ReadHead.
+  struct body_bytes {
+    boost::beast::error_code error;
+    std::size_t size = 0;
+  };
+  auto ReadBody(pooled_connection& connection, std::span<char> space)
+      -> boost::asio::awaitable<body_bytes>;
+
+  // The head, without a body.
+  [[nodiscard]] auto Head() const -> http_response;
+  [[nodiscard]] auto Framing() const -> body_framing;
+  // Whether the whole response was read.
+  [[nodiscard]] auto IsDone() const -> bool { return parser_.is_done(); }
+  // Whether another response may follow on the connection.
+  [[nodiscard]] auto KeepsConnection() const -> bool {
+    return parser_.keep_alive();
+  }
+
+ private:
+  // Lets the parser take its next step, the head or a part of the body.
+  auto ReadStep(pooled_connection& connection)
+      -> boost::asio::awaitable<boost::beast::error_code>;
+  auto Parse(pooled_connection& connection) -> boost::beast::error_code;
+  auto OnEndOfStream() -> boost::beast::error_code;
+
+  boost::beast::http::response_parser<boost::beast::http::buffer_body> parser_;
+};
+
+}  // namespace daisywind::net
+
+#endif  // DAISYWIND_NET_RESPONSE_READER_H_
