net: a response that is reset during the upload is incomplete

What callers saw: an endpoint answered a long upload at once with a 200 that had no length, sent 1,200 bytes and reset the connection while the upload was still being written; the caller got those bytes as the whole answer. Cause: the kernel reports the error of a connection to one call only. The write of the request was under way, took the error, and the read after it returned the end of the stream, which is how a body without a length ends. The client looked at the write's error only where no head had arrived. Change: response_reader takes the end of the stream for a failure if the write of the request has failed. Broken pipe is left out: Linux reports it when the reset follows a close by the server, and then the whole response has arrived (tcp_reset in CLOSE_WAIT). So an endpoint that answers early, closes its direction and drops the upload is still passed on. Ruled out: to take every response that ends before its request is written for incomplete, which breaks early refusals; to wait for the end of the write, which never comes if the endpoint reads no more.

--- a/source/core/net/http_client.cc
+++ b/source/core/net/http_client.cc
@@ -306,14 +306,14 @@
   connection->outgoing = std::move(request);
   connection->bytes_written = 0;
   connection->is_written = false;
-  connection->has_write_failed = false;
+  connection->write_error = {};
   connection->stream.expires_after(timeout);
   asio::async_write(
       connection->stream, asio::buffer(connection->outgoing),
       [connection](const beast::error_code& error, std::size_t size) {
         connection->bytes_written += size;
         connection->is_written = !error;
-        connection->has_write_failed = error.failed();
+        connection->write_error = error;
         FreeMemory(connection->outgoing);
       });
 }
@@ -369,7 +369,7 @@
                             std::move(options));
   }
   const auto is_unsent =
-      connection->has_write_failed && connection->bytes_written == 0;
+      connection->write_error && connection->bytes_written == 0;
   co_return http_stream_result{
       is_unsent ? http_outcome::kNotSent : http_outcome::kNoAnswer,
       {},
--- a/source/core/net/response_reader.cc
+++ b/source/core/net/response_reader.cc
@@ -15,6 +15,16 @@
 constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
 constexpr auto kMaxReadBytes = std::size_t{64} * 1024;
 
+// The error that broke a connection whose stream has ended, or none if the
+// server closed it. The kernel reports an error to one call only: if a write
+// was under way, reads see nothing but the end. Broken pipe is no such error,
+// since a write gets it after the server has closed its direction.
+auto ErrorBehindEnd(const pooled_connection& connection) -> beast::error_code {
+  return connection.write_error == asio::error::broken_pipe
+             ? beast::error_code{}
+             : connection.write_error;
+}
+
 }  // namespace
 
 response_reader::response_reader(std::size_t max_body_bytes) {
@@ -73,7 +83,7 @@
         co_await connection.stream.async_read_some(free, kAsTuple);
     connection.buffer.commit(size);
     if (read_error == asio::error::eof) {
-      co_return OnEndOfStream();
+      co_return OnEndOfStream(connection);
     }
     if (read_error) {
       co_return read_error;
@@ -92,12 +102,15 @@
   return error;
 }
 
-auto response_reader::OnEndOfStream() -> beast::error_code {
+auto response_reader::OnEndOfStream(const pooled_connection& connection)
+    -> beast::error_code {
   if (!parser_.got_some()) {
     return http::error::end_of_stream;
   }
-  auto error = beast::error_code{};
-  parser_.put_eof(error);
+  auto error = ErrorBehindEnd(connection);
+  if (!error) {
+    parser_.put_eof(error);
+  }
   return error;
 }
 
--- a/source/core/net/response_reader.h
+++ b/source/core/net/response_reader.h
@@ -49,7 +49,8 @@
   auto ReadStep(pooled_connection& connection)
       -> boost::asio::awaitable<boost::beast::error_code>;
   auto Parse(pooled_connection& connection) -> boost::beast::error_code;
-  auto OnEndOfStream() -> boost::beast::error_code;
+  auto OnEndOfStream(const pooled_connection& connection)
+      -> boost::beast::error_code;
 
   boost::beast::http::response_parser<boost::beast::http::buffer_body> parser_;
 };
--- a/source/unit_tests/front/faulty_response_test.cc
+++ b/source/unit_tests/front/faulty_response_test.cc
@@ -2,10 +2,15 @@
 #include <doctest/doctest.h>
 
 #include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <cstddef>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "front_harness.h"
+#include "memory_journals.h"
 
 namespace daisywind::front {
 namespace {
@@ -25,6 +30,51 @@
          (id.empty() ? "" : "Id: " + id + "\r\n") + "Content-Length: 0\r\n\r\n";
 }
 
+// As large as a request may be, and larger than what the buffers of a
+// connection take.
+auto LongUpload() -> std::string {
+  return std::string(std::size_t{4} << 20U, 'x');
+}
+
+// Responses of an endpoint that resets the connection while it is sent a long
+// request. Whether a stream broke off shows in its framing alone.
+auto ResetResponses() -> std::vector<testing::early_response> {
+  using testing::connection_end;
+  auto responses = std::vector<testing::early_response>{};
+  for (const auto* head : {"HTTP/1.1 200 OK\r\n", "HTTP/1.0 200 OK\r\n"}) {
+    for (const auto end :
+         {connection_end::kReset, connection_end::kCloseUnread}) {
+      for (const auto pause : {0, 30}) {
+        responses.push_back({std::string(head) + "\r\nid: 1\ndata: " +
+                                 std::string(1'200, 'y') + "\n\n",
+                             end, std::chrono::milliseconds(pause)});
+      }
+    }
+  }
+  return responses;
+}
+
+// A front that reaches the endpoint "a" only through another one.
+class relayed_front {
+ public:
+  relayed_front() { cut_off.AddUnreachableEndpoint("a"); }
+
+  // `sound` has its endpoint by now.
+  auto Configure() -> void {
+    cut_off.Configure();
+    sound.Configure();
+    cut_off.SetFronts({sound.relay_address()});
+  }
+
+ private:
+  std::shared_ptr<boost::asio::io_context> context_ =
+      std::make_shared<boost::asio::io_context>(1);
+
+ public:
+  front_harness cut_off{32, context_};
+  front_harness sound{32, context_};
+};
+
 }  // namespace
 
 // Regression: an endpoint refuses a request, is sent it again on the same
@@ -113,20 +163,15 @@
 }
 
 TEST_CASE("a response with the status 000 through another front is no answer") {
-  auto context = std::make_shared<boost::asio::io_context>(1);
-  auto cut_off = front_harness(32, context);
-  auto sound = front_harness(32, context);
+  auto fronts = relayed_front();
   auto runs = 0;
-  sound.AddRawEndpoint(
+  fronts.sound.AddRawEndpoint(
       "a", [&](int /*connection*/, int /*request*/, const std::string& id) {
         ++runs;
         return Message("000 X", id, "answer");
       });
-  cut_off.AddUnreachableEndpoint("a");
-  cut_off.Configure();
-  sound.Configure();
-  cut_off.SetFronts({sound.relay_address()});
-  const auto result = cut_off.Send("once", "r");
+  fronts.Configure();
+  const auto result = fronts.cut_off.Send("once", "r");
   CHECK(result.response.status == 502);
   CHECK(result.response.body == "no_answer");
   CHECK(runs == 1);
@@ -144,4 +189,75 @@
   }
 }
 
+// Regression: callers got the part of a response that had arrived when its
+// endpoint reset the connection as the whole of it.
+TEST_CASE("a response that is reset while its request is sent is no answer") {
+  for (const auto& response : ResetResponses()) {
+    CAPTURE(response.bytes.substr(0, 8));
+    CAPTURE(testing::EndName(response.end));
+    CAPTURE(response.pause.count());
+    for (const auto* kind : {"once", "again"}) {
+      CAPTURE(kind);
+      auto harness = front_harness();
+      harness.AddEarlyEndpoint("a", response);
+      harness.Configure();
+      const auto result = harness.Send(kind, "r", {}, LongUpload());
+      CHECK(result.outcome == net::http_outcome::kAnswered);
+      CHECK(result.response.status == 502);
+      CHECK(result.response.body == "no_answer");
+    }
+  }
+}
+
+TEST_CASE("a stream that is reset while its request is sent is broken off") {
+  for (const auto& response : ResetResponses()) {
+    CAPTURE(response.bytes.substr(0, 8));
+    CAPTURE(testing::EndName(response.end));
+    CAPTURE(response.pause.count());
+    for (const auto* kind : {"stream", "resume", "kept"}) {
+      CAPTURE(kind);
+      auto harness = front_harness();
+      harness.AddEarlyEndpoint("a", response);
+      harness.Configure();
+      auto journals = memory_journals(harness);
+      const auto result = harness.Send(
+          kind, "r", {{"Program", "p"}, {"Budget", "9"}, {"Max-Tokens", "8"}},
+          LongUpload());
+      CHECK(result.outcome == net::http_outcome::kNoAnswer);
+      journals.WaitUntilSettled("r");
+      CHECK_FALSE(journals.FindFact("r")->content.has_value());
+    }
+  }
+}
+
+TEST_CASE("a response that is reset through another front is no answer") {
+  for (const auto& response : ResetResponses()) {
+    CAPTURE(testing::EndName(response.end));
+    CAPTURE(response.pause.count());
+    auto fronts = relayed_front();
+    fronts.sound.AddEarlyEndpoint("a", response);
+    fronts.Configure();
+    const auto result = fronts.cut_off.Send("once", "r", {}, LongUpload());
+    CHECK(result.response.status == 502);
+    CHECK(result.response.body == "no_answer");
+    CHECK(fronts.cut_off.Send("stream", "s", {}, LongUpload()).outcome ==
+          net::http_outcome::kNoAnswer);
+  }
+}
+
+// The endpoint has sent all of its response when it closes its direction.
+TEST_CASE("a response may end before its request is sent") {
+  using testing::connection_end;
+  for (const auto end : {connection_end::kCloseOwnDirection,
+                         connection_end::kCloseOwnDirectionThenReset}) {
+    CAPTURE(testing::EndName(end));
+    auto harness = front_harness();
+    harness.AddEarlyEndpoint("a", {"HTTP/1.1 200 OK\r\n\r\nanswer", end});
+    harness.Configure();
+    const auto result = harness.Send("once", "r", {}, LongUpload());
+    CHECK(result.response.status == 200);
+    CHECK(result.response.body == "answer");
+  }
+}
+
 }  // namespace daisywind::front
--- a/source/unit_tests/front/front_harness.cc
+++ b/source/unit_tests/front/front_harness.cc
@@ -324,6 +324,11 @@
   Register(id, port);
 }
 
+auto front_harness::AddEarlyEndpoint(const std::string& id,
+                                     testing::early_response response) -> void {
+  Register(id, testing::StartEarlyEndpoint(context, std::move(response)));
+}
+
 auto front_harness::AddUnreachableEndpoint(const std::string& id) -> void {
   // Connections to a socket that does not listen are refused.
   auto& socket = unreachable_.emplace_back(context, asio::ip::tcp::v4());
@@ -393,9 +398,10 @@
 
 auto front_harness::Send(const std::string& kind,
                          const std::string& id,
-                         net::http_headers headers) -> net::http_result {
+                         net::http_headers headers,
+                         std::string body) -> net::http_result {
   auto result = std::optional<net::http_result>{};
-  StartSend(kind, id, result, std::move(headers));
+  StartSend(kind, id, result, std::move(headers), std::move(body));
   REQUIRE(RunUntil([&] { return result.has_value(); }));
   return std::move(*result);
 }
@@ -403,11 +409,13 @@
 auto front_harness::StartSend(const std::string& kind,
                               const std::string& id,
                               std::optional<net::http_result>& result,
-                              net::http_headers headers) -> void {
+                              net::http_headers headers,
+                              std::string body) -> void {
   auto options = net::http_options{};
   options.resend_on_stale = false;
   auto request = Request(kind, id);
   request.headers.insert(request.headers.end(), headers.begin(), headers.end());
+  request.body = std::move(body);
   asio::co_spawn(
       context,
       client_->Send({"127.0.0.1", static_cast<std::uint16_t>(front_port_)},
--- a/source/unit_tests/front/front_harness.h
+++ b/source/unit_tests/front/front_harness.h
@@ -17,6 +17,7 @@
 #include "front/platform_codecs.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "testing/early_endpoint.h"
 #include "testing/fake_store.h"
 
 namespace daisywind::front {
@@ -104,6 +105,10 @@
       std::string(int connection, int request, const std::string& id)>;
   auto AddRawEndpoint(const std::string& id, response_writer writer) -> void;
 
+  // Starts an endpoint that responds before it has read the body of a request.
+  auto AddEarlyEndpoint(const std::string& id, testing::early_response response)
+      -> void;
+
   // Registers an endpoint at an address that refuses connections.
   auto AddUnreachableEndpoint(const std::string& id) -> void;
 
@@ -132,7 +137,8 @@
   // `headers` are added to the request's own.
   auto Send(const std::string& kind,
             const std::string& id,
-            net::http_headers headers = {}) -> net::http_result;
+            net::http_headers headers = {},
+            std::string body = {}) -> net::http_result;
 
   // The metrics that the front serves.
   auto Metrics() -> std::string;
@@ -142,7 +148,8 @@
   auto StartSend(const std::string& kind,
                  const std::string& id,
                  std::optional<net::http_result>& result,
-                 net::http_headers headers = {}) -> void;
+                 net::http_headers headers = {},
+                 std::string body = {}) -> void;
 
   // Sends a request as a caller that disconnects once the condition holds.
   auto SendAndDisconnect(const std::string& kind,
--- a/source/unit_tests/gateway/attempt_runner_test.cc
+++ b/source/unit_tests/gateway/attempt_runner_test.cc
@@ -4,14 +4,18 @@
 
 #include <boost/asio.hpp>
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "net/http_server.h"
 #include "repeating_endpoint.h"
+#include "testing/early_endpoint.h"
 
 namespace daisywind::gateway {
 namespace {
@@ -25,11 +29,12 @@
 
 struct runner_fixture {
   // Runs one attempt at a port to its end.
-  auto Run(std::uint16_t port, bool is_chat) -> attempt_result {
+  auto Run(std::uint16_t port, bool is_chat, std::string body = {})
+      -> attempt_result {
     auto request = attempt_request{};
     request.id = "a";
     request.address = {"127.0.0.1", port};
-    request.request = {"GET", "/x", {{"Host", "h"}}, ""};
+    request.request = {"GET", "/x", {{"Host", "h"}}, std::move(body)};
     request.is_chat = is_chat;
     request.timeout = kIdleTimeout;
     request.idle_timeout = kIdleTimeout;
@@ -123,6 +128,30 @@
   context.stop();
 }
 
+// Regression: the part that had arrived was taken for the whole response.
+TEST_CASE_FIXTURE(runner_fixture,
+                  "a response that is reset during the upload is none") {
+  const auto upload = std::string(std::size_t{4} << 20U, 'x');
+  for (const auto end : {testing::connection_end::kReset,
+                         testing::connection_end::kCloseUnread}) {
+    for (const auto pause : {0, 30}) {
+      CAPTURE(testing::EndName(end));
+      CAPTURE(pause);
+      const auto port = testing::StartEarlyEndpoint(
+          context, {"HTTP/1.1 200 OK\r\n\r\n" + std::string(1'200, 'y'), end,
+                    std::chrono::milliseconds(pause)});
+      CHECK(Run(port, false, upload).outcome == attempt_outcome::kUnknown);
+    }
+  }
+  // A chat call ends with an event of its own.
+  const auto events = Chunk("a");
+  const auto port = testing::StartEarlyEndpoint(
+      context,
+      {"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + events});
+  CHECK(Run(port, true, upload).outcome == attempt_outcome::kUnknown);
+  context.stop();
+}
+
 // Regression: a response that an endpoint sent once more on a kept connection
 // was taken for that of the next call.
 TEST_CASE_FIXTURE(runner_fixture,
--- a/source/unit_tests/net/http_response_test.cc
+++ b/source/unit_tests/net/http_response_test.cc
@@ -2,14 +2,18 @@
 #include <doctest/doctest.h>
 
 #include <boost/asio.hpp>
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <sstream>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "net/http_client.h"
 #include "net/sse.h"
 #include "run_until_done.h"
+#include "testing/early_endpoint.h"
 
 namespace daisywind::net {
 namespace {
@@ -61,6 +65,24 @@
   return result.outcome;
 }
 
+// Larger than what the buffers of a connection take.
+constexpr auto kLongUpload = std::size_t{16} << 20U;
+
+// Returns the outcome of a request with a body to an early endpoint.
+auto OutcomeOfUpload(testing::early_response response,
+                     std::size_t upload_bytes = kLongUpload) -> http_result {
+  auto context = asio::io_context{};
+  const auto port = testing::StartEarlyEndpoint(context, std::move(response));
+  auto client = http_client(context);
+  auto result = http_result{};
+  RunUntilDone(context, [&]() -> asio::awaitable<void> {
+    result = co_await client.Send(
+        {"127.0.0.1", port}, {"POST", "/", {}, std::string(upload_bytes, 'x')},
+        {});
+  }());
+  return result;
+}
+
 // Renders a response head and a body under one framing.
 auto Framed(body_framing framing, std::string head, const std::string& body)
     -> std::string {
@@ -173,4 +195,68 @@
   }
 }
 
+// Regression: the write of the request took the error of the reset, and the
+// response seemed to end with a close of the connection.
+TEST_CASE("a response that is reset while its request is sent is incomplete") {
+  using testing::connection_end;
+  const auto events =
+      std::string("Content-Type: text/event-stream\r\n\r\ndata: one\n\n");
+  const auto heads = std::vector<std::string>{
+      "HTTP/1.1 200 OK\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+      "HTTP/1.0 200 OK\r\n\r\n",
+      "HTTP/1.1 500 Error\r\n\r\n",
+      "HTTP/1.1 200 OK\r\n" + events,
+  };
+  for (const auto& head : heads) {
+    for (const auto end :
+         {connection_end::kReset, connection_end::kCloseUnread}) {
+      for (const auto pause : {0, 30}) {
+        CAPTURE(head);
+        CAPTURE(testing::EndName(end));
+        CAPTURE(pause);
+        const auto body = head.ends_with(events) ? "" : std::string(1'200, 'y');
+        CHECK(OutcomeOfUpload(
+                  {head + body, end, std::chrono::milliseconds(pause)})
+                  .outcome == http_outcome::kNoAnswer);
+      }
+    }
+  }
+}
+
+// The server has sent its whole response when it closes its direction, whatever
+// becomes of the request.
+TEST_CASE("a response may end before its request is sent") {
+  using testing::connection_end;
+  const auto body = std::string(1'200, 'y');
+  for (const auto end : {connection_end::kCloseOwnDirection,
+                         connection_end::kCloseOwnDirectionThenReset}) {
+    for (const auto pause : {0, 30}) {
+      CAPTURE(testing::EndName(end));
+      CAPTURE(pause);
+      const auto result =
+          OutcomeOfUpload({"HTTP/1.1 200 OK\r\n\r\n" + body, end,
+                           std::chrono::milliseconds(pause)});
+      CHECK(result.outcome == http_outcome::kAnswered);
+      CHECK(result.response.body == body);
+    }
+  }
+}
+
+// Its framing shows that a response with a length or chunks is whole.
+TEST_CASE("a framed response is complete although its request is not sent") {
+  for (const auto framing : {body_framing::kLength, body_framing::kChunks}) {
+    CAPTURE(FramingName(framing));
+    const auto whole = Framed(framing, "HTTP/1.1 200 OK\r\n", "bytes");
+    const auto result =
+        OutcomeOfUpload({whole, testing::connection_end::kCloseUnread,
+                         std::chrono::milliseconds(30)});
+    CHECK(result.outcome == http_outcome::kAnswered);
+    CHECK(result.response.body == "bytes");
+    CHECK(OutcomeOfUpload({whole.substr(0, whole.size() - 1),
+                           testing::connection_end::kCloseUnread})
+              .outcome == http_outcome::kNoAnswer);
+  }
+}
+
 }  // namespace daisywind::net
