net: a response with a folded line is malformed

What callers saw: an endpoint sent a head with a line that began with a blank, which is a field name with a blank in it. The caller got a 200 with that line as a part of the field before it, such as another seal; where the line was " Content-Length: 5" the length was lost, and all that followed on the connection became the body. Cause: Beast's parser takes such a line for a folded one, the obsolete syntax, and joins it to the value of the field before it, in heads and trailers. No setting turns that off, and the fields that it reports don't show it. Change: response_reader looks at the lines that the parser took and fails with bad_field where one begins with a blank. RFC 9112 (5.2) has a gateway answer 502 to such a message or replace the folds; only the first keeps a body with the length that the endpoint meant. Ruled out: to replace folds by a blank, since the endpoints of this report meant no fold; a parser of our own.

--- a/source/core/net/response_reader.cc
+++ b/source/core/net/response_reader.cc
@@ -4,6 +4,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <string>
+#include <string_view>
 
 namespace daisywind::net {
 namespace {
@@ -25,6 +26,13 @@
              : connection.write_error;
 }
 
+// Whether a line of a head or trailer begins with a blank. The parser joins
+// such a line to the value of the field before it.
+auto HasFoldedLine(std::string_view lines) -> bool {
+  return lines.find("\n ") != std::string_view::npos ||
+         lines.find("\n\t") != std::string_view::npos;
+}
+
 }  // namespace
 
 response_reader::response_reader(std::size_t max_body_bytes) {
@@ -97,8 +105,17 @@
   if (buffer.size() == 0) {
     return http::error::need_more;
   }
+  const auto was_head_done = parser_.is_header_done();
   auto error = beast::error_code{};
-  buffer.consume(parser_.put(buffer.data(), error));
+  const auto used = parser_.put(buffer.data(), error);
+  // The parser takes the trailer together with the line of the last chunk.
+  const auto has_fields =
+      !was_head_done || (parser_.chunked() && parser_.is_done());
+  const auto* text = static_cast<const char*>(buffer.data().data());
+  if (has_fields && HasFoldedLine({text, used})) {
+    error = http::error::bad_field;
+  }
+  buffer.consume(used);
   return error;
 }
 
--- a/source/core/net/response_reader.h
+++ b/source/core/net/response_reader.h
@@ -15,7 +15,8 @@
 namespace daisywind::net {
 
 // Reads one response: its head, and then its body until it is done. No read may
-// follow an error.
+// follow an error. A line of a head or trailer that begins with a blank is one:
+// RFC 9112 (5.2) lets a gateway reject a message with such a line.
 class response_reader {
  public:
   // A longer body is an error.
--- a/source/unit_tests/front/faulty_response_test.cc
+++ b/source/unit_tests/front/faulty_response_test.cc
@@ -54,6 +54,17 @@
   return responses;
 }
 
+// Heads with a line that no field has, up to their empty line.
+auto MalformedHeads() -> std::vector<std::string> {
+  const auto head = std::string("HTTP/1.1 200 OK\r\nId: r\r\nA: a\r\n");
+  auto heads = std::vector<std::string>{};
+  for (const auto* line : {"B b: c", "Bb : c", "B\x01: c", "B\x7f: c", "\tB: c",
+                           " B: c", " s", " Content-Length: 5"}) {
+    heads.push_back(head + line + "\r\n");
+  }
+  return heads;
+}
+
 // A front that reaches the endpoint "a" only through another one.
 class relayed_front {
  public:
@@ -189,6 +200,58 @@
   }
 }
 
+// Regression: a line that begins with a blank was joined to the field before
+// it.
+TEST_CASE("a response with a malformed line in its head is no answer") {
+  for (const auto& head : MalformedHeads()) {
+    CAPTURE(head);
+    for (const auto* kind : {"once", "again", "stream", "kept"}) {
+      CAPTURE(kind);
+      for (const auto* rest :
+           {"Content-Length: 11\r\n\r\ndata: one\n\n",
+            "Transfer-Encoding: chunked\r\n\r\nb\r\ndata: one\n\n\r\n0\r\n\r\n",
+            "\r\ndata: one\n\n"}) {
+        CAPTURE(rest);
+        auto harness = front_harness();
+        harness.AddClosingEndpoint("a", head + rest);
+        harness.Configure();
+        auto journals = memory_journals(harness);
+        const auto result = harness.Send(kind, "r", {{"Program", "p"}});
+        CHECK(result.response.status == 502);
+        CHECK(result.response.body == "no_answer");
+      }
+    }
+  }
+}
+
+TEST_CASE("a malformed head through another front is no answer") {
+  for (const auto& head : MalformedHeads()) {
+    CAPTURE(head);
+    auto fronts = relayed_front();
+    fronts.sound.AddClosingEndpoint("a", head + "\r\nanswer");
+    fronts.Configure();
+    const auto result = fronts.cut_off.Send("once", "r");
+    CHECK(result.response.status == 502);
+    CHECK(result.response.body == "no_answer");
+  }
+}
+
+// The head is sound, and a stream's caller has it before the trailer arrives.
+TEST_CASE("a malformed line in a trailer breaks the response off") {
+  for (const auto* line : {"B b: c", "B\x01: c", "B: b\r\n c", " c"}) {
+    CAPTURE(line);
+    auto harness = front_harness();
+    harness.AddClosingEndpoint(
+        "a",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "b\r\ndata: one\n\n\r\n0\r\n" +
+            std::string(line) + "\r\n\r\n");
+    harness.Configure();
+    CHECK(harness.Send("once", "r").response.status == 502);
+    CHECK(harness.Send("stream", "s").outcome == net::http_outcome::kNoAnswer);
+  }
+}
+
 // Regression: callers got the part of a response that had arrived when its
 // endpoint reset the connection as the whole of it.
 TEST_CASE("a response that is reset while its request is sent is no answer") {
--- a/source/unit_tests/gateway/attempt_runner_test.cc
+++ b/source/unit_tests/gateway/attempt_runner_test.cc
@@ -128,6 +128,27 @@
   context.stop();
 }
 
+// Regression: a line that begins with a blank was joined to the field before
+// it.
+TEST_CASE_FIXTURE(runner_fixture,
+                  "a response with a malformed line in its head is none") {
+  for (const auto* line : {"B b: c", "B\x01: c", " B: c"}) {
+    CAPTURE(line);
+    for (const auto is_chat : {false, true}) {
+      CAPTURE(is_chat);
+      const auto port = StartRepeatingEndpoint(context, [line] {
+        const auto body = Chunk("a") + "data: [DONE]\n\n";
+        return "HTTP/1.1 200 OK\r\nA: a\r\n" + std::string(line) +
+               "\r\nContent-Length: " + std::to_string(body.size()) +
+               "\r\n\r\n" + body;
+      });
+      CHECK(Run(port, is_chat).outcome == attempt_outcome::kUnknown);
+      CHECK(output.empty());
+    }
+  }
+  context.stop();
+}
+
 // Regression: the part that had arrived was taken for the whole response.
 TEST_CASE_FIXTURE(runner_fixture,
                   "a response that is reset during the upload is none") {
--- a/source/unit_tests/net/http_response_test.cc
+++ b/source/unit_tests/net/http_response_test.cc
@@ -22,11 +22,15 @@
 using tcp = asio::ip::tcp;
 
 // Sends the same bytes in response to each request and closes the connection.
+// The client reads them in two parts if there is a place to split them at.
 class closing_server {
  public:
-  closing_server(asio::io_context& context, std::string response)
+  closing_server(asio::io_context& context,
+                 std::string response,
+                 std::size_t split_at = 0)
       : acceptor_(context, {asio::ip::address_v4::loopback(), 0}),
-        response_(std::move(response)) {
+        response_(std::move(response)),
+        split_at_(split_at) {
     asio::co_spawn(context, Serve(), asio::detached);
   }
 
@@ -42,20 +46,31 @@
       auto request = std::string{};
       co_await asio::async_read_until(socket, asio::dynamic_buffer(request),
                                       "\r\n\r\n", kAsTuple);
-      co_await asio::async_write(socket, asio::buffer(response_), kAsTuple);
+      if (split_at_ > 0) {
+        socket.set_option(tcp::no_delay(true));
+        co_await asio::async_write(
+            socket, asio::buffer(response_.data(), split_at_), kAsTuple);
+        auto timer = asio::steady_timer(socket.get_executor(),
+                                        std::chrono::milliseconds(1));
+        co_await timer.async_wait(kAsTuple);
+      }
+      co_await asio::async_write(socket, asio::buffer(response_) + split_at_,
+                                 kAsTuple);
     }
   }
 
   tcp::acceptor acceptor_;
   std::string response_;
+  std::size_t split_at_;
 };
 
 // Returns the outcome of a request to a server that sends these bytes and
 // closes the connection.
 auto OutcomeOfClosedResponse(const std::string& response,
-                             const http_options& options = {}) -> http_outcome {
+                             const http_options& options = {},
+                             std::size_t split_at = 0) -> http_outcome {
   auto context = asio::io_context{};
-  const auto server = closing_server(context, response);
+  const auto server = closing_server(context, response, split_at);
   auto client = http_client(context);
   auto result = http_result{};
   RunUntilDone(context, [&]() -> asio::awaitable<void> {
@@ -101,6 +116,24 @@
   return head + "\r\n" + body;
 }
 
+// Responses with a line, which has no end, as a part of their heads or of a
+// trailer.
+auto ResponsesWithLine(const std::string& line) -> std::vector<std::string> {
+  auto responses = std::vector<std::string>{};
+  for (const auto framing : {body_framing::kLength, body_framing::kChunks,
+                             body_framing::kConnection}) {
+    const auto whole =
+        Framed(framing, "HTTP/1.1 200 OK\r\nA: a\r\n" + line + "\r\n", "bytes");
+    responses.push_back(whole);
+    if (framing == body_framing::kChunks) {
+      const auto head = Framed(framing, "HTTP/1.1 200 OK\r\n", "bytes");
+      responses.push_back(head.substr(0, head.size() - 2) + "A: a\r\n" + line +
+                          "\r\n\r\n");
+    }
+  }
+  return responses;
+}
+
 }  // namespace
 
 TEST_CASE("a stream that ends inside an event is incomplete") {
@@ -195,6 +228,65 @@
   }
 }
 
+TEST_CASE("a response with a field in its head and trailer is complete") {
+  for (const auto& response : ResponsesWithLine("B: b")) {
+    CAPTURE(response);
+    CHECK(OutcomeOfClosedResponse(response) == http_outcome::kAnswered);
+  }
+}
+
+// Guards against passing such a line on.
+TEST_CASE("a blank or a control byte in a field name is an error") {
+  for (const auto byte : {' ', '\t', '\0', '\x01', '\v', '\r', '\n', '\x7f'}) {
+    CAPTURE(static_cast<int>(byte));
+    const auto bad = std::string(1, byte);
+    for (const auto& name : {bad + "Bb", "B" + bad + "b", "Bb" + bad}) {
+      CAPTURE(name);
+      for (const auto& response : ResponsesWithLine(name + ": b")) {
+        CHECK(OutcomeOfClosedResponse(response) == http_outcome::kNoAnswer);
+      }
+    }
+  }
+}
+
+// Regression: such a line was joined to the field before it, which changed the
+// value of that field, and a length in it was lost.
+TEST_CASE("a line that begins with a blank is an error") {
+  for (const auto* line :
+       {" Content-Length: 2", "\tContent-Length: 2", " B: b", " b", " ",
+        "B:\r\n b", "B: b\r\n\t", "B: b\r\n  c\r\nC: c"}) {
+    CAPTURE(line);
+    for (const auto& response : ResponsesWithLine(line)) {
+      CAPTURE(response);
+      CHECK(OutcomeOfClosedResponse(response) == http_outcome::kNoAnswer);
+    }
+  }
+  CHECK(OutcomeOfClosedResponse("HTTP/1.1 200 OK\r\n A: a\r\n\r\nbytes") ==
+        http_outcome::kNoAnswer);
+}
+
+TEST_CASE("a line that begins with a blank is found wherever a read ends") {
+  for (const auto& response : ResponsesWithLine(" b")) {
+    for (auto size = std::size_t{1}; size < response.size(); ++size) {
+      CAPTURE(response);
+      CAPTURE(size);
+      CHECK(OutcomeOfClosedResponse(response, {}, size) ==
+            http_outcome::kNoAnswer);
+    }
+  }
+}
+
+// A body may hold what is malformed in a head.
+TEST_CASE("lines of a body may begin with a blank") {
+  for (const auto framing : {body_framing::kLength, body_framing::kChunks,
+                             body_framing::kConnection}) {
+    CAPTURE(FramingName(framing));
+    CHECK(OutcomeOfClosedResponse(Framed(framing, "HTTP/1.1 200 OK\r\n",
+                                         "one\r\n two\r\n\tthree\r\n ")) ==
+          http_outcome::kAnswered);
+  }
+}
+
 // Regression: the write of the request took the error of the reset, and the
 // response seemed to end with a close of the connection.
 TEST_CASE("a response that is reset while its request is sent is incomplete") {
