net: a response that ends before its request has arrived is incomplete

What callers saw: as in "a response that is reset during the upload is incomplete", where the endpoint's system sends a FIN before the reset. A process that closes a connection after it has read all that had arrived does that: the rest of the upload then meets a closed socket and is reset. Change: a body that ends with its connection is whole once the server's system has acknowledged the whole request; the client asks the kernel (SIOCOUTQ, TCP_INFO), and waits where the request is still under way and the connection sound. An endpoint that closes its direction and reads the upload to its end is passed on as before. Where the system doesn't tell, a request counts as received once it was written. Responses with a length or chunks, and refusals that say in their head that nothing ran, are not touched; ordinary requests have been acknowledged when the response ends, which costs two system calls.

--- a/source/core/net/http_client.cc
+++ b/source/core/net/http_client.cc
@@ -122,8 +122,7 @@
     for (auto skipped = 0; skipped <= kMaxSkippedResponses; ++skipped) {
       const auto follows_others = is_kept_ || skipped > 0;
       auto& reader = reader_.emplace(options_.max_body_bytes);
-      connection_->stream.expires_at(read_until_);
-      const auto error = co_await reader.ReadHead(*connection_);
+      const auto error = co_await reader.ReadHead(*connection_, read_until_);
       if (error) {
         ReportIfOversized(error);
         co_return error;
@@ -198,9 +197,8 @@
         break;
       }
       auto space = std::array<char, kPartBytes>{};
-      connection_->stream.expires_at(
-          std::min(now + options_.idle_timeout, read_until_));
-      const auto read = co_await reader_->ReadBody(*connection_, space);
+      const auto until = std::min(now + options_.idle_timeout, read_until_);
+      const auto read = co_await reader_->ReadBody(*connection_, space, until);
       if (read.error) {
         has_failed_ = true;
         ReportIfOversized(read.error);
--- a/source/core/net/http_connection_pool.cc
+++ b/source/core/net/http_connection_pool.cc
@@ -1,5 +1,9 @@
 #include "net/http_connection_pool.h"
 
+#include <linux/sockios.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <boost/asio.hpp>
@@ -28,6 +32,27 @@
 
 }  // namespace
 
+auto pooled_connection::Delivery() -> request_delivery {
+  if (write_error || !stream.socket().is_open()) {
+    return request_delivery::kFailed;
+  }
+  if (!is_written) {
+    return request_delivery::kUnderWay;
+  }
+  const auto socket = stream.socket().native_handle();
+  auto unacknowledged_bytes = int{0};
+  auto info = tcp_info{};
+  auto info_size = socklen_t{sizeof(info)};
+  const auto is_known =
+      ::ioctl(socket, SIOCOUTQ, &unacknowledged_bytes) == 0 &&
+      ::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &info_size) == 0;
+  if (!is_known || unacknowledged_bytes == 0) {
+    return request_delivery::kReceived;
+  }
+  return info.tcpi_state == TCP_CLOSE ? request_delivery::kFailed
+                                      : request_delivery::kUnderWay;
+}
+
 auto IsCancelled(const http_options& options) -> bool {
   return options.cancellation != nullptr && options.cancellation->IsCancelled();
 }
--- a/source/core/net/http_connection_pool.h
+++ b/source/core/net/http_connection_pool.h
@@ -20,6 +20,15 @@
 
 namespace daisywind::net {
 
+// How far a request has come that was written to a connection.
+enum class request_delivery : std::uint8_t {
+  kUnderWay,
+  // The server's system has acknowledged all of it.
+  kReceived,
+  // The connection broke before that.
+  kFailed,
+};
+
 // One connection. A write may still be in progress when the response arrives.
 struct pooled_connection {
   explicit pooled_connection(boost::asio::io_context& context)
@@ -31,6 +40,10 @@
     stream.close();
   }
 
+  // How far the last request has come. On systems that do not tell what was
+  // acknowledged, a request counts as received once they have taken all of it.
+  [[nodiscard]] auto Delivery() -> request_delivery;
+
   boost::beast::tcp_stream stream;
   boost::beast::flat_buffer buffer{kMaxParserBytes};
   std::string outgoing;
--- a/source/core/net/response_reader.cc
+++ b/source/core/net/response_reader.cc
@@ -3,9 +3,12 @@
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <chrono>
 #include <string>
 #include <string_view>
 
+#include "common/time.h"
+
 namespace daisywind::net {
 namespace {
 
@@ -16,14 +19,29 @@
 constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
 constexpr auto kMaxReadBytes = std::size_t{64} * 1024;
 
-// The error that broke a connection whose stream has ended, or none if the
-// server closed it. The kernel reports an error to one call only: if a write
-// was under way, reads see nothing but the end. Broken pipe is no such error,
-// since a write gets it after the server has closed its direction.
-auto ErrorBehindEnd(const pooled_connection& connection) -> beast::error_code {
-  return connection.write_error == asio::error::broken_pipe
-             ? beast::error_code{}
-             : connection.write_error;
+// How often a response that has ended looks whether its request has arrived.
+constexpr auto kDeliveryPollInterval = duration(5ms);
+
+// Waits until the server has received the whole request. The end of the stream
+// alone does not show that the server has closed the connection in order: the
+// kernel reports a reset to one call only, which may be the write of the
+// request.
+auto WaitForDelivery(pooled_connection& connection,
+                     response_reader::time_point until)
+    -> asio::awaitable<beast::error_code> {
+  auto timer = asio::steady_timer(connection.stream.get_executor());
+  auto delivery = connection.Delivery();
+  while (delivery == request_delivery::kUnderWay) {
+    if (std::chrono::steady_clock::now() >= until) {
+      co_return beast::error::timeout;
+    }
+    timer.expires_after(kDeliveryPollInterval);
+    co_await timer.async_wait(kAsTuple);
+    delivery = connection.Delivery();
+  }
+  co_return delivery == request_delivery::kReceived
+      ? beast::error_code{}
+      : asio::error::connection_reset;
 }
 
 // Whether a line of a head or trailer begins with a blank. The parser joins
@@ -39,18 +57,19 @@
   parser_.body_limit(max_body_bytes);
 }
 
-auto response_reader::ReadHead(pooled_connection& connection)
+auto response_reader::ReadHead(pooled_connection& connection, time_point until)
     -> asio::awaitable<beast::error_code> {
-  co_return co_await ReadStep(connection);
+  co_return co_await ReadStep(connection, until);
 }
 
 auto response_reader::ReadBody(pooled_connection& connection,
-                               std::span<char> space)
+                               std::span<char> space,
+                               time_point until)
     -> asio::awaitable<body_bytes> {
   auto& body = parser_.get().body();
   body.data = space.data();
   body.size = space.size();
-  auto error = co_await ReadStep(connection);
+  auto error = co_await ReadStep(connection, until);
   if (error == http::error::need_buffer) {
     error = {};
   }
@@ -75,7 +94,7 @@
   return parser_.need_eof() ? body_framing::kConnection : body_framing::kLength;
 }
 
-auto response_reader::ReadStep(pooled_connection& connection)
+auto response_reader::ReadStep(pooled_connection& connection, time_point until)
     -> asio::awaitable<beast::error_code> {
   while (true) {
     const auto error = Parse(connection);
@@ -87,11 +106,12 @@
       co_return http::error::buffer_overflow;
     }
     const auto free = connection.buffer.prepare(space);
+    connection.stream.expires_at(until);
     const auto [read_error, size] =
         co_await connection.stream.async_read_some(free, kAsTuple);
     connection.buffer.commit(size);
     if (read_error == asio::error::eof) {
-      co_return OnEndOfStream(connection);
+      co_return co_await ReadEnd(connection, until);
     }
     if (read_error) {
       co_return read_error;
@@ -119,16 +139,19 @@
   return error;
 }
 
-auto response_reader::OnEndOfStream(const pooled_connection& connection)
-    -> beast::error_code {
+auto response_reader::ReadEnd(pooled_connection& connection, time_point until)
+    -> asio::awaitable<beast::error_code> {
   if (!parser_.got_some()) {
-    return http::error::end_of_stream;
+    co_return http::error::end_of_stream;
+  }
+  auto error = beast::error_code{};
+  if (parser_.need_eof()) {
+    error = co_await WaitForDelivery(connection, until);
   }
-  auto error = ErrorBehindEnd(connection);
   if (!error) {
     parser_.put_eof(error);
   }
-  return error;
+  co_return error;
 }
 
 }  // namespace daisywind::net
--- a/source/core/net/response_reader.h
+++ b/source/core/net/response_reader.h
@@ -6,6 +6,7 @@
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <chrono>
 #include <cstddef>
 #include <span>
 
@@ -22,18 +23,24 @@
   // A longer body is an error.
   explicit response_reader(std::size_t max_body_bytes);
 
-  // Reads the head. Waits until the time set for the connection's stream.
-  auto ReadHead(pooled_connection& connection)
+  using time_point = std::chrono::steady_clock::time_point;
+
+  // Reads the head. Fails if it has not arrived at a time.
+  auto ReadHead(pooled_connection& connection, time_point until)
       -> boost::asio::awaitable<boost::beast::error_code>;
 
   // Reads bytes of the body into `space`. Returns how many, which is zero after
-  // a step without data, such as the line of a chunk. Waits like ReadHead.
+  // a step without data, such as the line of a chunk. Fails if nothing has
+  // arrived at a time. A body that ends with its connection is done only when
+  // the server has received the whole request: one that gives up in the middle
+  // of both looks the same up to then.
   struct body_bytes {
     boost::beast::error_code error;
     std::size_t size = 0;
   };
-  auto ReadBody(pooled_connection& connection, std::span<char> space)
-      -> boost::asio::awaitable<body_bytes>;
+  auto ReadBody(pooled_connection& connection,
+                std::span<char> space,
+                time_point until) -> boost::asio::awaitable<body_bytes>;
 
   // The head, without a body.
   [[nodiscard]] auto Head() const -> http_response;
@@ -47,11 +54,12 @@
 
  private:
   // Lets the parser take its next step, the head or a part of the body.
-  auto ReadStep(pooled_connection& connection)
+  auto ReadStep(pooled_connection& connection, time_point until)
       -> boost::asio::awaitable<boost::beast::error_code>;
   auto Parse(pooled_connection& connection) -> boost::beast::error_code;
-  auto OnEndOfStream(const pooled_connection& connection)
-      -> boost::beast::error_code;
+  // Ends the response where the server has closed its direction.
+  auto ReadEnd(pooled_connection& connection, time_point until)
+      -> boost::asio::awaitable<boost::beast::error_code>;
 
   boost::beast::http::response_parser<boost::beast::http::buffer_body> parser_;
 };
--- a/source/testing/early_endpoint.h
+++ b/source/testing/early_endpoint.h
@@ -2,6 +2,7 @@
 #ifndef DAISYWIND_TESTING_EARLY_ENDPOINT_H_
 #define DAISYWIND_TESTING_EARLY_ENDPOINT_H_
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <compare>
@@ -10,8 +11,8 @@
 
 namespace daisywind::testing {
 
-// What an endpoint does with a connection after its response. It has read the
-// head of the request and nothing of the body that did not arrive with it.
+// What an endpoint does with a connection after its response, when it has read
+// the head of the request and what came with it.
 enum class connection_end : std::uint8_t {
   // Discards what is unsent and resets the connection.
   kReset,
@@ -23,6 +24,11 @@
   kCloseOwnDirectionThenReset,
 };
 
+// The ends before which the endpoint has not got the whole of a long request.
+inline constexpr auto kEarlyEnds =
+    std::array{connection_end::kReset, connection_end::kCloseUnread,
+               connection_end::kCloseOwnDirectionThenReset};
+
 // The name of an end in the output of a test.
 auto EndName(connection_end end) -> std::string;
 
