net_test: statuses with more or fewer digits

Cause: a status that is none had tests for three digits only. Change: the test of statuses outside 100 to 599 has statuses with one, two and four digits, a sign, a blank and none.

--- a/source/unit_tests/net/http_response_test.cc
+++ b/source/unit_tests/net/http_response_test.cc
@@ -182,7 +182,8 @@
 // Guards against passing a status on that is none: an endpoint in trouble sends
 // 000.
 TEST_CASE("a status outside 100 to 599 is no answer") {
-  for (const auto* status : {"000", "001", "099", "600", "999"}) {
+  for (const auto* status : {"000", "001", "099", "600", "999", "0", "20",
+                             "2000", "+20", "2 0", ""}) {
     CAPTURE(status);
     const auto head = std::string("HTTP/1.1 ") + status + " X\r\n";
     for (const auto framing : {body_framing::kLength, body_framing::kChunks,
