net: read the changes of broken answers again

Cause: a doc comment stood before a type instead of its function, a result type had no comparison, a test passed braced temporaries inside co_await, and "blank" is not the usual term. Behaviour is the same and no check is touched.

--- a/source/core/net/http_client.h
+++ b/source/core/net/http_client.h
@@ -125,7 +125,8 @@
   // True when the complete body was read. A stream of server-sent events that
   // ends inside an event is incomplete, whatever its framing says: a body that
   // ends with its connection shows no other sign of a server that broke it off.
-  // Such a body without any event is incomplete as well.
+  // Such a body without any event is incomplete as well, and any such body
+  // whose server has not received the whole request.
   [[nodiscard]] virtual auto IsComplete() const -> bool = 0;
 
   // What marks the end of the body.
--- a/source/core/net/response_reader.cc
+++ b/source/core/net/response_reader.cc
@@ -19,13 +19,11 @@
 constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
 constexpr auto kMaxReadBytes = std::size_t{64} * 1024;
 
-// How often a response that has ended looks whether its request has arrived.
 constexpr auto kDeliveryPollInterval = duration(5ms);
 
-// Waits until the server has received the whole request. The end of the stream
-// alone does not show that the server has closed the connection in order: the
-// kernel reports a reset to one call only, which may be the write of the
-// request.
+// Waits until the server has received the whole request. A read that returns
+// the end of the stream does not rule out a reset: the kernel reports that to
+// one call only, which may be the write of the request.
 auto WaitForDelivery(pooled_connection& connection,
                      response_reader::time_point until)
     -> asio::awaitable<beast::error_code> {
@@ -44,7 +42,7 @@
       : asio::error::connection_reset;
 }
 
-// Whether a line of a head or trailer begins with a blank. The parser joins
+// Whether a line of a head or trailer begins with whitespace. The parser joins
 // such a line to the value of the field before it.
 auto HasFoldedLine(std::string_view lines) -> bool {
   return lines.find("\n ") != std::string_view::npos ||
@@ -64,8 +62,7 @@
 
 auto response_reader::ReadBody(pooled_connection& connection,
                                std::span<char> space,
-                               time_point until)
-    -> asio::awaitable<body_bytes> {
+                               time_point until) -> asio::awaitable<body_read> {
   auto& body = parser_.get().body();
   body.data = space.data();
   body.size = space.size();
@@ -73,7 +70,7 @@
   if (error == http::error::need_buffer) {
     error = {};
   }
-  co_return body_bytes{error, space.size() - body.size};
+  co_return body_read{error, space.size() - body.size};
 }
 
 auto response_reader::Head() const -> http_response {
--- a/source/core/net/response_reader.h
+++ b/source/core/net/response_reader.h
@@ -15,32 +15,36 @@
 
 namespace daisywind::net {
 
+// What a read of a body has given.
+struct body_read {
+  boost::beast::error_code error;
+  // Zero after a step without data, such as the line of a chunk.
+  std::size_t size = 0;
+
+  auto operator==(const body_read&) const -> bool = default;
+};
+
 // Reads one response: its head, and then its body until it is done. No read may
-// follow an error. A line of a head or trailer that begins with a blank is one:
-// RFC 9112 (5.2) lets a gateway reject a message with such a line.
+// follow an error. A line of a head or trailer that begins with whitespace is
+// one: RFC 9112 (5.2) lets a gateway reject a message with such a line.
 class response_reader {
  public:
+  using time_point = std::chrono::steady_clock::time_point;
+
   // A longer body is an error.
   explicit response_reader(std::size_t max_body_bytes);
 
-  using time_point = std::chrono::steady_clock::time_point;
-
-  // Reads the head. Fails if it has not arrived at a time.
+  // Reads the head. Fails if nothing more of it has arrived by `until`.
   auto ReadHead(pooled_connection& connection, time_point until)
       -> boost::asio::awaitable<boost::beast::error_code>;
 
-  // Reads bytes of the body into `space`. Returns how many, which is zero after
-  // a step without data, such as the line of a chunk. Fails if nothing has
-  // arrived at a time. A body that ends with its connection is done only when
-  // the server has received the whole request: one that gives up in the middle
-  // of both looks the same up to then.
-  struct body_bytes {
-    boost::beast::error_code error;
-    std::size_t size = 0;
-  };
+  // Reads bytes of the body into `space`. Fails if none have arrived by
+  // `until`. A body that ends with its connection is done only when the server
+  // has received the whole request: up to then, the end may be that of a server
+  // that has given up.
   auto ReadBody(pooled_connection& connection,
                 std::span<char> space,
-                time_point until) -> boost::asio::awaitable<body_bytes>;
+                time_point until) -> boost::asio::awaitable<body_read>;
 
   // The head, without a body.
   [[nodiscard]] auto Head() const -> http_response;
--- a/source/unit_tests/front/faulty_response_test.cc
+++ b/source/unit_tests/front/faulty_response_test.cc
@@ -198,7 +198,7 @@
   }
 }
 
-// Regression: a line that begins with a blank was joined to the field before
+// Regression: a line that begins with whitespace was joined to the field before
 // it.
 TEST_CASE("a response with a malformed line in its head is no answer") {
   for (const auto& head : MalformedHeads()) {
--- a/source/unit_tests/gateway/attempt_runner_test.cc
+++ b/source/unit_tests/gateway/attempt_runner_test.cc
@@ -128,7 +128,7 @@
   context.stop();
 }
 
-// Regression: a line that begins with a blank was joined to the field before
+// Regression: a line that begins with whitespace was joined to the field before
 // it.
 TEST_CASE_FIXTURE(runner_fixture,
                   "a response with a malformed line in its head is none") {
--- a/source/unit_tests/net/http_response_test.cc
+++ b/source/unit_tests/net/http_response_test.cc
@@ -86,17 +86,19 @@
 constexpr auto kLongUploads =
     std::array{std::size_t{1} << 20U, std::size_t{16} << 20U};
 
-// Returns the outcome of a request with a body to an early endpoint.
-auto OutcomeOfUpload(testing::early_response response, std::size_t upload_bytes)
+// Sends a request with a body to an early endpoint.
+auto Upload(testing::early_response response, std::size_t upload_bytes)
     -> http_result {
   auto context = asio::io_context{};
   const auto port = testing::StartEarlyEndpoint(context, std::move(response));
+  const auto address = socket_address{"127.0.0.1", port};
+  const auto request =
+      http_request{"POST", "/", {}, std::string(upload_bytes, 'x')};
+  const auto options = http_options{};
   auto client = http_client(context);
   auto result = http_result{};
   RunUntilDone(context, [&]() -> asio::awaitable<void> {
-    result = co_await client.Send(
-        {"127.0.0.1", port}, {"POST", "/", {}, std::string(upload_bytes, 'x')},
-        {});
+    result = co_await client.Send(address, request, options);
   }());
   return result;
 }
@@ -240,7 +242,7 @@
 }
 
 // Guards against passing such a line on.
-TEST_CASE("a blank or a control byte in a field name is an error") {
+TEST_CASE("whitespace or a control byte in a field name is an error") {
   for (const auto byte : {' ', '\t', '\0', '\x01', '\v', '\r', '\n', '\x7f'}) {
     CAPTURE(static_cast<int>(byte));
     const auto bad = std::string(1, byte);
@@ -255,7 +257,7 @@
 
 // Regression: such a line was joined to the field before it, which changed the
 // value of that field, and a length in it was lost.
-TEST_CASE("a line that begins with a blank is an error") {
+TEST_CASE("a line that begins with whitespace is an error") {
   for (const auto* line :
        {" Content-Length: 2", "\tContent-Length: 2", " B: b", " b", " ",
         "B:\r\n b", "B: b\r\n\t", "B: b\r\n  c\r\nC: c"}) {
@@ -269,7 +271,7 @@
         http_outcome::kNoAnswer);
 }
 
-TEST_CASE("a line that begins with a blank is found wherever a read ends") {
+TEST_CASE("a line that begins with whitespace is found wherever a read ends") {
   for (const auto& response : ResponsesWithLine(" b")) {
     for (auto size = std::size_t{1}; size < response.size(); ++size) {
       CAPTURE(response);
@@ -281,7 +283,7 @@
 }
 
 // A body may hold what is malformed in a head.
-TEST_CASE("lines of a body may begin with a blank") {
+TEST_CASE("lines of a body may begin with whitespace") {
   for (const auto framing : {body_framing::kLength, body_framing::kChunks,
                              body_framing::kConnection}) {
     CAPTURE(FramingName(framing));
@@ -312,8 +314,7 @@
           CAPTURE(testing::EndName(end));
           CAPTURE(pause);
           CAPTURE(size);
-          CHECK(OutcomeOfUpload(
-                    {response, end, std::chrono::milliseconds(pause)}, size)
+          CHECK(Upload({response, end, std::chrono::milliseconds(pause)}, size)
                     .outcome == http_outcome::kNoAnswer);
         }
       }
@@ -327,11 +328,10 @@
     for (const auto size : kLongUploads) {
       CAPTURE(pause);
       CAPTURE(size);
-      const auto result =
-          OutcomeOfUpload({"HTTP/1.1 200 OK\r\n\r\n" + body,
-                           testing::connection_end::kCloseOwnDirection,
-                           std::chrono::milliseconds(pause)},
-                          size);
+      const auto result = Upload({"HTTP/1.1 200 OK\r\n\r\n" + body,
+                                  testing::connection_end::kCloseOwnDirection,
+                                  std::chrono::milliseconds(pause)},
+                                 size);
       CHECK(result.outcome == http_outcome::kAnswered);
       CHECK(result.response.body == body);
     }
@@ -346,12 +346,11 @@
       CAPTURE(size);
       const auto end = testing::connection_end::kCloseUnread;
       const auto whole = Framed(framing, "HTTP/1.1 200 OK\r\n", "bytes");
-      const auto result = OutcomeOfUpload({whole, end, 30ms}, size);
+      const auto result = Upload({whole, end, 30ms}, size);
       CHECK(result.outcome == http_outcome::kAnswered);
       CHECK(result.response.body == "bytes");
-      CHECK(
-          OutcomeOfUpload({whole.substr(0, whole.size() - 1), end, 30ms}, size)
-              .outcome == http_outcome::kNoAnswer);
+      CHECK(Upload({whole.substr(0, whole.size() - 1), end, 30ms}, size)
+                .outcome == http_outcome::kNoAnswer);
     }
   }
 }
