net: a failed write is a flag again

Cause: the first fix of broken answers compared the error of a write; since the client asks whether the request was received, only whether there was one counts. Change: has_write_failed is back in the place of write_error. Behaviour is the same.

--- a/source/core/net/http_client.cc
+++ b/source/core/net/http_client.cc
@@ -304,14 +304,14 @@
   connection->outgoing = std::move(request);
   connection->bytes_written = 0;
   connection->is_written = false;
-  connection->write_error = {};
+  connection->has_write_failed = false;
   connection->stream.expires_after(timeout);
   asio::async_write(
       connection->stream, asio::buffer(connection->outgoing),
       [connection](const beast::error_code& error, std::size_t size) {
         connection->bytes_written += size;
         connection->is_written = !error;
-        connection->write_error = error;
+        connection->has_write_failed = error.failed();
         FreeMemory(connection->outgoing);
       });
 }
@@ -367,7 +367,7 @@
                             std::move(options));
   }
   const auto is_unsent =
-      connection->write_error && connection->bytes_written == 0;
+      connection->has_write_failed && connection->bytes_written == 0;
   co_return http_stream_result{
       is_unsent ? http_outcome::kNotSent : http_outcome::kNoAnswer,
       {},
--- a/source/core/net/http_connection_pool.cc
+++ b/source/core/net/http_connection_pool.cc
@@ -33,7 +33,7 @@
 }  // namespace
 
 auto pooled_connection::Delivery() -> request_delivery {
-  if (write_error || !stream.socket().is_open()) {
+  if (has_write_failed || !stream.socket().is_open()) {
     return request_delivery::kFailed;
   }
   if (!is_written) {
--- a/source/core/net/http_connection_pool.h
+++ b/source/core/net/http_connection_pool.h
@@ -49,8 +49,7 @@
   std::string outgoing;
   std::size_t bytes_written = 0;
   bool is_written = true;
-  // Why the last write failed, if it did.
-  boost::beast::error_code write_error;
+  bool has_write_failed = false;
   // Whether a request was sent on it.
   bool is_used = false;
   std::chrono::steady_clock::time_point idle_since;
