front_test: one server that answers and closes

Cause: the harness had a server of its own that reads a head, answers and closes, which early_endpoint does as well. Change: AddClosingEndpoint starts an early endpoint. No check is touched.

--- a/source/unit_tests/front/faulty_response_test.cc
+++ b/source/unit_tests/front/faulty_response_test.cc
@@ -6,7 +6,6 @@
 #include <cstddef>
 #include <memory>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "front_harness.h"
--- a/source/unit_tests/front/front_harness.cc
+++ b/source/unit_tests/front/front_harness.cc
@@ -20,18 +20,6 @@
 constexpr auto kStepTimeout = std::chrono::seconds(30);
 constexpr auto kTestTimeout = duration(1500ms);
 
-auto SendAndClose(asio::ip::tcp::acceptor acceptor, std::string response)
-    -> asio::awaitable<void> {
-  constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
-  while (true) {
-    auto socket = co_await acceptor.async_accept(asio::use_awaitable);
-    auto request = std::string{};
-    co_await asio::async_read_until(socket, asio::dynamic_buffer(request),
-                                    "\r\n\r\n", kAsTuple);
-    co_await asio::async_write(socket, asio::buffer(response), kAsTuple);
-  }
-}
-
 auto ServeRaw(asio::ip::tcp::socket socket,
               int connection,
               std::shared_ptr<front_harness::response_writer> writer)
@@ -302,13 +290,9 @@
 
 auto front_harness::AddClosingEndpoint(const std::string& id,
                                        std::string response) -> void {
-  auto acceptor =
-      asio::ip::tcp::acceptor(context, {asio::ip::address_v4::loopback(), 0});
-  const auto port = acceptor.local_endpoint().port();
-  asio::co_spawn(context,
-                 SendAndClose(std::move(acceptor), std::move(response)),
-                 asio::detached);
-  Register(id, port);
+  // Nothing of a request without a body is left unread.
+  AddEarlyEndpoint(
+      id, {std::move(response), testing::connection_end::kCloseUnread});
 }
 
 auto front_harness::AddRawEndpoint(const std::string& id,
