--- a/source/core/history_client/member_client.cc
+++ b/source/core/history_client/member_client.cc
@@ -54,10 +54,16 @@
         self->OnClose();
       }
     };
+    bytes_on_earlier_channels = ReceivedBytes();
     channel = std::make_shared<net::frame_channel>(
         context, address, net::channel_options{}, std::move(handlers));
   }
 
+  auto ReceivedBytes() const -> std::uint64_t {
+    return bytes_on_earlier_channels +
+           (channel != nullptr ? channel->ReceivedBytes() : 0);
+  }
+
   auto OnFrame(std::string_view frame) -> void {
     ++frames_received;
     auto reply = DecodeMessage(frame);
@@ -109,12 +115,12 @@
   auto IsReceiving(const pending_request& item) const -> bool {
     return item.max_silence && item.extensions < kMaxExtensions &&
            channel != nullptr && channel->IsOpen() &&
-           channel->ReceivedBytes() > item.bytes_before;
+           ReceivedBytes() > item.bytes_before;
   }
 
   auto StartTimer(std::uint64_t id, duration timeout) -> void {
     const auto& item = pending.at(id);
-    item->bytes_before = channel != nullptr ? channel->ReceivedBytes() : 0;
+    item->bytes_before = ReceivedBytes();
     item->timer.expires_after(timeout);
     item->timer.async_wait(
         [weak = weak_from_this(), id](const boost::system::error_code& error) {
@@ -181,6 +187,7 @@
   }
 
   auto CloseConnection() -> void {
+    bytes_on_earlier_channels = ReceivedBytes();
     const auto old = std::exchange(channel, nullptr);
     if (old != nullptr) {
       old->Close();
@@ -201,6 +208,7 @@
   std::map<std::uint64_t, std::shared_ptr<pending_request>> pending;
   std::uint64_t last_id = 0;
   std::uint64_t frames_received = 0;
+  std::uint64_t bytes_on_earlier_channels = 0;
   std::uint32_t failures = 0;
 };
 
@@ -242,6 +250,10 @@
   return state_->failures;
 }
 
+auto member_client::ReceivedBytes() const -> std::uint64_t {
+  return state_->ReceivedBytes();
+}
+
 auto member_clients::ClientFor(const std::string& address)
     -> std::shared_ptr<member_client> {
   auto& client = clients_[address];
--- a/source/core/history_client/member_client.h
+++ b/source/core/history_client/member_client.h
@@ -53,6 +53,9 @@
   // Number of timeouts and connection failures since the last reply.
   [[nodiscard]] auto failures() const -> std::uint32_t;
 
+  // Number of bytes received, also in replies that came too late.
+  [[nodiscard]] auto ReceivedBytes() const -> std::uint64_t;
+
  private:
   std::shared_ptr<state> state_;
 };
--- a/source/core/history_client/mirrored_store.cc
+++ b/source/core/history_client/mirrored_store.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio.hpp>
+#include <cstdint>
 #include <utility>
 
 #include "common/log_values.h"
@@ -195,6 +196,7 @@
     -> asio::awaitable<std::optional<kv::change_list>> {
   const auto sent_at = Now();
   const auto client = clients_.ClientFor(address);
+  const auto bytes_before = client->ReceivedBytes();
   auto request = copy_request{after, /*wants_changes=*/true};
   const auto reply =
       co_await client->SendAndWait(0, request, options_.request_timeout);
@@ -214,10 +216,14 @@
     (is_served ? served_at_ : outdated_at_) = Now();
   }
   if (!is_served) {
-    Log(log_events::kMirrorUnused, {{"journal", std::string_view(address)},
-                                    {"is_answered", received != nullptr},
-                                    {"store_age_ms", Milliseconds(age)},
-                                    {"is_proven", is_proven}});
+    Log(log_events::kMirrorUnused,
+        {{"journal", std::string_view(address)},
+         {"is_answered", received != nullptr},
+         {"took_ms", Milliseconds(Now() - sent_at)},
+         {"bytes",
+          static_cast<std::int64_t>(client->ReceivedBytes() - bytes_before)},
+         {"store_age_ms", Milliseconds(age)},
+         {"is_proven", is_proven}});
     co_return std::nullopt;
   }
   co_return ChangesFrom(*received, after, as_of);
