--- a/source/core/history/messages.h
+++ b/source/core/history/messages.h
@@ -182,10 +182,27 @@
   // Whether the sender takes what has changed since then in place of a whole
   // copy.
   bool wants_changes = false;
+  // Whether the sender takes compressed values; false from senders of earlier
+  // versions.
+  bool takes_deflated = false;
+  // Whether the sender only asks for the revision of the receiver's copy.
+  // Receivers of earlier versions send the copy as well.
+  bool wants_revision = false;
 
   auto operator<=>(const copy_request&) const = default;
 };
 
+// A key of the platform's store with its compressed value (see
+// common/deflate.h).
+struct deflated_item {
+  // `value` is the compressed one.
+  kv::key_value item;
+  // Size of the value, in bytes.
+  std::size_t size = 0;
+
+  auto operator<=>(const deflated_item&) const = default;
+};
+
 struct copy_reply {
   // Absent when it is not newer than what the sender knows.
   std::optional<store_copy> copy;
@@ -200,6 +217,12 @@
   // includes: the copy has everything that the store had acknowledged before.
   // Empty when that is not known, and from receivers of earlier versions.
   std::optional<duration> proof_age = std::nullopt;
+  // The rest of the copy's items. The decoder of a received reply adds them to
+  // the copy.
+  std::vector<deflated_item> deflated = {};
+  // The revision of the receiver's copy; zero from receivers of earlier
+  // versions.
+  kv::revision revision_at = 0;
 
   auto operator<=>(const copy_reply&) const = default;
 };
--- a/source/core/history_wire/codec.cc
+++ b/source/core/history_wire/codec.cc
@@ -228,17 +228,23 @@
   auto to = fbs::CopyRequestT{};
   to.known = from.known;
   to.wants_changes = from.wants_changes;
+  to.takes_deflated = from.takes_deflated;
+  to.wants_revision = from.wants_revision;
   return to;
 }
 
 auto FromObject(const fbs::CopyRequestT& from) -> copy_request {
-  return {from.known, from.wants_changes};
+  return {from.known, from.wants_changes, from.takes_deflated,
+          from.wants_revision};
 }
 
 auto ToObject(const copy_reply& from) -> fbs::CopyReplyT {
   auto to = fbs::CopyReplyT{};
   if (from.copy) {
     to.store = Convert(*from.copy);
+    for (const auto& item : from.deflated) {
+      to.store->items.push_back(Convert(item));
+    }
   }
   to.has_only_changes = from.has_only_changes;
   to.removed = from.removed;
@@ -248,12 +254,16 @@
           ? std::chrono::ceil<std::chrono::milliseconds>(*from.proof_age)
                 .count()
           : kNoAge;
+  to.revision = from.revision_at;
   return to;
 }
 
-auto FromObject(const fbs::CopyReplyT& from) -> copy_reply {
+auto FromObject(fbs::CopyReplyT& from) -> std::optional<copy_reply> {
   auto to = copy_reply{};
   if (from.store != nullptr) {
+    if (!InflateItems(*from.store)) {
+      return std::nullopt;
+    }
     to.copy = Convert(*from.store);
   }
   to.has_only_changes = from.has_only_changes;
@@ -264,6 +274,7 @@
   if (from.proof_age_ms >= 0) {
     to.proof_age = std::chrono::milliseconds(from.proof_age_ms);
   }
+  to.revision_at = from.revision;
   return to;
 }
 
--- a/source/core/history_wire/parts.cc
+++ b/source/core/history_wire/parts.cc
@@ -7,6 +7,8 @@
 #include <string>
 #include <utility>
 
+#include "common/deflate.h"
+
 namespace daisywind::history {
 namespace {
 
@@ -149,6 +151,38 @@
   return to;
 }
 
+auto Convert(const deflated_item& from) -> std::unique_ptr<fbs::ItemT> {
+  auto to = std::make_unique<fbs::ItemT>();
+  to->key = from.item.key;
+  to->deflated.assign(from.item.value.begin(), from.item.value.end());
+  to->size = from.size;
+  to->created = from.item.create_revision;
+  to->changed = from.item.mod_revision;
+  return to;
+}
+
+auto InflateItems(fbs::StoreCopyT& copy) -> bool {
+  constexpr auto kMaxBytes = std::uint64_t{16} << 20U;
+  auto left = kMaxBytes;
+  for (const auto& item : copy.items) {
+    if (item->deflated.empty()) {
+      continue;
+    }
+    if (item->size > left) {
+      return false;
+    }
+    left -= item->size;
+    const auto deflated =
+        std::string(item->deflated.begin(), item->deflated.end());
+    auto value = Inflate(deflated, item->size);
+    if (!value) {
+      return false;
+    }
+    item->value = std::move(*value);
+  }
+  return true;
+}
+
 auto Convert(const fbs::StoreCopyT& from) -> store_copy {
   auto to = store_copy{from.revision, {}};
   for (const auto& item : from.items) {
--- a/source/core/history_wire/parts.h
+++ b/source/core/history_wire/parts.h
@@ -30,6 +30,7 @@
 auto Convert(const fbs::ViewT& from) -> view;
 auto Convert(const store_copy& from) -> std::unique_ptr<fbs::StoreCopyT>;
 auto Convert(const fbs::StoreCopyT& from) -> store_copy;
+auto Convert(const deflated_item& from) -> std::unique_ptr<fbs::ItemT>;
 auto Convert(const sender_state& from) -> std::unique_ptr<fbs::SenderT>;
 auto Convert(const fbs::SenderT& from) -> sender_state;
 auto Convert(const std::vector<rate_limit_sample>& from)
@@ -49,6 +50,10 @@
                const std::vector<std::uint16_t>& paces)
     -> std::vector<load_sample>;
 
+// Replaces compressed values by what they contain. Returns false if one is
+// damaged, or if they are larger than a frame may be.
+auto InflateItems(fbs::StoreCopyT& copy) -> bool;
+
 // Reads a fact directly from the buffer, which is faster than unpacking it to
 // an object first.
 auto ReadFact(const fbs::Fact& from) -> turn_fact;
--- a/source/core/journal/store_mirror.h
+++ b/source/core/journal/store_mirror.h
@@ -2,6 +2,7 @@
 #ifndef DAISYWIND_JOURNAL_STORE_MIRROR_H_
 #define DAISYWIND_JOURNAL_STORE_MIRROR_H_
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <string>
@@ -37,11 +38,24 @@
   [[nodiscard]] auto revision_at() const -> kv::revision { return revision_; }
 
  private:
+  // A key, with its compressed value if that is what fits the wire better.
+  struct entry {
+    kv::key_value item;
+    std::optional<std::string> deflated;
+  };
+
+  // Stores a key. A value is compressed once, for all replies.
+  auto Put(const kv::key_value& item) -> void;
   auto DropOldRemovals() -> void;
   // Whether everything that has been removed since a revision is known.
   [[nodiscard]] auto HasRemovalsSince(kv::revision known) const -> bool;
 
-  std::map<std::string, kv::key_value> items_;
+  // Adds the keys that were changed after a revision to a reply.
+  auto AddChangedSince(kv::revision known,
+                       bool takes_deflated,
+                       history::copy_reply& reply) const -> void;
+
+  std::map<std::string, entry> items_;
   kv::revision revision_ = 0;
   // Keys that were removed after `removals_since_`, with the revision of their
   // removal, as far as they were here or removed in a change.
--- a/source/unit_tests/history_wire/codec_test.cc
+++ b/source/unit_tests/history_wire/codec_test.cc
@@ -3,10 +3,13 @@
 #include <doctest/doctest.h>
 #include <history_generated.h>
 
+#include <cstddef>
 #include <optional>
+#include <string>
 #include <utility>
 #include <variant>
 
+#include "common/deflate.h"
 #include "common/random.h"
 
 namespace daisywind::history {
@@ -94,11 +97,14 @@
                       {{7, 0.0, 31s}}}},
       copy_request{5},
       copy_request{5, true},
+      copy_request{5, true, true},
+      copy_request{5, false, false, true},
       copy_reply{store_copy{9, {{"k", "v", 3, 4}}}},
       copy_reply{},
       copy_reply{store_copy{9, {{"k", "v", 3, 4}}}, true, {"gone"}, 250ms},
       copy_reply{std::nullopt, true, {}, 250ms, 1700ms},
       copy_reply{std::nullopt, true, {}, 250ms, 0ms},
+      copy_reply{std::nullopt, false, {}, 250ms, 0ms, {}, 17},
       quota_request{},
       quota_request{{{organisation_id("o"), {7, 12.5, 40}, 9, 3},
                      {organisation_id("p"), {8, 0.1, 0}, 0, 1}}},
@@ -172,6 +178,36 @@
   CHECK_FALSE(reply.proof_age);
 }
 
+// A reply with one compressed value, whose bytes and size may be damaged.
+auto DeflatedReply(std::string value, std::size_t size) -> std::string {
+  auto reply = copy_reply{store_copy{9, {{"a", "v", 3, 4}}}};
+  reply.deflated.push_back({{"k", std::move(value), 5, 6}, size});
+  return EncodeMessage({1, 9, std::move(reply)});
+}
+
+TEST_CASE("a compressed value of a copy is received as it was") {
+  const auto value = std::string(std::size_t{1} << 20U, 'v');
+  const auto frame = DeflatedReply(Deflate(value), value.size());
+  CHECK(frame.size() < value.size() / 100);
+  const auto read = DecodeMessage(frame);
+  REQUIRE(read);
+  const auto& reply = std::get<copy_reply>(read->body);
+  CHECK(reply.deflated.empty());
+  CHECK(reply.copy == store_copy{9, {{"a", "v", 3, 4}, {"k", value, 5, 6}}});
+}
+
+// Guards against a copy that lacks a key, and against the memory that a short
+// frame may ask for.
+TEST_CASE("a compressed value that is damaged or too large is rejected") {
+  const auto deflated = Deflate("value");
+  CHECK(DecodeMessage(DeflatedReply(deflated, 5)));
+  CHECK_FALSE(DecodeMessage(DeflatedReply(deflated, 6)));
+  CHECK_FALSE(DecodeMessage(DeflatedReply("damaged", 5)));
+  const auto too_large = std::string((std::size_t{16} << 20U) + 1, 'v');
+  CHECK_FALSE(
+      DecodeMessage(DeflatedReply(Deflate(too_large), too_large.size())));
+}
+
 // Guards against reads past the end of a list of another length.
 TEST_CASE("paces that are fewer or more than the samples are read") {
   for (const auto paces : {std::size_t{0}, std::size_t{1}, std::size_t{5}}) {
--- a/source/unit_tests/journal/store_mirror_test.cc
+++ b/source/unit_tests/journal/store_mirror_test.cc
@@ -2,6 +2,11 @@
 
 #include <doctest/doctest.h>
 
+#include <cstddef>
+#include <string>
+
+#include "common/deflate.h"
+
 namespace daisywind::journal {
 namespace {
 
@@ -95,5 +100,35 @@
   CHECK(mirror.CopyIfNewer(0)->items.front().value == "2");
 }
 
+TEST_CASE("large values are compressed for those that take it") {
+  const auto value = std::string(std::size_t{100} * 1024, 'r');
+  auto mirror = store_mirror{};
+  mirror.Replace({{Item("a", "1", 3), Item("b", value.c_str(), 4)}, 5});
+  auto request = history::copy_request{2, /*wants_changes=*/true};
+  CHECK(mirror.ReplyTo(request).copy->items.size() == 2);
+  CHECK(mirror.ReplyTo(request).deflated.empty());
+  request.takes_deflated = true;
+  const auto reply = mirror.ReplyTo(request);
+  CHECK(reply.copy->items == std::vector<kv::key_value>{Item("a", "1", 3)});
+  REQUIRE(reply.deflated.size() == 1);
+  const auto& deflated = reply.deflated.front();
+  CHECK(deflated.size == value.size());
+  CHECK(deflated.item.mod_revision == 4);
+  CHECK(Inflate(deflated.item.value, deflated.size) == value);
+  mirror.Apply({{{Item("a", "2", 6), /*is_removed=*/false}}, 6});
+  request.known = 5;
+  CHECK(mirror.ReplyTo(request).copy->items.size() == 1);
+  CHECK(mirror.ReplyTo(request).deflated.empty());
+}
+
+TEST_CASE("only the revision is sent to those that ask for it") {
+  auto mirror = store_mirror{};
+  mirror.Replace({{Item("a", "1", 3)}, 5});
+  auto request = history::copy_request{2};
+  request.wants_revision = true;
+  CHECK_FALSE(mirror.ReplyTo(request).copy);
+  CHECK(mirror.ReplyTo(request).revision_at == 5);
+}
+
 }  // namespace
 }  // namespace daisywind::journal
