net: a large response of the store is not given up on its way

A call to the platform's store had to end in a fixed time. Over a full link between regions no listing of 1 MB did for 26 fronts at once; each was given up after 1.5 or 3.2 s (1907, "response ended before its body was complete") and asked for again, so that the link stayed full for 50 s after its cause was gone.

--- a/source/core/net/http_client.cc
+++ b/source/core/net/http_client.cc
@@ -118,6 +118,7 @@
     if (options_.total_timeout) {
       response_until = now + *options_.total_timeout;
     }
+    sent_at_ = now;
     read_until_ = std::min(now + options_.head_timeout, response_until);
     for (auto skipped = 0; skipped <= kMaxSkippedResponses; ++skipped) {
       const auto follows_others = is_kept_ || skipped > 0;
@@ -161,6 +162,7 @@
   }
 
   auto Discard(duration limit) -> asio::awaitable<void> override {
+    options_.extension.reset();
     read_until_ =
         std::min(read_until_, std::chrono::steady_clock::now() + limit);
     while (co_await Next()) {
@@ -206,6 +208,7 @@
       }
       if (read.size > 0) {
         NotifyReceived();
+        ExtendTimeout(read.size);
         auto part = std::string(space.data(), read.size);
         ScanEvents(part);
         if (PartialEventBytes() > sse_parser::kMaxEventBytes) {
@@ -219,6 +222,20 @@
     co_return std::nullopt;
   }
 
+  // Starts the time-out anew if enough bytes have arrived.
+  auto ExtendTimeout(std::size_t received) -> void {
+    if (!options_.extension || !options_.total_timeout) {
+      return;
+    }
+    progress_bytes_ += received;
+    if (progress_bytes_ >= options_.extension->progress_bytes) {
+      progress_bytes_ = 0;
+      read_until_ =
+          std::min(std::chrono::steady_clock::now() + *options_.total_timeout,
+                   sent_at_ + options_.extension->max_total);
+    }
+  }
+
   static auto ReportIfOversized(const beast::error_code& error) -> void {
     if (error == http::error::buffer_overflow ||
         error == http::error::header_limit ||
@@ -289,6 +306,9 @@
   bool is_event_stream_ = false;
   sse_scanner events_;
   bool has_event_ = false;
+  std::chrono::steady_clock::time_point sent_at_;
+  // Bytes of the body since the time-out was last extended.
+  std::size_t progress_bytes_ = 0;
   // No read waits past this time.
   std::chrono::steady_clock::time_point read_until_ =
       std::chrono::steady_clock::time_point::max();
--- a/source/core/net/http_client.h
+++ b/source/core/net/http_client.h
@@ -55,6 +55,16 @@
   kIdle,
 };
 
+// When a response may take longer than its time-out.
+struct timeout_extension {
+  // The arrival of so many bytes of the body starts the time-out anew.
+  std::size_t progress_bytes = 0;
+  // Maximum time from sending the request to the end of the response.
+  duration max_total{};
+
+  auto operator<=>(const timeout_extension&) const = default;
+};
+
 // Time-outs, limits and connection handling of one request.
 struct http_options {
   duration connect_timeout = 2s;
@@ -66,6 +76,9 @@
   // Maximum time from sending the request to the end of the response; unlimited
   // if empty.
   std::optional<duration> total_timeout;
+  // For a large response over a slow link: one that is given up late and asked
+  // for again keeps the link full. Extends `total_timeout`.
+  std::optional<timeout_extension> extension;
   std::size_t max_body_bytes = std::size_t{16} * 1024 * 1024;
   // Whether a successful response is a stream of server-sent events even if its
   // media type does not say so.
