--- a/source/core/history_client/mirrored_store.h
+++ b/source/core/history_client/mirrored_store.h
@@ -55,7 +55,8 @@
 // for all VMs there, or at any journal if the region has none, and at the store
 // itself if no such journal has an up-to-date copy. So a change crosses the
 // link between regions once for each journal and not once for each VM, and in
-// each reply a key only once. Reads and writes go to the store itself.
+// each reply a key only once. So do listings of all keys, unless a change was
+// known that the copy lacks. Reads and writes go to the store itself.
 class mirrored_store : public kv::store {
  public:
   // `current_view` returns the journals to ask; none for a VM that watches the
@@ -68,11 +69,11 @@
 
   auto Read(std::string key) -> boost::asio::awaitable<
       kv::store_result<std::optional<kv::key_value>>> override;
+  // Only the prefix of all keys is served from copies, here and below.
   auto List(std::string prefix)
       -> boost::asio::awaitable<kv::store_result<kv::listing>> override;
   auto Write(kv::txn_request request)
       -> boost::asio::awaitable<kv::store_result<bool>> override;
-  // Only the prefix of all keys is served from copies.
   auto WaitForChanges(std::string prefix, kv::revision after, duration wait)
       -> boost::asio::awaitable<kv::store_result<kv::change_list>> override;
 
@@ -107,6 +108,8 @@
   random_source random_;
   member_clients clients_;
   std::optional<instant> source_answered_at_;
+  // The newest revision of any copy or response.
+  kv::revision newest_revision_ = 0;
   // When a journal was last asked, and when one last replied with a copy that
   // served or did not.
   instant polled_at_{};
--- a/source/core/journal/journal_node.cc
+++ b/source/core/journal/journal_node.cc
@@ -348,8 +348,12 @@
     SendReply(channel, request->id, replica_.current().number, std::move(body));
   };
   if (const auto* wanted = std::get_if<history::copy_request>(&request->body)) {
-    auto reply = mirror_.ReplyTo(*wanted);
-    reply.store_age = view_manager_->StoreAge(Now());
+    const auto store_age = view_manager_->StoreAge(Now());
+    auto served = *wanted;
+    // A VM that follows the store does not use a copy of unknown age.
+    served.wants_revision |= served.wants_changes && !store_age;
+    auto reply = mirror_.ReplyTo(served);
+    reply.store_age = store_age;
     reply.proof_age = view_manager_->ProofAge(Now());
     reply_now(std::move(reply));
     return;
--- a/source/core/journal/view_manager.cc
+++ b/source/core/journal/view_manager.cc
@@ -366,9 +366,10 @@
     -> asio::awaitable<std::vector<fact_list>> {
   auto lists = std::vector<fact_list>{};
   for (const auto& item : from) {
-    auto reply = co_await clients_.ClientFor(item.peer.address)
-                     ->SendAndWait(stored_view_.number, history::list_request{},
-                                   3 * options_.request_timeout);
+    auto reply =
+        co_await clients_.ClientFor(item.peer.address)
+            ->SendAndWaitForLong(stored_view_.number, history::list_request{},
+                                 3 * options_.request_timeout);
     auto* list = reply ? std::get_if<history::list_reply>(&*reply) : nullptr;
     if (list == nullptr) {
       Log(log_events::kPullFailed,
