front: one copy of the store is fetched at a time

A front that can't reach the store asked all journals side by side for whole copies, each 150 ms while it had no configuration, those of the other region included: 26 fronts, five journals, 740 KB.

Journals of earlier versions still send theirs at once.

--- a/source/core/front/store_fallback.cc
+++ b/source/core/front/store_fallback.cc
@@ -5,7 +5,9 @@
 #include <cstddef>
 #include <memory>
 #include <optional>
+#include <string>
 #include <utility>
+#include <vector>
 
 #include "common/process_clock.h"
 
@@ -51,51 +53,68 @@
   }
 }
 
+// A journal's copy.
+struct store_fallback::copy_offer {
+  std::string address;
+  kv::revision revision_at = 0;
+  // Journals of earlier versions send it with their first reply.
+  std::optional<history::store_copy> copy;
+  std::optional<instant> as_of;
+};
+
+// What journals reply when they are asked for the revisions of their copies.
 struct store_fallback::copy_round {
   explicit copy_round(asio::io_context& context) : wake(context) {}
 
-  auto OnReply(std::optional<history::message_body> reply) -> void {
+  auto OnReply(const std::string& address,
+               std::optional<history::message_body> reply) -> void {
     --pending;
     auto* received =
         reply ? std::get_if<history::copy_reply>(&*reply) : nullptr;
-    const auto is_newest =
-        received != nullptr && received->copy &&
-        (!newest || received->copy->revision_at > newest->revision_at);
-    if (is_newest) {
-      settles_at = newest ? settles_at : Now() + settle_time;
-      newest = std::move(*received->copy);
-      newest_as_of = AsOf(*received);
+    if (received != nullptr) {
+      const auto revision_at =
+          received->copy ? received->copy->revision_at : received->revision_at;
+      const auto as_of = AsOf(*received, sent_at);
+      if (revision_at > known) {
+        settles_at = std::min(settles_at, Now() + settle_time);
+        offers.push_back(
+            {address, revision_at, std::move(received->copy), as_of});
+      }
     }
     wake.cancel();
   }
 
-  // The reply's copy has all that the store had acknowledged at this time.
-  [[nodiscard]] auto AsOf(const history::copy_reply& reply) const
+  // A reply's copy has all that the store had acknowledged at this time.
+  static auto AsOf(const history::copy_reply& reply, instant asked_at)
       -> std::optional<instant> {
-    return reply.proof_age ? std::optional(sent_at - *reply.proof_age)
+    return reply.proof_age ? std::optional(asked_at - *reply.proof_age)
                            : std::nullopt;
   }
 
   asio::steady_timer wake;
   instant sent_at = Now();
   duration settle_time{};
+  kv::revision known = 0;
   std::size_t pending = 0;
-  std::optional<history::store_copy> newest;
-  std::optional<instant> newest_as_of;
-  // Set with the first copy.
+  // Copies that are newer than what is known, in the order of the replies.
+  std::vector<copy_offer> offers;
+  // Set with the first offer.
   instant settles_at = instant::max();
 };
 
 auto store_fallback::RequestCopies() -> asio::awaitable<void> {
   const auto round = std::make_shared<copy_round>(context_);
   round->settle_time = options_.settle_time;
+  round->known = service_directory_.revision_at();
+  auto request = history::copy_request{round->known};
+  request.takes_deflated = true;
+  request.wants_revision = true;
   for (const auto& address : JournalAddresses()) {
     ++round->pending;
     clients_.ClientFor(address)->SendRequest(
-        0, history::copy_request{service_directory_.revision_at()},
-        options_.request_timeout,
-        [round](std::optional<history::message_body> reply) {
-          round->OnReply(std::move(reply));
+        0, request, options_.request_timeout,
+        [round, address](std::optional<history::message_body> reply) {
+          round->OnReply(address, std::move(reply));
         });
   }
   // Each request ends by its own time-out.
@@ -105,15 +124,43 @@
     round->wake.expires_after(remaining);
     co_await round->wake.async_wait(asio::as_tuple(asio::use_awaitable));
   }
-  if (is_stopped_) {
-    co_return;
+  auto offers = std::exchange(round->offers, {});
+  // The newest one first; of these, that of the journal that replied first.
+  std::stable_sort(offers.begin(), offers.end(),
+                   [](const auto& a, const auto& b) {
+                     return a.revision_at > b.revision_at;
+                   });
+  auto is_taken = false;
+  for (auto& offer : offers) {
+    if (!is_stopped_ && !is_taken) {
+      is_taken = co_await Take(std::move(offer), round->known);
+    }
   }
-  if (round->newest) {
-    service_directory_.ImportCopy(*round->newest);
+}
+
+auto store_fallback::Take(copy_offer from, kv::revision known)
+    -> asio::awaitable<bool> {
+  if (!from.copy) {
+    const auto asked_at = Now();
+    auto request = history::copy_request{known};
+    request.takes_deflated = true;
+    auto reply = co_await clients_.ClientFor(from.address)
+                     ->SendAndWaitForLong(0, request, options_.request_timeout);
+    auto* received =
+        reply ? std::get_if<history::copy_reply>(&*reply) : nullptr;
+    if (received == nullptr || !received->copy) {
+      co_return false;
+    }
+    from.as_of = copy_round::AsOf(*received, asked_at);
+    from.copy = std::move(received->copy);
   }
-  if (round->newest_as_of) {
-    service_directory_.ImportProof(*round->newest_as_of);
+  if (!is_stopped_) {
+    service_directory_.ImportCopy(*from.copy);
+    if (from.as_of) {
+      service_directory_.ImportProof(*from.as_of);
+    }
   }
+  co_return true;
 }
 
 auto store_fallback::JournalAddresses() const -> std::vector<std::string> {
--- a/source/core/front/store_fallback.h
+++ b/source/core/front/store_fallback.h
@@ -27,14 +27,15 @@
   duration request_timeout = 400ms;
   // Whether journals are asked although a configuration is in force.
   bool asks_while_configured = true;
-  // How long the copies of other journals are waited for after the first one.
+  // How long the replies of other journals are waited for after the first one.
   duration settle_time = 60ms;
 };
 
-// Requests copies from the journals of the settings and those of the current
-// view, and uses the newest of them: a journal that has just restarted may have
-// one with endpoints and routes that are gone. The directory and the turn
-// client must outlive it.
+// Asks the journals of the settings and those of the current view how new their
+// copies are, and fetches the newest: a journal that has just restarted may
+// have one with endpoints and routes that are gone. Only one copy is fetched,
+// as all of them together may be more than a link carries in time. The
+// directory and the turn client must outlive it.
 class store_fallback {
  public:
   store_fallback(boost::asio::io_context& context,
@@ -49,9 +50,14 @@
  private:
   // The replies to one round of requests.
   struct copy_round;
+  struct copy_offer;
 
   auto Run() -> boost::asio::awaitable<void>;
   auto RequestCopies() -> boost::asio::awaitable<void>;
+  // Fetches a copy that is newer than the known revision, unless it has been
+  // sent already, and uses it. Returns false if the journal did not send it.
+  auto Take(copy_offer from, kv::revision known)
+      -> boost::asio::awaitable<bool>;
   [[nodiscard]] auto JournalAddresses() const -> std::vector<std::string>;
 
   boost::asio::io_context& context_;
--- a/source/unit_tests/front/store_following_test.cc
+++ b/source/unit_tests/front/store_following_test.cc
@@ -80,4 +80,32 @@
   CHECK(runs_after_leaving == 0);
 }
 
+// Regression: after all VMs had restarted, each front fetched the copies of all
+// journals again and again, over a link between regions that could not carry
+// them.
+TEST_CASE("a front without the store fetches one copy only") {
+  auto harness = front_harness();
+  harness.store.SetDown(true);
+  auto copies = 0;
+  const auto reply_to = [&copies](const history::copy_request& request) {
+    auto reply = history::copy_reply{};
+    reply.revision_at = 9;
+    const auto is_offered = request.wants_revision || request.wants_changes;
+    if (!is_offered && request.known < 9) {
+      ++copies;
+      reply.copy = history::store_copy{9, {{"configuration", "1", 1, 1}}};
+    }
+    return reply;
+  };
+  auto first = testing::fake_journal(harness.context);
+  first.on_request = reply_to;
+  auto second = testing::fake_journal(harness.context);
+  second.on_request = reply_to;
+  harness.UseJournals({first.address(), second.address()});
+  REQUIRE(harness.RunUntil(
+      [&] { return harness.node().service_directory().IsConfigured(); }));
+  CHECK(copies == 1);
+  CHECK(first.requests + second.requests >= 2);
+}
+
 }  // namespace daisywind::front
