net: a connection leaves its server's table however it ends

Beast's parser throws for a name or a value of 64 KiB or more, where heads may be as long; the exception passed the line that takes the connection out of the table, and its caller got no answer.

--- a/source/core/net/http_server.cc
+++ b/source/core/net/http_server.cc
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <optional>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -169,6 +170,20 @@
 
 using server_state = std::shared_ptr<http_server::state>;
 
+// A request that counts as active until this object's end.
+class active_request {
+ public:
+  explicit active_request(http_server::state& server) : server_(server) {
+    ++server_.active_requests;
+  }
+  active_request(const active_request&) = delete;
+  auto operator=(const active_request&) -> active_request& = delete;
+  ~active_request() { --server_.active_requests; }
+
+ private:
+  http_server::state& server_;
+};
+
 class connection : public http_exchange {
  public:
   connection(tcp::socket socket,
@@ -276,7 +291,7 @@
       if (buffer_.size() == 0 && !co_await WaitForFirstByte()) {
         break;
       }
-      ++server->active_requests;
+      const auto counted = active_request(*server);
       is_busy_ = true;
       StartWait(caller_wait::kSendRequest);
       const auto is_read = co_await ReadRequest();
@@ -290,7 +305,6 @@
       memory_.Resize(0);
       close_handler_ = nullptr;
       keep_alive_ = KeepsAlive();
-      --server->active_requests;
       if (!is_read) {
         break;
       }
@@ -414,7 +428,7 @@
     while (buffer_.size() > 0 && !parser.is_done()) {
       const auto was_header_done = parser.is_header_done();
       auto error = beast::error_code{};
-      const auto used = parser.put(buffer_.data(), error);
+      const auto used = Put(parser, error);
       if (!was_header_done) {
         const auto* text = static_cast<const char*>(buffer_.data().data());
         head_bytes_ += used;
@@ -439,6 +453,18 @@
     return {};
   }
 
+  // Returns how many bytes of the buffer the parser has taken.
+  auto Put(http::request_parser<http::string_body>& parser,
+           beast::error_code& error) -> std::size_t {
+    try {
+      return parser.put(buffer_.data(), error);
+    } catch (const std::length_error&) {
+      // A name or value of 64 KiB is more than the parser can store.
+      error = http::error::header_limit;
+      return 0;
+    }
+  }
+
   // Bytes to read next; zero if the buffer is full.
   [[nodiscard]] auto ReadSize() const -> std::size_t {
     constexpr auto kMinReadBytes = std::size_t{512};
@@ -611,12 +637,28 @@
   bool is_streaming_ = false;
 };
 
+// The entry of a connection in its server's table. It goes with the connection,
+// even if an exception ends that.
+class table_entry {
+ public:
+  table_entry(http_server::state& server, connection& peer)
+      : server_(server), peer_(peer) {
+    server_.connections.insert(&peer_);
+  }
+  table_entry(const table_entry&) = delete;
+  auto operator=(const table_entry&) -> table_entry& = delete;
+  ~table_entry() { server_.connections.erase(&peer_); }
+
+ private:
+  http_server::state& server_;
+  connection& peer_;
+};
+
 auto Serve(server_state server, tcp::socket socket) -> asio::awaitable<void> {
   auto peer = connection(std::move(socket), server->limits, server->memory,
                          server->unsent_memory);
-  server->connections.insert(&peer);
+  const auto entry = table_entry(*server, peer);
   co_await peer.Run(server);
-  server->connections.erase(&peer);
 }
 
 auto StartServing(const server_state& server, tcp::socket socket) -> void {
--- a/source/unit_tests/net/http_test.cc
+++ b/source/unit_tests/net/http_test.cc
@@ -197,6 +197,20 @@
   CHECK(net.Send({"POST", "/", {}, "{}"}).response.status == 200);
 }
 
+// Regression: the parser's exception left the connection in the table of its
+// server, which crashed when it looked for one to close.
+TEST_CASE("a field longer than the parser can store gets an error response") {
+  auto limits = http_limits{};
+  limits.max_head_bytes = std::size_t{96} * 1024;
+  auto net = fixture(limits);
+  const auto text = std::string(70'000, 'x');
+  for (const auto& field : {"a: " + text, text + ": a"}) {
+    CHECK(net.SendRaw("GET / HTTP/1.1\r\n" + field + "\r\n\r\n")
+              .starts_with("HTTP/1.1 431"));
+    CHECK(net.server.ConnectionCount() == 0);
+  }
+}
+
 // Regression: a body with a transfer coding that is not decoded was read as the
 // next request.
 TEST_CASE("a request inside a body of unknown framing is not served") {
