--- a/source/unit_tests/history_client/mirrored_store_test.cc
+++ b/source/unit_tests/history_client/mirrored_store_test.cc
@@ -248,6 +248,18 @@
   int requests = 0;
 
  private:
+  // Returns the frame of the reply with its length.
+  static auto ReplyTo(std::string_view frame) -> std::string {
+    const auto request = DecodeMessage(frame);
+    REQUIRE(request);
+    auto reply = copy_reply{store_copy{7, {{"configuration", "1", 2, 7}}}};
+    reply.store_age = duration(0);
+    auto bytes = EncodeMessage({request->id, 1, std::move(reply)});
+    const auto length = net::EncodeLength(bytes.size());
+    bytes.insert(bytes.begin(), length.begin(), length.end());
+    return bytes;
+  }
+
   auto Serve() -> asio::awaitable<void> {
     auto socket = co_await acceptor_.async_accept(asio::use_awaitable);
     auto length = net::length_bytes{};
@@ -256,12 +268,7 @@
     auto frame = std::string(net::DecodeLength(length), ' ');
     co_await asio::async_read(socket, asio::buffer(frame), asio::use_awaitable);
     ++requests;
-    auto reply = copy_reply{store_copy{7, {{"configuration", "1", 2, 7}}}};
-    reply.store_age = duration(0);
-    auto answer = message{DecodeMessage(frame)->id, 1, std::move(reply)};
-    frame = EncodeMessage(answer);
-    length = net::EncodeLength(frame.size());
-    frame.insert(frame.begin(), length.begin(), length.end());
+    frame = ReplyTo(frame);
     auto timer = asio::steady_timer(acceptor_.get_executor());
     const auto part = frame.size() / 8 + 1;
     for (auto sent = std::size_t{0}; sent < frame.size(); sent += part) {
