--- a/source/core/history/messages.h
+++ b/source/core/history/messages.h
@@ -60,6 +60,10 @@
 // Asks to store facts on disk.
 struct record_request {
   std::vector<turn_fact> facts;
+  // Whether another member sends them so that they are on more disks, at the
+  // request of a third one. The receiver refuses them when it is short of
+  // memory, and the third one copies them itself.
+  bool are_copies = false;
 
   auto operator<=>(const record_request&) const = default;
 };
--- a/source/core/history_wire/codec.cc
+++ b/source/core/history_wire/codec.cc
@@ -114,11 +114,12 @@
 auto ToObject(const record_request& from) -> fbs::RecordRequestT {
   auto to = fbs::RecordRequestT{};
   to.facts = ConvertAll(from.facts);
+  to.are_copies = from.are_copies;
   return to;
 }
 
 auto FromObject(fbs::RecordRequestT& from) -> record_request {
-  return {ConvertAll(from.facts)};
+  return {ConvertAll(from.facts), from.are_copies};
 }
 
 auto ToObject(const record_reply& from) -> fbs::RecordReplyT {
--- a/source/core/journal/fact_copier.cc
+++ b/source/core/journal/fact_copier.cc
@@ -305,7 +305,8 @@
                        hash_list hashes) -> asio::awaitable<bool> {
   while (!hashes.empty()) {
     auto request = history::forward_request{address, hashes};
-    const auto reply = co_await Forward(view, std::move(request));
+    const auto reply =
+        co_await Forward(view, std::move(request), /*are_copies=*/false);
     if (reply.stored == 0) {
       co_return false;
     }
@@ -315,7 +316,8 @@
 }
 
 auto fact_copier::Forward(history::view_number view,
-                          history::forward_request request)
+                          history::forward_request request,
+                          bool are_copies)
     -> asio::awaitable<history::forward_reply> {
   const auto& members = node_.replica().current().members;
   const auto is_to_member = std::any_of(
@@ -327,7 +329,7 @@
   }
   ++running_forwards_;
   auto batch = node_.replica().facts().FindBatch(request.hashes, kBatchBytes);
-  auto record = history::record_request{std::move(batch.facts)};
+  auto record = history::record_request{std::move(batch.facts), are_copies};
   const auto reply =
       co_await clients_.ClientFor(request.address)
           ->SendAndWait(view, std::move(record), options_.request_timeout);
--- a/source/core/journal/fact_copier.h
+++ b/source/core/journal/fact_copier.h
@@ -62,7 +62,10 @@
       -> boost::asio::awaitable<bool>;
 
   // Sends the first facts of a request to the member at its address.
-  auto Forward(history::view_number view, history::forward_request request)
+  // `are_copies`: see record_request.
+  auto Forward(history::view_number view,
+               history::forward_request request,
+               bool are_copies)
       -> boost::asio::awaitable<history::forward_reply>;
 
  private:
--- a/source/core/journal/journal_node.cc
+++ b/source/core/journal/journal_node.cc
@@ -62,12 +62,14 @@
 // The rest of the memory is for the queue of the log, frames under way, a
 // segment that is read, and the copy of the platform's store.
 auto FactsLimits(std::int64_t limit_mb) -> facts_limits {
+  constexpr auto kCopiesPercent = std::size_t{55};
   constexpr auto kFirstTurnsPercent = std::size_t{65};
   constexpr auto kLaterTurnsPercent = std::size_t{75};
   constexpr auto kNone = std::numeric_limits<std::size_t>::max();
   const auto percent = (static_cast<std::size_t>(limit_mb) << 20U) / 100;
-  return limit_mb == 0 ? facts_limits{kNone, kNone}
-                       : facts_limits{percent * kFirstTurnsPercent,
+  return limit_mb == 0 ? facts_limits{kNone, kNone, kNone}
+                       : facts_limits{percent * kCopiesPercent,
+                                      percent * kFirstTurnsPercent,
                                       percent * kLaterTurnsPercent};
 }
 
@@ -380,9 +382,14 @@
     reply_now(history::record_reply{false});
     return;
   }
-  const auto is_write =
-      begin != nullptr ||
-      std::holds_alternative<history::record_request>(request->body);
+  const auto* record = std::get_if<history::record_request>(&request->body);
+  const auto are_copies = record != nullptr && record->are_copies;
+  if (are_copies && replica_.facts().bytes() >= max_facts_bytes_.copies) {
+    ++counters_.refused_copies;
+    reply_now(history::record_reply{false});
+    return;
+  }
+  const auto is_write = begin != nullptr || record != nullptr;
   if (is_write && !HasRoomOnDisk(frame.size())) {
     ++counters_.refused_writes;
     reply_now(history::record_reply{false});
@@ -479,7 +486,8 @@
                                 history::view_number view,
                                 history::forward_request request)
     -> asio::awaitable<void> {
-  const auto reply = co_await copier_.Forward(view, std::move(request));
+  const auto reply =
+      co_await copier_.Forward(view, std::move(request), /*are_copies=*/true);
   SendReply(channel, id, view, reply);
 }
 
@@ -739,6 +747,7 @@
   add("refused_writes_total", counters_.refused_writes);
   add("refused_reads_total", counters_.refused_reads);
   add("refused_reservations_total", counters_.refused_reservations);
+  add("refused_copies_total", counters_.refused_copies);
   add("facts_pulled_total", counters_.facts_pulled);
   add("facts_forwarded_total", counters_.facts_forwarded);
   add("facts_forgotten_total", counters_.facts_expired);
--- a/source/core/journal/journal_node.h
+++ b/source/core/journal/journal_node.h
@@ -45,6 +45,8 @@
   std::uint64_t refused_reads = 0;
   // Turns that were not begun because the memory for facts was full.
   std::uint64_t refused_reservations = 0;
+  // Requests to store copies that were refused, being short of memory.
+  std::uint64_t refused_copies = 0;
   std::uint64_t facts_pulled = 0;
   // Facts that other members copied between them for this one.
   std::uint64_t facts_forwarded = 0;
@@ -54,8 +56,11 @@
   std::uint64_t programs_kept = 0;
 };
 
-// Turns are begun only while the facts take less memory than this, in bytes.
+// Turns are begun, and copies taken, only while the facts take less memory than
+// this, in bytes.
 struct facts_limits {
+  // Lower, as the copies of a lost disk come all at once.
+  std::size_t copies = 0;
   std::size_t first_turns = 0;
   // Higher, so that programs under way can end.
   std::size_t later_turns = 0;
--- a/source/unit_tests/history_wire/codec_test.cc
+++ b/source/unit_tests/history_wire/codec_test.cc
@@ -69,6 +69,7 @@
                   {{7, 3, 2, 120ms, std::nullopt, 65'535}, {8, 0, 0, 0ms}},
                   12},
       record_request{{Fact(), FactWithoutContent()}},
+      record_request{{Fact()}, true},
       record_reply{true},
       read_request{turn_id("t")},
       read_request{turn_id("t"), 4'000'000},
--- a/source/unit_tests/journal/journal_node_test.cc
+++ b/source/unit_tests/journal/journal_node_test.cc
@@ -724,6 +724,30 @@
                     [](const auto& item) { return item.second == 2; }));
 }
 
+// Regression: the copies for new disks filled the memory of the members that
+// were left, which then refused all first turns.
+TEST_CASE("members that are short of memory take no copies for a new disk") {
+  auto cluster = journal_cluster();
+  cluster.memory_limit_mb = 1;
+  cluster.regions = {{3, "far"}};
+  cluster.StartThree();
+  constexpr auto kFacts = 600;
+  // Together more than copies may take, and less than first turns may.
+  constexpr auto kBytes = std::size_t{1'200'000} / kFacts;
+  for (auto i = 0; i < kFacts; ++i) {
+    auto fact = AgedFact("t" + std::to_string(i), 0);
+    fact.content = history::turn_content{};
+    fact.content->input = std::string(kBytes / 2, 'x');
+    cluster.At(1 + i % 2).replica().MergeFacts({fact});
+  }
+  cluster.ReplaceDisk(3, {"vm1", "vm2", "vm3"});
+  CHECK(cluster.At(1).counters().refused_copies > 0);
+  CHECK(cluster.At(3).replica().facts().size() > kFacts / 2);
+  const auto client = cluster.Client();
+  CHECK(cluster.Begin(*client, "t", "", "q").outcome ==
+        history::begin_outcome::kGranted);
+}
+
 // Regression: a member said that a turn was unknown and then received a copy of
 // it, and the new disk that this copy was made for, complete by then, said so
 // as well.
