--- a/source/core/journal/fact_copier.cc
+++ b/source/core/journal/fact_copier.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio.hpp>
+#include <limits>
 #include <optional>
 #include <unordered_set>
 #include <utility>
@@ -32,6 +33,8 @@
 constexpr auto kMaxForwards = std::size_t{16};
 // Facts that are copied from one member before others are asked again.
 constexpr auto kFactsPerPart = std::size_t{2048};
+// Likewise, beside other members that copy as well.
+constexpr auto kFactsPerShare = std::size_t{4096};
 
 // Removes the first hashes, or all if their number is zero, as in replies of
 // members of earlier versions.
@@ -137,6 +140,35 @@
   co_return co_await CopyPlanned(view, lists, std::move(wanted));
 }
 
+auto fact_copier::CopyShare(history::view_number view,
+                            std::vector<fact_list> lists,
+                            const std::vector<fact_list>& copying)
+    -> asio::awaitable<bool> {
+  const auto first = FirstHashOfShare(copying);
+  lists.insert(lists.end(), copying.begin(), copying.end());
+  auto wanted = PlanPulls(lists);
+  auto is_all = true;
+  for (auto& hashes : wanted) {
+    is_all = is_all && hashes.empty();
+    // Beyond the largest hash, the order continues with the smallest.
+    std::sort(hashes.begin(), hashes.end(),
+              [first](history::fact_hash a, history::fact_hash b) {
+                return a - first < b - first;
+              });
+    hashes.resize(std::min(hashes.size(), kFactsPerShare));
+  }
+  co_return co_await CopyPlanned(view, lists, std::move(wanted)) && is_all;
+}
+
+auto fact_copier::FirstHashOfShare(const std::vector<fact_list>& copying) const
+    -> history::fact_hash {
+  constexpr auto kLargest = std::numeric_limits<history::fact_hash>::max();
+  const auto before = static_cast<std::size_t>(std::count_if(
+      copying.begin(), copying.end(),
+      [&](const fact_list& item) { return item.peer.vm < node_.self().vm; }));
+  return before * (kLargest / (copying.size() + 1));
+}
+
 auto fact_copier::CopyPart(history::view_number view,
                            std::vector<fact_list> lists)
     -> asio::awaitable<bool> {
--- a/source/core/journal/fact_copier.h
+++ b/source/core/journal/fact_copier.h
@@ -49,6 +49,15 @@
   auto CopyMissing(history::view_number view, std::vector<fact_list> lists)
       -> boost::asio::awaitable<bool>;
 
+  // Likewise, beside other members that copy at the same time, whose lists are
+  // given as well: what they hold counts, and each begins with other facts, so
+  // that they share the work. Copies a part. Returns whether all facts are on
+  // enough disks.
+  auto CopyShare(history::view_number view,
+                 std::vector<fact_list> lists,
+                 const std::vector<fact_list>& copying)
+      -> boost::asio::awaitable<bool>;
+
   // Likewise for the facts of too few members, a part of them at a time, so
   // that others can be asked as soon as they are there. Returns whether none is
   // left.
@@ -75,6 +84,9 @@
   using pull_plan = std::vector<std::vector<history::fact_hash>>;
 
   auto PlanPulls(const std::vector<fact_list>& lists) const -> pull_plan;
+  // The hash with which this member begins, beside others that copy as well.
+  [[nodiscard]] auto FirstHashOfShare(
+      const std::vector<fact_list>& copying) const -> history::fact_hash;
   auto CopyPlanned(history::view_number view,
                    const std::vector<fact_list>& lists,
                    pull_plan wanted) -> boost::asio::awaitable<bool>;
--- a/source/core/journal/view_manager.cc
+++ b/source/core/journal/view_manager.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio.hpp>
+#include <iterator>
 #include <utility>
 
 #include "common/logging.h"
@@ -285,10 +286,8 @@
                    });
   // A write of the view that fails needs no other copy.
   if (copied_in_ != view) {
-    const auto lists = co_await FetchFactLists(sources);
-    const auto is_pulled = lists.size() == sources.size() &&
-                           co_await node_.copier().CopyMissing(view, lists);
-    if (!is_pulled || stored_view_.number != view) {
+    const auto is_copied = co_await CopyFrom(sources, reachable);
+    if (!is_copied || stored_view_.number != view) {
       co_return;
     }
     copied_in_ = view;
@@ -316,6 +315,29 @@
        {"sources", static_cast<std::int64_t>(sources.size())}});
 }
 
+auto view_manager::CopyFrom(std::vector<reachable_member> sources,
+                            std::vector<reachable_member> reachable)
+    -> asio::awaitable<bool> {
+  const auto view = stored_view_.number;
+  const auto lists = co_await FetchFactLists(sources);
+  if (lists.size() != sources.size()) {
+    co_return false;
+  }
+  auto copying = std::vector<fact_list>{};
+  std::erase_if(reachable, [&](const reachable_member& item) {
+    return std::find(sources.begin(), sources.end(), item) != sources.end();
+  });
+  for (const auto& item : reachable) {
+    const auto only = std::vector<reachable_member>(1, item);
+    auto list = co_await FetchFactLists(only);
+    std::move(list.begin(), list.end(), std::back_inserter(copying));
+  }
+  if (copying.empty()) {
+    co_return co_await node_.copier().CopyMissing(view, lists);
+  }
+  co_return co_await node_.copier().CopyShare(view, lists, copying);
+}
+
 // Every fact of the previous view is on at least one of this many members: it
 // was written to a write quorum, of which this VM's entry in the view holds at
 // most one copy.
--- a/source/core/journal/view_manager.h
+++ b/source/core/journal/view_manager.h
@@ -98,6 +98,8 @@
   struct reachable_member {
     history::member peer;
     bool is_complete = false;
+
+    auto operator<=>(const reachable_member&) const = default;
   };
 
   auto OnSnapshot(const kv::listing& all) -> void;
@@ -128,6 +130,11 @@
   // Whether a copy from the complete members, or else from all others, is all
   // that there is to copy.
   auto AreEnoughSources(std::size_t complete, std::size_t reachable) -> bool;
+  // Copies what lacks a disk, given complete members and all that are
+  // reachable. Returns whether all of it is on enough disks.
+  auto CopyFrom(std::vector<reachable_member> sources,
+                std::vector<reachable_member> reachable)
+      -> boost::asio::awaitable<bool>;
   // Copies what too few members have, because the disk of one of them may be
   // lost before the others are back.
   auto CopyFromSome(history::view_number view,
--- a/source/unit_tests/journal/journal_node_test.cc
+++ b/source/unit_tests/journal/journal_node_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <chrono>
@@ -724,6 +725,39 @@
                     [](const auto& item) { return item.second == 2; }));
 }
 
+// Regression: two new disks copied the same facts, which was more than their
+// VMs had memory for.
+TEST_CASE("two new disks share the facts that lack a copy") {
+  auto cluster = journal_cluster();
+  const auto all = cluster.StartFourNearOneFar();
+  constexpr auto kFacts = 16'000;
+  constexpr auto kLeft = std::array{1, 2, 5};
+  for (auto i = std::size_t{0}; i < kFacts; ++i) {
+    auto fact = AgedFact("t" + std::to_string(i), 0);
+    fact.content = history::turn_content{};
+    // The third copy was on one of the disks that are lost.
+    cluster.At(kLeft.at(i % 3)).replica().MergeFacts({fact});
+    cluster.At(kLeft.at((i + 1) % 3)).replica().MergeFacts({fact});
+  }
+  const auto before = cluster.View().number;
+  for (const auto number : {3, 4}) {
+    cluster.Stop(number);
+    cluster.LoseDisk(number);
+  }
+  for (const auto number : {3, 4}) {
+    cluster.Start(number);
+  }
+  REQUIRE(cluster.RunUntil([&] {
+    return cluster.View().number > before && cluster.IsSettled(all);
+  }));
+  auto total = 0;
+  for (const auto& [hash, copies] : cluster.CountCopies()) {
+    CHECK(copies >= 3);
+    total += copies;
+  }
+  CHECK(total < kFacts * 7 / 2);
+}
+
 // Regression: the copies for new disks filled the memory of the members that
 // were left, which then refused all first turns.
 TEST_CASE("members that are short of memory take no copies for a new disk") {
