kv: a large response is not given up on its way

A call to the key-value service had to end within 3 s, whatever its size, as those to the platform's store did (docs/incidents/large-configurations.md). A gateway that lists a large configuration over a full link gave it up then and asked for all of it again.

The time-out starts anew while 32 KB arrive within it, for ten more at most. Seen by reading, not in a run of gateways.

--- a/source/core/kv/client.cc
+++ b/source/core/kv/client.cc
@@ -1,6 +1,7 @@
 #include "kv/client.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <utility>
 
 namespace daisywind::kv {
@@ -11,6 +12,10 @@
 constexpr auto kOk = 200U;
 constexpr auto kFirstClientError = 400U;
 constexpr auto kFirstServerError = 500U;
+// A large response may take longer if so many bytes of it arrive within each
+// time-out of a call.
+constexpr auto kProgressBytes = std::size_t{32} * 1024;
+constexpr auto kMaxTransferTimeouts = 10;
 
 // Outcome of a call, from the HTTP result. After a server error it is unknown
 // whether the call was executed.
@@ -127,6 +132,8 @@
   options.head_timeout = options_.call_timeout;
   options.idle_timeout = options_.call_timeout;
   options.total_timeout = options_.call_timeout;
+  options.extension = net::timeout_extension{
+      kProgressBytes, (1 + kMaxTransferTimeouts) * options_.call_timeout};
   options.connection = needs_fresh_connection ? net::connection_use::kNew
                                               : net::connection_use::kAny;
   auto sent =
--- a/source/core/kv/client.h
+++ b/source/core/kv/client.h
@@ -54,6 +54,7 @@
 // Time-outs of the client's calls.
 struct client_options {
   duration connect_timeout = 500ms;
+  // Starts anew while a large response arrives fast enough.
   duration call_timeout = 3s;
   // A watch that receives nothing for this long is ended, since its connection
   // may be dead.
