history_wire: an age beyond any clock's range does not overflow

decoder_fuzz, started with a copy of the store that has a compressed value, found a signed overflow in the conversion of a copy's ages from milliseconds: 2^63 - 1 ms came out as -1 ms, a copy from the future. No sender writes such an age; a damaged frame may.

--- a/source/core/history_wire/codec.cc
+++ b/source/core/history_wire/codec.cc
@@ -23,6 +23,16 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
 }
 
+// Returns nothing if there is no age. One that no clock could measure is
+// shortened, as it would overflow.
+auto AgeFrom(std::int64_t milliseconds) -> std::optional<duration> {
+  constexpr auto kMaxAge = std::int64_t{365} * 24 * 3'600'000;
+  if (milliseconds < 0) {
+    return std::nullopt;
+  }
+  return std::chrono::milliseconds(std::min(milliseconds, kMaxAge));
+}
+
 auto ChainStateFrom(std::uint8_t value) -> chain_state {
   return value <= static_cast<std::uint8_t>(chain_state::kPartial)
              ? static_cast<chain_state>(value)
@@ -269,12 +279,8 @@
   }
   to.has_only_changes = from.has_only_changes;
   to.removed = from.removed;
-  if (from.store_age_ms >= 0) {
-    to.store_age = std::chrono::milliseconds(from.store_age_ms);
-  }
-  if (from.proof_age_ms >= 0) {
-    to.proof_age = std::chrono::milliseconds(from.proof_age_ms);
-  }
+  to.store_age = AgeFrom(from.store_age_ms);
+  to.proof_age = AgeFrom(from.proof_age_ms);
   to.revision_at = from.revision;
   return to;
 }
--- a/source/unit_tests/history_wire/codec_test.cc
+++ b/source/unit_tests/history_wire/codec_test.cc
@@ -3,7 +3,10 @@
 #include <doctest/doctest.h>
 #include <history_generated.h>
 
+#include <chrono>
 #include <cstddef>
+#include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <utility>
@@ -179,6 +182,21 @@
   CHECK_FALSE(reply.proof_age);
 }
 
+// Guards against an overflow, which made such an age a negative one.
+TEST_CASE("an age that is too long for a clock stays an age") {
+  auto from = fbs::MessageT{};
+  auto body = fbs::CopyReplyT{};
+  body.store_age_ms = std::numeric_limits<std::int64_t>::max();
+  body.proof_age_ms = body.store_age_ms;
+  from.body.Set(std::move(body));
+  const auto read = Received(from);
+  REQUIRE(read);
+  const auto& reply = std::get<copy_reply>(read->body);
+  REQUIRE(reply.store_age);
+  CHECK(*reply.store_age > std::chrono::hours(24));
+  CHECK(reply.proof_age == reply.store_age);
+}
+
 // A reply with one compressed value, whose bytes and size may be damaged.
 auto DeflatedReply(std::string value, std::size_t size) -> std::string {
   auto reply = copy_reply{store_copy{9, {{"a", "v", 3, 4}}}};
