--- a/source/core/journal/fact_copier.cc
+++ b/source/core/journal/fact_copier.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio.hpp>
+#include <iterator>
 #include <limits>
 #include <optional>
 #include <unordered_set>
@@ -147,6 +148,7 @@
   const auto first = FirstHashOfShare(copying);
   lists.insert(lists.end(), copying.begin(), copying.end());
   auto wanted = PlanPulls(lists);
+  DropNewTurns(view, wanted);
   auto is_all = true;
   for (auto& hashes : wanted) {
     is_all = is_all && hashes.empty();
@@ -160,6 +162,26 @@
   co_return co_await CopyPlanned(view, lists, std::move(wanted)) && is_all;
 }
 
+auto fact_copier::DropNewTurns(history::view_number view, pull_plan& wanted)
+    -> void {
+  if (shared_in_ != view) {
+    shared_in_ = view;
+    shared_turns_.clear();
+    for (const auto& hashes : wanted) {
+      std::transform(hashes.begin(), hashes.end(),
+                     std::back_inserter(shared_turns_), history::TurnPart);
+    }
+    std::sort(shared_turns_.begin(), shared_turns_.end());
+    return;
+  }
+  for (auto& hashes : wanted) {
+    std::erase_if(hashes, [&](history::fact_hash hash) {
+      return !std::binary_search(shared_turns_.begin(), shared_turns_.end(),
+                                 history::TurnPart(hash));
+    });
+  }
+}
+
 auto fact_copier::FirstHashOfShare(const std::vector<fact_list>& copying) const
     -> history::fact_hash {
   constexpr auto kLargest = std::numeric_limits<history::fact_hash>::max();
--- a/source/unit_tests/journal/journal_node_test.cc
+++ b/source/unit_tests/journal/journal_node_test.cc
@@ -213,6 +213,21 @@
     REQUIRE(RunUntil([&] { return View().number > before && IsSettled(vms); }));
   }
 
+  // Likewise, for two journals at the same time. Calls `while_waiting`
+  // meanwhile.
+  auto ReplaceTwoDisks(std::array<int, 2> numbers,
+                       const std::set<std::string>& vms) -> void {
+    const auto before = View().number;
+    for (const auto number : numbers) {
+      Stop(number);
+      LoseDisk(number);
+    }
+    for (const auto number : numbers) {
+      Start(number);
+    }
+    REQUIRE(RunUntil([&] { return View().number > before && IsSettled(vms); }));
+  }
+
   // Number of journals that hold each fact.
   auto CountCopies() -> std::map<history::fact_hash, int> {
     auto copies = std::map<history::fact_hash, int>{};
@@ -739,17 +754,7 @@
     cluster.At(kLeft.at(i % 3)).replica().MergeFacts({fact});
     cluster.At(kLeft.at((i + 1) % 3)).replica().MergeFacts({fact});
   }
-  const auto before = cluster.View().number;
-  for (const auto number : {3, 4}) {
-    cluster.Stop(number);
-    cluster.LoseDisk(number);
-  }
-  for (const auto number : {3, 4}) {
-    cluster.Start(number);
-  }
-  REQUIRE(cluster.RunUntil([&] {
-    return cluster.View().number > before && cluster.IsSettled(all);
-  }));
+  cluster.ReplaceTwoDisks({3, 4}, all);
   auto total = 0;
   for (const auto& [hash, copies] : cluster.CountCopies()) {
     CHECK(copies >= 3);
@@ -758,6 +763,41 @@
   CHECK(total < kFacts * 7 / 2);
 }
 
+// Regression: of the turns that were recorded meanwhile, some always seemed to
+// lack a copy, so two new disks did not become complete.
+TEST_CASE("two new disks become complete while turns are recorded") {
+  auto cluster = journal_cluster();
+  const auto all = cluster.StartFourNearOneFar();
+  auto recorded = 0;
+  // Turns whose third copy is on its way.
+  const auto record = [&](int count) {
+    for (auto i = 0; i < count; ++i) {
+      const auto fact = AgedFact("t" + std::to_string(recorded++), 0);
+      cluster.At(1).replica().MergeFacts({fact});
+      cluster.At(2).replica().MergeFacts({fact});
+    }
+  };
+  constexpr auto kBefore = 16'000;
+  record(kBefore);
+  const auto before = cluster.At(1).replica().facts().Hashes();
+  auto timer = asio::steady_timer(cluster.context);
+  const auto record_often = [&]() -> asio::awaitable<void> {
+    auto error = boost::system::error_code{};
+    while (!error) {
+      record(1);
+      timer.expires_after(200us);
+      co_await timer.async_wait(
+          asio::redirect_error(asio::use_awaitable, error));
+    }
+  };
+  asio::co_spawn(cluster.context, record_often(), asio::detached);
+  cluster.ReplaceTwoDisks({3, 4}, all);
+  timer.cancel();
+  const auto copies = cluster.CountCopies();
+  CHECK(std::all_of(before.begin(), before.end(),
+                    [&](auto hash) { return copies.at(hash) >= 3; }));
+}
+
 // Regression: the copies for new disks filled the memory of the members that
 // were left, which then refused all first turns.
 TEST_CASE("members that are short of memory take no copies for a new disk") {
