--- a/source/core/journal/fact_copier.cc
+++ b/source/core/journal/fact_copier.cc
@@ -34,8 +34,20 @@
 constexpr auto kMaxForwards = std::size_t{16};
 // Facts that are copied from one member before others are asked again.
 constexpr auto kFactsPerPart = std::size_t{2048};
-// Likewise, beside other members that copy as well.
-constexpr auto kFactsPerShare = std::size_t{4096};
+// Turns whose facts are copied before the lists of others that copy as well are
+// requested again.
+constexpr auto kTurnsPerShare = std::size_t{8192};
+
+auto TurnsOf(const std::vector<hash_list>& hashes) -> hash_list {
+  auto turns = hash_list{};
+  for (const auto& list : hashes) {
+    std::transform(list.begin(), list.end(), std::back_inserter(turns),
+                   history::TurnPart);
+  }
+  std::sort(turns.begin(), turns.end());
+  turns.erase(std::unique(turns.begin(), turns.end()), turns.end());
+  return turns;
+}
 
 // Removes the first hashes, or all if their number is zero, as in replies of
 // members of earlier versions.
@@ -145,41 +157,39 @@
                             std::vector<fact_list> lists,
                             const std::vector<fact_list>& copying)
     -> asio::awaitable<bool> {
-  const auto first = FirstHashOfShare(copying);
+  const auto first = history::TurnPart(FirstHashOfShare(copying));
   lists.insert(lists.end(), copying.begin(), copying.end());
   auto wanted = PlanPulls(lists);
-  DropNewTurns(view, wanted);
-  auto is_all = true;
-  for (auto& hashes : wanted) {
-    is_all = is_all && hashes.empty();
-    // Beyond the largest hash, the order continues with the smallest.
-    std::sort(hashes.begin(), hashes.end(),
-              [first](history::fact_hash a, history::fact_hash b) {
-                return a - first < b - first;
-              });
-    hashes.resize(std::min(hashes.size(), kFactsPerShare));
-  }
-  co_return co_await CopyPlanned(view, lists, std::move(wanted)) && is_all;
-}
-
-auto fact_copier::DropNewTurns(history::view_number view, pull_plan& wanted)
-    -> void {
+  auto turns = TurnsOf(wanted);
   if (shared_in_ != view) {
     shared_in_ = view;
-    shared_turns_.clear();
-    for (const auto& hashes : wanted) {
-      std::transform(hashes.begin(), hashes.end(),
-                     std::back_inserter(shared_turns_), history::TurnPart);
-    }
-    std::sort(shared_turns_.begin(), shared_turns_.end());
-    return;
+    shared_turns_ = {turns.begin(), turns.end()};
   }
+  std::erase_if(turns, [&](history::fact_hash turn) {
+    return !shared_turns_.contains(turn);
+  });
+  // Beyond the largest turn, the order continues with the smallest.
+  std::sort(turns.begin(), turns.end(),
+            [first](history::fact_hash a, history::fact_hash b) {
+              return a - first < b - first;
+            });
+  const auto is_last = turns.size() <= kTurnsPerShare;
+  turns.resize(std::min(turns.size(), kTurnsPerShare));
+  // All states of a turn are in the same part.
+  const auto part =
+      std::unordered_set<history::fact_hash>(turns.begin(), turns.end());
   for (auto& hashes : wanted) {
     std::erase_if(hashes, [&](history::fact_hash hash) {
-      return !std::binary_search(shared_turns_.begin(), shared_turns_.end(),
-                                 history::TurnPart(hash));
+      return !part.contains(history::TurnPart(hash));
     });
   }
+  if (!co_await CopyPlanned(view, lists, std::move(wanted))) {
+    co_return false;
+  }
+  for (const auto turn : turns) {
+    shared_turns_.erase(turn);
+  }
+  co_return is_last;
 }
 
 auto fact_copier::FirstHashOfShare(const std::vector<fact_list>& copying) const
--- a/source/core/journal/fact_copier.h
+++ b/source/core/journal/fact_copier.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <memory>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 #include "common/time.h"
@@ -50,9 +51,9 @@
       -> boost::asio::awaitable<bool>;
 
   // Likewise, beside other members that copy at the same time, whose lists are
-  // given as well: what they hold counts, and each begins with other facts, so
-  // that they share the work. Copies a part. Returns whether all facts that
-  // lacked a disk at the first call in this view are on enough disks.
+  // given as well: what they hold counts, and each begins with other turns, so
+  // that they share the work. Copies a part, and each turn once in a view.
+  // Returns whether this was the last part.
   auto CopyShare(history::view_number view,
                  std::vector<fact_list> lists,
                  const std::vector<fact_list>& copying)
@@ -84,10 +85,6 @@
   using pull_plan = std::vector<std::vector<history::fact_hash>>;
 
   auto PlanPulls(const std::vector<fact_list>& lists) const -> pull_plan;
-  // Removes the facts of turns that did not lack a disk at the first call in a
-  // view. Facts under way seem to lack one at any time, so a copy that waited
-  // for them would not end while turns are recorded.
-  auto DropNewTurns(history::view_number view, pull_plan& wanted) -> void;
   // The hash with which this member begins, beside others that copy as well.
   [[nodiscard]] auto FirstHashOfShare(
       const std::vector<fact_list>& copying) const -> history::fact_hash;
@@ -116,9 +113,11 @@
   fact_copier_options options_;
   history::member_clients clients_;
   std::size_t running_forwards_ = 0;
-  // The turns that are shared between members that copy, sorted, and the view.
+  // The turns that lacked a disk at the first part in a view and have not been
+  // copied since. Later ones and turns of which members have different states
+  // may always seem to lack one, so waiting for them would not end.
   history::view_number shared_in_ = 0;
-  std::vector<history::fact_hash> shared_turns_;
+  std::unordered_set<history::fact_hash> shared_turns_;
 };
 
 }  // namespace daisywind::journal
--- a/source/unit_tests/journal/journal_node_test.cc
+++ b/source/unit_tests/journal/journal_node_test.cc
@@ -798,6 +798,24 @@
                     [&](auto hash) { return copies.at(hash) >= 3; }));
 }
 
+// Regression: a state of a turn that one member had seemed to lack a copy for
+// ever, so two new disks did not become complete.
+TEST_CASE(
+    "two new disks become complete though members know different states") {
+  auto cluster = journal_cluster();
+  const auto all = cluster.StartFourNearOneFar();
+  constexpr auto kFacts = 16'000;
+  for (auto i = 0; i < kFacts; ++i) {
+    auto fact = AgedFact("t" + std::to_string(i), 0);
+    for (const auto number : {1, 2, 5}) {
+      fact.settled_tokens = 10 * number;
+      cluster.At(number).replica().MergeFacts({fact});
+    }
+  }
+  cluster.ReplaceTwoDisks({3, 4}, all);
+  CHECK(cluster.At(3).replica().facts().size() == kFacts);
+}
+
 // Regression: the copies for new disks filled the memory of the members that
 // were left, which then refused all first turns.
 TEST_CASE("members that are short of memory take no copies for a new disk") {
