--- a/source/unit_tests/history_client/mirrored_store_test.cc
+++ b/source/unit_tests/history_client/mirrored_store_test.cc
@@ -54,36 +54,29 @@
 
   auto WaitAt(mirrored_store& source, kv::revision after, duration wait)
       -> kv::store_result<kv::change_list> {
-    auto result = std::optional<kv::store_result<kv::change_list>>{};
-    asio::co_spawn(context, source.WaitForChanges("", after, wait),
-                   [&](const std::exception_ptr&,
-                       kv::store_result<kv::change_list> received) {
-                     result = std::move(received);
-                   });
-    const auto end = Now() + kStepTimeout;
-    while (!result && Now() < end) {
-      context.restart();
-      context.run_for(std::chrono::milliseconds(5));
-    }
-    REQUIRE(result);
-    return std::move(*result);
+    return Await(source.WaitForChanges("", after, wait));
   }
 
   auto List() -> kv::listing {
-    auto result = std::optional<kv::store_result<kv::listing>>{};
-    asio::co_spawn(
-        context, mirrored.List(""),
-        [&](const std::exception_ptr&, kv::store_result<kv::listing> received) {
-          result = std::move(received);
-        });
+    auto result = Await(mirrored.List(""));
+    REQUIRE(result.value);
+    return std::move(*result.value);
+  }
+
+  template <class Result>
+  auto Await(asio::awaitable<Result> call) -> Result {
+    auto result = std::optional<Result>{};
+    asio::co_spawn(context, std::move(call),
+                   [&](const std::exception_ptr&, Result received) {
+                     result = std::move(received);
+                   });
     const auto end = Now() + kStepTimeout;
     while (!result && Now() < end) {
       context.restart();
       context.run_for(std::chrono::milliseconds(5));
     }
     REQUIRE(result);
-    REQUIRE(result->value);
-    return *result->value;
+    return std::move(*result);
   }
 
   asio::io_context context{1};
