journal_test: end recording before its timer is gone

A cancel of a timer whose handler is queued already does nothing, so the coroutine could have used the timer after its end. It looks at a flag that outlives the cluster now. Seen by reading. The comment of ReplaceTwoDisks names a parameter no longer.

--- a/source/unit_tests/journal/journal_node_test.cc
+++ b/source/unit_tests/journal/journal_node_test.cc
@@ -213,8 +213,7 @@
     REQUIRE(RunUntil([&] { return View().number > before && IsSettled(vms); }));
   }
 
-  // Likewise, for two journals at the same time. Calls `while_waiting`
-  // meanwhile.
+  // Likewise, for two journals at the same time.
   auto ReplaceTwoDisks(std::array<int, 2> numbers,
                        const std::set<std::string>& vms) -> void {
     const auto before = View().number;
@@ -766,6 +765,7 @@
 // Regression: of the turns that were recorded meanwhile, some always seemed to
 // lack a copy, so two new disks did not become complete.
 TEST_CASE("two new disks become complete while turns are recorded") {
+  auto is_done = false;
   auto cluster = journal_cluster();
   const auto all = cluster.StartFourNearOneFar();
   auto recorded = 0;
@@ -783,7 +783,7 @@
   auto timer = asio::steady_timer(cluster.context);
   const auto record_often = [&]() -> asio::awaitable<void> {
     auto error = boost::system::error_code{};
-    while (!error) {
+    while (!error && !is_done) {
       record(1);
       timer.expires_after(200us);
       co_await timer.async_wait(
@@ -792,7 +792,7 @@
   };
   asio::co_spawn(cluster.context, record_often(), asio::detached);
   cluster.ReplaceTwoDisks({3, 4}, all);
-  timer.cancel();
+  is_done = true;
   const auto copies = cluster.CountCopies();
   CHECK(std::all_of(before.begin(), before.end(),
                     [&](auto hash) { return copies.at(hash) >= 3; }));
