--- a/review/lab2.py
+++ b/review/lab2.py
@@ -375,6 +375,84 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
+def turn_fields(lab, program, parent="", session="s"):
+    """The head of a turn of an agent program."""
+    fields = {"X-Request-Id": lab.next_id(), "X-Program-Id": program,
+              "X-Session-Id": session, "X-Program-Deadline-Ms": "30000",
+              "X-Token-Budget": "100000", "X-Token-Count": "100,20",
+              "X-Deadline-Ms": "6000"}
+    return fields | ({"X-Previous-Turn": parent} if parent else {})
+
+
+class Callers:
+    """Ten programs a second; each also continues a turn that was answered whole."""
+
+    def __init__(self, lab):
+        self.lab = lab
+        # Program, id and end of each turn that was answered whole.
+        self.kept = []
+        self.counts = {}
+
+    def note(self, what, answer):
+        is_served = answer.status == 200 and answer.is_complete
+        result = "served" if is_served else answer.status or "no answer"
+        self.counts[(what, result)] = self.counts.get((what, result), 0) + 1
+        return is_served
+
+    async def one(self, number):
+        port = self.lab.fronts[number % len(self.lab.fronts)].ports["callers"]
+        first = turn_fields(self.lab, f"p{number}")
+        answer = await request(port, "POST", "/turns/a", first, b"hello")
+        if self.note("first turns", answer):
+            self.kept.append((f"p{number}", first["X-Request-Id"], time.monotonic()))
+        fresh = [k for k in self.kept if time.monotonic() - k[2] < 50]
+        if fresh:
+            program, parent, _ = self.lab.rng.choice(fresh)
+            answer = await request(port, "POST", "/turns/a",
+                                   turn_fields(self.lab, program, parent), b"more")
+            self.note("turns that continue a kept one", answer)
+
+    async def run(self):
+        number, tasks = 0, set()
+        while True:
+            number += 1
+            tasks.add(asyncio.create_task(self.one(number)))
+            tasks = {task for task in tasks if not task.done()}
+            await asyncio.sleep(0.1)
+
+    def take(self):
+        counts, self.counts = self.counts, {}
+        return counts
+
+
+async def take_away(process):
+    """The machine is gone for good, with its disk."""
+    process.keeper.cancel()
+    if process.child.returncode is None:
+        process.child.kill()
+        await process.child.wait()
+    shutil.rmtree(process.folder / "data", ignore_errors=True)
+
+
+async def retire(lab, process, duration_s):
+    """The operator has a store machine emptied, and takes it away then."""
+    await lab.store.put("op/retire/" + process.name,
+                        json.dumps({"duration_s": duration_s}))
+    until = time.monotonic() + 3 * duration_s
+    while "done" not in lab.store.value("status/retire/" + process.name):
+        if time.monotonic() > until:
+            raise CannotRun(f"{process.name} was not emptied")
+        await asyncio.sleep(0.1)
+    await take_away(process)
+    await lab.store.remove("op/retire/" + process.name)
+
+
+def view_of(lab):
+    """The only key of the system itself."""
+    return next(lab.store.value(key) for key in lab.store.items
+                if not key.startswith(("op/", "servers/", "status/")))
+
+
 def main(case, play, limit_s=110.0):
     """Plays a case. `play` gets the lab and returns whether the rule was broken."""
 
