--- a/review/lab2.py
+++ b/review/lab2.py
@@ -85,7 +85,7 @@
         self.kind = kind
         self.name = f"{kind}-{number}"
         self.memory_mb = memory_mb
-        self.ports = {key: free_port() for key in
+        self.ports = {key: lab.unused_port() for key in
                       ("callers", "ready", "metrics", "relay", "journal", "seed")}
         self.folder = lab.folder / self.name
         self.folder.mkdir()
@@ -328,6 +328,15 @@
         self.contracts = ["base", "drain", "config", "cost", "recover", "agent",
                           "stream", "engine", "platform"]
         self.last_id = 0
+        self.used_ports = set()
+
+    def unused_port(self):
+        """A free port that no other process of the deployment is to use."""
+        port = free_port()
+        while port in self.used_ports:
+            port = free_port()
+        self.used_ports.add(port)
+        return port
 
     def next_id(self):
         self.last_id += 1
